schedule: learn each image's pressure; place and pace backfilling tasks by it

Cause: all backfilling tasks of a worker were slowed down alike when a serving task beside them was over its objective, and were placed without regard to it.

Change: a Kalman filter learns each image's pressure from the agents' reports; paces share the tails' slack out, the least disturbing images first; placement goes by the speed that a task would have; serving tasks are packed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,7 +92,8 @@
 	planner  *schedule.Planner
 	leases   *leaseTable
 	observed map[jobqueue.RunID]schedule.Observation
-	paces    *paceTable
+	// paceRevisions grow with each change of a worker's paces.
+	paceRevisions map[string]uint64
 }
 
 // New returns a dispatcher; Run makes it work.
@@ -183,11 +184,11 @@
 	defer d.mu.Unlock()
 	now := d.opts.Now()
 	d.leading = &leadership{
-		term:     term,
-		planner:  schedule.New(),
-		leases:   newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		observed: map[jobqueue.RunID]schedule.Observation{},
-		paces:    newPaceTable(),
+		term:          term,
+		planner:       schedule.New(),
+		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
+		observed:      map[jobqueue.RunID]schedule.Observation{},
+		paceRevisions: map[string]uint64{},
 	}
 	d.logger.Info("leader is ready", zap.Uint64("term", term), zap.Uint64("index", res.Index))
 	return true
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -47,7 +47,7 @@
 		if w == nil {
 			return
 		}
-		resp.Sequence = w.Revision + l.paces.revision(worker)
+		resp.Sequence = w.Revision + l.paceRevisions[worker]
 		for _, id := range w.SortedRuns() {
 			l.addOrder(resp, w.Runs[id])
 		}
@@ -65,7 +65,7 @@
 			Task: r.ID.Task.Ref(), Run: r.ID.Number, Checkpoint: r.Checkpoint, Payload: r.Job().Spec.Payload,
 		})
 	}
-	if percent, set := l.paces.of(r.ID); set {
+	if percent, set := l.planner.Pace(r.Worker, r.ID); set {
 		resp.Paces = append(resp.Paces, &apiv1.PaceOrder{Task: r.ID.Task.Ref(), Run: r.ID.Number, Percent: percent})
 	}
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -58,7 +58,7 @@
 		jobs := m.CallerJobs()
 		d.learn(l, jobs, r, now)
 		command = l.reportCommand(jobs, r)
-		l.paces.adjust(jobs.Worker(r.Worker.GetId()), l.observed, now)
+		l.adjustPaces(jobs.Worker(r.Worker.GetId()), now)
 	})
 	return l.term, command, renewed
 }
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -24,8 +24,14 @@
 type slot struct {
 	worker *jobqueue.Worker
 	free   jobqueue.Resources
-	// backfill is the processor demand of the backfilling runs.
+	// backfill is the processor demand of the backfilling runs, others what the rest
+	// is expected to use of its reservation, in thousandths of a core.
 	backfill int64
+	others   float64
+	// serving: tasks with a tail objective run there; slackMs is how much of their
+	// tails may still be given to backfilling ones.
+	serving  bool
+	slackMs  float64
 	usable   bool
 	avoided  bool
 	doubtful bool
@@ -50,10 +56,9 @@
 			given:    map[stepKey]int{},
 		}
 		for _, run := range w.Runs {
-			if run.Step.Backfill {
-				s.backfill += run.Step.CpuMilli
-			}
+			s.count(run.Step, 1)
 		}
+		s.slackMs = r.planner.slackLeft(w, r.fleet)
 		r.slots = append(r.slots, s)
 	}
 }
@@ -202,6 +207,9 @@
 		Task: id.Ref(), Run: run, Worker: s.worker.Spec.Id, Checkpoint: c.step.Tasks[index].Checkpoint,
 	})
 	s.give(c, 1)
+	if c.step.Spec.Backfill {
+		s.slackMs = max(0, s.slackMs-r.planner.cost(c.step.Spec))
+	}
 }
 
 // give takes n tasks' room from the slot; -1 gives it back.
@@ -213,9 +221,7 @@
 			s.free = s.free.Add(jobqueue.Reserved(c.step.Spec))
 		}
 	}
-	if c.step.Spec.Backfill {
-		s.backfill += int64(n) * c.step.Spec.CpuMilli
-	}
+	s.count(c.step.Spec, n)
 	s.given[c.key()] += n
 }
 
@@ -231,7 +237,8 @@
 		if !r.feasible(c, s) {
 			continue
 		}
-		if score := r.score(c, s); best == nil || score > bestScore {
+		score, ok := r.score(c, s)
+		if ok && (best == nil || score > bestScore) {
 			best, bestScore = s, score
 		}
 	}
@@ -255,25 +262,3 @@
 	held := s.worker.CountOf(key.job, key.occurrence, key.step) + s.given[key]
 	return held < int(spec.MaxPerWorker)
 }
-
-const (
-	// doubtPenalty puts a worker whose last run failed behind all others.
-	doubtPenalty = 10
-	// rackBonus prefers the rack with the task's data to any amount of free room.
-	rackBonus = 5
-)
-
-// score is higher for better workers: the larger the share of its processors that
-// a worker has left, the less the task waits for them or disturbs others.
-func (r *round) score(c *candidate, s *slot) float64 {
-	spec := c.step.Spec
-	capacity := float64(max(1, s.worker.Spec.CpuMilli))
-	left := float64(s.free.CPUMilli-s.backfill) / capacity
-	if s.doubtful {
-		left -= doubtPenalty
-	}
-	if spec.PreferredRack != "" && s.worker.HasLabel(spec.PreferredRack) {
-		left += rackBonus
-	}
-	return left
-}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -49,13 +49,17 @@
 // Planner keeps what was learnt from one decision to the next. It is not safe for
 // concurrent use.
 type Planner struct {
-	health healthTable
-	images imageTable
+	health       healthTable
+	images       imageTable
+	interference *interference
+	pacers       map[string]*pacer
 }
 
 // New returns a planner that has learnt nothing yet.
 func New() *Planner {
-	return &Planner{health: newHealthTable(), images: newImageTable()}
+	return &Planner{
+		health: newHealthTable(), images: newImageTable(), interference: newInterference(), pacers: map[string]*pacer{},
+	}
 }
 
 // Plan decides at the steady time now and the wall time wallMs (Unix
