quorum/node: a spare takes the place of a lost voter without an operator

Cause: a host of a new name only enlarged the group; the vote of the one that it replaced stayed, and a replica that was removed while it was down never asked to come back.

Change: a replica that joins to replace waits as a spare; the leader names it the successor of a voter that was silent for 2.5 s, removes that one, then gives the vote. A replica without a leader for as long asks to be taken in again.

--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -270,15 +270,38 @@
 // joinGroup asks the group's leader to take this replica in, until it is a member
 // at its own address. A replica that was removed does not ask again.
 func (n *Node) joinGroup(joining bool) {
-	self := &apiv1.Replica{Id: n.id(), Name: n.opts.Name, Address: n.opts.Address, Learner: true}
+	self := &apiv1.Replica{
+		Id: n.id(), Name: n.opts.Name, Address: n.opts.Address, Learner: true, Spare: n.opts.Spare,
+	}
 	for n.ctx.Err() == nil {
 		member := findByID(n.Status().Membership, n.id())
 		if member == nil && !joining || member.GetAddress() == n.opts.Address {
-			return
+			break
 		}
 		n.askToJoin(self)
 		n.pause(n.opts.electionTimeout())
 	}
+	n.joinAgain()
+}
+
+// joinAgain asks to be taken in again whenever no leader was heard of for long. A
+// voter that was silent for a while may have been replaced meanwhile, and nobody
+// sends to it any more. Its log and its vote are whole, so it comes back under its
+// own id, as a spare. Asking while it is still a member changes nothing.
+func (n *Node) joinAgain() {
+	self := &apiv1.Replica{Id: n.id(), Name: n.opts.Name, Address: n.opts.Address, Learner: true, Spare: true}
+	lonely := time.Duration(0)
+	for n.ctx.Err() == nil {
+		n.pause(n.opts.electionTimeout())
+		lonely += n.opts.electionTimeout()
+		if n.Status().Leader != 0 {
+			lonely = 0
+		}
+		if lonely >= n.opts.ReplaceAfter {
+			n.askToJoin(self)
+			lonely = 0
+		}
+	}
 }
 
 // askToJoin asks each member once; a member that doesn't lead names the leader.
@@ -288,6 +311,9 @@
 	for _, r := range n.group().GetReplicas() {
 		addresses = append(addresses, r.Address)
 	}
+	for _, p := range n.peers() {
+		addresses = append(addresses, p.Address)
+	}
 	for i := 0; i < len(addresses) && n.ctx.Err() == nil; i++ {
 		address := addresses[i]
 		if asked[address] {
--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -17,7 +17,7 @@
 // AddLearner adds a replica that receives the log but has no vote. Errors are
 // those of Propose, and quorum.ErrMembershipPending or quorum.ErrMembershipChange.
 func (n *Node) AddLearner(ctx context.Context, r *apiv1.Replica) error {
-	learner := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: true}
+	learner := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: true, Spare: r.Spare}
 	return n.change(ctx, withLearner(n.Status().Membership, learner))
 }
 
@@ -84,7 +84,7 @@
 	if !n.leadership.Leading || s.Role != quorum.Leader || n.leaving.Load() {
 		return
 	}
-	next, reason := nextMembership(s)
+	next, reason := nextMembership(s, n.opts.replaceTicks())
 	if next == nil {
 		return
 	}
@@ -98,17 +98,18 @@
 
 // nextMembership returns the change that a leader makes by itself, nil when there
 // is none. Of the replicas of one name the last one joined with the newest disk;
-// those before it are gone.
+// those before it are gone. A voter that was silent for replaceTicks is gone too as
+// soon as a spare has the whole log: the spare is first named its successor.
 //
 // The order is: take in the learner's log, remove its predecessor, then give the
 // learner its vote. With the vote first, three replicas would become four voters
 // of which three must be up; if the new disk were lost at that moment too, two
 // would be left and could never commit a change again. With the removal first,
 // the voters that must be up are at no step more than before.
-func nextMembership(s quorum.Status) (next *apiv1.Membership, reason string) {
+func nextMembership(s quorum.Status, replaceTicks int) (next *apiv1.Membership, reason string) {
 	replicas := s.Membership.GetReplicas()
 	for i, r := range replicas {
-		successor := successorOf(replicas[i+1:], r.Name)
+		successor := successorOf(replicas, i)
 		if successor == nil || r.Id == s.ID {
 			continue
 		}
@@ -117,18 +118,46 @@
 		}
 	}
 	for _, r := range replicas {
-		if r.Learner && caughtUp(s, r.Id) {
+		if r.Learner && !r.Spare && caughtUp(s, r.Id) {
 			return withVoter(s.Membership, r.Id), "give a vote to " + r.Name
 		}
 	}
+	return nameSuccessor(s, replaceTicks)
+}
+
+// nameSuccessor makes a spare that has the whole log the successor of a voter that
+// is gone.
+func nameSuccessor(s quorum.Status, replaceTicks int) (next *apiv1.Membership, reason string) {
+	gone := silentVoter(s, replaceTicks)
+	if gone == nil {
+		return nil, ""
+	}
+	for _, r := range s.Membership.GetReplicas() {
+		if !r.Learner || !r.Spare || !caughtUp(s, r.Id) || s.SilentTicks[r.Id] >= replaceTicks {
+			continue
+		}
+		successor := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: true, Replaces: gone.Id}
+		return withReplaced(s.Membership, successor), r.Name + " takes the place of " + gone.Name
+	}
 	return nil, ""
 }
 
-// successorOf returns the last replica of that name.
-func successorOf(later []*apiv1.Replica, name string) *apiv1.Replica {
+// silentVoter returns a voter that was not heard for replaceTicks.
+func silentVoter(s quorum.Status, replaceTicks int) *apiv1.Replica {
+	for _, r := range s.Membership.GetReplicas() {
+		if !r.Learner && r.Id != s.ID && s.SilentTicks[r.Id] >= replaceTicks {
+			return r
+		}
+	}
+	return nil
+}
+
+// successorOf returns the last replica of the same name, or one that replaces it.
+func successorOf(replicas []*apiv1.Replica, number int) *apiv1.Replica {
+	before := replicas[number]
 	var found *apiv1.Replica
-	for _, r := range later {
-		if r.Name == name {
+	for i, r := range replicas {
+		if i > number && r.Name == before.Name || r.Learner && r.Replaces == before.Id {
 			found = r
 		}
 	}
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -31,6 +31,10 @@
 	patience     = 60_000
 )
 
+// ReplaceAfter is how long a voter is silent before a spare takes its place: five
+// election timeouts.
+const ReplaceAfter = 500 * time.Millisecond
+
 // Host is a host of the control group, with a disk that outlives its replica.
 type Host struct {
 	Disk *waltest.Disk
@@ -49,6 +53,7 @@
 	Delay func()
 
 	names  []string
+	spares map[string]bool
 	mu     sync.Mutex
 	hosts  map[string]*Host
 	cut    map[[2]string]bool
@@ -60,7 +65,7 @@
 func NewGroup(t testing.TB, seed uint64, names ...string) *Group {
 	g := &Group{
 		T: t, Seed: seed, SnapshotEntries: defaultSnapshotEntries, Delay: func() {},
-		names: names, hosts: map[string]*Host{}, cut: map[[2]string]bool{},
+		names: names, spares: map[string]bool{}, hosts: map[string]*Host{}, cut: map[[2]string]bool{},
 	}
 	for i, name := range names {
 		g.hosts[name] = &Host{Disk: waltest.NewDisk(seed + uint64(i))}
@@ -93,6 +98,7 @@
 	started, err := node.Start(node.Options{
 		Cell: cell, Name: name, Address: name, Peers: peers,
 		Storage: log, StateMachine: m, Transport: &link{g: g, from: name},
+		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter,
 		Tick: tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
 	})
 	if err != nil {
@@ -104,6 +110,29 @@
 	return nil
 }
 
+// AddSpare starts a host of a new name, which came to replace a member.
+func (g *Group) AddSpare(name string) {
+	g.T.Helper()
+	g.mu.Lock()
+	g.hosts[name] = &Host{Disk: waltest.NewDisk(g.Seed + uint64(len(g.names)))}
+	g.names = append(slices.Clone(g.names), name)
+	g.spares[name] = true
+	g.mu.Unlock()
+	g.MustStart(name)
+}
+
+// Voters returns the names of the voters, as the leader knows them.
+func (g *Group) Voters() []string {
+	var names []string
+	for _, r := range g.Node(g.Leader()).Status().Membership.Replicas {
+		if !r.Learner {
+			names = append(names, r.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // MustStart starts replicas, all when no names are given.
 func (g *Group) MustStart(names ...string) {
 	g.T.Helper()
--- a/quorum/node/options.go
+++ b/quorum/node/options.go
@@ -22,6 +22,13 @@
 	// JoinOnly keeps an empty replica from forming a group or being an initial
 	// member of one: it joins the group of its peers, whenever that is there.
 	JoinOnly bool
+	// Spare makes a replica that joins wait as a learner until a voter is gone for
+	// ReplaceAfter, and take its place: it came to replace one, not to enlarge the
+	// group.
+	Spare bool
+	// ReplaceAfter is how long a voter must be silent for a spare to take its place;
+	// 2.5 s when 0, five election timeouts.
+	ReplaceAfter time.Duration
 	// Folder is used when Storage is nil.
 	Folder       string
 	Storage      Storage
@@ -51,6 +58,7 @@
 	defaultElectionTicks   = 10
 	defaultHeartbeatTicks  = 1
 	defaultSnapshotEntries = 10000
+	defaultReplaceAfter    = 2500 * time.Millisecond
 	maxEntriesPerMessage   = 512
 	maxInflight            = 32
 	maxUncommitted         = 8192
@@ -77,6 +85,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.ReplaceAfter == 0 {
+		o.ReplaceAfter = defaultReplaceAfter
+	}
 	if o.OnLeadership == nil {
 		o.OnLeadership = func(Leadership) {}
 	}
@@ -85,6 +96,9 @@
 	}
 }
 
+// replaceTicks is ReplaceAfter in ticks.
+func (o *Options) replaceTicks() int { return int(o.ReplaceAfter / o.Tick) }
+
 // electionTimeout is the shortest time without a leader before an election.
 func (o *Options) electionTimeout() time.Duration {
 	return time.Duration(o.ElectionTicks) * o.Tick
--- a/quorum/node/service.go
+++ b/quorum/node/service.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/quorum"
@@ -107,12 +108,25 @@
 	if reason := s.n.refuseJoin(ctx, status.Membership, r.Replica); reason != "" {
 		return &apiv1.JoinResponse{Message: reason}, nil
 	}
-	if err := s.n.AddLearner(ctx, r.Replica); err != nil {
+	learner := proto.CloneOf(r.Replica)
+	learner.Spare = learner.Spare && !voterNamed(status.Membership, learner.Name)
+	if err := s.n.AddLearner(ctx, learner); err != nil {
 		return &apiv1.JoinResponse{Message: err.Error()}, nil
 	}
 	return &apiv1.JoinResponse{Accepted: true}, nil
 }
 
+// voterNamed reports whether a voter has a name. Who comes back with an empty disk
+// takes its own place and is no spare.
+func voterNamed(m *apiv1.Membership, name string) bool {
+	for _, r := range m.GetReplicas() {
+		if r.Name == name && !r.Learner {
+			return true
+		}
+	}
+	return false
+}
+
 // readdress notes that a member has another address since it was restarted. The
 // others need a majority without it for that: hosts move one at a time.
 func (n *Node) readdress(ctx context.Context, m *apiv1.Membership, member *apiv1.Replica, address string) *apiv1.JoinResponse {
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -51,6 +51,8 @@
 	Membership *apiv1.Membership
 	// Match is the last index known to be on each replica; set on a leader.
 	Match map[uint64]uint64
+	// SilentTicks is how long ago each replica was heard; set on a leader.
+	SilentTicks map[uint64]int
 }
 
 // ReadState answers a ReadIndex call: once the entry at Index is applied, a read
--- a/quorum/raft.go
+++ b/quorum/raft.go
@@ -236,8 +236,10 @@
 	}
 	if r.role == Leader {
 		s.Match = make(map[uint64]uint64, len(r.progress))
+		s.SilentTicks = make(map[uint64]int, len(r.progress))
 		for id, p := range r.progress {
 			s.Match[id] = p.match
+			s.SilentTicks[id] = p.silentTicks
 		}
 	}
 	return s
