schedule: pressure as a share of the objective and of the worker; queue for processors; jobs that can't be in time go last

Cause: an unknown image was believed to add 25 ms a core, more than the whole objective of the auction house's watchers (24 ms), so it was never tried; and the processors were shared until every job was late.

--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -70,6 +70,7 @@
 
 // workerView is what was last seen of a worker's runs.
 type workerView struct {
+	capacity int64
 	serving  []seenRun
 	backfill []seenRun
 }
@@ -79,8 +80,11 @@
 	Observation
 }
 
+// share is the tail latency as a share of its objective.
+func (s seenRun) share() float64 { return float64(s.Figure) / float64(s.run.Step.TailObjectiveMs) }
+
 func viewOf(w *jobqueue.Worker, fleet Fleet) workerView {
-	var v workerView
+	v := workerView{capacity: w.Spec.CpuMilli}
 	for _, id := range w.SortedRuns() {
 		r := w.Runs[id]
 		o, seen := fleet.Observed(id)
@@ -97,27 +101,29 @@
 func (v workerView) worstShare() float64 {
 	worst := 0.0
 	for _, s := range v.serving {
-		worst = max(worst, float64(s.Figure)/float64(s.run.Step.TailObjectiveMs))
+		worst = max(worst, s.share())
 	}
 	return worst
 }
 
-// cores sums the processor time in use by image.
-func (v workerView) cores() map[string]float64 {
-	cores := map[string]float64{}
+// parts sums the processor time in use by image, in parts of the worker.
+func (v workerView) parts() map[string]float64 {
+	parts := map[string]float64{}
 	for _, b := range v.backfill {
-		cores[b.run.Step.Image] += float64(b.Figure) / milli
+		parts[b.run.Step.Image] += partsOf(b.Figure, v.capacity)
 	}
-	return cores
+	return parts
 }
 
-const milli = 1000
+func partsOf(cpuMilli, capacity int64) float64 {
+	return partsOfWorker * float64(cpuMilli) / float64(max(1, capacity))
+}
 
 func (p *Planner) learn(v workerView) {
-	cores := v.cores()
+	parts := v.parts()
 	for _, s := range v.serving {
 		if s.Figure > 0 {
-			p.interference.learn(s.run.Step.Image, float64(s.Figure), float64(s.run.Step.TailObjectiveMs), cores)
+			p.interference.learn(s.run.Step.Image, s.share(), parts)
 		}
 	}
 }
@@ -131,21 +137,20 @@
 	}
 }
 
-// slackMs is how much the backfilling runs together may add to the tail of the
-// serving one that can bear least.
-func (p *Planner) slackMs(serving []seenRun) float64 {
-	slack := float64(noLimitMs)
+// slack is how much the backfilling runs together may add to the tail of the
+// serving one that can bear least, as a share of its objective.
+func (p *Planner) slack(serving []seenRun) float64 {
+	slack := float64(noLimit)
 	for _, s := range serving {
-		own := p.interference.base(s.run.Step.Image)
-		slack = min(slack, budgetShare*float64(s.run.Step.TailObjectiveMs)-own)
+		slack = min(slack, budgetShare-p.interference.base(s.run.Step.Image))
 	}
 	return max(0, slack)
 }
 
-// cost is what a task of a backfilling step adds to the tails beside it, in
-// milliseconds, at full speed.
-func (p *Planner) cost(s *apiv1.JobStep) float64 {
-	return p.interference.pressure(s.Image) * float64(s.CpuMilli) / milli
+// cost is what a task of a backfilling step adds to the tails beside it at full
+// speed, as a share of their objective.
+func (p *Planner) cost(s *apiv1.JobStep, capacity int64) float64 {
+	return p.interference.pressure(s.Image) * partsOf(s.CpuMilli, capacity)
 }
 
 // slackLeft is what the present backfilling runs of a worker leave of its slack.
@@ -155,27 +160,27 @@
 	if c := p.pacers[w.Spec.Id]; c != nil {
 		trust = c.trust
 	}
-	slack := p.slackMs(v.serving) * trust
+	slack := p.slack(v.serving) * trust
 	for _, b := range v.backfill {
-		slack -= p.cost(b.run.Step)
+		slack -= p.cost(b.run.Step, v.capacity)
 	}
 	return max(0, slack)
 }
 
-// noLimitMs stands for a worker without serving tasks.
-const noLimitMs = 1e9
+// noLimit stands for a worker without serving tasks.
+const noLimit = 1e9
 
-// paces shares the slack out: the images that disturb least first, since a
-// millisecond of it buys the most work there.
+// paces shares the slack out: the images that disturb least first, since it
+// buys the most work there.
 func (p *Planner) paces(v workerView, trust float64) map[jobqueue.RunID]uint32 {
 	paces := map[jobqueue.RunID]uint32{}
-	budget := p.slackMs(v.serving) * trust
+	budget := p.slack(v.serving) * trust
 	order := slices.Clone(v.backfill)
 	slices.SortStableFunc(order, func(a, b seenRun) int {
 		return cmp.Compare(p.interference.pressure(a.run.Step.Image), p.interference.pressure(b.run.Step.Image))
 	})
 	for _, b := range order {
-		cost := p.cost(b.run.Step)
+		cost := p.cost(b.run.Step, v.capacity)
 		share := 1.0
 		if cost > budget {
 			share = budget / cost
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -28,10 +28,10 @@
 	// is expected to use of its reservation, in thousandths of a core.
 	backfill int64
 	others   float64
-	// serving: tasks with a tail objective run there; slackMs is how much of their
+	// serving: tasks with a tail objective run there; slack is how much of their
 	// tails may still be given to backfilling ones.
 	serving  bool
-	slackMs  float64
+	slack    float64
 	usable   bool
 	avoided  bool
 	doubtful bool
@@ -58,7 +58,7 @@
 		for _, run := range w.Runs {
 			s.count(run.Step, 1)
 		}
-		s.slackMs = r.planner.slackLeft(w, r.fleet)
+		s.slack = r.planner.slackLeft(w, r.fleet)
 		r.slots = append(r.slots, s)
 	}
 }
@@ -73,7 +73,8 @@
 	tasks      []int
 	// objective is when the job should have ended, by the wall clock in ms.
 	objectiveMs int64
-	late        bool
+	// late: the job can't end by then any more.
+	late bool
 }
 
 // startWaiting gives each waiting task a worker while there is room, the most
@@ -129,25 +130,28 @@
 
 func (r *round) candidate(j *jobqueue.Job, occurrence, number int, s *jobqueue.Step, tasks []int) *candidate {
 	q := r.machine.QueueOf(j)
-	chain := r.longestChain(j.Occurrences[occurrence])
+	chain := r.longestChain(j.Occurrences[occurrence], false)
 	allowed := int64(q.Stretch*float64(chain.Milliseconds())) + q.AllowanceMs
 	c := &candidate{
 		job: j, queue: q, occurrence: occurrence, number: number, step: s, tasks: tasks,
 		objectiveMs: j.DueMs(occurrence) + allowed,
 	}
-	c.late = r.wallMs > c.objectiveMs
+	c.late = r.wallMs+r.longestChain(j.Occurrences[occurrence], true).Milliseconds() > c.objectiveMs
 	return c
 }
 
-// longestChain is the expected time of the longest chain of steps.
-func (r *round) longestChain(o *jobqueue.Occurrence) time.Duration {
+// longestChain is the expected time of the longest chain of steps, or of what is
+// left of it.
+func (r *round) longestChain(o *jobqueue.Occurrence, left bool) time.Duration {
 	ends := make([]time.Duration, len(o.Steps))
 	var longest time.Duration
 	for i, s := range o.Steps {
 		for _, before := range s.Spec.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += r.planner.images.duration(s.Spec)
+		if !left || !s.Ended() {
+			ends[i] += r.planner.images.duration(s.Spec)
+		}
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -208,7 +212,7 @@
 	})
 	s.give(c, 1)
 	if c.step.Spec.Backfill {
-		s.slackMs = max(0, s.slackMs-r.planner.cost(c.step.Spec))
+		s.slack = max(0, s.slack-r.planner.cost(c.step.Spec, s.worker.Spec.CpuMilli))
 	}
 }
 
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -12,15 +12,18 @@
 	// servingLoad is the share of its reservation that a serving task is expected to
 	// use: callers reserve for their peaks.
 	servingLoad = 0.6
-	// minSpeed is the least share of its full speed at which a backfilling task is
-	// started: a slower one would hold memory, disturb its neighbours and be stuck
-	// there once room is found elsewhere.
-	minSpeed = 0.4
+	// minSpeed is the least share of its full speed, as the neighbours' tails allow,
+	// at which a backfilling task is started: a slower one would hold memory and be
+	// stuck there once room is found elsewhere. minProcessorSpeed is the same for the
+	// processors that are left: jobs that wait for their turn end sooner on the whole
+	// than jobs that all run slowly side by side.
+	minSpeed          = 0.4
+	minProcessorSpeed = 0.8
 	// undisturbedBonus keeps the workers without serving tasks for the images that
-	// disturb, and disturbingMs is the pressure, in milliseconds a core, of an image
-	// that fully counts as such.
+	// disturb, and disturbing is the pressure of an image that fully counts as such, a share of
+	// the objective per part of the worker.
 	undisturbedBonus = 0.3
-	disturbingMs     = 15
+	disturbing       = 0.1
 )
 
 // count adds n tasks of a step to what the worker is expected to use.
@@ -67,19 +70,25 @@
 	demand := float64(s.backfill + spec.CpuMilli)
 	left := capacity - s.others
 	speed := min(1, left/max(1, demand))
+	if speed < minProcessorSpeed {
+		return 0, false
+	}
 	pressure := r.planner.interference.pressure(spec.Image)
 	if s.serving {
-		speed = min(speed, s.slackMs/max(1, r.planner.cost(spec)))
+		speed = min(speed, s.slack/max(minCost, r.planner.cost(spec, s.worker.Spec.CpuMilli)))
 	}
 	if speed < minSpeed {
 		return 0, false
 	}
-	heavy := min(1, pressure/disturbingMs)
+	heavy := min(1, pressure/disturbing)
 	if !s.serving {
 		speed += undisturbedBonus * (2*heavy - 1)
 	}
 	return speed + tieShare*(left-demand)/capacity, true
 }
 
+// minCost keeps an image that disturbs nobody from being divided by.
+const minCost = 1e-6
+
 // tieShare weighs the room left among workers of equal speed.
 const tieShare = 0.05
