--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -93,6 +93,9 @@
 	return j.State == apiv1.JobState_JOB_STATE_QUEUED || j.State == apiv1.JobState_JOB_STATE_RUNNING
 }
 
+// Running reports whether a run of the job holds room.
+func (j *Job) Running() bool { return j.liveRuns > 0 }
+
 // DueMs is when an occurrence may start (Unix milliseconds).
 func (j *Job) DueMs(occurrence int) int64 {
 	if j.Spec.Occurrences == 0 {
--- /dev/null
+++ b/schedule/rig_test.go
@@ -0,0 +1,138 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// rig holds a queue machine, a planner and the clock of a test.
+type rig struct {
+	t       *testing.T
+	machine *jobqueue.Machine
+	planner *Planner
+	now     time.Time
+	seen    map[jobqueue.RunID]Observation
+	silent  map[string]bool
+	nextEnd map[string]uint64
+}
+
+const (
+	testTerm = 1
+	testHost = "queues.example"
+	testPool = "pool"
+)
+
+func newRig(t *testing.T) *rig {
+	r := &rig{
+		t: t, machine: jobqueue.New(), planner: New(), now: time.UnixMilli(1_000_000),
+		seen: map[jobqueue.RunID]Observation{}, silent: map[string]bool{}, nextEnd: map[string]uint64{},
+	}
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{
+		Configuration: &apiv1.QueueConfiguration{
+			Version: 1,
+			Pools:   []*apiv1.WorkerPool{{Name: testPool}},
+			Queues: []*apiv1.JobQueue{
+				{Name: "urgent", Host: testHost, PathPrefix: "/urgent/", Pool: testPool, MaxAttempts: 3, Stretch: 2, AllowanceMs: 250, TimeoutMs: 1000},
+				{Name: "batch", Host: testHost, PathPrefix: "/batch/", Pool: testPool, Priority: 2, MaxAttempts: 3, Stretch: 2, AllowanceMs: 1000, TimeoutMs: 1000},
+			},
+		},
+	}}})
+	return r
+}
+
+func (r *rig) apply(c *apiv1.JobsCommand) {
+	r.t.Helper()
+	if o := r.machine.Apply(c, r.now.UnixMilli(), testTerm); o != apiv1.JobOutcome_JOB_OUTCOME_OK {
+		r.t.Fatalf("%v: %v", c, o)
+	}
+}
+
+func (r *rig) worker(id string, cpuMilli, memoryMB int64, labels ...string) {
+	r.t.Helper()
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+		Worker: &apiv1.JobWorker{Id: id, Host: "host-" + id, Pool: testPool, CpuMilli: cpuMilli, MemoryMb: memoryMB, Labels: labels},
+	}}})
+}
+
+func (r *rig) submit(queue, id string, steps ...*apiv1.JobStep) {
+	r.t.Helper()
+	path := fmt.Sprintf("/%s/%s", queue, id)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+		Id: id, Host: testHost, Path: path, Steps: steps,
+	}}}})
+}
+
+// end has a worker list the end of a run.
+func (r *rig) end(id jobqueue.RunID, kind apiv1.RunEndKind) {
+	r.t.Helper()
+	run := r.machine.Run(id)
+	w := r.machine.Worker(run.Worker)
+	r.planner.RunEnded(Ended{Worker: run.Worker, Kind: kind, Step: run.Step, At: r.now})
+	r.nextEnd[run.Worker]++
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+		Worker: w.Spec,
+		Ends: []*apiv1.RunEnd{{
+			Sequence: r.nextEnd[run.Worker], Task: id.Task.Ref(), Run: id.Number, Kind: kind,
+		}},
+	}}})
+}
+
+// Reachable implements Fleet.
+func (r *rig) Reachable(worker string) bool { return !r.silent[worker] }
+
+// Observed implements Fleet.
+func (r *rig) Observed(id jobqueue.RunID) (Observation, bool) {
+	o, ok := r.seen[id]
+	return o, ok
+}
+
+// plan decides once and commits what was decided.
+func (r *rig) plan() Decision {
+	r.t.Helper()
+	d := r.planner.Plan(r.machine, r, r.now, r.now.UnixMilli())
+	if !d.Empty() {
+		r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
+			Term: testTerm, Starts: d.Starts, Stops: d.Stops,
+		}}})
+	}
+	return d
+}
+
+func (r *rig) pass(d time.Duration) { r.now = r.now.Add(d) }
+
+// observe reports a run's percent and figure as of now.
+func (r *rig) observe(id jobqueue.RunID, percent uint32, figure int64) {
+	o, seen := r.seen[id]
+	if !seen {
+		o.FirstAt = r.now
+	}
+	if !seen || o.Percent != percent {
+		o.ProgressAt = r.now
+	}
+	o.At, o.Percent, o.Figure = r.now, percent, figure
+	r.seen[id] = o
+}
+
+// runsOn returns the runs on a worker.
+func (r *rig) runsOn(worker string) []jobqueue.RunID { return r.machine.Worker(worker).SortedRuns() }
+
+// observeAll reports all runs of a worker: serving tasks with the given tail,
+// backfilling ones at full use of their processors.
+func (r *rig) observeAll(worker string, tail func(serving int) int64) {
+	w := r.machine.Worker(worker)
+	serving := 0
+	for _, id := range w.SortedRuns() {
+		step := w.Runs[id].Step
+		if step.TailObjectiveMs > 0 {
+			r.observe(id, fullPace, tail(serving))
+			serving++
+			continue
+		}
+		r.observe(id, uint32(r.now.UnixMilli()/100%100), step.CpuMilli)
+	}
+	r.planner.Observe(w, r, r.now)
+}
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -82,6 +82,7 @@
 func (r *round) startWaiting() {
 	candidates := r.candidates()
 	slices.SortStableFunc(candidates, compareCandidates)
+	r.noteWaiting(candidates)
 	for _, c := range candidates {
 		if c.step.Spec.Gang {
 			r.startGang(c)
@@ -175,6 +176,9 @@
 func (r *round) startTasks(c *candidate) {
 	for _, index := range c.tasks {
 		s := r.best(c)
+		if s == nil && r.starving(c) {
+			s = r.anyFeasible(c)
+		}
 		if s == nil {
 			r.decision.Waiting++
 			return
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -53,12 +53,16 @@
 	images       imageTable
 	interference *interference
 	pacers       map[string]*pacer
+	// waiting says since when a step had tasks whose turn had come and its job had
+	// nothing running.
+	waiting map[stepKey]time.Time
 }
 
 // New returns a planner that has learnt nothing yet.
 func New() *Planner {
 	return &Planner{
 		health: newHealthTable(), images: newImageTable(), interference: newInterference(), pacers: map[string]*pacer{},
+		waiting: map[stepKey]time.Time{},
 	}
 }
 
--- /dev/null
+++ b/schedule/schedule_test.go
@@ -0,0 +1,217 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+func serving(count uint32, cpuMilli int64) *apiv1.JobStep {
+	return &apiv1.JobStep{
+		Count: count, CpuMilli: cpuMilli, MemoryMb: 100, LongRunning: true, Image: "serving", TailObjectiveMs: 100,
+	}
+}
+
+func backfill(count uint32, cpuMilli int64, image string) *apiv1.JobStep {
+	return &apiv1.JobStep{
+		Count: count, CpuMilli: cpuMilli, MemoryMb: 100, Backfill: true, Image: image, EstimatedMs: 2000, Checkpointing: true,
+	}
+}
+
+// Symptom: a batch job is accepted and never starts, though the workers are mostly
+// free.
+// Sequence: its image is known to lengthen the tails of serving tasks beyond their
+// objective, and serving tasks run on every worker.
+// Cause: a task that would be slow everywhere is held back for good.
+func TestDisturbingTaskStartsInTheEnd(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 32_000, 64_000)
+	r.submit("urgent", "s1", serving(1, 6000))
+	r.plan()
+	r.submit("batch", "b1", backfill(1, 3000, "heavy"))
+	for i := 0; i < 40 && len(r.runsOn("w1")) < 2; i++ {
+		for range 20 {
+			r.planner.interference.learn("serving", 2, map[string]float64{"heavy": 3})
+		}
+		r.plan()
+		r.pass(100 * time.Millisecond)
+	}
+	if len(r.runsOn("w1")) < 2 {
+		t.Fatal("the disturbing task never started on a worker that is four fifths free")
+	}
+}
+
+// Symptom: the tail of a serving task stays over its objective while batch work
+// goes on beside it at full speed.
+// Sequence: two images run beside a serving task; one of them lengthens its tail.
+// Cause: nobody slows the disturbing one down, or all are slowed down alike.
+func TestDisturbingImageIsSlowedDown(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 32_000, 64_000)
+	r.submit("urgent", "s1", serving(1, 6000))
+	r.plan()
+	r.submit("batch", "b1", backfill(2, 3000, "heavy"))
+	r.submit("batch", "b2", backfill(2, 3000, "light"))
+	r.plan()
+	tail := func(heavyShare float64) int64 { return 20 + int64(150*heavyShare) }
+	share := 1.0
+	for range 12 {
+		r.pass(paceInterval)
+		w := r.machine.Worker("w1")
+		for _, id := range w.SortedRuns() {
+			step := w.Runs[id].Step
+			percent, set := r.planner.Pace("w1", id)
+			if !set {
+				percent = fullPace
+			}
+			switch {
+			case step.TailObjectiveMs > 0:
+				r.observe(id, fullPace, tail(share))
+			case step.Image == "heavy":
+				r.observe(id, uint32(r.now.UnixMilli()/100%100), step.CpuMilli*int64(percent)/fullPace)
+			default:
+				r.observe(id, uint32(r.now.UnixMilli()/100%100), step.CpuMilli)
+			}
+		}
+		r.planner.Observe(w, r, r.now)
+		share = r.meanPace("w1", "heavy")
+	}
+	if got := tail(share); got > 100 {
+		t.Errorf("the tail is %d ms, its objective 100", got)
+	}
+	if light := r.meanPace("w1", "light"); light < 0.9 {
+		t.Errorf("the image that disturbs nobody runs at %.2f of its speed", light)
+	}
+}
+
+// meanPace is the mean pace of a worker's runs of an image, 1 for full speed.
+func (r *rig) meanPace(worker, image string) float64 {
+	w := r.machine.Worker(worker)
+	sum, count := 0.0, 0
+	for id, run := range w.Runs {
+		if run.Step.Image != image {
+			continue
+		}
+		percent, set := r.planner.Pace(worker, id)
+		if !set {
+			percent = fullPace
+		}
+		sum += float64(percent) / fullPace
+		count++
+	}
+	return sum / float64(max(1, count))
+}
+
+// Symptom: jobs fail for good though most workers are sound.
+// Sequence: a worker fails every task that it starts, at once, and so is the least
+// loaded one.
+// Cause: the least loaded worker is preferred whatever became of its last tasks.
+func TestFailingWorkerIsAvoided(t *testing.T) {
+	r := newRig(t)
+	r.worker("bad", 32_000, 64_000)
+	r.worker("good", 32_000, 64_000)
+	task := &apiv1.JobStep{Count: 8, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000}
+	r.submit("urgent", "j1", task)
+	for range 6 {
+		r.plan()
+		for _, id := range r.runsOn("bad") {
+			r.end(id, apiv1.RunEndKind_RUN_END_KIND_FAILED)
+		}
+		r.pass(20 * time.Millisecond)
+	}
+	if state := r.machine.Job("j1").State; state != apiv1.JobState_JOB_STATE_RUNNING {
+		t.Fatalf("the job is %v", state)
+	}
+	if n := len(r.runsOn("good")); n != 8 {
+		t.Fatalf("%d of 8 tasks run on the sound worker", n)
+	}
+}
+
+// Symptom: a job waits for as long as a worker hangs.
+// Sequence: a run reports the same progress over and over.
+// Cause: nobody takes it for stuck; its worker holds its lease and lists no end.
+func TestStuckRunIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 32_000, 64_000)
+	r.worker("w2", 32_000, 64_000)
+	r.submit("urgent", "j1", &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000})
+	r.plan()
+	holder := "w1"
+	if len(r.runsOn(holder)) == 0 {
+		holder = "w2"
+	}
+	id := r.runsOn(holder)[0]
+	var stops int
+	for range 40 {
+		r.observe(id, 30, 500)
+		stops += len(r.plan().Stops)
+		r.pass(100 * time.Millisecond)
+	}
+	if stops != 1 || !r.machine.Run(id).Stopping {
+		t.Fatalf("%d orders to stop a run that stands still", stops)
+	}
+	r.end(id, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+	r.plan()
+	if len(r.runsOn(holder)) != 0 {
+		t.Error("the task is back on the worker that hangs")
+	}
+}
+
+// Symptom: an urgent job waits behind batch work that came before it.
+// Sequence: there is room for one task; a batch job and then an urgent one wait.
+// Cause: tasks are taken in the order of their submission.
+func TestUrgentQueueGoesFirst(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 1000, 64_000)
+	task := &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000}
+	r.submit("batch", "b1", task)
+	r.submit("urgent", "u1", task)
+	r.plan()
+	runs := r.runsOn("w1")
+	if len(runs) != 1 || runs[0].Task.Job != "u1" {
+		t.Fatalf("%v runs", runs)
+	}
+}
+
+// A gang starts as a whole or not at all, under one number.
+func TestGangStartsWhole(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 2000, 64_000)
+	gang := &apiv1.JobStep{Count: 3, CpuMilli: 1000, MemoryMb: 100, Gang: true, EstimatedMs: 1000}
+	r.submit("urgent", "g1", gang)
+	if d := r.plan(); len(d.Starts) != 0 {
+		t.Fatalf("%d of 3 members start", len(d.Starts))
+	}
+	r.worker("w2", 2000, 64_000)
+	r.plan()
+	runs := append(r.runsOn("w1"), r.runsOn("w2")...)
+	if len(runs) != 3 {
+		t.Fatalf("%d of 3 members run", len(runs))
+	}
+	for _, id := range runs {
+		if id.Number != runs[0].Number {
+			t.Fatalf("members have the numbers %v", runs)
+		}
+	}
+}
+
+// A worker out of reach gets nothing, and a label or a bound on the spread holds.
+func TestPlacementRules(t *testing.T) {
+	r := newRig(t)
+	r.worker("far", 32_000, 64_000, "gpu")
+	r.worker("plain", 32_000, 64_000)
+	r.worker("gpu", 32_000, 64_000, "gpu")
+	r.silent["far"] = true
+	r.submit("urgent", "j1", &apiv1.JobStep{
+		Count: 4, CpuMilli: 100, MemoryMb: 100, RequiredLabel: "gpu", MaxPerWorker: 3, EstimatedMs: 1000,
+	})
+	r.plan()
+	got := map[string]int{}
+	for _, w := range []string{"far", "plain", "gpu"} {
+		got[w] = len(r.runsOn(w))
+	}
+	if got["far"] != 0 || got["plain"] != 0 || got["gpu"] != 3 {
+		t.Fatalf("runs by worker: %v", got)
+	}
+}
--- /dev/null
+++ b/schedule/starving.go
@@ -0,0 +1,75 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	// starvingAfter is how long a job may have nothing running beside free workers
+	// before one of its tasks is started wherever there is room: half of the time
+	// after which callers take the job for lost.
+	starvingAfter = 1500 * time.Millisecond
+	// crowdedShare is the share of a pool's processors or memory in use from which on
+	// jobs have to wait for their turn.
+	crowdedShare = 0.6
+)
+
+// noteWaiting notes since when the jobs without runs have been waiting.
+func (r *round) noteWaiting(candidates []*candidate) {
+	waiting := map[stepKey]time.Time{}
+	for _, c := range candidates {
+		if c.job.Running() {
+			continue
+		}
+		since, known := r.planner.waiting[c.key()]
+		if !known {
+			since = r.now
+		}
+		waiting[c.key()] = since
+	}
+	r.planner.waiting = waiting
+}
+
+// starving reports whether a job has had nothing running for long though its pool
+// is mostly free. What goes wrong without it: tasks that would disturb the serving
+// ones on every worker are held back for good, and their jobs never end.
+func (r *round) starving(c *candidate) bool {
+	since, waits := r.planner.waiting[c.key()]
+	if !waits || r.now.Sub(since) < starvingAfter || r.crowded(c.queue.Pool) {
+		return false
+	}
+	// One task at a time: the others follow where their speed allows.
+	delete(r.planner.waiting, c.key())
+	return true
+}
+
+func (r *round) crowded(pool string) bool {
+	var used, capacity jobqueue.Resources
+	for _, s := range r.slots {
+		if s.worker.Spec.Pool != pool || !s.usable {
+			continue
+		}
+		used = used.Add(s.worker.Capacity().Sub(s.free))
+		capacity = capacity.Add(s.worker.Capacity())
+	}
+	over := func(used, capacity int64) bool { return float64(used) > crowdedShare*float64(capacity) }
+	return over(used.CPUMilli, capacity.CPUMilli) || over(used.MemoryMB, capacity.MemoryMB)
+}
+
+// anyFeasible returns the feasible worker with the least demand for its processors.
+func (r *round) anyFeasible(c *candidate) *slot {
+	var best *slot
+	var bestShare float64
+	for _, s := range r.slots {
+		if !r.feasible(c, s) {
+			continue
+		}
+		share := (s.others + float64(s.backfill)) / float64(max(1, s.worker.Spec.CpuMilli))
+		if best == nil || share < bestShare {
+			best, bestShare = s, share
+		}
+	}
+	return best
+}
