schedule: interference by pairs of images

Cause: how much a backfilling image disturbs depends on the serving image beside it; one pressure per backfilling image wobbled between 0 and 0.27 of the objective.

--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -13,20 +12,22 @@
 	// paceInterval is the time between two changes of a worker's paces: the figures
 	// are of the last half second.
 	paceInterval = 500 * time.Millisecond
-	// budgetShare of the objective is what the tails may be brought to by
-	// backfilling tasks.
-	budgetShare = 0.7
-	// alarmShare of the objective is where the budget is cut at once, calmShare where
-	// it is given back: between them it stays, so that paces don't swing.
+	// tailWeight is the weight of the newest report in a task's smoothed tail: single
+	// reports are off by a third of the objective.
+	tailWeight = 0.45
+	// alarmShare of the objective, smoothed, is where the budget is cut at once,
+	// calmShare where it is given back: between them it stays, so that paces don't
+	// swing. A single report of burstShare is an alarm too.
 	alarmShare = 0.85
-	calmShare  = 0.6
+	calmShare  = 0.7
+	burstShare = 1.5
 	// cutFactor and restoreStep change a worker's budget: in four steps, two seconds,
-	// it falls to an eighth, half of the time in which a disturbance has to end.
-	cutFactor   = 0.6
+	// it falls to a sixteenth, half of the time in which a disturbance has to end.
+	cutFactor   = 0.5
 	restoreStep = 0.1
-	minCaution  = 0.05
+	minTrust    = 0.05
 	fullPace    = 100
-	// paceSteps is the granularity of a pace, so that small changes of the figures
+	// paceStep is the granularity of a pace, so that small changes of the figures
 	// order nothing.
 	paceStep = 10
 )
@@ -34,9 +35,11 @@
 // pacer holds the paces of a worker's backfilling runs.
 type pacer struct {
 	at time.Time
-	// trust is the share of the budget that is used, cut when the tails are too long
-	// all the same.
+	// trust is the share of the budget that is given out, cut when the tails are too
+	// long all the same.
 	trust float64
+	// tails are the smoothed tails of the serving runs, as shares of their objectives.
+	tails map[jobqueue.RunID]float64
 	paces map[jobqueue.RunID]uint32
 }
 
@@ -54,7 +57,8 @@
 	c.at = now
 	v := viewOf(w, fleet)
 	p.learn(v)
-	c.adjustTrust(v.worstShare())
+	c.smooth(v)
+	c.adjustTrust(v)
 	return c.set(p.paces(v, c.trust))
 }
 
@@ -68,6 +72,14 @@
 	return 0, false
 }
 
+// trust is the share of a worker's slack that is given out.
+func (p *Planner) trust(worker string) float64 {
+	if c := p.pacers[worker]; c != nil {
+		return c.trust
+	}
+	return 1
+}
+
 // workerView is what was last seen of a worker's runs.
 type workerView struct {
 	capacity int64
@@ -98,14 +110,6 @@
 	return v
 }
 
-func (v workerView) worstShare() float64 {
-	worst := 0.0
-	for _, s := range v.serving {
-		worst = max(worst, s.share())
-	}
-	return worst
-}
-
 // parts sums the processor time in use by image, in parts of the worker.
 func (v workerView) parts() map[string]float64 {
 	parts := map[string]float64{}
@@ -115,8 +119,12 @@
 	return parts
 }
 
-func partsOf(cpuMilli, capacity int64) float64 {
-	return partsOfWorker * float64(cpuMilli) / float64(max(1, capacity))
+func (v workerView) servingImages() []string {
+	var images []string
+	for _, s := range v.serving {
+		images = append(images, s.run.Step.Image)
+	}
+	return images
 }
 
 func (p *Planner) learn(v workerView) {
@@ -128,65 +136,53 @@
 	}
 }
 
-func (c *pacer) adjustTrust(share float64) {
-	switch {
-	case share > alarmShare:
-		c.trust = max(minCaution, c.trust*cutFactor)
-	case share < calmShare:
-		c.trust = min(1, c.trust+restoreStep)
-	}
-}
-
-// slack is how much the backfilling runs together may add to the tail of the
-// serving one that can bear least, as a share of its objective.
-func (p *Planner) slack(serving []seenRun) float64 {
-	slack := float64(noLimit)
-	for _, s := range serving {
-		slack = min(slack, budgetShare-p.interference.base(s.run.Step.Image))
+// smooth takes the newest tails in.
+func (c *pacer) smooth(v workerView) {
+	tails := map[jobqueue.RunID]float64{}
+	for _, s := range v.serving {
+		before, known := c.tails[s.run.ID]
+		if !known {
+			before = priorBase
+		}
+		tails[s.run.ID] = before + tailWeight*(s.share()-before)
 	}
-	return max(0, slack)
+	c.tails = tails
 }
 
-// cost is what a task of a backfilling step adds to the tails beside it at full
-// speed, as a share of their objective.
-func (p *Planner) cost(s *apiv1.JobStep, capacity int64) float64 {
-	return p.interference.pressure(s.Image) * partsOf(s.CpuMilli, capacity)
-}
-
-// slackLeft is what the present backfilling runs of a worker leave of its slack.
-func (p *Planner) slackLeft(w *jobqueue.Worker, fleet Fleet) float64 {
-	v := viewOf(w, fleet)
-	trust := 1.0
-	if c := p.pacers[w.Spec.Id]; c != nil {
-		trust = c.trust
+func (c *pacer) adjustTrust(v workerView) {
+	worst, newest := 0.0, 0.0
+	for _, s := range v.serving {
+		worst = max(worst, c.tails[s.run.ID])
+		newest = max(newest, s.share())
 	}
-	slack := p.slack(v.serving) * trust
-	for _, b := range v.backfill {
-		slack -= p.cost(b.run.Step, v.capacity)
+	switch {
+	case worst > alarmShare || newest > burstShare:
+		c.trust = max(minTrust, c.trust*cutFactor)
+	case worst < calmShare:
+		c.trust = min(1, c.trust+restoreStep)
 	}
-	return max(0, slack)
 }
 
-// noLimit stands for a worker without serving tasks.
-const noLimit = 1e9
-
-// paces shares the slack out: the images that disturb least first, since it
-// buys the most work there.
+// paces shares the slack out: the images that disturb least first, since it buys
+// the most work there.
 func (p *Planner) paces(v workerView, trust float64) map[jobqueue.RunID]uint32 {
 	paces := map[jobqueue.RunID]uint32{}
-	budget := p.slack(v.serving) * trust
+	left := p.interference.slackBeside(v.servingImages(), trust)
+	costs := map[string]float64{}
+	for _, b := range v.backfill {
+		costs[b.run.Step.Image] = left.cost(p.interference, b.run.Step, v.capacity) / float64(max(1, b.run.Step.CpuMilli))
+	}
 	order := slices.Clone(v.backfill)
 	slices.SortStableFunc(order, func(a, b seenRun) int {
-		return cmp.Compare(p.interference.pressure(a.run.Step.Image), p.interference.pressure(b.run.Step.Image))
+		return cmp.Compare(costs[a.run.Step.Image], costs[b.run.Step.Image])
 	})
 	for _, b := range order {
-		cost := p.cost(b.run.Step, v.capacity)
 		share := 1.0
-		if cost > budget {
-			share = budget / cost
+		if cost := left.cost(p.interference, b.run.Step, v.capacity); cost > 1 {
+			share = 1 / cost
 		}
 		percent := uint32(share*fullPace) / paceStep * paceStep
-		budget = max(0, budget-cost*share)
+		left.take(p.interference, b.run.Step, v.capacity, float64(percent)/fullPace)
 		paces[b.run.ID] = percent
 	}
 	return paces
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,10 +29,10 @@
 	// is expected to use of its reservation, in thousandths of a core.
 	backfill int64
 	others   float64
-	// serving: tasks with a tail objective run there; slack is how much of their
-	// tails may still be given to backfilling ones.
-	serving  bool
-	slack    float64
+	// serving counts the serving tasks by image; slack is how much backfilling ones
+	// may still add to their tails.
+	serving  map[string]int
+	slack    slack
 	usable   bool
 	avoided  bool
 	doubtful bool
@@ -53,16 +54,28 @@
 			usable:   !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
 			avoided:  r.planner.health.avoided(w.Spec.Id, r.now),
 			doubtful: r.planner.health.doubtful(w.Spec.Id),
+			serving:  map[string]int{},
 			given:    map[stepKey]int{},
 		}
 		for _, run := range w.Runs {
 			s.count(run.Step, 1)
 		}
-		s.slack = r.planner.slackLeft(w, r.fleet)
+		r.findSlack(s)
 		r.slots = append(r.slots, s)
 	}
 }
 
+// findSlack sets what the present backfilling runs of a worker leave of its slack.
+func (r *round) findSlack(s *slot) {
+	learnt := r.planner.interference
+	s.slack = learnt.slackBeside(slices.Collect(maps.Keys(s.serving)), r.planner.trust(s.worker.Spec.Id))
+	for _, run := range s.worker.Runs {
+		if run.Step.Backfill {
+			s.slack.take(learnt, run.Step, s.worker.Spec.CpuMilli, 1)
+		}
+	}
+}
+
 // candidate is a step of an occurrence with tasks whose turn has come.
 type candidate struct {
 	job        *jobqueue.Job
@@ -216,7 +229,7 @@
 	})
 	s.give(c, 1)
 	if c.step.Spec.Backfill {
-		s.slack = max(0, s.slack-r.planner.cost(c.step.Spec, s.worker.Spec.CpuMilli))
+		s.slack.take(r.planner.interference, c.step.Spec, s.worker.Spec.CpuMilli, 1)
 	}
 }
 
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -19,11 +19,14 @@
 	// than jobs that all run slowly side by side.
 	minSpeed          = 0.4
 	minProcessorSpeed = 0.8
-	// undisturbedBonus keeps the workers without serving tasks for the images that
-	// disturb, and disturbing is the pressure of an image that fully counts as such, a share of
-	// the objective per part of the worker.
-	undisturbedBonus = 0.3
-	disturbing       = 0.1
+	// undisturbedPenalty keeps the workers without serving tasks for the images that
+	// disturb the others, and costPenalty keeps images away from those that they
+	// disturb while there are better places.
+	undisturbedPenalty = 0.15
+	costPenalty        = 0.3
+	// sameImageBonus gathers the serving tasks of an image: the workers then differ in
+	// what disturbs them, and each backfilling image finds some that bear it.
+	sameImageBonus = 0.5
 )
 
 // count adds n tasks of a step to what the worker is expected to use.
@@ -33,7 +36,9 @@
 		s.backfill += int64(n) * spec.CpuMilli
 	case spec.LongRunning:
 		s.others += float64(n) * servingLoad * float64(spec.CpuMilli)
-		s.serving = s.serving || spec.TailObjectiveMs > 0
+		if spec.TailObjectiveMs > 0 {
+			s.serving[spec.Image] += n
+		}
 	default:
 		s.others += float64(n) * float64(spec.CpuMilli)
 	}
@@ -58,14 +63,27 @@
 	case spec.Backfill:
 		return r.backfillScore(spec, s, capacity)
 	case spec.LongRunning:
-		// Serving tasks are packed: the workers that stay without any take the images
-		// that would disturb them.
-		return -float64(s.free.CPUMilli) / capacity, true
+		return servingScore(spec, s, capacity), true
 	}
 	return float64(s.free.CPUMilli-s.backfill) / capacity, true
 }
 
-// backfillScore is the share of its full speed that a backfilling task would have.
+// servingScore packs serving tasks, those of one image together: the workers that
+// stay without any take the images that would disturb them.
+func servingScore(spec *apiv1.JobStep, s *slot, capacity float64) float64 {
+	total, same := 0, s.serving[spec.Image]
+	for _, n := range s.serving {
+		total += n
+	}
+	score := -float64(s.free.CPUMilli) / capacity
+	if total > 0 {
+		score += sameImageBonus * float64(same) / float64(total)
+	}
+	return score
+}
+
+// backfillScore goes by the share of its full speed that a backfilling task would
+// have, and by what it costs the serving ones.
 func (r *round) backfillScore(spec *apiv1.JobStep, s *slot, capacity float64) (float64, bool) {
 	demand := float64(s.backfill + spec.CpuMilli)
 	left := capacity - s.others
@@ -73,22 +91,19 @@
 	if speed < minProcessorSpeed {
 		return 0, false
 	}
-	pressure := r.planner.interference.pressure(spec.Image)
-	if s.serving {
-		speed = min(speed, s.slack/max(minCost, r.planner.cost(spec, s.worker.Spec.CpuMilli)))
+	cost := s.slack.cost(r.planner.interference, spec, s.worker.Spec.CpuMilli)
+	if cost > 1 {
+		speed = min(speed, 1/cost)
 	}
 	if speed < minSpeed {
 		return 0, false
 	}
-	heavy := min(1, pressure/disturbing)
-	if !s.serving {
-		speed += undisturbedBonus * (2*heavy - 1)
+	score := speed - costPenalty*min(1, cost) + tieShare*(left-demand)/capacity
+	if len(s.serving) == 0 {
+		score -= undisturbedPenalty
 	}
-	return speed + tieShare*(left-demand)/capacity, true
+	return score, true
 }
 
-// minCost keeps an image that disturbs nobody from being divided by.
-const minCost = 1e-6
-
 // tieShare weighs the room left among workers of equal speed.
 const tieShare = 0.05
