agent/runs, redial: calls of a worker that is down neither flood it nor hang on dead connections

Cause: a worker that crashed and came back answered its agent again only tens of seconds later.

Change: an unanswered call drops all idle connections of its transport (agents, entries, control hosts); tries are spaced by 20 to 400 ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,8 +23,8 @@
 	"github.com/cairnlift/cairnlift/agent/latency"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/failstop"
-	"github.com/cairnlift/cairnlift/worker"
 	"github.com/cairnlift/cairnlift/settings"
+	"github.com/cairnlift/cairnlift/worker"
 )
 
 const (
--- a/agent/main.go
+++ b/agent/main.go
@@ -6,8 +6,8 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnlift/cairnlift/daemon"
-	"github.com/cairnlift/cairnlift/worker"
 	"github.com/cairnlift/cairnlift/settings"
+	"github.com/cairnlift/cairnlift/worker"
 )
 
 // Main runs cairnlift-agent with the command line's arguments and returns its
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/cairnlift/cairnlift/agent"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
-	"github.com/cairnlift/cairnlift/worker"
 	"github.com/cairnlift/cairnlift/settings"
+	"github.com/cairnlift/cairnlift/worker"
 )
 
 // entry stands in for an entry host: it records heartbeats and answers each.
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -24,6 +24,13 @@
 	// hosts included.
 	reportTimeout = 1500 * time.Millisecond
 	retryPause    = 50 * time.Millisecond
+	// firstRetryPause and maxRetryPause bound the pause before a call of the worker is
+	// repeated. The first is short, since a call whose answer was lost is often the
+	// only one. Without a pause, the calls of a few runs to a worker that is down fill
+	// the queue of its new connections, and it answers nobody for seconds after it is
+	// back.
+	firstRetryPause = 20 * time.Millisecond
+	maxRetryPause   = 400 * time.Millisecond
 	// startsAtOnce bounds the calls that wait for the worker together.
 	startsAtOnce = 24
 	// clockRateErrorPPM bounds how much slower the worker's clock may run than this
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -113,6 +113,7 @@
 // carryOutStart has the worker start a run. A call without an answer is repeated:
 // the same run starts once, however often it is ordered.
 func (s *session) carryOutStart(id jobqueue.RunID, o *order) {
+	retry := newBackoff()
 	for s.ctx.Err() == nil {
 		call, ok := s.nextStart(id, o)
 		if !ok {
@@ -122,6 +123,7 @@
 		if s.startAnswered(id, o, answer, err) {
 			break
 		}
+		s.pause(retry.next())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,9 +192,6 @@
 		o.begun = true
 		return true
 	case AnswerLate:
-		s.mu.Unlock()
-		s.pause(retryPause)
-		s.mu.Lock()
 		return false
 	case AnswerFenced:
 		// A newer leader gives its own orders.
@@ -220,10 +219,12 @@
 
 // carryOutStop has the worker stop a run, until it confirms.
 func (s *session) carryOutStop(id jobqueue.RunID, o *order) {
+	retry := newBackoff()
 	for s.ctx.Err() == nil {
 		answer, err := s.callStop(id)
 		if err != nil {
 			s.d.meters.unanswered.Inc(1)
+			s.pause(retry.next())
 			continue
 		}
 		s.d.logger.Info("stop answered", zap.Stringer("task", id.Task), zap.Uint64("run", id.Number),
@@ -265,7 +266,7 @@
 	if err != nil {
 		s.d.meters.unanswered.Inc(1)
 		s.d.logger.Info("pace is unanswered", zap.Stringer("task", id.Task), zap.Error(err))
-		s.advance(id, o)
+		time.AfterFunc(maxRetryPause, func() { s.repeat(id) })
 		return
 	}
 	s.d.logger.Info("pace answered", zap.Stringer("task", id.Task), zap.Uint64("run", id.Number),
@@ -274,6 +275,15 @@
 	s.advance(id, o)
 }
 
+// repeat takes up what is left to do about a run.
+func (s *session) repeat(id jobqueue.RunID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.orders[id]; o != nil && s.ctx.Err() == nil {
+		s.advance(id, o)
+	}
+}
+
 // settleStops gives back the runs that were stopped before they began: the worker
 // confirmed the stop, and a status asked for after that shows the run neither
 // among those that run nor among the ended.
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -19,8 +19,8 @@
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/entry"
 	"github.com/cairnlift/cairnlift/fakes"
-	"github.com/cairnlift/cairnlift/worker"
 	"github.com/cairnlift/cairnlift/settings"
+	"github.com/cairnlift/cairnlift/worker"
 )
 
 const (
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -94,6 +94,7 @@
 	observed map[jobqueue.RunID]schedule.Observation
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
+	waitsLogged   map[waitKey]time.Time
 }
 
 // New returns a dispatcher; Run makes it work.
@@ -189,6 +190,7 @@
 		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
 		observed:      map[jobqueue.RunID]schedule.Observation{},
 		paceRevisions: map[string]uint64{},
+		waitsLogged:   map[waitKey]time.Time{},
 	}
 	d.logger.Info("leader is ready", zap.Uint64("term", term), zap.Uint64("index", res.Index))
 	return true
@@ -242,7 +244,7 @@
 		}
 		decision := l.planner.Plan(jobs, l.fleet(now), now, now.UnixMilli())
 		plan.Starts, plan.Stops = decision.Starts, decision.Stops
-		d.meters.waiting.Update(int64(decision.Waiting))
+		d.noteWaits(l, decision.Waits, now)
 		l.forgetRuns(jobs)
 		d.logDecision(jobs, l, plan)
 	})
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,6 +15,7 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/redial"
 )
 
 const (
@@ -55,11 +55,9 @@
 // New returns a client that starts from the seeds, internal addresses of control
 // hosts (IP and port).
 func New(seeds []string, logger *zap.Logger) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	hc := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerHost,
-		DisableCompression: true,
-	}}
+	hc := &http.Client{Transport: redial.New(redial.Options{
+		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerHost,
+	})}
 	f := control.NewForwarder(seeds, hc)
 	f.TryTimeout = tryTimeout
 	return &Client{
--- a/quorum/node/transport.go
+++ b/quorum/node/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/redial"
 )
 
 // Transport carries messages to the other replicas. It may lose, delay and repeat
@@ -86,10 +86,9 @@
 	if o.SnapshotTimeout == 0 {
 		o.SnapshotTimeout = defaultSnapshotTimeout
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	t := &TwirpTransport{
 		opts:     o,
-		client:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout}},
+		client:   &http.Client{Transport: redial.New(redial.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})},
 		dropped:  metrics.GetOrRegisterCounter("quorum.messages_queue_dropped", o.Metrics),
 		failures: metrics.GetOrRegisterCounter("quorum.deliver_failures", o.Metrics),
 		peers:    map[uint64]*peer{},
--- /dev/null
+++ b/schedule/reason.go
@@ -0,0 +1,76 @@
+package schedule
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// Reason is why a worker does not get a task for now.
+type Reason int
+
+// The reasons against a worker.
+const (
+	ReasonNone Reason = iota
+	// ReasonUnreachable: the lease ran out or no report came lately.
+	ReasonUnreachable
+	ReasonDraining
+	// ReasonAvoided: the worker failed its last tasks, or they stood still.
+	ReasonAvoided
+	// ReasonPool and ReasonLabel: it is of another pool or lacks the label.
+	ReasonPool
+	ReasonLabel
+	ReasonProcessors
+	ReasonMemory
+	ReasonAccelerators
+	// ReasonSpread: it holds as many tasks of the step as one worker may.
+	ReasonSpread
+	// ReasonSlow: the processors left are too few for a backfilling task.
+	ReasonSlow
+	// ReasonDisturbs: a backfilling task would lengthen the tails there too much.
+	ReasonDisturbs
+	reasons
+)
+
+var reasonNames = [reasons]string{
+	"none", "unreachable", "draining", "avoided", "other pool", "label", "processors", "memory",
+	"accelerators", "spread", "too slow", "disturbs",
+}
+
+// String returns the reason's name in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Wait is a step with tasks that could start and found no worker.
+type Wait struct {
+	Job        string
+	Occurrence uint32
+	Step       uint32
+	Tasks      int
+	// Workers counts the workers by the reason against them.
+	Workers [reasons]int
+}
+
+// Why returns the reasons and how many workers each rules out.
+func (w Wait) Why() string {
+	var parts []string
+	for r, n := range w.Workers {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%v %d", Reason(r), n))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// roomReason says which resource is short.
+func roomReason(need, free jobqueue.Resources) Reason {
+	switch {
+	case need.CPUMilli > free.CPUMilli:
+		return ReasonProcessors
+	case need.MemoryMB > free.MemoryMB:
+		return ReasonMemory
+	case need.Accelerators > free.Accelerators:
+		return ReasonAccelerators
+	}
+	return ReasonNone
+}
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -187,13 +187,13 @@
 }
 
 func (r *round) startTasks(c *candidate) {
-	for _, index := range c.tasks {
+	for i, index := range c.tasks {
 		s := r.best(c)
 		if s == nil && r.starving(c) {
 			s = r.anyFeasible(c)
 		}
 		if s == nil {
-			r.decision.Waiting++
+			r.wait(c, len(c.tasks)-i)
 			return
 		}
 		r.start(c, index, s, c.step.NextRun(index))
@@ -208,7 +208,7 @@
 	for _, index := range c.tasks {
 		s := r.best(c)
 		if s == nil {
-			r.decision.Waiting++
+			r.wait(c, len(c.tasks))
 			r.decision.Starts = r.decision.Starts[:before]
 			for _, s := range taken {
 				s.give(c, -1)
@@ -255,31 +255,56 @@
 	var best *slot
 	var bestScore float64
 	for _, s := range r.slots {
-		if !r.feasible(c, s) {
+		if r.feasible(c, s) != ReasonNone {
 			continue
 		}
-		score, ok := r.score(c, s)
-		if ok && (best == nil || score > bestScore) {
+		score, reason := r.score(c, s)
+		if reason == ReasonNone && (best == nil || score > bestScore) {
 			best, bestScore = s, score
 		}
 	}
 	return best
 }
 
-func (r *round) feasible(c *candidate, s *slot) bool {
+// feasible says what speaks against a worker for a task, whatever its score.
+func (r *round) feasible(c *candidate, s *slot) Reason {
 	spec := c.step.Spec
 	switch {
-	case !s.usable || s.avoided:
-		return false
-	case s.worker.Spec.Pool != c.queue.Pool || !s.worker.HasLabel(spec.RequiredLabel):
-		return false
-	case !jobqueue.Reserved(spec).Fits(s.free):
-		return false
+	case s.worker.Spec.Draining:
+		return ReasonDraining
+	case !s.usable:
+		return ReasonUnreachable
+	case s.avoided:
+		return ReasonAvoided
+	case s.worker.Spec.Pool != c.queue.Pool:
+		return ReasonPool
+	case !s.worker.HasLabel(spec.RequiredLabel):
+		return ReasonLabel
+	}
+	if reason := roomReason(jobqueue.Reserved(spec), s.free); reason != ReasonNone {
+		return reason
 	}
 	if spec.MaxPerWorker == 0 {
-		return true
+		return ReasonNone
 	}
 	key := c.key()
 	held := s.worker.CountOf(key.job, key.occurrence, key.step) + s.given[key]
-	return held < int(spec.MaxPerWorker)
+	if held >= int(spec.MaxPerWorker) {
+		return ReasonSpread
+	}
+	return ReasonNone
+}
+
+// wait notes that a candidate found no worker, and why.
+func (r *round) wait(c *candidate, tasks int) {
+	key := c.key()
+	w := Wait{Job: key.job, Occurrence: key.occurrence, Step: key.step, Tasks: tasks}
+	for _, s := range r.slots {
+		reason := r.feasible(c, s)
+		if reason == ReasonNone {
+			_, reason = r.score(c, s)
+		}
+		w.Workers[reason]++
+	}
+	r.decision.Waits = append(r.decision.Waits, w)
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -39,8 +39,8 @@
 type Decision struct {
 	Starts []*apiv1.StartRun
 	Stops  []*apiv1.StopRun
-	// Waiting counts the tasks that could start but found no worker.
-	Waiting int
+	// Waits are the steps with tasks that could start and found no worker.
+	Waits []Wait
 }
 
 // Empty reports whether there is nothing to commit.
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -44,28 +44,28 @@
 	}
 }
 
-// score is higher for better workers; false rules the worker out for now.
-func (r *round) score(c *candidate, s *slot) (float64, bool) {
+// score is higher for better workers; a reason rules the worker out for now.
+func (r *round) score(c *candidate, s *slot) (float64, Reason) {
 	spec := c.step.Spec
-	score, ok := r.kindScore(spec, s)
+	score, reason := r.kindScore(spec, s)
 	if s.doubtful {
 		score -= doubtPenalty
 	}
 	if spec.PreferredRack != "" && s.worker.HasLabel(spec.PreferredRack) {
 		score += rackBonus
 	}
-	return score, ok
+	return score, reason
 }
 
-func (r *round) kindScore(spec *apiv1.JobStep, s *slot) (float64, bool) {
+func (r *round) kindScore(spec *apiv1.JobStep, s *slot) (float64, Reason) {
 	capacity := float64(max(1, s.worker.Spec.CpuMilli))
 	switch {
 	case spec.Backfill:
 		return r.backfillScore(spec, s, capacity)
 	case spec.LongRunning:
-		return servingScore(spec, s, capacity), true
+		return servingScore(spec, s, capacity), ReasonNone
 	}
-	return float64(s.free.CPUMilli-s.backfill) / capacity, true
+	return float64(s.free.CPUMilli-s.backfill) / capacity, ReasonNone
 }
 
 // servingScore packs serving tasks, those of one image together: the workers that
@@ -84,25 +84,25 @@
 
 // backfillScore goes by the share of its full speed that a backfilling task would
 // have, and by what it costs the serving ones.
-func (r *round) backfillScore(spec *apiv1.JobStep, s *slot, capacity float64) (float64, bool) {
+func (r *round) backfillScore(spec *apiv1.JobStep, s *slot, capacity float64) (float64, Reason) {
 	demand := float64(s.backfill + spec.CpuMilli)
 	left := capacity - s.others
 	speed := min(1, left/max(1, demand))
 	if speed < minProcessorSpeed {
-		return 0, false
+		return 0, ReasonSlow
 	}
 	cost := s.slack.cost(r.planner.interference, spec, s.worker.Spec.CpuMilli)
 	if cost > 1 {
 		speed = min(speed, 1/cost)
 	}
 	if speed < minSpeed {
-		return 0, false
+		return 0, ReasonDisturbs
 	}
 	score := speed - costPenalty*min(1, cost) + tieShare*(left-demand)/capacity
 	if len(s.serving) == 0 {
 		score -= undisturbedPenalty
 	}
-	return score, true
+	return score, ReasonNone
 }
 
 // tieShare weighs the room left among workers of equal speed.
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -63,7 +63,7 @@
 	var best *slot
 	var bestShare float64
 	for _, s := range r.slots {
-		if !r.feasible(c, s) {
+		if r.feasible(c, s) != ReasonNone {
 			continue
 		}
 		share := (s.others + float64(s.backfill)) / float64(max(1, s.worker.Spec.CpuMilli))
