--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -310,6 +310,8 @@
 	resp, err := s.d.opts.Leader.Report(ctx, r)
 	if err != nil {
 		s.d.meters.reportsLost.Inc(1)
+		s.d.logger.Info("report is lost", zap.String("worker", s.incarnation), zap.Int("ends", len(r.Ends)),
+			zap.Int("running", len(r.Running)), zap.Error(err))
 		return false
 	}
 	if resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE {
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -193,19 +193,22 @@
 // Report carries a worker's report to the leader. Errors: ErrNoLeader.
 func (c *Client) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	var found *apiv1.JobsReportResponse
+	cause := ErrNoLeader
 	c.forwarder.Ask(ctx, true, func(ctx context.Context, address string) (string, bool) {
 		resp, err := c.jobs(address).Report(ctx, r)
 		if err != nil {
+			cause = errors.Mark(errors.Wrapf(err, "report to %s", address), ErrNoLeader)
 			return "", false
 		}
 		if resp.NotLeader {
+			cause = errors.Mark(errors.Newf("%s does not lead", address), ErrNoLeader)
 			return resp.LeaderAddress, false
 		}
 		found = resp
 		return "", true
 	})
 	if found == nil {
-		return nil, ErrNoLeader
+		return nil, cause
 	}
 	return found, nil
 }
