agent/runs: an ended session starts nothing any more

Cause: the retry of a start that met the end of its session began anew at once, and again, without end: the agent had no processor time left for anything else, and calls with a limit of 0.9 s took 4.7 s. A fenced start did the same until the next orders.

Change: an ended session starts nothing; a fenced start is tried again after a pause, under the newer term. Ruled out: dead connections and crowding of the worker (both were there too, and stay mended); the leader's view of leases.

--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -95,9 +95,11 @@
 
 const fullPace = 100
 
-// advance starts what an order needs next; s.mu is held.
+// advance starts what an order needs next; s.mu is held. Nothing starts once the
+// session is over.
 func (s *session) advance(id jobqueue.RunID, o *order) {
 	switch {
+	case s.ctx.Err() != nil:
 	case o.stop && !o.stopping && o.stoppedAt.IsZero():
 		o.stopping = true
 		go s.carryOutStop(id, o)
@@ -191,11 +193,10 @@
 		s.d.meters.starts.Inc(1)
 		o.begun = true
 		return true
-	case AnswerLate:
+	case AnswerLate, AnswerFenced:
+		// The next try carries a later deadline, or the term of the newer leader, which
+		// gives its own orders too.
 		return false
-	case AnswerFenced:
-		// A newer leader gives its own orders.
-		return true
 	case AnswerOther:
 		s.cancel()
 		return true
