A start belongs to an epoch of its worker's lease; a simulation of jobs under trouble

Cause: an agent that was cut off until the leader gave its worker's runs up got a new lease before it got new orders, and started the old run under it. Change: the state counts an epoch per worker that grows when its runs are given up; grants and orders carry it, and a start is made only under a lease of its own epoch. A plan with a lapse whose fate is unknown makes the leader get ready anew. The agent asks a worker who it is without holding a lock, and pauses where it is fenced (both found as endless loops in virtual time).

fakes: a stand-in worker (leases on a slow clock, numbered runs, late and lost orders, ends with a cursor) and a watch on what must always hold.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -91,41 +91,53 @@
 	mu        sync.Mutex
 	announced Announcement
 	// confirmed is set once the worker answered under this incarnation.
-	confirmed    bool
-	term         uint64
+	confirmed bool
+	term      uint64
+	// epoch is that of the lease; see order.epoch.
+	epoch        uint64
 	deadlineMs   int64
 	acknowledged uint64
 	orders       map[jobqueue.RunID]*order
 	refusals     map[jobqueue.RunID]string
 }
 
-// Announce takes in what the worker says of itself. It does not block.
+// Announce takes in what the worker says of itself. It may take callTimeout.
 func (d *Driver) Announce(a Announcement) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	id := a.Worker.Id
-	if d.left[id] {
+	if !d.confirm(id) {
+		d.logger.Info("announcement of an incarnation that does not answer", zap.String("worker", id))
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	s := d.session
-	if s != nil && s.incarnation == id {
-		s.announce(a)
-		d.wake()
-		return
-	}
-	if s != nil && s.isConfirmed() && !d.answers(id) {
-		d.logger.Info("announcement of an incarnation that does not answer", zap.String("worker", id))
+	switch {
+	case d.left[id]:
 		return
+	case s != nil && s.incarnation == id:
+		s.announce(a)
+	default:
+		if s != nil {
+			d.left[s.incarnation] = true
+			s.cancel()
+		}
+		d.logger.Info("worker found", zap.String("worker", id), zap.String("before", incarnationOf(s)))
+		d.session = d.newSession(a)
 	}
-	if s != nil {
-		d.left[s.incarnation] = true
-		s.cancel()
-	}
-	d.logger.Info("worker found", zap.String("worker", id), zap.String("before", incarnationOf(s)))
-	d.session = d.newSession(a)
 	d.wake()
 }
 
+// confirm reports whether an announcement may be believed. One of an earlier
+// incarnation may come late, after its successor is known: so the worker is asked
+// which one it is, unless that is known. No lock is held while it is asked.
+func (d *Driver) confirm(incarnation string) bool {
+	s := d.current()
+	if s == nil || s.incarnation == incarnation || !s.isConfirmed() {
+		return true
+	}
+	return d.answers(incarnation)
+}
+
 // Depart takes in that an incarnation says that it ends.
 func (d *Driver) Depart(incarnation string) {
 	d.mu.Lock()
@@ -145,8 +157,7 @@
 	return s.incarnation
 }
 
-// answers asks the worker whether it is the named incarnation. An announcement of
-// an earlier one may come late, after its successor is known.
+// answers asks the worker whether it is the named incarnation.
 func (d *Driver) answers(incarnation string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -252,6 +263,7 @@
 		case err == nil && answer == AnswerFenced:
 			// A restarted agent does not know the term yet; the leader tells it.
 			s.report(Status{}, received)
+			s.pause(retryPause)
 			continue
 		case err != nil || answer != AnswerDone:
 			s.d.logger.Info("worker does not hold", zap.String("worker", s.incarnation),
@@ -337,6 +349,7 @@
 	}
 	left := sent.Sub(received).Milliseconds() + resp.LeaseMs
 	s.deadlineMs = max(s.deadlineMs, clockMs+left*(ppm-clockRateErrorPPM)/ppm)
+	s.epoch = max(s.epoch, resp.Epoch)
 }
 
 func (s *session) openRefusals() []*apiv1.RunRefusal {
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -13,6 +13,11 @@
 // order is what the agent has to do about one run.
 type order struct {
 	start *apiv1.StartOrder
+	// epoch is the worker's epoch when the start was ordered. What goes wrong without
+	// it: the agent is cut off until the leader gives the run up and starts it
+	// elsewhere; then the agent gets a new lease before it gets new orders, and starts
+	// the run under it.
+	epoch uint64
 	// begun is set once the worker said that the run is there or over.
 	begun bool
 	// asked is set once the worker may have got the start.
@@ -63,7 +68,7 @@
 	for _, o := range resp.Starts {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
 		open[id] = true
-		s.order(id).start = o
+		s.order(id).start, s.order(id).epoch = o, resp.Epoch
 	}
 	for _, o := range resp.Stops {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
@@ -103,7 +108,7 @@
 	case o.stop && !o.stopping && o.stoppedAt.IsZero():
 		o.stopping = true
 		go s.carryOutStop(id, o)
-	case o.start != nil && !o.stop && !o.begun && !o.starting && o.refuse == "":
+	case s.mayStart(o):
 		o.starting = true
 		go s.carryOutStart(id, o)
 	case o.pace != o.paced && !o.stop && !o.starting && !o.pacing:
@@ -112,6 +117,11 @@
 	}
 }
 
+// mayStart reports whether a start is still to be made; s.mu is held.
+func (s *session) mayStart(o *order) bool {
+	return o.start != nil && !o.stop && !o.begun && !o.starting && o.refuse == "" && o.epoch >= s.epoch
+}
+
 // carryOutStart has the worker start a run. A call without an answer is repeated:
 // the same run starts once, however often it is ordered.
 func (s *session) carryOutStart(id jobqueue.RunID, o *order) {
@@ -143,7 +153,7 @@
 func (s *session) nextStart(id jobqueue.RunID, o *order) (startCall, bool) {
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
-		stop, leased := o.stop, s.deadlineMs > 0
+		stop, leased := o.stop || o.epoch < s.epoch, s.deadlineMs > 0 && o.epoch == s.epoch
 		if s.announced.Worker.Draining && !o.asked && !stop {
 			s.refuse(id, o, "worker drains")
 			stop = true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -256,15 +256,21 @@
 }
 
 // endLapses lets the leases of lapsed workers be renewed again. A plan whose fate
-// is unknown is decided anew.
+// is unknown may still be committed, and would give runs up under leases renewed
+// meanwhile: so this replica gets ready to lead anew, which ends after whatever
+// becomes of the plan.
 func (d *Dispatcher) endLapses(term uint64, workers []string, committed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leading == nil || d.leading.term != term {
 		return
 	}
+	if !committed {
+		d.leading = nil
+		return
+	}
 	for _, w := range workers {
-		d.leading.leases.endLapse(w, committed)
+		d.leading.leases.endLapse(w)
 	}
 }
 
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -73,11 +73,11 @@
 	return expired
 }
 
-// endLapse ends an expiry; one that is not known to be committed is tried again.
-func (t *leaseTable) endLapse(worker string, committed bool) {
+// endLapse ends an expiry that is committed.
+func (t *leaseTable) endLapse(worker string) {
 	l := t.of(worker)
 	l.lapsing = false
-	l.lapsed = committed
+	l.lapsed = true
 }
 
 // reachable reports whether an order would reach the worker soon.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -47,6 +47,7 @@
 		if w == nil {
 			return
 		}
+		resp.Epoch = w.Epoch
 		resp.Sequence = w.Revision + l.paceRevisions[worker]
 		for _, id := range w.SortedRuns() {
 			l.addOrder(resp, w.Runs[id])
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -33,7 +33,7 @@
 	}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if w := m.CallerJobs().Worker(r.Worker.GetId()); w != nil {
-			resp.Acknowledged = w.Acknowledged
+			resp.Acknowledged, resp.Epoch = w.Acknowledged, w.Epoch
 		}
 	})
 	return resp, nil
--- /dev/null
+++ b/dispatch/sim_test.go
@@ -0,0 +1,398 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/dispatch"
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+const (
+	simHost = "queues.example"
+	simPool = "pool"
+	// commitDelay is what a commit or a confirmation of leadership takes.
+	commitDelay = 5 * time.Millisecond
+)
+
+// simLog is a log of one replica whose leadership changes on demand.
+type simLog struct {
+	mu      sync.Mutex
+	machine *control.Replica
+	index   uint64
+	term    uint64
+	leading bool
+}
+
+func (l *simLog) Propose(ctx context.Context, command []byte) ([]byte, uint64, error) {
+	before, _ := l.Leading()
+	time.Sleep(commitDelay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leading || l.term != before {
+		return nil, 0, &control.UnknownError{Cause: "leadership changed"}
+	}
+	l.index++
+	return l.machine.Apply(l.index, command), l.index, nil
+}
+
+func (l *simLog) ReadBarrier(ctx context.Context) (uint64, error) {
+	before, _ := l.Leading()
+	time.Sleep(commitDelay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leading || l.term != before {
+		return 0, errors.New("leadership changed")
+	}
+	return l.index, nil
+}
+
+func (l *simLog) Leading() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term, l.leading
+}
+
+func (l *simLog) LeaderAddress() string { return "" }
+
+// lose ends the leadership; after a while another term begins.
+func (l *simLog) lose(without time.Duration) {
+	l.mu.Lock()
+	l.leading = false
+	l.mu.Unlock()
+	time.Sleep(without)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term++
+	l.leading = true
+}
+
+// sim is a control host, workers and their agents in virtual time.
+type sim struct {
+	t       *testing.T
+	rand    *rand.Rand
+	ctx     context.Context
+	log     *simLog
+	replica *control.Replica
+	// dispatcher is replaced when another leader follows.
+	dispatcher *dispatch.Dispatcher
+	watch      *fakes.RunWatch
+	hosts      []*simSide
+	submitted  []*apiv1.JobSpec
+	calm       bool
+	mu         sync.Mutex
+	loops      sync.WaitGroup
+	// lines is what all parts logged, shown when something broke.
+	lines  *bytes.Buffer
+	logger *zap.Logger
+}
+
+// simSide is a worker's host: worker, agent and the link to the leader.
+type simSide struct {
+	s      *sim
+	name   string
+	mu     sync.Mutex
+	worker *fakes.RunWorker
+	driver *runs.Driver
+	stop   context.CancelFunc
+	cut    bool
+	lives  int
+	rate   int64
+}
+
+var errCut = errors.New("cut off")
+
+// Report implements runs.Leader.
+func (h *simSide) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	if h.isCut() {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	resp, err := h.s.dispatcher.Report(ctx, r)
+	if err != nil || resp.NotLeader || h.isCut() {
+		return nil, errCut
+	}
+	return resp, nil
+}
+
+// Orders implements runs.Leader.
+func (h *simSide) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
+	if h.isCut() {
+		return nil, errCut
+	}
+	r.WaitMs = 500
+	resp, err := h.s.dispatcher.Orders(ctx, r)
+	if err != nil || resp.NotLeader || h.isCut() {
+		return nil, errCut
+	}
+	return resp, nil
+}
+
+func (h *simSide) isCut() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cut
+}
+
+func (h *simSide) setCut(cut bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cut = cut
+}
+
+// startWorker puts a new incarnation on the host.
+func (h *simSide) startWorker() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.worker != nil {
+		h.worker.Crash()
+	}
+	h.lives++
+	h.worker = fakes.NewRunWorker(&apiv1.JobWorker{
+		Id: fmt.Sprintf("%s-%d", h.name, h.lives), Host: h.name, Pool: simPool, CpuMilli: 4000, MemoryMb: 8000,
+	}, h.s.watch)
+	h.worker.ClockRatePPM = h.rate
+	h.worker.Fault = h.s.fault
+	h.worker.Duration = h.s.duration
+	h.worker.Fails = func(id jobqueue.RunID) bool { return id.Number == 1 && id.Task.Index == 3 }
+}
+
+func (h *simSide) startAgent() {
+	ctx, cancel := context.WithCancel(h.s.ctx)
+	driver := runs.New(runs.Options{Worker: workerOf{h}, Leader: h, Logger: h.s.logger})
+	h.mu.Lock()
+	h.driver, h.stop = driver, cancel
+	h.mu.Unlock()
+	h.s.loops.Go(func() { driver.Run(ctx) })
+}
+
+// workerOf calls whichever incarnation is on the host.
+type workerOf struct{ h *simSide }
+
+func (w workerOf) now() *fakes.RunWorker {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	return w.h.worker
+}
+
+func (w workerOf) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
+	return w.now().Start(ctx, o, s)
+}
+
+func (w workerOf) Stop(ctx context.Context, o runs.Order, id jobqueue.RunID) (runs.Answer, error) {
+	return w.now().Stop(ctx, o, id)
+}
+
+func (w workerOf) Pace(ctx context.Context, o runs.Order, id jobqueue.RunID, percent uint32) (runs.Answer, error) {
+	return w.now().Pace(ctx, o, id, percent)
+}
+
+func (w workerOf) Hold(ctx context.Context, o runs.Order, h runs.Hold) (runs.Status, runs.Answer, error) {
+	return w.now().Hold(ctx, o, h)
+}
+
+// announce has the worker tell its agent that it is there.
+func (h *simSide) announce(sequence uint64) {
+	h.mu.Lock()
+	worker, driver := h.worker, h.driver
+	h.mu.Unlock()
+	driver.Announce(runs.Announcement{Worker: worker.Spec, Sequence: sequence})
+}
+
+// fault draws what goes wrong with a call of a worker.
+func (s *sim) fault(string) fakes.OrderFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calm {
+		return fakes.OrderFault{}
+	}
+	switch p := s.rand.Float64(); {
+	case p < 0.03:
+		return fakes.OrderFault{Lost: true}
+	case p < 0.08:
+		return fakes.OrderFault{Late: time.Duration(2000+s.rand.IntN(8000)) * time.Millisecond}
+	}
+	return fakes.OrderFault{}
+}
+
+func (s *sim) duration(id jobqueue.TaskID) time.Duration {
+	return time.Duration(300+100*(id.Index%7)) * time.Millisecond
+}
+
+func newSim(ctx context.Context, t *testing.T, seed uint64, workers int) *sim {
+	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, watch: fakes.NewRunWatch()}
+	s.lines = &bytes.Buffer{}
+	encoder := zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
+	s.logger = zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(s.lines)), zap.InfoLevel))
+	s.replica = control.NewReplica(control.Config{OnApplied: func() {
+		if s.dispatcher != nil {
+			s.dispatcher.Applied()
+		}
+	}})
+	s.log = &simLog{machine: s.replica, term: 1, leading: true}
+	s.replica.Attach(s.log)
+	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, Logger: s.logger})
+	s.loops.Go(func() { s.dispatcher.Run(s.ctx) })
+	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{
+		Configuration: &apiv1.QueueConfiguration{
+			Version: 1, Pools: []*apiv1.WorkerPool{{Name: simPool}},
+			Queues: []*apiv1.JobQueue{{
+				Name: "q", Host: simHost, PathPrefix: "/q/", Pool: simPool, MaxAttempts: 4, Stretch: 2, AllowanceMs: 500, TimeoutMs: 1000,
+			}},
+		},
+	}}})
+	for i := range workers {
+		h := &simSide{s: s, name: fmt.Sprintf("host%d", i), rate: int64(i%3) * 10_000}
+		h.startWorker()
+		h.startAgent()
+		s.hosts = append(s.hosts, h)
+	}
+	s.loops.Go(s.announceLoop)
+	return s
+}
+
+func (s *sim) announceLoop() {
+	for sequence := uint64(1); s.ctx.Err() == nil; sequence++ {
+		for _, h := range s.hosts {
+			h.announce(sequence)
+		}
+		s.sleep(700 * time.Millisecond)
+	}
+}
+
+func (s *sim) sleep(d time.Duration) {
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// propose commits a command, whoever leads by then.
+func (s *sim) propose(c *apiv1.JobsCommand) {
+	s.t.Helper()
+	for range 10_000 {
+		res, err := s.replica.ProposeLocal(s.ctx, &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: c}})
+		if err == nil {
+			if res.Job != apiv1.JobOutcome_JOB_OUTCOME_OK {
+				s.t.Fatalf("%v: %v", c, res.Job)
+			}
+			return
+		}
+		s.sleep(10 * time.Millisecond)
+	}
+	s.t.Fatal("nobody ever leads")
+}
+
+func (s *sim) submit(number int) {
+	steps := []*apiv1.JobStep{
+		{Count: 1 + uint32(s.rand.IntN(6)), CpuMilli: 500 + s.rand.Int64N(1500), MemoryMb: 500, EstimatedMs: 500, Checkpointing: true},
+		{Count: 1 + uint32(s.rand.IntN(4)), CpuMilli: 500 + s.rand.Int64N(1500), MemoryMb: 500, EstimatedMs: 500, After: []uint32{0}},
+	}
+	spec := &apiv1.JobSpec{Id: fmt.Sprintf("job%d", number), Host: simHost, Path: fmt.Sprintf("/q/job%d", number), Steps: steps}
+	s.watch.Submitted(spec)
+	s.submitted = append(s.submitted, spec)
+	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+}
+
+// trouble does one thing that goes wrong.
+func (s *sim) trouble() {
+	h := s.hosts[s.rand.IntN(len(s.hosts))]
+	span := time.Duration(500+s.rand.IntN(8000)) * time.Millisecond
+	switch s.rand.IntN(4) {
+	case 0:
+		h.setCut(true)
+		time.AfterFunc(span, func() { h.setCut(false) })
+	case 1:
+		h.mu.Lock()
+		worker := h.worker
+		h.mu.Unlock()
+		worker.Crash()
+		time.AfterFunc(span/4, h.startWorker)
+	case 2:
+		h.mu.Lock()
+		h.stop()
+		h.mu.Unlock()
+		h.startAgent()
+	case 3:
+		s.loops.Go(func() { s.log.lose(span / 4) })
+	}
+}
+
+func (s *sim) finished() bool {
+	whole := true
+	s.replica.ReadState(func(m *state.Machine) {
+		for _, spec := range s.submitted {
+			if j := m.CallerJobs().Job(spec.Id); j == nil || j.State != apiv1.JobState_JOB_STATE_SUCCEEDED {
+				whole = false
+			}
+		}
+	})
+	return whole
+}
+
+// Symptom: a task runs in two places, after it was done, or beyond a worker's room;
+// or a job that was accepted never ends.
+// Sequence: jobs come while agents are cut off and restarted, workers crash and
+// come back, leaders follow one another, and orders are lost or carried out ten
+// seconds late.
+// Cause: any fault in leases, fencing, numbers of runs, ends or their order.
+func TestJobsUnderTrouble(t *testing.T) {
+	// The library's goroutine for meters would else belong to the first test's time.
+	metrics.NewMeter().Stop()
+	const seeds = 60
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { underTrouble(t, seed) })
+		})
+	}
+}
+
+func underTrouble(t *testing.T, seed uint64) {
+	ctx, stop := context.WithCancel(t.Context())
+	s := newSim(ctx, t, seed, 4)
+	defer s.loops.Wait()
+	defer stop()
+	s.sleep(3 * time.Second)
+	for i := range 12 {
+		s.submit(i)
+		if s.rand.IntN(2) == 0 {
+			s.trouble()
+		}
+		s.sleep(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+	}
+	s.mu.Lock()
+	s.calm = true
+	s.mu.Unlock()
+	for i := 0; i < 600 && !s.finished(); i++ {
+		s.sleep(100 * time.Millisecond)
+	}
+	for _, b := range s.watch.Broken() {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	if t.Failed() {
+		t.Log(s.lines.String())
+	}
+	if !s.finished() {
+		s.replica.ReadState(func(m *state.Machine) {
+			for _, j := range m.CallerJobs().Active() {
+				t.Errorf("seed %d: %s is %v", seed, j.ID(), j.State)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fakes/runwatch.go
@@ -0,0 +1,145 @@
+package fakes
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// RunWatch checks, from what the workers do, what must always hold of submitted
+// jobs: no task runs in two places, none starts before its turn or after an end
+// that was taken note of, and no worker is given more than it has.
+type RunWatch struct {
+	mu         sync.Mutex
+	workers    []*RunWorker
+	jobs       map[string]*apiv1.JobSpec
+	done       map[jobqueue.TaskID]time.Time
+	notedAt    map[jobqueue.TaskID]time.Time
+	starts     map[jobqueue.TaskID][]time.Time
+	violations []string
+}
+
+// NewRunWatch returns a watch that has seen nothing.
+func NewRunWatch() *RunWatch {
+	return &RunWatch{
+		jobs: map[string]*apiv1.JobSpec{}, done: map[jobqueue.TaskID]time.Time{},
+		notedAt: map[jobqueue.TaskID]time.Time{}, starts: map[jobqueue.TaskID][]time.Time{},
+	}
+}
+
+// Submitted tells the watch of a job.
+func (j *RunWatch) Submitted(spec *apiv1.JobSpec) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[spec.Id] = spec
+}
+
+// Broken returns what was seen to go wrong.
+func (j *RunWatch) Broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.violations...)
+}
+
+func (j *RunWatch) add(w *RunWorker) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.workers = append(j.workers, w)
+}
+
+// ended takes in that a run ended, noted or not.
+func (j *RunWatch) ended(_ *RunWorker, id jobqueue.RunID, kind apiv1.RunEndKind, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if kind == apiv1.RunEndKind_RUN_END_KIND_DONE {
+		j.done[id.Task] = at
+	}
+}
+
+// noted takes in that a good end of a task at some time was taken note of. No start
+// may follow that end, neither before it was noted nor after.
+func (j *RunWatch) noted(task jobqueue.TaskID, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.notedAt[task] = at
+	for _, start := range j.starts[task] {
+		if start.After(at) {
+			j.broken("%v started at %s, after its noted end at %s", task, start.Format("05.000"), at.Format("05.000"))
+		}
+	}
+}
+
+// started judges a start. The calling worker's lock is held; the others are asked
+// beside the call, since two of them may ask each other.
+func (j *RunWatch) started(w *RunWorker, id jobqueue.RunID) {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts[id.Task] = append(j.starts[id.Task], now)
+	spec := j.jobs[id.Task.Job]
+	if spec == nil {
+		j.broken("%v starts, which nobody submitted", id)
+		return
+	}
+	if at, noted := j.notedAt[id.Task]; noted && now.After(at) {
+		j.broken("%v starts after its end was noted", id)
+	}
+	j.judgeOrder(spec, id)
+	if used := j.used(w); !used.Fits(jobqueue.Resources{CPUMilli: w.Spec.CpuMilli, MemoryMB: w.Spec.MemoryMb}) {
+		j.broken("%s runs %v", w.Spec.Id, used)
+	}
+	go j.judgeOthers(w, id)
+}
+
+func (j *RunWatch) judgeOrder(spec *apiv1.JobSpec, id jobqueue.RunID) {
+	for _, before := range spec.Steps[id.Task.Step].After {
+		for i := range spec.Steps[before].Count {
+			task := jobqueue.TaskID{Job: id.Task.Job, Occurrence: id.Task.Occurrence, Step: before, Index: i}
+			if _, done := j.done[task]; !done {
+				j.broken("%v starts before task %d of step %d is done", id, i, before)
+			}
+		}
+	}
+}
+
+// judgeOthers looks for a run of the same task elsewhere.
+func (j *RunWatch) judgeOthers(w *RunWorker, id jobqueue.RunID) {
+	j.mu.Lock()
+	others := append([]*RunWorker(nil), j.workers...)
+	j.mu.Unlock()
+	for _, other := range others {
+		if other == w || !other.runs(id.Task) {
+			continue
+		}
+		j.mu.Lock()
+		j.broken("%v starts on %s while the task runs on %s", id, w.Spec.Id, other.Spec.Id)
+		j.mu.Unlock()
+	}
+}
+
+// broken notes a violation; j.mu is held.
+func (j *RunWatch) broken(format string, args ...any) {
+	j.violations = append(j.violations, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// used sums what a worker's runs take; the worker's lock is held.
+func (j *RunWatch) used(w *RunWorker) jobqueue.Resources {
+	var sum jobqueue.Resources
+	for task := range w.running {
+		if spec := j.jobs[task.Job]; spec != nil {
+			sum = sum.Add(jobqueue.Reserved(spec.Steps[task.Step]))
+		}
+	}
+	return sum
+}
+
+// runs reports whether the worker runs a task right now.
+func (w *RunWorker) runs(task jobqueue.TaskID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.running[task] != nil
+}
--- /dev/null
+++ b/fakes/runworker.go
@@ -0,0 +1,327 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// OrderFault is what goes wrong with one call of a RunWorker.
+type OrderFault struct {
+	// Lost: the call is not carried out and gets no answer.
+	Lost bool
+	// Late: the call gets no answer and is carried out so much later.
+	Late time.Duration
+}
+
+// RunWorker is a stand-in for a worker that runs submitted jobs' tasks under one
+// lease: numbered runs, refusals of old ones, a list of ends with a cursor, a clock
+// of its own that may be slow, and orders that are lost or carried out late.
+type RunWorker struct {
+	// Spec describes the worker; its id is the incarnation.
+	Spec *apiv1.JobWorker
+	// ClockRatePPM is how much slower than true time its clock runs.
+	ClockRatePPM int64
+	// Fault is asked for each call; nil means that nothing goes wrong.
+	Fault func(call string) OrderFault
+	// Duration is how long a task works; 0 means until it is stopped.
+	Duration func(jobqueue.TaskID) time.Duration
+	// Fails tells which runs end failed.
+	Fails func(jobqueue.RunID) bool
+	// Judge is told of every run.
+	Judge *RunWatch
+
+	mu         sync.Mutex
+	began      time.Time
+	gone       bool
+	term       uint64
+	deadlineMs int64
+	cursor     uint64
+	sequence   uint64
+	running    map[jobqueue.TaskID]*workerRun
+	newest     map[jobqueue.TaskID]uint64
+	ended      []*apiv1.RunEnd
+	endedAt    map[uint64]time.Time
+	// lapsedAt is when the lease ran out last.
+	lapsedAt  time.Time
+	endedNews chan struct{}
+}
+
+type workerRun struct {
+	id         jobqueue.RunID
+	at         time.Time
+	duration   time.Duration
+	checkpoint string
+}
+
+const (
+	// clockBaseMs is what the clock of a new worker shows.
+	clockBaseMs   = 1_000_000
+	checkpointSec = 1
+	partsPerMill  = 1_000_000
+)
+
+// NewRunWorker returns a worker that runs nothing yet.
+func NewRunWorker(spec *apiv1.JobWorker, judge *RunWatch) *RunWorker {
+	w := &RunWorker{
+		Spec: spec, Judge: judge, began: time.Now(),
+		running: map[jobqueue.TaskID]*workerRun{}, newest: map[jobqueue.TaskID]uint64{},
+		endedNews: make(chan struct{}), endedAt: map[uint64]time.Time{},
+	}
+	judge.add(w)
+	return w
+}
+
+// Crash ends the worker and all that runs on it, without a word.
+func (w *RunWorker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	w.gone = true
+	for id := range w.running {
+		delete(w.running, id)
+	}
+}
+
+func (w *RunWorker) clockMs(at time.Time) int64 {
+	elapsed := at.Sub(w.began).Milliseconds()
+	return clockBaseMs + elapsed*(partsPerMill-w.ClockRatePPM)/partsPerMill
+}
+
+// lapseAt is when the lease runs out.
+func (w *RunWorker) lapseAt() time.Time {
+	left := (w.deadlineMs - clockBaseMs) * partsPerMill / (partsPerMill - w.ClockRatePPM)
+	return w.began.Add(time.Duration(left) * time.Millisecond)
+}
+
+// advance ends what has ended by now; w.mu is held.
+func (w *RunWorker) advance() {
+	now := time.Now()
+	lapse := w.lapseAt()
+	if !lapse.After(now) {
+		w.lapsedAt = lapse
+	}
+	for task, r := range w.running {
+		end := r.at.Add(r.duration)
+		works := r.duration > 0 && !end.After(now)
+		lapsed := !lapse.After(now)
+		switch {
+		case works && (!lapsed || end.Before(lapse)):
+			kind := apiv1.RunEndKind_RUN_END_KIND_DONE
+			if w.Fails != nil && w.Fails(r.id) {
+				kind = apiv1.RunEndKind_RUN_END_KIND_FAILED
+			}
+			w.end(task, r, kind, end)
+		case lapsed:
+			w.end(task, r, apiv1.RunEndKind_RUN_END_KIND_LAPSED, lapse)
+		}
+	}
+}
+
+func (w *RunWorker) end(task jobqueue.TaskID, r *workerRun, kind apiv1.RunEndKind, at time.Time) {
+	delete(w.running, task)
+	w.newest[task] = max(w.newest[task], r.id.Number)
+	w.sequence++
+	w.ended = append(w.ended, &apiv1.RunEnd{
+		Sequence: w.sequence, Task: task.Ref(), Run: r.id.Number, Kind: kind, Checkpoint: r.saved(),
+	})
+	w.endedAt[w.sequence] = at
+	close(w.endedNews)
+	w.endedNews = make(chan struct{})
+	w.Judge.ended(w, r.id, kind, at)
+}
+
+// saved is the checkpoint of the last whole second of work.
+func (r *workerRun) saved() string {
+	worked := int(time.Since(r.at).Seconds()) / checkpointSec
+	if worked == 0 {
+		return r.checkpoint
+	}
+	return fmt.Sprintf("%v@%d", r.id.Task, worked)
+}
+
+// call carries a call out, or loses or delays it. It returns false when there is no
+// answer.
+func (w *RunWorker) call(ctx context.Context, name string, f func()) bool {
+	var fault OrderFault
+	if w.Fault != nil {
+		fault = w.Fault(name)
+	}
+	carryOut := func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.advance()
+		f()
+	}
+	if fault.Late > 0 {
+		time.AfterFunc(fault.Late, carryOut)
+	}
+	if fault.Lost || fault.Late > 0 {
+		<-ctx.Done()
+		return false
+	}
+	carryOut()
+	return true
+}
+
+// check refuses calls for another incarnation or under an old term; w.mu is held.
+func (w *RunWorker) check(o runs.Order) runs.Answer {
+	switch {
+	case w.gone || o.Incarnation != w.Spec.Id:
+		return runs.AnswerOther
+	case o.Term < w.term:
+		return runs.AnswerFenced
+	}
+	w.term = o.Term
+	return runs.AnswerDone
+}
+
+// Start implements runs.Worker.
+func (w *RunWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
+	var answer runs.Answer
+	if !w.call(ctx, "start", func() { answer = w.start(o, s) }) {
+		return 0, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (w *RunWorker) start(o runs.Order, s runs.Start) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	if s.DeadlineMs <= w.clockMs(time.Now()) {
+		return runs.AnswerLate
+	}
+	w.deadlineMs = max(w.deadlineMs, s.DeadlineMs)
+	task := s.Run.Task
+	if r := w.running[task]; r != nil && r.id == s.Run {
+		return runs.AnswerDone
+	}
+	if s.Run.Number <= w.newest[task] || w.running[task] != nil {
+		return runs.AnswerOver
+	}
+	r := &workerRun{id: s.Run, at: time.Now(), checkpoint: s.Checkpoint}
+	if w.Duration != nil {
+		r.duration = w.Duration(task)
+	}
+	w.running[task] = r
+	w.Judge.started(w, s.Run)
+	return runs.AnswerDone
+}
+
+// Stop implements runs.Worker.
+func (w *RunWorker) Stop(ctx context.Context, o runs.Order, run jobqueue.RunID) (runs.Answer, error) {
+	var answer runs.Answer
+	if !w.call(ctx, "stop", func() { answer = w.stop(o, run) }) {
+		return 0, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (w *RunWorker) stop(o runs.Order, run jobqueue.RunID) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	w.newest[run.Task] = max(w.newest[run.Task], run.Number)
+	if r := w.running[run.Task]; r != nil && r.id.Number <= run.Number {
+		w.end(run.Task, r, apiv1.RunEndKind_RUN_END_KIND_STOPPED, time.Now())
+	}
+	return runs.AnswerDone
+}
+
+// Pace implements runs.Worker.
+func (w *RunWorker) Pace(ctx context.Context, o runs.Order, _ jobqueue.RunID, _ uint32) (runs.Answer, error) {
+	var answer runs.Answer
+	if !w.call(ctx, "pace", func() { answer = w.check(o) }) {
+		return 0, ctx.Err()
+	}
+	return answer, nil
+}
+
+// Hold implements runs.Worker.
+func (w *RunWorker) Hold(ctx context.Context, o runs.Order, h runs.Hold) (runs.Status, runs.Answer, error) {
+	var status runs.Status
+	var answer runs.Answer
+	var news <-chan struct{}
+	hold := func() {
+		answer = w.hold(o, h)
+		status, news = w.status(), w.endedNews
+	}
+	if !w.call(ctx, "hold", hold) {
+		return status, 0, ctx.Err()
+	}
+	if answer != runs.AnswerDone || len(status.Ended) > 0 || h.Wait == 0 {
+		return status, answer, nil
+	}
+	timer := time.NewTimer(min(h.Wait, w.untilNextEnd()))
+	defer timer.Stop()
+	select {
+	case <-news:
+	case <-timer.C:
+	case <-ctx.Done():
+		return status, 0, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if w.gone {
+		return status, runs.AnswerOther, nil
+	}
+	return w.status(), answer, nil
+}
+
+// untilNextEnd is the time to the next end by itself.
+func (w *RunWorker) untilNextEnd() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := time.Hour
+	for _, r := range w.running {
+		if r.duration > 0 {
+			next = min(next, max(time.Millisecond, time.Until(r.at.Add(r.duration))))
+		}
+	}
+	return next
+}
+
+func (w *RunWorker) hold(o runs.Order, h runs.Hold) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	if h.DeadlineMs > w.clockMs(time.Now()) {
+		w.deadlineMs = max(w.deadlineMs, h.DeadlineMs)
+	}
+	w.cursor = max(w.cursor, h.Acknowledged)
+	for len(w.ended) > 0 && w.ended[0].Sequence <= w.cursor {
+		w.noted(w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	return runs.AnswerDone
+}
+
+// noted tells the judge of an end that was taken note of; one from before the lease
+// ran out doesn't count, since the leader had given the run up by then.
+func (w *RunWorker) noted(e *apiv1.RunEnd) {
+	at := w.endedAt[e.Sequence]
+	if e.Kind == apiv1.RunEndKind_RUN_END_KIND_DONE && !w.lapsedAt.After(at) {
+		w.Judge.noted(jobqueue.TaskIDOf(e.Task), at)
+	}
+}
+
+func (w *RunWorker) status() runs.Status {
+	s := runs.Status{ClockMs: w.clockMs(time.Now()), Ended: append([]*apiv1.RunEnd(nil), w.ended...)}
+	for task, r := range w.running {
+		percent := uint32(100)
+		if r.duration > 0 {
+			percent = uint32(100 * time.Since(r.at) / r.duration)
+		}
+		s.Running = append(s.Running, &apiv1.RunObservation{
+			Task: task.Ref(), Run: r.id.Number, Percent: min(percent, 100), Checkpoint: r.saved(),
+		})
+	}
+	return s
+}
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -16,6 +16,7 @@
 	for _, id := range p.Lapsed {
 		if w := m.Worker(id); w != nil {
 			m.loseRuns(w)
+			w.Epoch++
 		}
 	}
 	for _, stop := range p.Stops {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -46,12 +46,15 @@
 	if before := m.workers[m.current[spec.Host]]; before != nil {
 		m.depart(before)
 	}
-	w := &Worker{Spec: spec, Runs: map[RunID]*Run{}}
+	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
 	m.workers[spec.Id] = w
 	m.current[spec.Host] = spec.Id
 	return w
 }
 
+// firstEpoch is the epoch of a worker whose lease never ran out; 0 is none.
+const firstEpoch = 1
+
 // depart ends a worker's incarnation, and with it all that ran there.
 func (m *Machine) depart(w *Worker) {
 	if w.Departed {
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -19,6 +19,7 @@
 		w := m.workers[id]
 		out.Workers = append(out.Workers, &apiv1.JobWorkerRecord{
 			Worker: w.Spec, Acknowledged: w.Acknowledged, Departed: w.Departed, DepartedMs: w.DepartedMs,
+			Epoch: w.Epoch,
 		})
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.waves)) {
@@ -83,6 +84,7 @@
 func (m *Machine) restoreWorker(r *apiv1.JobWorkerRecord) {
 	w := &Worker{
 		Spec: r.Worker, Acknowledged: r.Acknowledged, Departed: r.Departed, DepartedMs: r.DepartedMs,
+		Epoch: r.Epoch,
 		Runs: map[RunID]*Run{},
 	}
 	m.workers[w.Spec.GetId()] = w
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -190,6 +190,9 @@
 	// Revision grows with each change of what the worker is to run. It is no part of
 	// the replicated state: agents learn by it that there are new orders.
 	Revision uint64
+	// Epoch grows when the worker's runs are given up because its lease ran out. A
+	// start that was ordered before must not be made under a lease renewed after.
+	Epoch uint64
 	// Departed is set once the incarnation is gone for good.
 	Departed   bool
 	DepartedMs int64
