--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -73,15 +73,22 @@
 	}
 	_, s := m.task(TaskIDOf(starts[0].Task))
 	whole := len(begun) == len(starts) && (s == nil || !s.Spec.Gang || len(begun) == len(s.Tasks))
-	if whole {
+	if !whole {
+		for _, r := range begun {
+			m.release(r)
+		}
 		return
 	}
 	for _, r := range begun {
-		m.release(r)
+		t, _ := m.task(r.ID.Task)
+		t.LastRun = r.ID.Number
+		r.job.Started = true
+		r.job.State = apiv1.JobState_JOB_STATE_RUNNING
 	}
 }
 
-// start binds a run to a worker if every rule allows it, else it returns nil.
+// start binds a run to a worker if every rule allows it, else it returns nil. The
+// caller notes the run's number once the whole group has started.
 func (m *Machine) start(start *apiv1.StartRun) *Run {
 	id := TaskIDOf(start.Task)
 	t, s := m.task(id)
@@ -97,9 +104,6 @@
 		ID: RunID{id, start.Run}, Worker: start.Worker, Checkpoint: start.Checkpoint, Step: s.Spec, job: j,
 	}
 	m.bind(r, t, w)
-	t.LastRun = start.Run
-	j.Started = true
-	j.State = apiv1.JobState_JOB_STATE_RUNNING
 	return r
 }
 
