--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -85,7 +85,7 @@
 	w := &Worker{
 		Spec: r.Worker, Acknowledged: r.Acknowledged, Departed: r.Departed, DepartedMs: r.DepartedMs,
 		Epoch: r.Epoch,
-		Runs: map[RunID]*Run{},
+		Runs:  map[RunID]*Run{},
 	}
 	m.workers[w.Spec.GetId()] = w
 	if !w.Departed {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -19,10 +19,6 @@
 			return nil, errors.Wrap(err, "log level")
 		}
 	}
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	enc.EncodeDuration = zapcore.StringDurationEncoder
-	enc.NameKey = "part"
 	format := s.Format
 	if format == "" {
 		format = "json"
@@ -30,7 +26,7 @@
 	cfg := zap.Config{
 		Level:             zap.NewAtomicLevelAt(level),
 		Encoding:          format,
-		EncoderConfig:     enc,
+		EncoderConfig:     encoding(),
 		OutputPaths:       []string{"stderr"},
 		ErrorOutputPaths:  []string{"stderr"},
 		DisableCaller:     true,
@@ -39,3 +35,12 @@
 	log, err := cfg.Build(zap.WrapCore(func(c zapcore.Core) zapcore.Core { return newBoundedDebug(shortErrors{c}) }))
 	return log, errors.Wrap(err, "logger")
 }
+
+// encoding is how a line is written.
+func encoding() zapcore.EncoderConfig {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	enc.EncodeDuration = zapcore.StringDurationEncoder
+	enc.NameKey = "part"
+	return enc
+}
