schedule: move backfilling runs that are held back; count the demand that their pace leaves

Change: a run's demand counts by its pace; one that hardly works for two seconds is stopped and goes on from its checkpoint where it is borne; a serving task is taken to use half of its reservation; reports are taken to be off by a tenth.

--- a/schedule/interference.go
+++ b/schedule/interference.go
@@ -21,8 +21,8 @@
 	// noise is how far a report of half a second is off, baseDrift and drift how much
 	// a base and a pressure change between two samples, as shares of the objective:
 	// the load of serving tasks swings within some ten seconds.
-	noise     = 0.3
-	baseDrift = 0.01
+	noise     = 0.1
+	baseDrift = 0.02
 	drift     = 0.001
 	// outlierShare of the objective is where a sample is cut: a queue that grows
 	// without bound says that the pressure is too high, not how much.
--- /dev/null
+++ b/schedule/move.go
@@ -0,0 +1,77 @@
+package schedule
+
+import (
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	// lowPace is the pace, in percent, at which a run hardly works, and lowPaceTime
+	// how long it must have been that low to be moved: four reports, so that a tail
+	// that is only long for a moment moves nothing.
+	lowPace     = 20
+	lowPaceTime = 2 * time.Second
+	// movesPerRound bounds the runs that are moved at once.
+	movesPerRound = 4
+)
+
+// moveHeldBack stops backfilling runs that are slowed down for good beside the
+// serving tasks they disturb, if another worker would bear them; they go on there
+// from their checkpoint. What goes wrong without it: they hold memory and make no
+// progress while the processors of other workers are idle: backfilling tasks got
+// 0.20 of the processors of a pool of which 0.50 was free, 0.22 being held back.
+func (r *round) moveHeldBack() {
+	seen := map[jobqueue.RunID]time.Time{}
+	moves := 0
+	for _, s := range r.slots {
+		for _, id := range s.worker.SortedRuns() {
+			run := s.worker.Runs[id]
+			if !r.heldBackNow(run) {
+				continue
+			}
+			since, known := r.planner.heldBack[id]
+			if !known {
+				since = r.now
+			}
+			seen[id] = since
+			if moves < movesPerRound && r.now.Sub(since) >= lowPaceTime && r.bearable(run, s) {
+				r.decision.Stops = append(r.decision.Stops, &apiv1.StopRun{
+					Task: id.Task.Ref(), Run: id.Number, Reason: "slowed down, another worker bears it",
+				})
+				moves++
+			}
+		}
+	}
+	r.planner.heldBack = seen
+}
+
+func (r *round) heldBackNow(run *jobqueue.Run) bool {
+	if !run.Step.Backfill || !run.Step.Checkpointing || run.Step.Gang || run.Stopping {
+		return false
+	}
+	percent, set := r.planner.Pace(run.Worker, run.ID)
+	return set && percent <= lowPace
+}
+
+// bearable reports whether another worker would run the task well, and takes that
+// worker's room for this round.
+func (r *round) bearable(run *jobqueue.Run, own *slot) bool {
+	id := run.ID.Task
+	j := run.Job()
+	c := &candidate{
+		job: j, queue: r.machine.QueueOf(j), occurrence: int(id.Occurrence), number: int(id.Step),
+		step: j.Occurrences[id.Occurrence].Steps[id.Step],
+	}
+	usable := own.usable
+	own.usable = false
+	defer func() { own.usable = usable }()
+	s := r.best(c)
+	if s == nil {
+		return false
+	}
+	s.give(c, 1)
+	s.slack.take(r.planner.interference, run.Step, s.worker.Spec.CpuMilli, 1)
+	return true
+}
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -14,7 +14,7 @@
 	paceInterval = 500 * time.Millisecond
 	// tailWeight is the weight of the newest report in a task's smoothed tail: single
 	// reports are off by a third of the objective.
-	tailWeight = 0.45
+	tailWeight = 0.7
 	// alarmShare of the objective, smoothed, is where the budget is cut at once,
 	// calmShare where it is given back: between them it stays, so that paces don't
 	// swing. A single report of burstShare is an alarm too.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -59,12 +59,24 @@
 		}
 		for _, run := range w.Runs {
 			s.count(run.Step, 1)
+			if run.Step.Backfill {
+				s.backfill -= r.heldBack(run)
+			}
 		}
 		r.findSlack(s)
 		r.slots = append(r.slots, s)
 	}
 }
 
+// heldBack is the processor demand that a run's pace takes from it.
+func (r *round) heldBack(run *jobqueue.Run) int64 {
+	percent, set := r.planner.Pace(run.Worker, run.ID)
+	if !set {
+		return 0
+	}
+	return run.Step.CpuMilli * (fullPace - int64(percent)) / fullPace
+}
+
 // findSlack sets what the present backfilling runs of a worker leave of its slack.
 func (r *round) findSlack(s *slot) {
 	learnt := r.planner.interference
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -56,13 +56,15 @@
 	// waiting says since when a step had tasks whose turn had come and its job had
 	// nothing running.
 	waiting map[stepKey]time.Time
+	// heldBack says since when a run's pace has been so low that it hardly works.
+	heldBack map[jobqueue.RunID]time.Time
 }
 
 // New returns a planner that has learnt nothing yet.
 func New() *Planner {
 	return &Planner{
 		health: newHealthTable(), images: newImageTable(), interference: newInterference(), pacers: map[string]*pacer{},
-		waiting: map[stepKey]time.Time{},
+		waiting: map[stepKey]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{},
 	}
 }
 
@@ -73,6 +75,7 @@
 	r.lookAtWorkers()
 	r.stopStuck()
 	r.startWaiting()
+	r.moveHeldBack()
 	return r.decision
 }
 
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 func serving(count uint32, cpuMilli int64) *apiv1.JobStep {
@@ -215,3 +216,34 @@
 		t.Fatalf("runs by worker: %v", got)
 	}
 }
+
+// Symptom: batch work makes no progress while the processors of another worker are
+// idle.
+// Sequence: a backfilling run turns out to disturb the serving task beside it and is
+// slowed down for good; another worker, without serving tasks, is there.
+// Cause: a run that is slowed down stays where it is.
+func TestRunThatIsHeldBackMoves(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 32_000, 64_000)
+	r.submit("urgent", "s1", serving(1, 6000))
+	r.submit("batch", "b1", backfill(1, 3000, "heavy"))
+	r.plan()
+	r.worker("w2", 32_000, 64_000)
+	serves := func(int) int64 {
+		if len(r.runsOn("w1")) > 1 {
+			return 300
+		}
+		return 20
+	}
+	for range 40 {
+		r.pass(paceInterval)
+		r.observeAll("w1", serves)
+		r.observeAll("w2", serves)
+		for _, stop := range r.plan().Stops {
+			r.end(jobqueue.RunID{Task: jobqueue.TaskIDOf(stop.Task), Number: stop.Run}, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+		}
+	}
+	if len(r.runsOn("w1")) != 1 || len(r.runsOn("w2")) != 1 {
+		t.Fatalf("%v run beside the serving task, %v on the free worker", r.runsOn("w1"), r.runsOn("w2"))
+	}
+}
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -11,14 +11,14 @@
 	rackBonus = 5
 	// servingLoad is the share of its reservation that a serving task is expected to
 	// use: callers reserve for their peaks.
-	servingLoad = 0.6
+	servingLoad = 0.5
 	// minSpeed is the least share of its full speed, as the neighbours' tails allow,
 	// at which a backfilling task is started: a slower one would hold memory and be
 	// stuck there once room is found elsewhere. minProcessorSpeed is the same for the
 	// processors that are left: jobs that wait for their turn end sooner on the whole
 	// than jobs that all run slowly side by side.
 	minSpeed          = 0.4
-	minProcessorSpeed = 0.8
+	minProcessorSpeed = 0.7
 	// undisturbedPenalty keeps the workers without serving tasks for the images that
 	// disturb the others, and costPenalty keeps images away from those that they
 	// disturb while there are better places.
