schedule: backfilling runs stand still beside a tail that stays over its objective

Cause: neighbours were slowed down by what was learnt of their images, never to a standstill; right after a start, or after a wrong guess, that took over four seconds. Change: after 1.4 s over the objective all neighbours stand still; a single report of one and a half times the objective cuts the budget to its least at once. Ruled out: lateness of orders on pace (answered within milliseconds).

--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -26,7 +26,11 @@
 	cutFactor   = 0.5
 	restoreStep = 0.1
 	minTrust    = 0.05
-	fullPace    = 100
+	// silenceAfter is how long a tail may be over its objective before all
+	// backfilling runs beside it stand still. A tail falls back within a second and a
+	// half of that, and a disturbance has to end within four.
+	silenceAfter = 1400 * time.Millisecond
+	fullPace     = 100
 	// paceStep is the granularity of a pace, so that small changes of the figures
 	// order nothing.
 	paceStep = 10
@@ -41,6 +45,8 @@
 	// tails are the smoothed tails of the serving runs, as shares of their objectives.
 	tails map[jobqueue.RunID]float64
 	paces map[jobqueue.RunID]uint32
+	// overSince says since when the tail of a serving run has been over its objective.
+	overSince map[jobqueue.RunID]time.Time
 }
 
 // Observe learns from a report of a worker and sets the paces of its backfilling
@@ -59,6 +65,10 @@
 	p.learn(v)
 	c.smooth(v)
 	c.adjustTrust(v)
+	c.noteOver(v, now)
+	if c.silenced(now) {
+		return c.set(standStill(v))
+	}
 	return c.set(p.paces(v, c.trust))
 }
 
@@ -156,13 +166,52 @@
 		newest = max(newest, s.share())
 	}
 	switch {
-	case worst > alarmShare || newest > burstShare:
+	case newest > burstShare:
+		c.trust = minTrust
+	case worst > alarmShare:
 		c.trust = max(minTrust, c.trust*cutFactor)
 	case worst < calmShare:
 		c.trust = min(1, c.trust+restoreStep)
 	}
 }
 
+// noteOver notes since when each serving run's tail has been over its objective.
+func (c *pacer) noteOver(v workerView, now time.Time) {
+	over := map[jobqueue.RunID]time.Time{}
+	for _, s := range v.serving {
+		if s.share() <= 1 {
+			continue
+		}
+		since, known := c.overSince[s.run.ID]
+		if !known {
+			since = now
+		}
+		over[s.run.ID] = since
+	}
+	c.overSince = over
+}
+
+// silenced reports whether a tail has been over its objective for so long that the
+// backfilling runs must stand still, whichever of them is to blame. What goes wrong
+// without it: a pair of images that was not learnt yet, or an estimate that is
+// wrong, disturbs a serving task for seconds.
+func (c *pacer) silenced(now time.Time) bool {
+	for _, since := range c.overSince {
+		if now.Sub(since) >= silenceAfter {
+			return true
+		}
+	}
+	return false
+}
+
+func standStill(v workerView) map[jobqueue.RunID]uint32 {
+	paces := map[jobqueue.RunID]uint32{}
+	for _, b := range v.backfill {
+		paces[b.run.ID] = 0
+	}
+	return paces
+}
+
 // paces shares the slack out: the images that disturb least first, since it buys
 // the most work there.
 func (p *Planner) paces(v workerView, trust float64) map[jobqueue.RunID]uint32 {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -247,3 +247,26 @@
 		t.Fatalf("%v run beside the serving task, %v on the free worker", r.runsOn("w1"), r.runsOn("w2"))
 	}
 }
+
+// Symptom: a serving task is over its objective for seconds while batch work beside
+// it goes on, if slowly.
+// Sequence: the tail stays long whatever part of their speed the neighbours have
+// left, as after a wrong guess of which of them is to blame.
+// Cause: the neighbours are slowed down by what was learnt, never to a standstill.
+func TestNeighboursStandStillInTheEnd(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 32_000, 64_000)
+	r.submit("urgent", "s1", serving(1, 6000))
+	r.submit("batch", "b1", backfill(3, 3000, "some"))
+	r.plan()
+	r.observeAll("w1", func(int) int64 { return 20 })
+	over := time.Duration(0)
+	for over < 3*time.Second && r.meanPace("w1", "some") > 0 {
+		r.pass(paceInterval)
+		over += paceInterval
+		r.observeAll("w1", func(int) int64 { return 110 })
+	}
+	if over > 2*time.Second {
+		t.Fatalf("after %v the neighbours still work at %.2f of their speed", over, r.meanPace("w1", "some"))
+	}
+}
