--- a/cli/app.go
+++ b/cli/app.go
@@ -59,6 +59,7 @@
 	a.addWatch()
 	a.addChangeCommands()
 	a.addMembers()
+	a.addJobs()
 	a.addVersion()
 	return a
 }
@@ -131,14 +132,23 @@
 	_, _ = fmt.Fprintf(a.Stdout, format, args...) // as above
 }
 
-// client makes the client and a context that ends with the timeout.
-func (a *App) client(ctx context.Context) (*admin.Client, context.Context, context.CancelFunc, error) {
+// entries are the entries' admin addresses.
+func (a *App) entries() ([]string, error) {
 	addresses := a.addresses
 	if len(addresses) == 0 {
 		addresses = strings.FieldsFunc(os.Getenv(AddressVariable), func(r rune) bool { return r == ',' || r == ' ' })
 	}
 	if len(addresses) == 0 {
-		return nil, nil, nil, &usageError{"no entry is named: give --address or set " + AddressVariable}
+		return nil, &usageError{"no entry is named: give --address or set " + AddressVariable}
+	}
+	return addresses, nil
+}
+
+// client makes the client and a context that ends with the timeout.
+func (a *App) client(ctx context.Context) (*admin.Client, context.Context, context.CancelFunc, error) {
+	addresses, err := a.entries()
+	if err != nil {
+		return nil, nil, nil, err
 	}
 	c, err := admin.NewClient(admin.ClientOptions{Addresses: addresses})
 	if err != nil {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -95,6 +95,7 @@
 	entry     *entry.Entry
 	agent     *agent.Agent
 	worker    *fakes.WorkerServer
+	jobs      *jobsDemo
 	targets   []*fakes.Target
 	listeners []net.Listener
 }
@@ -136,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	s.jobs = newJobsDemo(o)
 	runs, err := fakes.NewRecorder[fakes.RunEvent]("")
 	if err != nil {
 		return err
@@ -168,6 +170,7 @@
 	}
 	start(func(ctx context.Context) error { return s.worker.Serve(ctx, s.listeners[0]) })
 	start(s.agent.Run)
+	start(s.jobs.run)
 	for i, t := range s.targets {
 		start(func(ctx context.Context) error { return t.Serve(ctx, s.listeners[i+1], o.Addresses.AgentLocal) })
 	}
--- a/dev/guide.go
+++ b/dev/guide.go
@@ -14,6 +14,12 @@
   go run ./cmd/cairnlift --address %[1]s status
   go run ./cmd/cairnlift --address %[1]s explain renewals
 
+Jobs of callers go to queues: submit the queues, hand a job in, and ask for its state.
+
+  go run ./cmd/cairnlift --address %[1]s queues apply examples/dev/queues.json
+  go run ./cmd/cairnlift --address %[1]s job submit examples/dev/renewal.json
+  go run ./cmd/cairnlift --address %[1]s job state market.example /renewals/0123456789abcdef
+
 Ctrl-C stops everything.
 
 `
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -21,7 +21,7 @@
 
 var _ admin.Backend = backend{}
 
-func (e *Entry) adminHandler() http.Handler { return admin.Handler(backend{e}, e.registry) }
+func (e *Entry) adminHandler() http.Handler { return e.withJobs(admin.Handler(backend{e}, e.registry)) }
 
 // Propose implements admin.Backend.
 func (b backend) Propose(ctx context.Context, cmd *apiv1.Command) (*apiv1.Result, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,9 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/failstop"
+	"github.com/cairnlift/cairnlift/jobclient"
 	"github.com/cairnlift/cairnlift/member"
 	"github.com/cairnlift/cairnlift/pipeline"
 	"github.com/cairnlift/cairnlift/quorum/node"
@@ -48,6 +50,9 @@
 	replica  *control.Replica
 	node     *node.Node
 	follower *control.Forwarder
+	// dispatcher is nil without a replica; jobs reaches the control group's.
+	dispatcher *dispatch.Dispatcher
+	jobs       *jobclient.Client
 
 	services       atomic.Pointer[serviceTable]
 	router         *route.Router
--- a/entry/group.go
+++ b/entry/group.go
@@ -36,6 +36,7 @@
 		StalenessBound:    e.settings.StalenessBound.Duration,
 		Planner:           place.New(place.Config{}),
 		Forwarder:         forwarder,
+		OnApplied:         e.jobsApplied,
 		Logger:            o.Logger,
 		Metrics:           e.registry,
 	})
--- a/entry/server.go
+++ b/entry/server.go
@@ -72,6 +72,7 @@
 		prefix, h := e.node.Handler()
 		mux.Handle(prefix, h)
 	}
+	e.mountJobs(mux)
 	return mux
 }
 
@@ -103,6 +104,7 @@
 	for _, s := range []*server{internal, admin, callers} {
 		s.serve(e.loops)
 	}
+	e.runJobs(loops)
 	e.watchNode(loops)
 	e.startLoops(loops)
 	e.log.Info("entry started",
--- a/entry/setup.go
+++ b/entry/setup.go
@@ -21,6 +21,7 @@
 		return nil, err
 	}
 	e.setUpControl(o)
+	e.setUpJobs(o.Logger)
 	return e, nil
 }
 
--- /dev/null
+++ b/jobapi/client.go
@@ -0,0 +1,118 @@
+package jobapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errorBody is the body of every refusal.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// writeJSON answers; a caller that is gone by then needs no answer.
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{"error":"answer can't be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, errorBody{Error: message})
+}
+
+// Client speaks to the interface at one address after another.
+type Client struct {
+	Addresses []string
+	HTTP      *http.Client
+}
+
+// RefusedError is an answer that is not 200.
+type RefusedError struct {
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return http.StatusText(e.Status) + ": " + e.Message }
+
+// PutQueues submits a configuration, as JSON.
+func (c *Client) PutQueues(ctx context.Context, configuration []byte) error {
+	_, err := c.call(ctx, http.MethodPut, queuesPath, configuration)
+	return err
+}
+
+// Submit hands a job in, as JSON.
+func (c *Client) Submit(ctx context.Context, job []byte) error {
+	_, err := c.call(ctx, http.MethodPost, jobsPath, job)
+	return err
+}
+
+// Read returns the state of a job, or what waits in a queue.
+func (c *Client) Read(ctx context.Context, host, path string) (Status, error) {
+	var s Status
+	body, err := c.call(ctx, http.MethodGet, at(host, path), nil)
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(body, &s), "answer")
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, host, path string) error {
+	_, err := c.call(ctx, http.MethodDelete, at(host, path), nil)
+	return err
+}
+
+func at(host, path string) string {
+	return jobsPath + "?" + url.Values{"host": {host}, "path": {path}}.Encode()
+}
+
+// call asks each address until one answers. Every call may be repeated: jobs and
+// configurations are named by their callers.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	err := errors.New("no address is named")
+	for _, address := range c.Addresses {
+		var answer []byte
+		answer, err = c.try(ctx, method, "http://"+address+path, body)
+		var refused *RefusedError
+		if err == nil || errors.As(err, &refused) && refused.Status < http.StatusInternalServerError {
+			return answer, err
+		}
+	}
+	return nil, err
+}
+
+func (c *Client) try(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	resp, err := c.HTTP.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	defer func() { _ = resp.Body.Close() }() // the whole body is read
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return nil, errors.Wrap(err, "answer")
+	}
+	if resp.StatusCode == http.StatusOK {
+		return answer, nil
+	}
+	refusal := errorBody{}
+	if json.Unmarshal(answer, &refusal) != nil {
+		refusal.Error = string(answer)
+	}
+	return nil, &RefusedError{Status: resp.StatusCode, Message: refusal.Error}
+}
--- /dev/null
+++ b/jobapi/jobapi.go
@@ -0,0 +1,211 @@
+// Package jobapi is the HTTP interface of queues and submitted jobs, and its
+// client. Bodies are JSON, in the names of the messages of api/v1 (jobs.proto).
+//
+//	PUT    /v1/queues              a QueueConfiguration; the highest version is in force
+//	GET    /v1/queues              the one in force, as it was submitted
+//	POST   /v1/jobs                a JobSpec; the same id is the same job
+//	GET    /v1/jobs?host=&path=    the state of a job, or what waits in a queue
+//	DELETE /v1/jobs?host=&path=    cancels a job
+//
+// 503 says that nothing was done and never will be, with Retry-After; 504 that it is
+// not known what became of the request, which may be sent again.
+package jobapi
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	queuesPath = "/v1/queues"
+	jobsPath   = "/v1/jobs"
+	// maxBody bounds a request's body in bytes.
+	maxBody = 8 << 20
+	// requestTimeout bounds a request: two elections and some.
+	requestTimeout = 5 * time.Second
+	retryAfter     = time.Second
+)
+
+// Backend is the control group; *jobclient.Client implements it.
+type Backend interface {
+	PutQueues(ctx context.Context, c *apiv1.QueueConfiguration) (apiv1.JobOutcome, error)
+	Submit(ctx context.Context, spec *apiv1.JobSpec) (apiv1.JobOutcome, error)
+	Cancel(ctx context.Context, host, path, id string) (apiv1.JobOutcome, error)
+	Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error)
+}
+
+// Status is the answer to a read.
+type Status struct {
+	// State of a job: queued, running, succeeded, failed or canceled.
+	State string `json:"state,omitempty"`
+	// Pending jobs of a queue.
+	Pending *uint32 `json:"pending,omitempty"`
+}
+
+// Paths lists the path prefixes that the handler serves.
+func Paths() []string { return []string{queuesPath, jobsPath} }
+
+// Handler serves the interface.
+func Handler(b Backend) http.Handler {
+	h := handler{b}
+	r := httprouter.New()
+	r.PUT(queuesPath, h.putQueues)
+	r.GET(queuesPath, h.getQueues)
+	r.POST(jobsPath, h.submit)
+	r.GET(jobsPath, h.read)
+	r.DELETE(jobsPath, h.cancel)
+	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
+}
+
+type handler struct{ Backend }
+
+// decode reads a message; unknown fields are refused, since they are mistakes.
+func decode(r *http.Request, m proto.Message) error {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return errors.Wrap(err, "body")
+	}
+	return errors.Wrap(protojson.Unmarshal(body, m), "body")
+}
+
+func (h handler) putQueues(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	c := &apiv1.QueueConfiguration{}
+	err := decode(r, c)
+	if err == nil {
+		err = jobqueue.Validate(c)
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if len(c.Document) == 0 {
+		if c.Document, err = protojson.Marshal(c); err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	outcome, err := h.PutQueues(ctx, c)
+	writeOutcome(w, outcome, err)
+}
+
+func (h handler) getQueues(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_CONFIGURATION})
+	if err != nil || resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
+		writeError(w, http.StatusServiceUnavailable, "the configuration in force is not known")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(resp.Document) // a reader that is gone needs no answer
+}
+
+func (h handler) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	spec := &apiv1.JobSpec{}
+	err := decode(r, spec)
+	if err == nil {
+		err = jobqueue.ValidateJob(spec)
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	outcome, err := h.Submit(ctx, spec)
+	writeOutcome(w, outcome, err)
+}
+
+// place is the job or queue that a request names.
+func place(r *http.Request) (host, path, id string) {
+	q := r.URL.Query()
+	host, path = q.Get("host"), q.Get("path")
+	return host, path, path[strings.LastIndexByte(path, '/')+1:]
+}
+
+func (h handler) read(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	host, path, id := place(r)
+	q := &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_JOB, Host: host, Path: path, Id: id}
+	if id == "" {
+		q.Kind = apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE
+	}
+	resp, err := h.Read(ctx, q)
+	switch {
+	case err != nil:
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+	case resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK:
+		writeOutcome(w, resp.Outcome, nil)
+	case id == "":
+		writeJSON(w, http.StatusOK, Status{Pending: &resp.Pending})
+	default:
+		writeJSON(w, http.StatusOK, Status{State: stateName(resp.State)})
+	}
+}
+
+func stateName(s apiv1.JobState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "JOB_STATE_"))
+}
+
+func (h handler) cancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	host, path, id := place(r)
+	outcome, err := h.Cancel(ctx, host, path, id)
+	writeOutcome(w, outcome, err)
+}
+
+// StatusOf is the HTTP status of an outcome and an error: 503 for what was not done
+// and never will be, 504 for what is in doubt.
+func StatusOf(o apiv1.JobOutcome, err error) int {
+	var unavailable *control.UnavailableError
+	switch {
+	case errors.As(err, &unavailable):
+		return http.StatusServiceUnavailable
+	case err != nil:
+		return http.StatusGatewayTimeout
+	}
+	switch o {
+	case apiv1.JobOutcome_JOB_OUTCOME_OK:
+		return http.StatusOK
+	case apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE:
+		return http.StatusNotFound
+	case apiv1.JobOutcome_JOB_OUTCOME_NO_JOB:
+		return http.StatusGone
+	case apiv1.JobOutcome_JOB_OUTCOME_INVALID:
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeOutcome(w http.ResponseWriter, o apiv1.JobOutcome, err error) {
+	status := StatusOf(o, err)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+	}
+	if status == http.StatusOK {
+		writeJSON(w, status, struct{}{})
+		return
+	}
+	message := o.String()
+	if err != nil {
+		message = err.Error()
+	}
+	writeError(w, status, message)
+}
--- /dev/null
+++ b/jobapi/jobapi_test.go
@@ -0,0 +1,127 @@
+package jobapi_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/jobapi"
+)
+
+// group answers every command with the same outcome and error.
+type group struct {
+	outcome apiv1.JobOutcome
+	err     error
+	read    *apiv1.JobsReadResponse
+	calls   int
+}
+
+func (g *group) answer() (apiv1.JobOutcome, error) {
+	g.calls++
+	return g.outcome, g.err
+}
+
+func (g *group) PutQueues(context.Context, *apiv1.QueueConfiguration) (apiv1.JobOutcome, error) {
+	return g.answer()
+}
+
+func (g *group) Submit(context.Context, *apiv1.JobSpec) (apiv1.JobOutcome, error) { return g.answer() }
+
+func (g *group) Cancel(context.Context, string, string, string) (apiv1.JobOutcome, error) {
+	return g.answer()
+}
+
+func (g *group) Read(context.Context, *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error) {
+	return g.read, g.err
+}
+
+const (
+	goodQueues = `{"version":1,"pools":[{"name":"p"}],"queues":[{"name":"q","host":"h","pathPrefix":"/q/","pool":"p","timeoutMs":1}]}`
+	goodJob    = `{"id":"a","host":"h","path":"/q/a","steps":[{"count":1}]}`
+)
+
+func serve(t *testing.T, g *group) *jobapi.Client {
+	s := httptest.NewServer(jobapi.Handler(g))
+	t.Cleanup(s.Close)
+	return &jobapi.Client{Addresses: []string{strings.TrimPrefix(s.URL, "http://")}, HTTP: s.Client()}
+}
+
+func status(t *testing.T, err error) int {
+	t.Helper()
+	if err == nil {
+		return http.StatusOK
+	}
+	var refused *jobapi.RefusedError
+	if !errors.As(err, &refused) {
+		t.Fatal(err)
+	}
+	return refused.Status
+}
+
+// Symptom: a caller is told that its job was refused, and it runs.
+// Sequence: the fate of the submission is not known.
+// Cause: whatever goes wrong is answered as a refusal.
+func TestARefusalIsTrue(t *testing.T) {
+	cases := []struct {
+		outcome apiv1.JobOutcome
+		err     error
+		want    int
+	}{
+		{apiv1.JobOutcome_JOB_OUTCOME_OK, nil, 200},
+		{apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, nil, 404},
+		{apiv1.JobOutcome_JOB_OUTCOME_NO_JOB, nil, 410},
+		{apiv1.JobOutcome_JOB_OUTCOME_INVALID, nil, 400},
+		{apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION, nil, 503},
+		{apiv1.JobOutcome_JOB_OUTCOME_FULL, nil, 503},
+		{0, &control.UnavailableError{Cause: "no leader"}, 503},
+		{0, &control.UnknownError{Cause: "leadership was lost"}, 504},
+	}
+	for _, c := range cases {
+		client := serve(t, &group{outcome: c.outcome, err: c.err})
+		if got := status(t, client.Submit(t.Context(), []byte(goodJob))); got != c.want {
+			t.Errorf("%v, %v: %d, want %d", c.outcome, c.err, got, c.want)
+		}
+	}
+}
+
+func TestMistakesAreNotPassedOn(t *testing.T) {
+	g := &group{outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
+	client := serve(t, g)
+	for _, bad := range []string{"", "[]", `{"id":"a"}`, strings.Replace(goodJob, `"count"`, `"cuont"`, 1)} {
+		if got := status(t, client.Submit(t.Context(), []byte(bad))); got != 400 {
+			t.Errorf("job %q: %d", bad, got)
+		}
+	}
+	for _, bad := range []string{"", strings.Replace(goodQueues, `"timeoutMs":1`, `"timeoutMs":0`, 1)} {
+		if got := status(t, client.PutQueues(t.Context(), []byte(bad))); got != 400 {
+			t.Errorf("queues %q: %d", bad, got)
+		}
+	}
+	if g.calls != 0 {
+		t.Errorf("%d mistakes were passed on", g.calls)
+	}
+	if err := client.PutQueues(t.Context(), []byte(goodQueues)); err != nil || g.calls != 1 {
+		t.Errorf("good queues: %v", err)
+	}
+}
+
+func TestRead(t *testing.T) {
+	client := serve(t, &group{read: &apiv1.JobsReadResponse{
+		Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK, State: apiv1.JobState_JOB_STATE_RUNNING, Pending: 3,
+	}})
+	if s, err := client.Read(t.Context(), "h", "/q/a"); err != nil || s.State != "running" || s.Pending != nil {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if s, err := client.Read(t.Context(), "h", "/q/"); err != nil || s.Pending == nil || *s.Pending != 3 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	lost := serve(t, &group{err: errors.New("no leader")})
+	if _, err := lost.Read(t.Context(), "h", "/q/a"); status(t, err) != 503 {
+		t.Errorf("an unconfirmed read: %v", err)
+	}
+}
