Agents keep their workers running for twice the worker's longest lease

Change: the leader's lease is twice as long; each call still gives the worker no more than its own longest lease. An agent whose worker gives no answer tells the leader once the latest deadline that the worker may have got has passed, so that a worker that is gone is not waited for any longer than before.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -37,6 +38,7 @@
 	// host's, parts per million.
 	clockRateErrorPPM = 20_000
 	ppm               = 1_000_000
+	defaultMaxHold    = 6 * time.Second
 )
 
 // Options set up a Driver.
@@ -45,6 +47,11 @@
 	Leader  Leader
 	Logger  *zap.Logger
 	Metrics metrics.Registry
+	// MaxHold is the longest that the worker runs on after a call that renews its
+	// lease; 6 s when 0. The leader's lease may be longer: while the agent lives, it
+	// keeps the worker running through cuts and elections, and if the agent dies, the
+	// worker stops after this time.
+	MaxHold time.Duration
 	// Now reads the clock; time.Now when unset.
 	Now func() time.Time
 }
@@ -74,6 +81,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	o.MaxHold = cmp.Or(o.MaxHold, defaultMaxHold)
 	return &Driver{
 		opts: o, logger: o.Logger.Named("runs"), meters: newMeters(o.Metrics),
 		news: make(chan struct{}, 1), left: map[string]bool{},
@@ -94,11 +102,18 @@
 	confirmed bool
 	term      uint64
 	// epoch is that of the lease; see order.epoch.
-	epoch        uint64
-	deadlineMs   int64
+	epoch uint64
+	// deadlineMs is the end of the leader's lease, a reading of the worker's clock.
+	deadlineMs int64
+	// clock is what the worker's clock last showed; sentMs the latest deadline that
+	// the worker may have got, answered or not.
+	clock        clockReading
+	sentMs       int64
 	acknowledged uint64
-	orders       map[jobqueue.RunID]*order
-	refusals     map[jobqueue.RunID]string
+	// lapseReported: the leader knows that the worker's lease ran out.
+	lapseReported bool
+	orders        map[jobqueue.RunID]*order
+	refusals      map[jobqueue.RunID]string
 }
 
 // Announce takes in what the worker says of itself. It may take callTimeout.
@@ -268,9 +283,11 @@
 		case err != nil || answer != AnswerDone:
 			s.d.logger.Info("worker does not hold", zap.String("worker", s.incarnation),
 				zap.Stringer("answer", answer), zap.Error(err))
+			s.reportLapse()
 			s.pause(retryPause)
 			continue
 		}
+		s.heard(status.ClockMs, asked, received)
 		s.settleStops(status, asked)
 		reported := s.report(status, received)
 		wait = holdWait
@@ -283,7 +300,7 @@
 func (s *session) hold(wait time.Duration) (Status, Answer, error) {
 	s.mu.Lock()
 	o := Order{Incarnation: s.incarnation, Term: s.term}
-	h := Hold{DeadlineMs: s.deadlineMs, Acknowledged: s.acknowledged, Wait: wait}
+	h := Hold{DeadlineMs: s.nextDeadline(), Acknowledged: s.acknowledged, Wait: wait}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
 	defer cancel()
--- /dev/null
+++ b/agent/runs/lease.go
@@ -0,0 +1,67 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// clockReading is what the worker's clock showed, read between asked and received.
+type clockReading struct {
+	ms              int64
+	asked, received time.Time
+}
+
+// latest is the latest that the worker's clock may show at a time: it never runs
+// faster than true time.
+func (c clockReading) latest(at time.Time) int64 { return c.ms + at.Sub(c.asked).Milliseconds() }
+
+// earliest is the earliest that it may show: it may run slower by the bound.
+func (c clockReading) earliest(at time.Time) int64 {
+	return c.ms + at.Sub(c.received).Milliseconds()*(ppm-clockRateErrorPPM)/ppm
+}
+
+// heard notes an answer of the worker.
+func (s *session) heard(clockMs int64, asked, received time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock = clockReading{clockMs, asked, received}
+	s.lapseReported = false
+}
+
+// nextDeadline is the deadline for the next call: the end of the leader's lease, but
+// no later than the worker grants. It is noted, since a call without an answer may
+// be carried out all the same. s.mu is held; 0 when there is no lease.
+func (s *session) nextDeadline() int64 {
+	if s.deadlineMs == 0 || s.clock.received.IsZero() {
+		return 0
+	}
+	longest := s.clock.latest(s.d.opts.Now()) + s.d.opts.MaxHold.Milliseconds()
+	deadline := min(s.deadlineMs, longest)
+	s.sentMs = max(s.sentMs, deadline)
+	return deadline
+}
+
+// reportLapse tells the leader, once, that a worker without an answer has surely
+// stopped all that ran on it: the latest deadline that it may have got has passed.
+// What goes wrong without it: the leader waits for the end of its own, longer lease,
+// and the work of a worker that is gone starts elsewhere that much later.
+func (s *session) reportLapse() {
+	s.mu.Lock()
+	passed := s.sentMs > 0 && s.clock.earliest(s.d.opts.Now()) > s.sentMs
+	report := passed && !s.lapseReported
+	s.mu.Unlock()
+	if !report {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	_, err := s.d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{Worker: s.announcement().Worker, Lapsed: true})
+	s.d.logger.Warn("worker's lease ran out", zap.String("worker", s.incarnation), zap.Error(err))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapseReported = err == nil
+}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -153,7 +153,7 @@
 func (s *session) nextStart(id jobqueue.RunID, o *order) (startCall, bool) {
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
-		stop, leased := o.stop || o.epoch < s.epoch, s.deadlineMs > 0 && o.epoch == s.epoch
+		stop, leased := o.stop || o.epoch < s.epoch, s.deadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 		if s.announced.Worker.Draining && !o.asked && !stop {
 			s.refuse(id, o, "worker drains")
 			stop = true
@@ -161,7 +161,7 @@
 		call := startCall{
 			order: Order{Incarnation: s.incarnation, Term: s.term},
 			start: Start{
-				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, DeadlineMs: s.deadlineMs,
+				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, DeadlineMs: s.nextDeadline(),
 			},
 		}
 		if leased && !stop {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -28,6 +28,9 @@
 		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
 	}
 	resp := &apiv1.JobsReportResponse{Term: term, Outcome: outcome}
+	if r.Lapsed {
+		d.noteLapse(term, r.Worker.GetId())
+	}
 	if renewed && outcome == apiv1.JobOutcome_JOB_OUTCOME_OK && !r.Departed {
 		resp.LeaseMs = d.opts.LeaseDuration.Milliseconds()
 	}
@@ -50,7 +53,9 @@
 		return 0, nil, false
 	}
 	now := d.opts.Now()
-	renewed = l.leases.renew(r.Worker.GetId(), now)
+	if !r.Lapsed {
+		renewed = l.leases.renew(r.Worker.GetId(), now)
+	}
 	for _, o := range r.Running {
 		l.observe(o, now)
 	}
@@ -63,6 +68,17 @@
 	return l.term, command, renewed
 }
 
+// noteLapse takes in that a worker's runs were given up because its agent gets no
+// answer from it: it gets no work until the agent reports again.
+func (d *Dispatcher) noteLapse(term uint64, worker string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leading != nil && d.leading.term == term {
+		d.leading.leases.endLapse(worker)
+	}
+	d.logger.Warn("worker gives no answer", zap.Uint64("term", term), zap.String("worker", worker))
+}
+
 // observe notes the state of a run.
 func (l *leadership) observe(o *apiv1.RunObservation, now time.Time) {
 	id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
@@ -113,7 +129,7 @@
 // reportCommand returns what of a report the log does not hold yet.
 func (l *leadership) reportCommand(m *jobqueue.Machine, r *apiv1.JobsReportRequest) *apiv1.ReportWorker {
 	w := m.Worker(r.Worker.GetId())
-	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed}
+	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed, Lapsed: r.Lapsed}
 	if w == nil {
 		command.Ends = r.Ends
 		command.Checkpoints = l.checkpoints(m.WorkerOf(r.Worker.GetHost()))
@@ -127,11 +143,14 @@
 	command.Refusals = slices.DeleteFunc(slices.Clone(r.Refusals), func(refusal *apiv1.RunRefusal) bool {
 		return w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}] == nil
 	})
-	if r.Departed {
+	if r.Departed || r.Lapsed {
 		command.Checkpoints = l.checkpoints(w)
 	}
 	same := proto.Equal(w.Spec, r.Worker)
-	if same && !r.Departed && len(command.Ends)+len(command.Refusals) == 0 {
+	if r.Lapsed && len(w.Runs) == 0 {
+		command.Lapsed = false
+	}
+	if same && !r.Departed && !command.Lapsed && len(command.Ends)+len(command.Refusals) == 0 {
 		return nil
 	}
 	return command
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -247,7 +247,7 @@
 	}})
 	s.log = &simLog{machine: s.replica, term: 1, leading: true}
 	s.replica.Attach(s.log)
-	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, Logger: s.logger})
+	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, LeaseDuration: simLease(seed), Logger: s.logger})
 	s.loops.Go(func() { s.dispatcher.Run(s.ctx) })
 	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{
 		Configuration: &apiv1.QueueConfiguration{
@@ -267,6 +267,9 @@
 	return s
 }
 
+// simLease is the worker's own longest lease, or twice that.
+func simLease(seed uint64) time.Duration { return time.Duration(6+6*(seed%2)) * time.Second }
+
 func (s *sim) announceLoop() {
 	for sequence := uint64(1); s.ctx.Err() == nil; sequence++ {
 		for _, h := range s.hosts {
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -61,7 +61,9 @@
 
 const (
 	// clockBaseMs is what the clock of a new worker shows.
-	clockBaseMs   = 1_000_000
+	clockBaseMs = 1_000_000
+	// maxHoldMs is the longest lease that it grants.
+	maxHoldMs     = 6000
 	checkpointSec = 1
 	partsPerMill  = 1_000_000
 )
@@ -88,6 +90,11 @@
 	}
 }
 
+// shorten brings a deadline down to the longest lease that the worker grants.
+func (w *RunWorker) shorten(deadlineMs int64) int64 {
+	return min(deadlineMs, w.clockMs(time.Now())+maxHoldMs)
+}
+
 func (w *RunWorker) clockMs(at time.Time) int64 {
 	elapsed := at.Sub(w.began).Milliseconds()
 	return clockBaseMs + elapsed*(partsPerMill-w.ClockRatePPM)/partsPerMill
@@ -197,7 +204,7 @@
 	if s.DeadlineMs <= w.clockMs(time.Now()) {
 		return runs.AnswerLate
 	}
-	w.deadlineMs = max(w.deadlineMs, s.DeadlineMs)
+	w.deadlineMs = max(w.deadlineMs, w.shorten(s.DeadlineMs))
 	task := s.Run.Task
 	if r := w.running[task]; r != nil && r.id == s.Run {
 		return runs.AnswerDone
@@ -293,7 +300,7 @@
 		return a
 	}
 	if h.DeadlineMs > w.clockMs(time.Now()) {
-		w.deadlineMs = max(w.deadlineMs, h.DeadlineMs)
+		w.deadlineMs = max(w.deadlineMs, w.shorten(h.DeadlineMs))
 	}
 	w.cursor = max(w.cursor, h.Acknowledged)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.cursor {
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -15,8 +15,7 @@
 	m.takeCheckpoints(p.Checkpoints)
 	for _, id := range p.Lapsed {
 		if w := m.Worker(id); w != nil {
-			m.loseRuns(w)
-			w.Epoch++
+			m.lapse(w)
 		}
 	}
 	for _, stop := range p.Stops {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -27,6 +27,9 @@
 	for _, refusal := range r.Refusals {
 		m.release(w.Runs[RunID{TaskIDOf(refusal.Task), refusal.Run}])
 	}
+	if r.Lapsed {
+		m.lapse(w)
+	}
 	if r.Departed {
 		m.depart(w)
 	}
@@ -68,6 +71,12 @@
 	}
 }
 
+// lapse gives up the runs of a worker whose lease surely ran out.
+func (m *Machine) lapse(w *Worker) {
+	m.loseRuns(w)
+	w.Epoch++
+}
+
 // loseRuns ends a worker's runs without an end of their own.
 func (m *Machine) loseRuns(w *Worker) {
 	for _, id := range w.SortedRuns() {
