--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,8 +51,9 @@
 
 const (
 	defaultLeaseDuration = 6 * time.Second
-	// defaultContactTimeout is two intervals of an agent's reports and some.
-	defaultContactTimeout = 1500 * time.Millisecond
+	// defaultContactTimeout is an interval of an agent's reports, half a second, and
+	// some: what is ordered to a worker that is cut off waits for as long as the cut.
+	defaultContactTimeout = 800 * time.Millisecond
 	// clockRateErrorPPM bounds how much faster this host's clock may run than an
 	// agent's, parts per million: far above what oscillators have.
 	clockRateErrorPPM = 10_000
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -131,7 +131,7 @@
 				if s.Ended() || !o.Ready(i) {
 					continue
 				}
-				if tasks := waitingTasks(s); len(tasks) > 0 {
+				if tasks := r.waitingTasks(s); len(tasks) > 0 {
 					found = append(found, r.candidate(j, k, i, s, tasks))
 				}
 			}
@@ -140,11 +140,12 @@
 	return found
 }
 
-// waitingTasks returns the tasks without a run; for a gang all or none.
-func waitingTasks(s *jobqueue.Step) []int {
+// waitingTasks returns the tasks without a run, and those that may have a second one
+// since nothing is heard of the first; for a gang all or none.
+func (r *round) waitingTasks(s *jobqueue.Step) []int {
 	var tasks []int
 	for i, t := range s.Tasks {
-		if !t.Done && len(t.Runs) == 0 {
+		if !t.Done && (len(t.Runs) == 0 || r.outOfSight(s, t)) {
 			tasks = append(tasks, i)
 		}
 	}
@@ -154,6 +155,15 @@
 	return tasks
 }
 
+// outOfSight reports whether a task's only run is on a worker out of reach, and a
+// copy of it may run elsewhere.
+func (r *round) outOfSight(s *jobqueue.Step, t *jobqueue.Task) bool {
+	if !s.Spec.AllowDuplicates || s.Spec.LongRunning || s.Spec.Gang || len(t.Runs) != 1 {
+		return false
+	}
+	return !t.Runs[0].Stopping && !r.fleet.Reachable(t.Runs[0].Worker)
+}
+
 func (r *round) candidate(j *jobqueue.Job, occurrence, number int, s *jobqueue.Step, tasks []int) *candidate {
 	q := r.machine.QueueOf(j)
 	chain := r.longestChain(j.Occurrences[occurrence], false)
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -270,3 +270,27 @@
 		t.Fatalf("after %v the neighbours still work at %.2f of their speed", over, r.meanPace("w1", "some"))
 	}
 }
+
+// Symptom: an urgent job is late by as long as a worker is cut off, though copies of
+// its tasks are allowed.
+// Sequence: a task runs on a worker that is cut off; another worker is free.
+// Cause: the task waits for the worker or for the end of its lease.
+func TestCopyOfATaskOutOfSight(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 4000, 64_000)
+	r.submit("urgent", "j1", &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000, AllowDuplicates: true})
+	r.submit("urgent", "j2", &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000})
+	r.plan()
+	r.worker("w2", 4000, 64_000)
+	r.silent["w1"] = true
+	r.plan()
+	r.plan()
+	copies := r.runsOn("w2")
+	if len(copies) != 1 || copies[0].Task.Job != "j1" {
+		t.Fatalf("%v run on the worker in reach", copies)
+	}
+	r.end(copies[0], apiv1.RunEndKind_RUN_END_KIND_DONE)
+	if s := r.machine.Job("j1").State; s != apiv1.JobState_JOB_STATE_SUCCEEDED {
+		t.Fatalf("the job is %v", s)
+	}
+}
