--- a/control/wire.go
+++ b/control/wire.go
@@ -39,8 +39,7 @@
 // since it counts leases by them.
 func proposableJobs(cmd *apiv1.JobsCommand) bool {
 	switch cmd.GetBody().(type) {
-	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel,
-		*apiv1.JobsCommand_StartWave:
+	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel:
 		return true
 	}
 	return false
@@ -96,8 +95,8 @@
 	case *apiv1.Command_Submit, *apiv1.Command_Claim, *apiv1.Command_Settle:
 		return true
 	case *apiv1.Command_Jobs:
-		// A job, its cancellation and a wave are bound to their ids, a configuration
-		// to its version.
+		// A job and its cancellation are bound to the id, a configuration to its
+		// version.
 		return true
 	}
 	return false
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -164,11 +164,6 @@
 	}})
 }
 
-// StartWave asks for a wave of host maintenance; see propose for errors.
-func (c *Client) StartWave(ctx context.Context, wave *apiv1.StartWave) (apiv1.JobOutcome, error) {
-	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_StartWave{StartWave: wave}})
-}
-
 // Read reads from state that is confirmed to be the newest. Errors: ErrUnconfirmed.
 func (c *Client) Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error) {
 	var found *apiv1.JobsReadResponse
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -34,7 +34,6 @@
 	workers  map[string]*Worker
 	// current is the incarnation of each host's worker.
 	current map[string]string
-	waves   map[string]*Wave
 	nowMs   int64
 }
 
@@ -46,7 +45,6 @@
 		active:        map[string]*Job{},
 		workers:       map[string]*Worker{},
 		current:       map[string]string{},
-		waves:         map[string]*Wave{},
 	}
 }
 
@@ -66,8 +64,6 @@
 		return m.report(body.Report)
 	case *apiv1.JobsCommand_Plan:
 		return m.plan(body.Plan, leaderTerm)
-	case *apiv1.JobsCommand_StartWave:
-		return m.startWave(body.StartWave)
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 }
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -22,9 +22,6 @@
 			Epoch: w.Epoch,
 		})
 	}
-	for _, id := range slices.Sorted(maps.Keys(m.waves)) {
-		out.Waves = append(out.Waves, m.waves[id].record())
-	}
 	return out
 }
 
@@ -75,9 +72,6 @@
 	slices.SortFunc(m.finished, func(a, b string) int {
 		return compareFinished(m.jobs[a], m.jobs[b])
 	})
-	for _, r := range s.GetWaves() {
-		m.waves[r.Wave.GetId()] = &Wave{Spec: r.Wave, Finished: r.Finished}
-	}
 	return m, nil
 }
 
