--- a/schedule/interference.go
+++ b/schedule/interference.go
@@ -29,6 +29,12 @@
 	outlierShare = 3
 	// cautionSigmas is added to a pressure that is not well known yet.
 	cautionSigmas = 0.05
+	// lightPressure is where pairs that get along end and those that don't begin: the
+	// former add next to nothing at any load, the latter ten times this. An estimate
+	// can't be negative, so that of a light pair is its noise, and a dozen of them would
+	// use up a slack that nobody takes. lightShare of it is counted.
+	lightPressure = 0.012
+	lightShare    = 0.2
 )
 
 // interference learns how much each image of backfilling tasks lengthens the tails
@@ -144,5 +150,9 @@
 	if !known {
 		return priorPressure + cautionSigmas*priorSpread
 	}
-	return f.mean[i] + cautionSigmas*math.Sqrt(max(0, f.cov[i][i]))
+	pressure := f.mean[i] + cautionSigmas*math.Sqrt(max(0, f.cov[i][i]))
+	if pressure < lightPressure {
+		return lightShare * pressure
+	}
+	return pressure
 }
