--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -34,7 +34,10 @@
 	workers  map[string]*Worker
 	// current is the incarnation of each host's worker.
 	current map[string]string
-	nowMs   int64
+	// departed lists the incarnations that are gone, oldest first: a late report of one
+	// must not bring it back.
+	departed []string
+	nowMs    int64
 }
 
 // New returns an empty machine.
@@ -70,6 +73,10 @@
 
 // forgetOld drops jobs that finished long ago and workers that left long ago.
 func (m *Machine) forgetOld() {
+	for len(m.departed) > 0 && m.workers[m.departed[0]].DepartedMs+retentionMs <= m.nowMs {
+		delete(m.workers, m.departed[0])
+		m.departed = m.departed[1:]
+	}
 	for len(m.finished) > 0 {
 		j := m.jobs[m.finished[0]]
 		if j.FinishedMs+retentionMs > m.nowMs || j.liveRuns > 0 {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -66,6 +66,7 @@
 	m.loseRuns(w)
 	w.Departed = true
 	w.DepartedMs = m.nowMs
+	m.departed = append(m.departed, w.Spec.Id)
 	if m.current[w.Spec.Host] == w.Spec.Id {
 		delete(m.current, w.Spec.Host)
 	}
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -1,6 +1,7 @@
 package jobqueue
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -64,6 +65,9 @@
 	for _, r := range s.GetWorkers() {
 		m.restoreWorker(r)
 	}
+	slices.SortStableFunc(m.departed, func(a, b string) int {
+		return cmp.Compare(m.workers[a].DepartedMs, m.workers[b].DepartedMs)
+	})
 	for _, r := range s.GetJobs() {
 		if err := m.restoreJob(r); err != nil {
 			return nil, err
@@ -82,9 +86,11 @@
 		Runs:  map[RunID]*Run{},
 	}
 	m.workers[w.Spec.GetId()] = w
-	if !w.Departed {
-		m.current[w.Spec.GetHost()] = w.Spec.GetId()
+	if w.Departed {
+		m.departed = append(m.departed, w.Spec.GetId())
+		return
 	}
+	m.current[w.Spec.GetHost()] = w.Spec.GetId()
 }
 
 func (m *Machine) restoreJob(r *apiv1.SubmittedJobRecord) error {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -5,6 +5,7 @@
 package schedule
 
 import (
+	"maps"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -96,3 +97,10 @@
 	// Resumed is set for a run that went on from a checkpoint.
 	Resumed bool
 }
+
+// forgetGone drops what was learnt of workers that have left.
+func (p *Planner) forgetGone(m *jobqueue.Machine) {
+	gone := func(worker string) bool { return m.Worker(worker) == nil }
+	maps.DeleteFunc(p.pacers, func(worker string, _ *pacer) bool { return gone(worker) })
+	maps.DeleteFunc(p.health.byWorker, func(worker string, _ *health) bool { return gone(worker) })
+}
