--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// holdWait is how long the worker may hold a call that waits for an end. It is
+	// renewalWait is how long the worker may hold a call that waits for an end. It is
 	// also the time between reports of a worker where nothing ends.
-	holdWait = 500 * time.Millisecond
+	renewalWait = 500 * time.Millisecond
 	// callTimeout bounds a call of the worker beside the time that it may wait. The
 	// worker is on the same host and answers within a millisecond or never.
 	callTimeout = 400 * time.Millisecond
@@ -38,7 +38,7 @@
 	// host's, parts per million.
 	clockRateErrorPPM = 20_000
 	ppm               = 1_000_000
-	defaultMaxHold    = 6 * time.Second
+	defaultMaxLease   = 6 * time.Second
 )
 
 // Options set up a Driver.
@@ -47,11 +47,11 @@
 	Leader  Leader
 	Logger  *zap.Logger
 	Metrics metrics.Registry
-	// MaxHold is the longest that the worker runs on after a call that renews its
+	// MaxLease is the longest that the worker runs on after a call that renews its
 	// lease; 6 s when 0. The leader's lease may be longer: while the agent lives, it
 	// keeps the worker running through cuts and elections, and if the agent dies, the
 	// worker stops after this time.
-	MaxHold time.Duration
+	MaxLease time.Duration
 	// Now reads the clock; time.Now when unset.
 	Now func() time.Time
 }
@@ -81,7 +81,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	o.MaxHold = cmp.Or(o.MaxHold, defaultMaxHold)
+	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
 	return &Driver{
 		opts: o, logger: o.Logger.Named("runs"), meters: newMeters(o.Metrics),
 		news: make(chan struct{}, 1), left: map[string]bool{},
@@ -176,7 +176,7 @@
 func (d *Driver) answers(incarnation string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_, answer, err := d.opts.Worker.Hold(ctx, Order{Incarnation: incarnation}, Hold{})
+	_, answer, err := d.opts.Worker.Renew(ctx, Order{Incarnation: incarnation}, Renewal{})
 	return err == nil && answer != AnswerOther
 }
 
@@ -268,7 +268,7 @@
 	wait := time.Duration(0)
 	for s.ctx.Err() == nil {
 		asked := s.d.opts.Now()
-		status, answer, err := s.hold(wait)
+		status, answer, err := s.renew(wait)
 		received := s.d.opts.Now()
 		gone := s.announcement().Departed || answer == AnswerOther
 		switch {
@@ -281,7 +281,7 @@
 			s.pause(retryPause)
 			continue
 		case err != nil || answer != AnswerDone:
-			s.d.logger.Info("worker does not hold", zap.String("worker", s.incarnation),
+			s.d.logger.Info("lease is not renewed", zap.String("worker", s.incarnation),
 				zap.Stringer("answer", answer), zap.Error(err))
 			s.reportLapse()
 			s.pause(retryPause)
@@ -290,21 +290,21 @@
 		s.heard(status.ClockMs, asked, received)
 		s.settleStops(status, asked)
 		reported := s.report(status, received)
-		wait = holdWait
+		wait = renewalWait
 		if !reported {
 			s.pause(retryPause)
 		}
 	}
 }
 
-func (s *session) hold(wait time.Duration) (Status, Answer, error) {
+func (s *session) renew(wait time.Duration) (Status, Answer, error) {
 	s.mu.Lock()
 	o := Order{Incarnation: s.incarnation, Term: s.term}
-	h := Hold{DeadlineMs: s.nextDeadline(), Acknowledged: s.acknowledged, Wait: wait}
+	r := Renewal{DeadlineMs: s.nextDeadline(), Acknowledged: s.acknowledged, Wait: wait}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
 	defer cancel()
-	return s.d.opts.Worker.Hold(ctx, o, h)
+	return s.d.opts.Worker.Renew(ctx, o, r)
 }
 
 // depart tells the leader that the incarnation is gone.
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -39,7 +39,7 @@
 	if s.deadlineMs == 0 || s.clock.received.IsZero() {
 		return 0
 	}
-	longest := s.clock.latest(s.d.opts.Now()) + s.d.opts.MaxHold.Milliseconds()
+	longest := s.clock.latest(s.d.opts.Now()) + s.d.opts.MaxLease.Milliseconds()
 	deadline := min(s.deadlineMs, longest)
 	s.sentMs = max(s.sentMs, deadline)
 	return deadline
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -18,9 +18,9 @@
 	Start(ctx context.Context, o Order, s Start) (Answer, error)
 	Stop(ctx context.Context, o Order, run jobqueue.RunID) (Answer, error)
 	Pace(ctx context.Context, o Order, run jobqueue.RunID, percent uint32) (Answer, error)
-	// Hold renews the worker's lease and returns what runs and what ended. It waits
+	// Renew renews the worker's lease and returns what runs and what ended. It waits
 	// up to wait for an end.
-	Hold(ctx context.Context, o Order, h Hold) (Status, Answer, error)
+	Renew(ctx context.Context, o Order, r Renewal) (Status, Answer, error)
 }
 
 // Order is what every call carries.
@@ -38,10 +38,10 @@
 	DeadlineMs int64
 }
 
-// Hold renews the lease of everything that runs until the deadline, a reading of
+// Renewal renews the lease of everything that runs until the deadline, a reading of
 // the worker's clock in milliseconds; 0 renews nothing. Ends up to Acknowledged
 // are forgotten.
-type Hold struct {
+type Renewal struct {
 	DeadlineMs   int64
 	Acknowledged uint64
 	Wait         time.Duration
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -203,8 +203,8 @@
 	return w.now().Pace(ctx, o, id, percent)
 }
 
-func (w workerOf) Hold(ctx context.Context, o runs.Order, h runs.Hold) (runs.Status, runs.Answer, error) {
-	return w.now().Hold(ctx, o, h)
+func (w workerOf) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	return w.now().Renew(ctx, o, r)
 }
 
 // announce has the worker tell its agent that it is there.
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -62,8 +62,8 @@
 const (
 	// clockBaseMs is what the clock of a new worker shows.
 	clockBaseMs = 1_000_000
-	// maxHoldMs is the longest lease that it grants.
-	maxHoldMs     = 6000
+	// maxLeaseMs is the longest lease that it grants.
+	maxLeaseMs    = 6000
 	checkpointSec = 1
 	partsPerMill  = 1_000_000
 )
@@ -92,7 +92,7 @@
 
 // shorten brings a deadline down to the longest lease that the worker grants.
 func (w *RunWorker) shorten(deadlineMs int64) int64 {
-	return min(deadlineMs, w.clockMs(time.Now())+maxHoldMs)
+	return min(deadlineMs, w.clockMs(time.Now())+maxLeaseMs)
 }
 
 func (w *RunWorker) clockMs(at time.Time) int64 {
@@ -250,22 +250,22 @@
 	return answer, nil
 }
 
-// Hold implements runs.Worker.
-func (w *RunWorker) Hold(ctx context.Context, o runs.Order, h runs.Hold) (runs.Status, runs.Answer, error) {
+// Renew implements runs.Worker.
+func (w *RunWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
 	var status runs.Status
 	var answer runs.Answer
 	var news <-chan struct{}
-	hold := func() {
-		answer = w.hold(o, h)
+	renew := func() {
+		answer = w.renew(o, r)
 		status, news = w.status(), w.endedNews
 	}
-	if !w.call(ctx, "hold", hold) {
+	if !w.call(ctx, "renew", renew) {
 		return status, 0, ctx.Err()
 	}
-	if answer != runs.AnswerDone || len(status.Ended) > 0 || h.Wait == 0 {
+	if answer != runs.AnswerDone || len(status.Ended) > 0 || r.Wait == 0 {
 		return status, answer, nil
 	}
-	timer := time.NewTimer(min(h.Wait, w.untilNextEnd()))
+	timer := time.NewTimer(min(r.Wait, w.untilNextEnd()))
 	defer timer.Stop()
 	select {
 	case <-news:
@@ -295,14 +295,14 @@
 	return next
 }
 
-func (w *RunWorker) hold(o runs.Order, h runs.Hold) runs.Answer {
+func (w *RunWorker) renew(o runs.Order, r runs.Renewal) runs.Answer {
 	if a := w.check(o); a != runs.AnswerDone {
 		return a
 	}
-	if h.DeadlineMs > w.clockMs(time.Now()) {
-		w.deadlineMs = max(w.deadlineMs, w.shorten(h.DeadlineMs))
+	if r.DeadlineMs > w.clockMs(time.Now()) {
+		w.deadlineMs = max(w.deadlineMs, w.shorten(r.DeadlineMs))
 	}
-	w.cursor = max(w.cursor, h.Acknowledged)
+	w.cursor = max(w.cursor, r.Acknowledged)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.cursor {
 		w.noted(w.ended[0])
 		w.ended = w.ended[1:]
