agent/runs: an agent tells of a worker that is gone; tests of its sessions

Symptom: with a leader's lease of twice the worker's, the work of a worker that gives no answer would wait for all of the leader's lease (found by the new test). Cause: each unanswered call sent a later deadline, which the worker might have got. Change: the deadline goes by the worker's last answer. Tests: ended sessions, spaced retries, fenced agents, epochs, lapses, cuts; each fails without its guard or did before it.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -287,7 +287,7 @@
 			s.pause(retryPause)
 			continue
 		}
-		s.heard(status.ClockMs, asked, received)
+		s.heard(status.ClockMs, received)
 		s.settleStops(status, asked)
 		reported := s.report(status, received)
 		wait = renewalWait
--- /dev/null
+++ b/agent/runs/driver_test.go
@@ -0,0 +1,248 @@
+package runs_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/agent/runs"
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	leaseMs = 12_000
+	term    = 3
+)
+
+// leader answers as the test says and notes what it is told.
+type leader struct {
+	mu      sync.Mutex
+	orders  *apiv1.JobsOrdersResponse
+	epoch   uint64
+	away    bool
+	reports []*apiv1.JobsReportRequest
+}
+
+var errAway = errors.New("no leader")
+
+func (l *leader) Report(_ context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return nil, errAway
+	}
+	l.reports = append(l.reports, r)
+	resp := &apiv1.JobsReportResponse{Term: term, LeaseMs: leaseMs, Epoch: l.epoch, Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
+	for _, e := range r.Ends {
+		resp.Acknowledged = max(resp.Acknowledged, e.Sequence)
+	}
+	return resp, nil
+}
+
+func (l *leader) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
+	l.mu.Lock()
+	orders, away := l.orders, l.away
+	l.mu.Unlock()
+	if away {
+		return nil, errAway
+	}
+	if r.Term == orders.Term && r.Sequence == orders.Sequence {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return orders, nil
+}
+
+func (l *leader) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *leader) lapsedReports() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.reports {
+		if r.Lapsed {
+			n++
+		}
+	}
+	return n
+}
+
+var first = jobqueue.TaskID{Job: "j", Index: 1}
+
+func starts(sequence, epoch uint64) *apiv1.JobsOrdersResponse {
+	return &apiv1.JobsOrdersResponse{
+		Term: term, Sequence: sequence, Epoch: epoch,
+		Starts: []*apiv1.StartOrder{{Task: first.Ref(), Run: 1}},
+	}
+}
+
+// countingWorker counts the calls of a stand-in worker that can be replaced.
+type countingWorker struct {
+	*fakes.RunWorker
+	startCalls, renewals atomic.Int64
+}
+
+func (w *countingWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
+	w.startCalls.Add(1)
+	return w.RunWorker.Start(ctx, o, s)
+}
+
+func (w *countingWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	w.renewals.Add(1)
+	return w.RunWorker.Renew(ctx, o, r)
+}
+
+func spec(id string) *apiv1.JobWorker {
+	return &apiv1.JobWorker{Id: id, Host: "h", Pool: "p", CpuMilli: 1000, MemoryMb: 1000}
+}
+
+// with runs a driver on a stand-in worker in virtual time.
+func with(t *testing.T, l *leader, f func(d *runs.Driver, w *countingWorker)) {
+	synctest.Test(t, func(t *testing.T) {
+		watch := fakes.NewRunWatch()
+		watch.Submitted(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &countingWorker{RunWorker: fakes.NewRunWorker(spec("w1"), watch)}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		d.Announce(runs.Announcement{Worker: spec("w1"), Sequence: 1})
+		f(d, w)
+		cancel()
+		running.Wait()
+	})
+}
+
+// Symptom: after a worker crashed and came back, its agent gives it nothing for tens
+// of seconds and uses all of its processor time.
+// Sequence: a start gets no answer; the worker is replaced; the session with its
+// earlier incarnation ends.
+// Cause: the retry of the start meets the end of its session and begins anew at once,
+// without end.
+func TestEndedSessionStartsNothing(t *testing.T) {
+	l := &leader{epoch: 1, orders: starts(1, 1)}
+	with(t, l, func(d *runs.Driver, w *countingWorker) {
+		w.Fault = func(call string) fakes.OrderFault { return fakes.OrderFault{Lost: call == "start"} }
+		time.Sleep(2 * time.Second)
+		w.Crash()
+		l.set(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: 2, Epoch: 1} })
+		time.Sleep(time.Second)
+		before := w.startCalls.Load()
+		if before == 0 {
+			t.Fatal("nothing was started")
+		}
+		time.Sleep(10 * time.Second)
+		if after := w.startCalls.Load(); after != before {
+			t.Fatalf("%d starts after the session ended", after-before)
+		}
+	})
+}
+
+// Symptom: the calls to a worker that does not answer fill its queue of connections.
+// Sequence: every start is lost for ten seconds.
+// Cause: a call is repeated without a pause.
+func TestUnansweredStartsAreSpaced(t *testing.T) {
+	l := &leader{epoch: 1, orders: starts(1, 1)}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		w.Fault = func(call string) fakes.OrderFault { return fakes.OrderFault{Lost: call == "start"} }
+		time.Sleep(10 * time.Second)
+		if n := w.startCalls.Load(); n < 5 || n > 30 {
+			t.Fatalf("%d calls in ten seconds", n)
+		}
+	})
+}
+
+// Symptom: an agent that was restarted while no leader is there uses all of its
+// processor time.
+// Sequence: the worker has seen a higher term than the agent knows, and reports fail
+// at once.
+// Cause: a fenced call is repeated without a pause.
+func TestFencedAgentWithoutLeaderWaits(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}, away: true}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		_, _, err := w.RunWorker.Renew(t.Context(), runs.Order{Incarnation: "w1", Term: term}, runs.Renewal{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if n := w.renewals.Load(); n > 300 {
+			t.Fatalf("%d calls in ten seconds", n)
+		}
+	})
+}
+
+// Symptom: a task runs in two places.
+// Sequence: a start is ordered and not yet made when the leader gives the worker's
+// runs up; the agent gets a new lease before it gets new orders.
+// Cause: the old start is made under the new lease.
+func TestStartOfAnEarlierEpochIsVoid(t *testing.T) {
+	l := &leader{epoch: 2, orders: starts(1, 1)}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(5 * time.Second)
+		if n := w.startCalls.Load(); n != 0 {
+			t.Fatalf("%d starts of an earlier epoch", n)
+		}
+		l.set(func() { l.orders = starts(2, 2) })
+		time.Sleep(5 * time.Second)
+		if n := w.startCalls.Load(); n != 1 {
+			t.Fatalf("%d starts of the present epoch", n)
+		}
+	})
+}
+
+// Symptom: the work of a worker that is gone starts elsewhere only after the leader's
+// lease, twice as long as the worker's own.
+// Sequence: the worker gives no answer any more; its agent lives.
+// Cause: nobody tells the leader that the worker's own lease has run out. Telling it
+// too early would let a task run in two places.
+func TestAgentTellsOfALapseOnceItIsSure(t *testing.T) {
+	l := &leader{epoch: 1, orders: starts(1, 1)}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		var silent atomic.Bool
+		silent.Store(true)
+		w.Fault = func(string) fakes.OrderFault { return fakes.OrderFault{Lost: silent.Load()} }
+		time.Sleep(5500 * time.Millisecond)
+		if l.lapsedReports() != 0 {
+			t.Fatal("a lapse is told of while the worker may still run")
+		}
+		time.Sleep(3 * time.Second)
+		if n := l.lapsedReports(); n != 1 {
+			t.Fatalf("%d reports of a lapse", n)
+		}
+	})
+}
+
+// Symptom: all work on a worker ends in a cut between its agent and the leader that
+// is shorter than the leader's lease.
+// Sequence: the agent is cut off for nine seconds.
+// Cause: the worker's lease is renewed only when the leader's is.
+func TestWorkerRunsOnThroughACut(t *testing.T) {
+	l := &leader{epoch: 1, orders: starts(1, 1)}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		l.set(func() { l.away = true })
+		time.Sleep(9 * time.Second)
+		l.set(func() { l.away = false })
+		time.Sleep(time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		last := l.reports[len(l.reports)-1]
+		if len(last.Running) != 1 || len(last.Ends) != 0 {
+			t.Fatalf("after the cut: %v runs, %v ended", last.Running, last.Ends)
+		}
+	})
+}
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -9,37 +9,35 @@
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
 
-// clockReading is what the worker's clock showed, read between asked and received.
+// clockReading is what the worker's clock showed, read no later than received.
 type clockReading struct {
-	ms              int64
-	asked, received time.Time
+	ms       int64
+	received time.Time
 }
 
-// latest is the latest that the worker's clock may show at a time: it never runs
-// faster than true time.
-func (c clockReading) latest(at time.Time) int64 { return c.ms + at.Sub(c.asked).Milliseconds() }
-
 // earliest is the earliest that it may show: it may run slower by the bound.
 func (c clockReading) earliest(at time.Time) int64 {
 	return c.ms + at.Sub(c.received).Milliseconds()*(ppm-clockRateErrorPPM)/ppm
 }
 
 // heard notes an answer of the worker.
-func (s *session) heard(clockMs int64, asked, received time.Time) {
+func (s *session) heard(clockMs int64, received time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clock = clockReading{clockMs, asked, received}
+	s.clock = clockReading{clockMs, received}
 	s.lapseReported = false
 }
 
 // nextDeadline is the deadline for the next call: the end of the leader's lease, but
-// no later than the worker grants. It is noted, since a call without an answer may
-// be carried out all the same. s.mu is held; 0 when there is no lease.
+// no later than the worker grants from its last answer on. It is noted, since a call
+// without an answer may be carried out all the same; so it stays as it is while the
+// worker gives none, or nobody could ever tell when the worker has stopped. s.mu is
+// held; 0 when there is no lease.
 func (s *session) nextDeadline() int64 {
 	if s.deadlineMs == 0 || s.clock.received.IsZero() {
 		return 0
 	}
-	longest := s.clock.latest(s.d.opts.Now()) + s.d.opts.MaxLease.Milliseconds()
+	longest := s.clock.ms + s.d.opts.MaxLease.Milliseconds()
 	deadline := min(s.deadlineMs, longest)
 	s.sentMs = max(s.sentMs, deadline)
 	return deadline
