--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/fakes"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
