schedule: give a worker's budget back within two seconds

Cause: one long report cuts a worker's budget to a twentieth, and it took five seconds of calm to come back, at 0.1 a half second. Change: 0.25 a half second; the standstill after 1.4 s still bounds a disturbance.

--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -24,7 +24,7 @@
 	// cutFactor and restoreStep change a worker's budget: in four steps, two seconds,
 	// it falls to a sixteenth, half of the time in which a disturbance has to end.
 	cutFactor   = 0.5
-	restoreStep = 0.1
+	restoreStep = 0.25
 	minTrust    = 0.05
 	// silenceAfter is how long a tail may be over its objective before all
 	// backfilling runs beside it stand still. A tail falls back within a second and a
