dispatch: keep what was learnt of images in the log

Cause: a new leader began with an empty planner.

Images that nothing is seen of for an hour are forgotten.

The tests fail without the record (the next leader knows nothing).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -69,6 +69,9 @@
 	proposalTimeout = 3 * time.Second
 	// readTimeout bounds the confirmation of a read.
 	readTimeout = time.Second
+	// keepInterval is the time between two records of what was learnt of images: some
+	// reports' worth of it is lost with a leader.
+	keepInterval = 2 * time.Second
 	// maxOrdersWait bounds how long an agent's call for orders is held.
 	maxOrdersWait = 2 * time.Second
 )
@@ -96,6 +99,10 @@
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
 	waitsLogged   map[waitKey]time.Time
+	// keptAt is when a plan last carried what the planner has learnt, and reported is
+	// set once a worker reported since.
+	keptAt   time.Time
+	reported bool
 }
 
 // New returns a dispatcher; Run makes it work.
@@ -185,9 +192,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Now()
+	planner := schedule.New()
+	d.opts.Replica.ReadState(func(m *state.Machine) { planner.Resume(m.CallerJobs().Learnt(), now) })
 	d.leading = &leadership{
 		term:          term,
-		planner:       schedule.New(),
+		planner:       planner,
+		keptAt:        now,
 		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
 		observed:      map[jobqueue.RunID]schedule.Observation{},
 		paceRevisions: map[string]uint64{},
@@ -248,17 +258,28 @@
 		for _, w := range decision.Paced {
 			l.paceRevisions[w]++
 		}
+		plan.Learnt = l.learntToKeep(now)
 		d.noteWaits(l, decision.Waits, now)
 		l.forgetRuns(jobs)
 		d.logDecision(jobs, l, plan)
 	})
 	d.meters.planning.UpdateSince(began)
-	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed) == 0 {
+	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed) == 0 && plan.Learnt == nil {
 		return nil, nil
 	}
 	return plan, plan.Lapsed
 }
 
+// learntToKeep returns what the planner has learnt, if it is time to keep it for the
+// next leader.
+func (l *leadership) learntToKeep(now time.Time) *apiv1.Learnt {
+	if !l.reported || now.Sub(l.keptAt) < keepInterval {
+		return nil
+	}
+	l.keptAt, l.reported = now, false
+	return l.planner.Learnt(now)
+}
+
 // endLapses lets the leases of lapsed workers be renewed again. A plan whose fate
 // is unknown may still be committed, and would give runs up under leases renewed
 // meanwhile: so this replica gets ready to lead anew, which ends after whatever
--- /dev/null
+++ b/dispatch/learnt_test.go
@@ -0,0 +1,57 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+// Symptom: after each election the tails of serving tasks are over their objectives
+// for seconds, though the same images ran side by side before.
+// Sequence: a leader learns what a backfilling image does to a serving one, and
+// another leader follows.
+// Cause: what was learnt ended with the leader.
+func TestLearntOutlivesTheLeader(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1, 0)
+		defer s.loops.Wait()
+		defer stop()
+		worker := &apiv1.JobWorker{Id: "w1", Host: "h1", Pool: simPool, CpuMilli: 32_000, MemoryMb: 64_000}
+		report := func(running ...*apiv1.RunObservation) {
+			t.Helper()
+			if _, err := s.dispatcher.Report(ctx, &apiv1.JobsReportRequest{Worker: worker, Running: running}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.sleep(time.Second)
+		report()
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+			Id: "j1", Host: simHost, Path: "/q/j1", Steps: []*apiv1.JobStep{
+				{Count: 1, CpuMilli: 6000, MemoryMb: 100, LongRunning: true, Image: "serving", TailObjectiveMs: 100},
+				{Count: 1, CpuMilli: 6000, MemoryMb: 100, Backfill: true, Image: "heavy", EstimatedMs: 60_000},
+			},
+		}}}})
+		for range 10 {
+			s.sleep(500 * time.Millisecond)
+			report(
+				&apiv1.RunObservation{Task: &apiv1.TaskRef{Job: "j1"}, Run: 1, Percent: 100, Figure: 90},
+				&apiv1.RunObservation{Task: &apiv1.TaskRef{Job: "j1", Step: 1}, Run: 1, Percent: 10, Figure: 6000},
+			)
+		}
+		s.log.lose(time.Second)
+		s.replica.ReadState(func(m *state.Machine) {
+			pressures := m.CallerJobs().Learnt().GetPressures()
+			if len(pressures) != 1 || pressures[0].Mean < 0.1 {
+				t.Errorf("the next leader knows %v", pressures)
+			}
+		})
+	})
+}
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -37,7 +37,9 @@
 	// departed lists the incarnations that are gone, oldest first: a late report of one
 	// must not bring it back.
 	departed []string
-	nowMs    int64
+	// learnt is what the leader last kept for its successors.
+	learnt *apiv1.Learnt
+	nowMs  int64
 }
 
 // New returns an empty machine.
@@ -90,6 +92,9 @@
 // Configuration returns the configuration in force; version 0 when there is none.
 func (m *Machine) Configuration() *apiv1.QueueConfiguration { return m.configuration }
 
+// Learnt returns what leaders have learnt of images; it must not be changed.
+func (m *Machine) Learnt() *apiv1.Learnt { return m.learnt }
+
 // Job returns a job, nil when there is none of that id.
 func (m *Machine) Job(id string) *Job { return m.jobs[id] }
 
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -12,6 +12,9 @@
 	if p.Term != leaderTerm {
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
 	}
+	if p.Learnt != nil {
+		m.learnt = p.Learnt
+	}
 	m.takeCheckpoints(p.Checkpoints)
 	for _, id := range p.Lapsed {
 		if w := m.Worker(id); w != nil {
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -12,7 +12,7 @@
 
 // Snapshot returns the whole state as a message.
 func (m *Machine) Snapshot() *apiv1.JobsSnapshot {
-	out := &apiv1.JobsSnapshot{Configuration: m.configuration}
+	out := &apiv1.JobsSnapshot{Configuration: m.configuration, Learnt: m.learnt}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		out.Jobs = append(out.Jobs, m.jobs[id].record())
 	}
@@ -62,6 +62,7 @@
 	if s.GetConfiguration() != nil {
 		m.configuration = s.Configuration
 	}
+	m.learnt = s.GetLearnt()
 	for _, r := range s.GetWorkers() {
 		m.restoreWorker(r)
 	}
--- a/schedule/headroom_test.go
+++ b/schedule/headroom_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -131,3 +132,34 @@
 	}
 	t.Fatal("the task did not start")
 }
+
+// Symptom: after an election, batch work that waited through it starts beside the
+// serving tasks that it disturbs.
+// Sequence: a planner learns that an image disturbs; another leader's planner follows,
+// with a state that was restored from a snapshot.
+// Cause: the new planner takes every image for harmless.
+func TestNextPlannerKnowsTheImages(t *testing.T) {
+	r := newRig(t)
+	for range 20 {
+		r.pass(paceInterval)
+		r.planner.interference.learn(tailSample{
+			step: stepKey{job: "s1"}, image: "serving", headroom: 0.8, parts: map[string]float64{"heavy": 3},
+		}, r.now)
+	}
+	before := r.planner.interference.pressure("serving", "heavy", r.now)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
+		Term: testTerm, Learnt: r.planner.Learnt(r.now),
+	}}})
+	restored, err := jobqueue.Restore(r.machine.Snapshot(), r.now.UnixMilli())
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := New()
+	next.Resume(restored.Learnt(), r.now)
+	if after := next.interference.pressure("serving", "heavy", r.now); math.Abs(after-before) > 0.01 {
+		t.Errorf("the pressure was %.2f, the next planner believes %.2f", before, after)
+	}
+	if next.interference.usualHeadroom("serving") == priorHeadroom {
+		t.Error("the next planner does not know the usual headroom")
+	}
+}
--- a/schedule/interference.go
+++ b/schedule/interference.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -38,6 +39,9 @@
 	// maxImages bounds the backfilling images that are told apart beside one serving
 	// image.
 	maxImages = 48
+	// forgetAfter is how long an image is remembered that nothing is seen of: names of
+	// images come with each release of the callers' programs.
+	forgetAfter = time.Hour
 )
 
 // interference learns how much of its headroom each serving step has left by its
@@ -49,9 +53,18 @@
 // root mean square error of 0.46, of headrooms that deviate by 1.0; without the
 // pressures the error is 0.64.
 type interference struct {
-	loads     map[stepKey]*load
-	pressures map[string]map[string]*pressure
-	usual     map[string]float64
+	loads  map[stepKey]*load
+	images map[string]*servingImage
+}
+
+// servingImage is what is known of an image of serving tasks.
+type servingImage struct {
+	// seen is when one of its tasks last reported.
+	seen time.Time
+	// usual is the mean headroom of its tasks by themselves.
+	usual float64
+	// pressures are what backfilling images take of it, by image.
+	pressures map[string]*pressure
 }
 
 // pressure is an estimate of what a backfilling image takes of a serving one.
@@ -62,9 +75,7 @@
 }
 
 func newInterference() *interference {
-	return &interference{
-		loads: map[stepKey]*load{}, pressures: map[string]map[string]*pressure{}, usual: map[string]float64{},
-	}
+	return &interference{loads: map[stepKey]*load{}, images: map[string]*servingImage{}}
 }
 
 // tailSample is one report of a serving task's tail.
@@ -80,9 +91,14 @@
 // learn takes in a sample. Load and pressures share what the sample differs by from
 // the forecast, each by how uncertain it is.
 func (f *interference) learn(s tailSample, now time.Time) {
-	l := f.loadOf(s.step, s.image, now)
+	serving := f.servingImage(s.image, now)
+	l := f.loads[s.step]
+	if l == nil {
+		l = newLoad(serving.usual, now)
+		f.loads[s.step] = l
+	}
 	l.advance(now)
-	beside := f.advancePressures(s, now)
+	beside := serving.advancePressures(s.parts, now)
 	observed := min(maxHeadroom, s.headroom)
 	expected := l.level
 	variance := noise*noise + relativeNoise*relativeNoise*observed*observed + l.variance()
@@ -100,38 +116,31 @@
 	for image, p := range beside {
 		p.correct(off, variance, s.parts[image])
 	}
-	f.usual[s.image] += usualWeight * (l.level - f.usual[s.image])
+	serving.usual += usualWeight * (l.level - serving.usual)
 }
 
-func (f *interference) loadOf(step stepKey, image string, now time.Time) *load {
-	l := f.loads[step]
-	if l == nil {
-		if _, known := f.usual[image]; !known {
-			f.usual[image] = priorHeadroom
-		}
-		l = newLoad(f.usual[image], now)
-		f.loads[step] = l
+func (f *interference) servingImage(name string, now time.Time) *servingImage {
+	i := f.images[name]
+	if i == nil {
+		i = &servingImage{usual: priorHeadroom, pressures: map[string]*pressure{}}
+		f.images[name] = i
 	}
-	return l
+	i.seen = now
+	return i
 }
 
-// advancePressures returns the estimates for the images that ran beside a sample,
-// as of now.
-func (f *interference) advancePressures(s tailSample, now time.Time) map[string]*pressure {
-	byImage := f.pressures[s.image]
-	if byImage == nil {
-		byImage = map[string]*pressure{}
-		f.pressures[s.image] = byImage
-	}
+// advancePressures returns the estimates, as of now, for the backfilling images that
+// used parts of a worker.
+func (i *servingImage) advancePressures(parts map[string]float64, now time.Time) map[string]*pressure {
 	beside := map[string]*pressure{}
-	for image, parts := range s.parts {
-		if parts <= 0 {
+	for image, used := range parts {
+		if used <= 0 {
 			continue
 		}
-		p := byImage[image]
-		if p == nil && len(byImage) < maxImages {
+		p := i.pressures[image]
+		if p == nil && len(i.pressures) < maxImages {
 			p = &pressure{at: now, mean: priorPressure, variance: priorSpread * priorSpread}
-			byImage[image] = p
+			i.pressures[image] = p
 		}
 		if p != nil {
 			p.advance(now)
@@ -160,11 +169,11 @@
 // pressure is what a backfilling image takes of the headroom of a serving one, per
 // part of the worker in use, with some caution for what is not well known.
 func (f *interference) pressure(serving, backfill string, now time.Time) float64 {
-	p := f.pressures[serving][backfill]
-	if p == nil {
-		return priorPressure + cautionSigmas*priorSpread
+	if i := f.images[serving]; i != nil && i.pressures[backfill] != nil {
+		p := i.pressures[backfill]
+		return p.mean + cautionSigmas*math.Sqrt(p.varianceAt(now))
 	}
-	return p.mean + cautionSigmas*math.Sqrt(p.varianceAt(now))
+	return priorPressure + cautionSigmas*priorSpread
 }
 
 // forecast is the headroom that a serving step will have by itself at a time.
@@ -178,19 +187,17 @@
 // usualHeadroom is what the steps of a serving image have by themselves on the
 // average.
 func (f *interference) usualHeadroom(image string) float64 {
-	if u, known := f.usual[image]; known {
-		return u
+	if i := f.images[image]; i != nil {
+		return i.usual
 	}
 	return priorHeadroom
 }
 
-// forget drops what was learnt of steps that are over.
-func (f *interference) forget(over func(stepKey) bool) {
-	for step := range f.loads {
-		if over(step) {
-			delete(f.loads, step)
-		}
-	}
+// forget drops what was learnt of steps that are over, and of serving images that
+// nothing was seen of for long.
+func (f *interference) forget(over func(stepKey) bool, now time.Time) {
+	maps.DeleteFunc(f.loads, func(step stepKey, _ *load) bool { return over(step) })
+	maps.DeleteFunc(f.images, func(_ string, i *servingImage) bool { return now.Sub(i.seen) > forgetAfter })
 }
 
 const (
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -68,7 +68,7 @@
 		r.findSlack(s)
 		r.slots = append(r.slots, s)
 	}
-	r.planner.forgetGone(r.machine)
+	r.planner.forgetGone(r.machine, r.now)
 }
 
 // heldBack is the processor demand that a run's pace takes from it.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -102,12 +102,13 @@
 }
 
 // forgetGone drops what was learnt of workers that have left.
-func (p *Planner) forgetGone(m *jobqueue.Machine) {
+func (p *Planner) forgetGone(m *jobqueue.Machine, now time.Time) {
 	gone := func(worker string) bool { return m.Worker(worker) == nil }
 	maps.DeleteFunc(p.pacers, func(worker string, _ *pacer) bool { return gone(worker) })
 	maps.DeleteFunc(p.health.byWorker, func(worker string, _ *health) bool { return gone(worker) })
 	p.interference.forget(func(step stepKey) bool {
 		j := m.Job(step.job)
 		return j == nil || !j.Open()
-	})
+	}, now)
+	p.images.forget(now)
 }
