jobqueue: one name of a step

The planner and the dispatcher each had a type of their own for it, and the machine compared its three parts. No change of behaviour; the tests pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,7 +98,7 @@
 	observed map[jobqueue.RunID]schedule.Observation
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
-	waitsLogged   map[waitKey]time.Time
+	waitsLogged   map[jobqueue.StepID]time.Time
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
@@ -201,7 +201,7 @@
 		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
 		observed:      map[jobqueue.RunID]schedule.Observation{},
 		paceRevisions: map[string]uint64{},
-		waitsLogged:   map[waitKey]time.Time{},
+		waitsLogged:   map[jobqueue.StepID]time.Time{},
 	}
 	d.logger.Info("leader is ready", zap.Uint64("term", term), zap.Uint64("index", res.Index))
 	return true
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -5,33 +5,27 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/schedule"
 )
 
 // waitLogInterval is the time between two lines about one step that waits.
 const waitLogInterval = 2 * time.Second
 
-type waitKey struct {
-	job        string
-	occurrence uint32
-	step       uint32
-}
-
 // noteWaits counts and logs the steps whose tasks found no worker; each step at
 // most once in an interval, since rounds come many times a second.
 func (d *Dispatcher) noteWaits(l *leadership, waits []schedule.Wait, now time.Time) {
 	tasks := 0
-	logged := map[waitKey]time.Time{}
+	logged := map[jobqueue.StepID]time.Time{}
 	for _, w := range waits {
 		tasks += w.Tasks
-		key := waitKey{w.Job, w.Occurrence, w.Step}
-		at, known := l.waitsLogged[key]
+		at, known := l.waitsLogged[w.Step]
 		if !known || now.Sub(at) >= waitLogInterval {
 			at = now
-			d.logger.Info("tasks wait", zap.String("job", w.Job), zap.Uint32("occurrence", w.Occurrence),
-				zap.Uint32("step", w.Step), zap.Int("tasks", w.Tasks), zap.String("workers", w.Why()))
+			d.logger.Info("tasks wait", zap.String("job", w.Step.Job), zap.Uint32("occurrence", w.Step.Occurrence),
+				zap.Uint32("step", w.Step.Step), zap.Int("tasks", w.Tasks), zap.String("workers", w.Why()))
 		}
-		logged[key] = at
+		logged[w.Step] = at
 	}
 	l.waitsLogged = logged
 	d.meters.waiting.Update(int64(tasks))
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -53,16 +53,12 @@
 		return 1
 	}
 	n := 1
-	for n < len(starts) && sameStep(first, TaskIDOf(starts[n].Task)) {
+	for n < len(starts) && first.StepID() == TaskIDOf(starts[n].Task).StepID() {
 		n++
 	}
 	return n
 }
 
-func sameStep(a, b TaskID) bool {
-	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
-}
-
 // startGroup starts all of a group or nothing.
 func (m *Machine) startGroup(starts []*apiv1.StartRun) {
 	var begun []*Run
@@ -152,7 +148,7 @@
 		return false
 	case !Reserved(s).Fits(w.Free()):
 		return false
-	case s.MaxPerWorker > 0 && w.CountOf(id.Job, id.Occurrence, id.Step) >= int(s.MaxPerWorker):
+	case s.MaxPerWorker > 0 && w.CountOf(id.StepID()) >= int(s.MaxPerWorker):
 		return false
 	}
 	return true
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -37,6 +37,19 @@
 	Number uint64
 }
 
+// StepID names a step of an occurrence of a job.
+type StepID struct {
+	Job        string
+	Occurrence uint32
+	Step       uint32
+}
+
+// StepID names the task's step.
+func (t TaskID) StepID() StepID { return StepID{t.Job, t.Occurrence, t.Step} }
+
+// String returns the step's name in logs.
+func (s StepID) String() string { return fmt.Sprintf("%s/%d/%d", s.Job, s.Occurrence, s.Step) }
+
 // Resources are what a task takes and a worker has.
 type Resources struct {
 	CPUMilli     int64
@@ -225,11 +238,11 @@
 	return false
 }
 
-// CountOf returns how many runs of a step of an occurrence the worker holds.
-func (w *Worker) CountOf(job string, occurrence, step uint32) int {
+// CountOf returns how many runs of a step the worker holds.
+func (w *Worker) CountOf(step StepID) int {
 	count := 0
 	for id := range w.Runs {
-		if id.Task.Job == job && id.Task.Occurrence == occurrence && id.Task.Step == step {
+		if id.Task.StepID() == step {
 			count++
 		}
 	}
--- a/schedule/headroom_test.go
+++ b/schedule/headroom_test.go
@@ -115,7 +115,7 @@
 		r.observe(id, fullPace, 45)
 		r.planner.Observe(r.machine.Worker("w1"), r, r.now)
 		r.planner.interference.learn(tailSample{
-			step: keyOf(id.Task), image: "serving", headroom: 1.2, parts: map[string]float64{"heavy": 3},
+			step: id.Task.StepID(), image: "serving", headroom: 1.2, parts: map[string]float64{"heavy": 3},
 		}, r.now)
 	}
 	r.submit("batch", "b1", backfill(1, 6000, "heavy"))
@@ -143,7 +143,7 @@
 	for range 20 {
 		r.pass(paceInterval)
 		r.planner.interference.learn(tailSample{
-			step: stepKey{job: "s1"}, image: "serving", headroom: 0.8, parts: map[string]float64{"heavy": 3},
+			step: jobqueue.StepID{Job: "s1"}, image: "serving", headroom: 0.8, parts: map[string]float64{"heavy": 3},
 		}, r.now)
 	}
 	before := r.planner.interference.pressure("serving", "heavy", r.now)
--- a/schedule/interference.go
+++ b/schedule/interference.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // The headroom of a serving task is its objective over its tail: 1 when the tail is
@@ -53,7 +55,7 @@
 // root mean square error of 0.46, of headrooms that deviate by 1.0; without the
 // pressures the error is 0.64.
 type interference struct {
-	loads  map[stepKey]*load
+	loads  map[jobqueue.StepID]*load
 	images map[string]*servingImage
 }
 
@@ -75,12 +77,12 @@
 }
 
 func newInterference() *interference {
-	return &interference{loads: map[stepKey]*load{}, images: map[string]*servingImage{}}
+	return &interference{loads: map[jobqueue.StepID]*load{}, images: map[string]*servingImage{}}
 }
 
 // tailSample is one report of a serving task's tail.
 type tailSample struct {
-	step  stepKey
+	step  jobqueue.StepID
 	image string
 	// headroom is the objective over the tail.
 	headroom float64
@@ -177,7 +179,7 @@
 }
 
 // forecast is the headroom that a serving step will have by itself at a time.
-func (f *interference) forecast(step stepKey, image string, at time.Time) float64 {
+func (f *interference) forecast(step jobqueue.StepID, image string, at time.Time) float64 {
 	if l := f.loads[step]; l != nil {
 		return l.forecast(at)
 	}
@@ -195,8 +197,8 @@
 
 // forget drops what was learnt of steps that are over, and of serving images that
 // nothing was seen of for long.
-func (f *interference) forget(over func(stepKey) bool, now time.Time) {
-	maps.DeleteFunc(f.loads, func(step stepKey, _ *load) bool { return over(step) })
+func (f *interference) forget(over func(jobqueue.StepID) bool, now time.Time) {
+	maps.DeleteFunc(f.loads, func(step jobqueue.StepID, _ *load) bool { return over(step) })
 	maps.DeleteFunc(f.images, func(_ string, i *servingImage) bool { return now.Sub(i.seen) > forgetAfter })
 }
 
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -169,7 +169,7 @@
 		}
 		share := c.newestShare(s, now)
 		p.interference.learn(tailSample{
-			step: keyOf(s.run.ID.Task), image: s.run.Step.Image, headroom: 1 / share, parts: parts,
+			step: s.run.ID.Task.StepID(), image: s.run.Step.Image, headroom: 1 / share, parts: parts,
 		}, now)
 	}
 	c.noteReports(v, now)
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -43,10 +43,8 @@
 
 // Wait is a step with tasks that could start and found no worker.
 type Wait struct {
-	Job        string
-	Occurrence uint32
-	Step       uint32
-	Tasks      int
+	Step  jobqueue.StepID
+	Tasks int
 	// Workers counts the workers by the reason against them.
 	Workers [reasons]int
 }
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -37,17 +37,11 @@
 	avoided  bool
 	doubtful bool
 	// given counts this round's starts by step of an occurrence.
-	given map[stepKey]int
+	given map[jobqueue.StepID]int
 	// started are this round's starts of backfilling tasks.
 	started []seenRun
 }
 
-type stepKey struct {
-	job        string
-	occurrence uint32
-	step       uint32
-}
-
 func (r *round) lookAtWorkers() {
 	for _, w := range r.machine.Workers() {
 		s := &slot{
@@ -57,7 +51,7 @@
 			avoided:  r.planner.health.avoided(w.Spec.Id, r.now),
 			doubtful: r.planner.health.doubtful(w.Spec.Id),
 			serving:  map[string]int{},
-			given:    map[stepKey]int{},
+			given:    map[jobqueue.StepID]int{},
 		}
 		for _, run := range w.Runs {
 			s.count(run.Step, 1)
@@ -252,7 +246,7 @@
 			r.decision.Starts = r.decision.Starts[:before]
 			for _, s := range taken {
 				s.give(c, -1)
-				s.started = slices.DeleteFunc(s.started, func(run seenRun) bool { return keyOf(run.run.ID.Task) == c.key() })
+				s.started = slices.DeleteFunc(s.started, func(run seenRun) bool { return run.run.ID.Task.StepID() == c.key() })
 			}
 			return
 		}
@@ -288,8 +282,8 @@
 	s.given[c.key()] += n
 }
 
-func (c *candidate) key() stepKey {
-	return stepKey{c.job.ID(), uint32(c.occurrence), uint32(c.number)}
+func (c *candidate) key() jobqueue.StepID {
+	return jobqueue.StepID{Job: c.job.ID(), Occurrence: uint32(c.occurrence), Step: uint32(c.number)}
 }
 
 // best returns the worker for a task, nil when none has room.
@@ -330,7 +324,7 @@
 		return ReasonNone
 	}
 	key := c.key()
-	held := s.worker.CountOf(key.job, key.occurrence, key.step) + s.given[key]
+	held := s.worker.CountOf(key) + s.given[key]
 	if held >= int(spec.MaxPerWorker) {
 		return ReasonSpread
 	}
@@ -339,8 +333,7 @@
 
 // wait notes that a candidate found no worker, and why.
 func (r *round) wait(c *candidate, tasks int) {
-	key := c.key()
-	w := Wait{Job: key.job, Occurrence: key.occurrence, Step: key.step, Tasks: tasks}
+	w := Wait{Step: c.key(), Tasks: tasks}
 	for _, s := range r.slots {
 		reason := r.feasible(c, s)
 		if reason == ReasonNone {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,7 +58,7 @@
 	pacers       map[string]*pacer
 	// waiting says since when a step had tasks whose turn had come and its job had
 	// nothing running.
-	waiting map[stepKey]time.Time
+	waiting map[jobqueue.StepID]time.Time
 	// heldBack says since when a run's pace has been so low that it hardly works.
 	heldBack map[jobqueue.RunID]time.Time
 }
@@ -67,7 +67,7 @@
 func New() *Planner {
 	return &Planner{
 		health: newHealthTable(), images: newImageTable(), interference: newInterference(), pacers: map[string]*pacer{},
-		waiting: map[stepKey]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{},
+		waiting: map[jobqueue.StepID]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{},
 	}
 }
 
@@ -106,8 +106,8 @@
 	gone := func(worker string) bool { return m.Worker(worker) == nil }
 	maps.DeleteFunc(p.pacers, func(worker string, _ *pacer) bool { return gone(worker) })
 	maps.DeleteFunc(p.health.byWorker, func(worker string, _ *health) bool { return gone(worker) })
-	p.interference.forget(func(step stepKey) bool {
-		j := m.Job(step.job)
+	p.interference.forget(func(step jobqueue.StepID) bool {
+		j := m.Job(step.Job)
 		return j == nil || !j.Open()
 	}, now)
 	p.images.forget(now)
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -34,7 +34,7 @@
 	for i := 0; i < 40 && len(r.runsOn("w1")) < 2; i++ {
 		for range 20 {
 			r.planner.interference.learn(tailSample{
-				step: stepKey{job: "s1"}, image: "serving", headroom: 0.5, parts: map[string]float64{"heavy": 3},
+				step: jobqueue.StepID{Job: "s1"}, image: "serving", headroom: 0.5, parts: map[string]float64{"heavy": 3},
 			}, r.now)
 		}
 		r.plan()
--- a/schedule/slack.go
+++ b/schedule/slack.go
@@ -5,7 +5,6 @@
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
-	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 const (
@@ -46,7 +45,7 @@
 	then := now.Add(paceAhead)
 	for _, run := range serving {
 		image := run.run.Step.Image
-		left := max(0, f.forecast(keyOf(run.run.ID.Task), image, then)-keptHeadroom) * trust
+		left := max(0, f.forecast(run.run.ID.Task.StepID(), image, then)-keptHeadroom) * trust
 		if least, known := s.left[image]; !known || left < least {
 			s.left[image] = left
 		}
@@ -80,6 +79,3 @@
 func partsOf(cpuMilli, capacity int64) float64 {
 	return partsOfWorker * float64(cpuMilli) / float64(max(1, capacity))
 }
-
-// keyOf names the step of a task.
-func keyOf(t jobqueue.TaskID) stepKey { return stepKey{t.Job, t.Occurrence, t.Step} }
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -18,7 +18,7 @@
 
 // noteWaiting notes since when the jobs without runs have been waiting.
 func (r *round) noteWaiting(candidates []*candidate) {
-	waiting := map[stepKey]time.Time{}
+	waiting := map[jobqueue.StepID]time.Time{}
 	for _, c := range candidates {
 		if c.job.Running() {
 			continue
