dispatch, schedule: placement advice; all kinds of jobs in the simulation

Cause: queues whose policy an outside service keeps never ran a task: a start there needs a ticket, and nobody asked for one.

Change: the planner puts questions for steps that wait (thirty workers each, one question at a time for a step, again after an answer fails), the leader asks the advisor one after the other and takes the tickets in; a start carries its ticket through the log to the worker; one that ran out, or that a worker refused, is not used again.

--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -161,7 +161,8 @@
 		call := startCall{
 			order: Order{Incarnation: s.incarnation, Term: s.term},
 			start: Start{
-				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, DeadlineMs: s.nextDeadline(),
+				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
+				DeadlineMs: s.nextDeadline(),
 			},
 		}
 		if leased && !stop {
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -35,6 +35,8 @@
 	Run        jobqueue.RunID
 	Payload    string
 	Checkpoint string
+	// Ticket is the placement advisor's, where the queue asks for one.
+	Ticket     string
 	DeadlineMs int64
 }
 
@@ -74,13 +76,15 @@
 	AnswerUnwilling
 	// AnswerInvalid: the worker can't read the order.
 	AnswerInvalid
+	// AnswerNoTicket: the start needs a ticket of the placement advisor that is valid.
+	AnswerNoTicket
 	// AnswerOther: another incarnation is there now.
 	AnswerOther
 )
 
 // String returns the answer's name in logs.
 func (a Answer) String() string {
-	names := [...]string{"none", "done", "fenced", "over", "late", "no room", "unwilling", "invalid", "other incarnation"}
+	names := [...]string{"none", "done", "fenced", "over", "late", "no room", "unwilling", "invalid", "no ticket", "other incarnation"}
 	if a < 0 || int(a) >= len(names) {
 		return "unknown"
 	}
--- /dev/null
+++ b/dispatch/advice.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cairnlift/cairnlift/schedule"
+)
+
+// Advisor says which workers may run a step, where a policy outside decides that.
+// An error means that there is no answer; the question is put again.
+type Advisor interface {
+	Approve(ctx context.Context, q schedule.Question) (schedule.Advice, error)
+}
+
+const (
+	// maxQuestions bounds the questions that wait for the advisor, which answers one
+	// at a time and refuses calls when too many wait there.
+	maxQuestions = 24
+	// adviceTimeout bounds one call: an advisor looks at thirty workers in less.
+	adviceTimeout = 2 * time.Second
+)
+
+// askedQuestion is a question of a leader of a term.
+type askedQuestion struct {
+	schedule.Question
+	term uint64
+}
+
+// putQuestions queues questions for the advisor; one that finds no place is put
+// again later. d.mu is held.
+func (d *Dispatcher) putQuestions(l *leadership, questions []schedule.Question, now time.Time) {
+	for _, q := range questions {
+		select {
+		case d.questions <- askedQuestion{q, l.term}:
+		default:
+			l.planner.Unadvised(q, now)
+		}
+	}
+}
+
+// askAdvisor puts the questions to the advisor, one after the other, until ctx ends.
+func (d *Dispatcher) askAdvisor(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case q := <-d.questions:
+			d.ask(ctx, q)
+		}
+	}
+}
+
+func (d *Dispatcher) ask(ctx context.Context, q askedQuestion) {
+	if term, leads := d.opts.Replica.Leading(); d.opts.Advisor == nil || !leads || term != q.term {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	asked := d.opts.Now()
+	advice, err := d.opts.Advisor.Approve(ctx, q.Question)
+	now := d.opts.Now()
+	d.meters.advice.Update(now.Sub(asked))
+	d.logger.Info("placement advice", zap.Uint64("term", q.term), zap.Stringer("step", q.Step),
+		zap.Int("asked", len(q.Workers)), zap.Int("approved", len(advice.Tickets)), zap.Duration("took", now.Sub(asked)),
+		zap.Error(err))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leading == nil || d.leading.term != q.term {
+		return
+	}
+	if err != nil {
+		d.leading.planner.Unadvised(q.Question, now)
+		return
+	}
+	d.leading.planner.Advised(q.Question, advice, asked)
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -37,6 +38,9 @@
 	Replica Replica
 	// Members returns the addresses of the control group.
 	Members func() []string
+	// Advisor says which workers may run the steps of advised queues; without one,
+	// these queues wait.
+	Advisor Advisor
 	// LeaseDuration is how long a worker may run on after its agent's last report.
 	// A short lease hands lost work on sooner, a long one survives elections and
 	// agents that are down for a while.
@@ -83,6 +87,8 @@
 	meters  meters
 	wake    chan struct{}
 	changed broadcast
+	// questions are those that the advisor has not been asked yet.
+	questions chan askedQuestion
 
 	// mu guards what the leader knows beside the log. It is taken before the
 	// replica's own lock.
@@ -127,6 +133,8 @@
 		meters:  newMeters(o.Metrics),
 		wake:    make(chan struct{}, 1),
 		changed: newBroadcast(),
+
+		questions: make(chan askedQuestion, maxQuestions),
 	}
 }
 
@@ -141,6 +149,9 @@
 
 // Run leads whenever this replica does, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	var asking conc.WaitGroup
+	defer asking.Wait()
+	asking.Go(func() { d.askAdvisor(ctx) })
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
 	for ctx.Err() == nil {
@@ -260,6 +271,7 @@
 		}
 		plan.Learnt = l.learntToKeep(now)
 		d.noteWaits(l, decision.Waits, now)
+		d.putQuestions(l, decision.Questions, now)
 		l.forgetRuns(jobs)
 		d.logDecision(jobs, l, plan)
 	})
--- /dev/null
+++ b/dispatch/kinds_test.go
@@ -0,0 +1,125 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// kinds of jobs that the simulation draws from.
+const (
+	kindGang = iota
+	kindRecurring
+	kindAdvised
+	kindLabelled
+	kindSpread
+	kindBackfill
+	kinds
+)
+
+const specialLabel = "special"
+
+// jobOfKind returns the job of a number; its kind follows from the number.
+func jobOfKind(number int) *apiv1.JobSpec {
+	step := &apiv1.JobStep{Count: 3, CpuMilli: 800, MemoryMb: 500, EstimatedMs: 500}
+	spec := &apiv1.JobSpec{Id: fmt.Sprintf("job%d", number), Host: simHost, Steps: []*apiv1.JobStep{
+		step, {Count: 1, CpuMilli: 500, MemoryMb: 500, EstimatedMs: 300, After: []uint32{0}},
+	}}
+	spec.Path = "/q/" + spec.Id
+	switch number % kinds {
+	case kindGang:
+		step.Gang, step.Checkpointing = true, true
+	case kindRecurring:
+		spec.Occurrences, spec.IntervalMs = 3, 700
+		spec.StartAtMs = time.Now().UnixMilli() + 1000
+	case kindAdvised:
+		spec.Path = "/advised/" + spec.Id
+	case kindLabelled:
+		step.RequiredLabel = specialLabel
+	case kindSpread:
+		step.MaxPerWorker = 1
+	case kindBackfill:
+		step.Backfill, step.Checkpointing, step.Image = true, true, "image"
+	}
+	return spec
+}
+
+// allowed is the policy of the placement advisor: each job has one host that must
+// not run it.
+func allowed(step jobqueue.StepID, worker string) bool {
+	return !strings.HasPrefix(worker, fmt.Sprintf("host%d-", numberOf(step.Job)%4))
+}
+
+func numberOf(job string) int {
+	number, err := strconv.Atoi(strings.TrimPrefix(job, "job"))
+	if err != nil {
+		panic(err)
+	}
+	return number
+}
+
+// drain has a worker leave: it says so, and its successor comes a while later.
+func (h *simSide) drain(span time.Duration) {
+	h.mu.Lock()
+	h.worker.Drain()
+	h.mu.Unlock()
+	time.AfterFunc(span, h.startWorker)
+}
+
+// Symptom: a task starts where it must not: without the label, without the advisor's
+// ticket, too many of a step on one worker, a member of a gang under another run's
+// number, an occurrence before its time, or on a worker that leaves.
+// Sequence: jobs of all kinds come while agents are cut off, workers crash or drain,
+// leaders follow one another, the advisor fails now and then, and orders are lost or
+// carried out late.
+// Cause: any fault in how starts are judged, or tickets kept.
+func TestKindsOfJobsUnderTrouble(t *testing.T) {
+	metrics.NewMeter().Stop()
+	const seeds = 40
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { kindsUnderTrouble(t, seed) })
+		})
+	}
+}
+
+func kindsUnderTrouble(t *testing.T, seed uint64) {
+	ctx, stop := context.WithCancel(t.Context())
+	s := newSim(ctx, t, seed, 4)
+	defer s.loops.Wait()
+	defer stop()
+	s.advisor.Allowed = allowed
+	s.advisor.Applies = func(job string) bool { return numberOf(job)%kinds == kindAdvised }
+	s.advisor.Fails = func(number int) bool { return number%5 == 0 }
+	s.demandTickets = true
+	for _, h := range s.hosts {
+		h.labels = []string{specialLabel}
+		h.startWorker()
+	}
+	s.hosts[3].labels = nil
+	s.hosts[3].startWorker()
+	s.sleep(3 * time.Second)
+	for i := range 12 {
+		spec := jobOfKind(i)
+		s.watch.Submitted(spec)
+		s.submitted = append(s.submitted, spec)
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+		switch s.rand.IntN(4) {
+		case 0:
+			s.trouble()
+		case 1:
+			s.hosts[s.rand.IntN(len(s.hosts))].drain(time.Duration(500+s.rand.IntN(3000)) * time.Millisecond)
+		}
+		s.sleep(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+	}
+	s.endTrouble(seed)
+}
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -17,6 +17,7 @@
 	lapses   metrics.Counter
 	refused  metrics.Counter
 	ends     metrics.Counter
+	advice   metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -28,6 +29,7 @@
 		lapses:   metrics.GetOrRegisterCounter("dispatch.leases_lapsed", r),
 		refused:  metrics.GetOrRegisterCounter("dispatch.starts_refused", r),
 		ends:     metrics.GetOrRegisterCounter("dispatch.ends", r),
+		advice:   metrics.GetOrRegisterTimer("dispatch.advice", r),
 	}
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -64,6 +64,7 @@
 	if _, running := l.observed[r.ID]; !running {
 		resp.Starts = append(resp.Starts, &apiv1.StartOrder{
 			Task: r.ID.Task.Ref(), Run: r.ID.Number, Checkpoint: r.Checkpoint, Payload: r.Job().Spec.Payload,
+			Ticket: r.Ticket,
 		})
 	}
 	if percent, set := l.planner.Pace(r.Worker, r.ID); set {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -105,6 +105,7 @@
 	}
 	for _, refusal := range r.Refusals {
 		d.meters.refused.Inc(1)
+		l.planner.StartRefused(jobqueue.TaskIDOf(refusal.Task).StepID(), w.Spec.Id)
 		d.logger.Warn("start refused", zap.String("worker", w.Spec.Id), zap.String("reason", refusal.Reason),
 			zap.Stringer("task", jobqueue.TaskIDOf(refusal.Task)), zap.Uint64("run", refusal.Run))
 	}
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
@@ -33,6 +35,8 @@
 	Duration func(jobqueue.TaskID) time.Duration
 	// Fails tells which runs end failed.
 	Fails func(jobqueue.RunID) bool
+	// Advisor, if set, gives the tickets that starts need.
+	Advisor *Advisor
 	// Judge is told of every run.
 	Judge *RunWatch
 
@@ -90,6 +94,15 @@
 	}
 }
 
+// Drain has the worker say from now on that it is about to leave.
+func (w *RunWorker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spec := proto.CloneOf(w.Spec)
+	spec.Draining = true
+	w.Spec = spec
+}
+
 // shorten brings a deadline down to the longest lease that the worker grants.
 func (w *RunWorker) shorten(deadlineMs int64) int64 {
 	return min(deadlineMs, w.clockMs(time.Now())+maxLeaseMs)
@@ -212,6 +225,9 @@
 	if s.Run.Number <= w.newest[task] || w.running[task] != nil {
 		return runs.AnswerOver
 	}
+	if w.Advisor != nil && !w.Advisor.Valid(s.Run.Task.StepID(), w.Spec.Id, s.Ticket) {
+		return runs.AnswerNoTicket
+	}
 	r := &workerRun{id: s.Run, at: time.Now(), checkpoint: s.Checkpoint}
 	if w.Duration != nil {
 		r.duration = w.Duration(task)
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	r := &Run{
-		ID: RunID{id, start.Run}, Worker: start.Worker, Checkpoint: start.Checkpoint, Step: s.Spec, job: j,
+		ID: RunID{id, start.Run}, Worker: start.Worker, Checkpoint: start.Checkpoint, Ticket: start.Ticket, Step: s.Spec, job: j,
 	}
 	m.bind(r, t, w)
 	return r
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -48,6 +48,7 @@
 		for _, run := range t.Runs {
 			tr.Runs = append(tr.Runs, &apiv1.JobRunRecord{
 				Run: run.ID.Number, Worker: run.Worker, Stopping: run.Stopping, Checkpoint: run.Checkpoint,
+				Ticket: run.Ticket,
 			})
 		}
 		r.Tasks = append(r.Tasks, tr)
@@ -138,7 +139,7 @@
 			id := TaskID{j.ID(), uint32(occurrence), uint32(number), uint32(i)}
 			run := &Run{
 				ID: RunID{id, rr.Run}, Worker: rr.Worker, Stopping: rr.Stopping, Checkpoint: rr.Checkpoint,
-				Step: s.Spec, job: j,
+				Ticket: rr.Ticket, Step: s.Spec, job: j,
 			}
 			m.bind(run, t, w)
 		}
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -176,9 +176,11 @@
 	Stopping bool
 	// Checkpoint is what the run started from.
 	Checkpoint string
-	Step       *apiv1.JobStep
-	job        *Job
-	worker     *Worker
+	// Ticket is the placement advisor's for the step on the worker, empty for most.
+	Ticket string
+	Step   *apiv1.JobStep
+	job    *Job
+	worker *Worker
 }
 
 // Job returns the job that the run belongs to.
--- /dev/null
+++ b/schedule/advice.go
@@ -0,0 +1,114 @@
+package schedule
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	// questionSize bounds the workers that one question names: the advisor looks at
+	// one after the other while the step waits.
+	questionSize = 30
+	// questionTimeout is how long an answer is waited for before a question goes out
+	// again; askAgainAfter is the pause after a call that failed.
+	questionTimeout = 3 * time.Second
+	askAgainAfter   = 300 * time.Millisecond
+	// ticketMargin is left of a ticket's time when a start is decided: it has to reach
+	// the worker while the ticket is valid.
+	ticketMargin = 300 * time.Millisecond
+)
+
+// Question asks the placement advisor which of some workers may run a step.
+type Question struct {
+	Step    jobqueue.StepID
+	Workers []string
+}
+
+// Advice answers a question: a ticket for each worker that may run the step, and
+// how long they are valid.
+type Advice struct {
+	Tickets map[string]string
+	Valid   time.Duration
+}
+
+// approvals is what the placement advisor said of workers and steps.
+type approvals struct {
+	bySteps map[jobqueue.StepID]map[string]approval
+	// askAt says when the next question about a step may go out.
+	askAt map[jobqueue.StepID]time.Time
+}
+
+// approval is the advisor's word on a worker; one without a ticket is a refusal,
+// which holds for as long as the worker lives.
+type approval struct {
+	ticket string
+	until  time.Time
+}
+
+func newApprovals() approvals {
+	return approvals{bySteps: map[jobqueue.StepID]map[string]approval{}, askAt: map[jobqueue.StepID]time.Time{}}
+}
+
+// ticket returns the valid ticket for a step on a worker, or why there is none.
+func (a approvals) ticket(step jobqueue.StepID, worker string, now time.Time) (string, Reason) {
+	word, known := a.bySteps[step][worker]
+	switch {
+	case !known:
+		return "", ReasonNotAdvised
+	case word.ticket == "":
+		return "", ReasonRefused
+	case now.Add(ticketMargin).After(word.until):
+		return "", ReasonNotAdvised
+	}
+	return word.ticket, ReasonNone
+}
+
+func (a approvals) forget(over func(jobqueue.StepID) bool) {
+	maps.DeleteFunc(a.bySteps, func(step jobqueue.StepID, _ map[string]approval) bool { return over(step) })
+	maps.DeleteFunc(a.askAt, func(step jobqueue.StepID, _ time.Time) bool { return over(step) })
+}
+
+// Advised takes in an answer, which came to a question asked at the given time.
+func (p *Planner) Advised(q Question, advice Advice, askedAt time.Time) {
+	words := p.approvals.bySteps[q.Step]
+	if words == nil {
+		words = map[string]approval{}
+		p.approvals.bySteps[q.Step] = words
+	}
+	for _, w := range q.Workers {
+		words[w] = approval{ticket: advice.Tickets[w], until: askedAt.Add(advice.Valid)}
+	}
+	delete(p.approvals.askAt, q.Step)
+}
+
+// Unadvised takes in that a question got no answer; it is asked again after a while.
+func (p *Planner) Unadvised(q Question, now time.Time) {
+	p.approvals.askAt[q.Step] = now.Add(askAgainAfter)
+}
+
+// StartRefused takes in that a worker refused to start a run of a step: a ticket for
+// it is not used again.
+func (p *Planner) StartRefused(step jobqueue.StepID, worker string) {
+	delete(p.approvals.bySteps[step], worker)
+}
+
+// ask notes a question about a step whose tasks wait, unless one is under way.
+func (r *round) ask(c *candidate) {
+	step := c.key()
+	if !c.queue.Advised || r.now.Before(r.planner.approvals.askAt[step]) {
+		return
+	}
+	q := Question{Step: step}
+	for _, s := range r.slots {
+		if len(q.Workers) < questionSize && r.feasible(c, s) == ReasonNotAdvised {
+			q.Workers = append(q.Workers, s.worker.Spec.Id)
+		}
+	}
+	if len(q.Workers) == 0 {
+		return
+	}
+	r.planner.approvals.askAt[step] = r.now.Add(questionTimeout)
+	r.decision.Questions = append(r.decision.Questions, q)
+}
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -26,6 +26,10 @@
 	ReasonAccelerators
 	// ReasonSpread: it holds as many tasks of the step as one worker may.
 	ReasonSpread
+	// ReasonNotAdvised: the placement advisor has not said yet whether the worker may
+	// run the step. ReasonRefused: it said that the worker may not.
+	ReasonNotAdvised
+	ReasonRefused
 	// ReasonSlow: the processors left are too few for a backfilling task.
 	ReasonSlow
 	// ReasonDisturbs: a backfilling task would lengthen the tails there too much.
@@ -35,7 +39,7 @@
 
 var reasonNames = [reasons]string{
 	"none", "unreachable", "draining", "avoided", "other pool", "label", "processors", "memory",
-	"accelerators", "spread", "too slow", "disturbs",
+	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs",
 }
 
 // String returns the reason's name in logs.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -259,9 +259,13 @@
 	id := jobqueue.TaskID{
 		Job: c.job.ID(), Occurrence: uint32(c.occurrence), Step: uint32(c.number), Index: uint32(index),
 	}
-	r.decision.Starts = append(r.decision.Starts, &apiv1.StartRun{
+	start := &apiv1.StartRun{
 		Task: id.Ref(), Run: run, Worker: s.worker.Spec.Id, Checkpoint: c.step.Tasks[index].Checkpoint,
-	})
+	}
+	if c.queue.Advised {
+		start.Ticket, _ = r.planner.approvals.ticket(c.key(), s.worker.Spec.Id, r.now)
+	}
+	r.decision.Starts = append(r.decision.Starts, start)
 	s.give(c, 1)
 	if c.step.Spec.Backfill {
 		s.slack.take(c.step.Spec, s.worker.Spec.CpuMilli, 1)
@@ -320,15 +324,15 @@
 	if reason := roomReason(jobqueue.Reserved(spec), s.free); reason != ReasonNone {
 		return reason
 	}
-	if spec.MaxPerWorker == 0 {
-		return ReasonNone
-	}
 	key := c.key()
-	held := s.worker.CountOf(key) + s.given[key]
-	if held >= int(spec.MaxPerWorker) {
+	if spec.MaxPerWorker > 0 && s.worker.CountOf(key)+s.given[key] >= int(spec.MaxPerWorker) {
 		return ReasonSpread
 	}
-	return ReasonNone
+	if !c.queue.Advised {
+		return ReasonNone
+	}
+	_, reason := r.planner.approvals.ticket(key, s.worker.Spec.Id, r.now)
+	return reason
 }
 
 // wait notes that a candidate found no worker, and why.
@@ -342,4 +346,5 @@
 		w.Workers[reason]++
 	}
 	r.decision.Waits = append(r.decision.Waits, w)
+	r.ask(c)
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -42,6 +42,8 @@
 	Stops  []*apiv1.StopRun
 	// Paced are the workers whose runs have new paces.
 	Paced []string
+	// Questions are to be put to the placement advisor.
+	Questions []Question
 	// Waits are the steps with tasks that could start and found no worker.
 	Waits []Wait
 }
@@ -55,6 +57,7 @@
 	health       healthTable
 	images       imageTable
 	interference *interference
+	approvals    approvals
 	pacers       map[string]*pacer
 	// waiting says since when a step had tasks whose turn had come and its job had
 	// nothing running.
@@ -66,7 +69,8 @@
 // New returns a planner that has learnt nothing yet.
 func New() *Planner {
 	return &Planner{
-		health: newHealthTable(), images: newImageTable(), interference: newInterference(), pacers: map[string]*pacer{},
+		health: newHealthTable(), images: newImageTable(), interference: newInterference(),
+		approvals: newApprovals(), pacers: map[string]*pacer{},
 		waiting: map[jobqueue.StepID]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{},
 	}
 }
@@ -106,9 +110,11 @@
 	gone := func(worker string) bool { return m.Worker(worker) == nil }
 	maps.DeleteFunc(p.pacers, func(worker string, _ *pacer) bool { return gone(worker) })
 	maps.DeleteFunc(p.health.byWorker, func(worker string, _ *health) bool { return gone(worker) })
-	p.interference.forget(func(step jobqueue.StepID) bool {
+	over := func(step jobqueue.StepID) bool {
 		j := m.Job(step.Job)
 		return j == nil || !j.Open()
-	}, now)
+	}
+	p.interference.forget(over, now)
+	p.approvals.forget(over)
 	p.images.forget(now)
 }
