--- a/cli/app.go
+++ b/cli/app.go
@@ -60,6 +60,7 @@
 	a.addChangeCommands()
 	a.addMembers()
 	a.addJobs()
+	a.addTrace()
 	a.addVersion()
 	return a
 }
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -22,6 +22,7 @@
 	a.Command(jobs, "submit", "Hand a job in, a JSON file; the same id is the same job.", a.submitJob)
 	a.Command(jobs, "state", "Show a job's state.", a.jobState)
 	a.Command(jobs, "cancel", "Cancel a job.", a.cancelJob)
+	a.Command(jobs, "explain", "Show where a job's tasks run and why others wait.", a.explainJob)
 	waves := a.kingpin.Command("wave", "Start or follow a maintenance wave.")
 	a.Command(waves, "start", "Submit a wave, a JSON file; the same number is the same wave.", a.startWave)
 	a.Command(waves, "state", "Show how far the hosts of a wave are.", a.waveState)
@@ -114,6 +115,52 @@
 	}
 }
 
+func (a *App) explainJob(c *kingpin.CmdClause) Runner {
+	id := c.Arg("id", "The job's id.").Required().String()
+	return func(ctx context.Context) error {
+		return a.withJobs(ctx, func(ctx context.Context, c *jobapi.Client) error {
+			e, err := c.Explain(ctx, *id)
+			if err == nil {
+				a.printJob(e)
+			}
+			return err
+		})
+	}
+}
+
+// printJob prints a line for each step, each run and each wait.
+func (a *App) printJob(e *apiv1.JobExplanation) {
+	a.printf("%s\n", strings.ToLower(strings.TrimPrefix(e.Job.GetState().String(), "JOB_STATE_")))
+	for k, o := range e.Job.GetOccurrences() {
+		for i, s := range o.Steps {
+			a.printStep(k, i, s)
+		}
+	}
+	for _, w := range e.Waits {
+		a.printf("step %d/%d: %d tasks wait; workers ruled out: %s\n", w.Occurrence, w.Step, w.Tasks, w.Workers)
+	}
+}
+
+func (a *App) printStep(occurrence, number int, s *apiv1.JobStepRecord) {
+	done, failed := 0, uint32(0)
+	for _, t := range s.Tasks {
+		if t.Done {
+			done++
+		}
+		failed += t.Failures
+	}
+	a.printf("step %d/%d: %d of %d tasks done, %d runs failed\n", occurrence, number, done, len(s.Tasks), failed)
+	for i, t := range s.Tasks {
+		for _, r := range t.Runs {
+			stopping := ""
+			if r.Stopping {
+				stopping = ", being stopped"
+			}
+			a.printf("  task %d: run %d on %s%s\n", i, r.Run, r.Worker, stopping)
+		}
+	}
+}
+
 func (a *App) startWave(c *kingpin.CmdClause) Runner {
 	file := c.Arg("file", "The wave, as JSON.").Required().String()
 	return func(ctx context.Context) error {
--- /dev/null
+++ b/cli/trace.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/trace"
+)
+
+// addTrace adds the command that reads logs; it needs no entry.
+func (a *App) addTrace() {
+	a.Command(a.Root(), "trace", "Print what logs say of a job or request as one timeline.", a.trace)
+}
+
+func (a *App) trace(c *kingpin.CmdClause) Runner {
+	id := c.Arg("id", "Id of the job or request.").Required().String()
+	files := c.Arg("file", "Log files, one a process or several in one; standard input without any.").Strings()
+	return func(context.Context) error {
+		lines, err := readLogs(*files)
+		if err != nil {
+			return err
+		}
+		about := trace.Select(lines, *id)
+		if len(about) == 0 {
+			return errors.Newf("no line is about %s", *id)
+		}
+		a.printTimeline(trace.Order(about))
+		return nil
+	}
+}
+
+func readLogs(files []string) ([]trace.Line, error) {
+	if len(files) == 0 {
+		return trace.Read(os.Stdin, "stdin")
+	}
+	var all []trace.Line
+	for _, name := range files {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(name string) ([]trace.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	return trace.Read(io.Reader(f), filepath.Base(name))
+}
+
+// printTimeline prints seconds since the first line, process, part, event and fields.
+func (a *App) printTimeline(t trace.Timeline) {
+	for _, s := range t.Shifts {
+		a.printf("# the clock of %s is moved by %v to agree with the others\n", s.Process, s.By)
+	}
+	began := t.Lines[0].At
+	a.printf("# seconds since %s\n", began.Format("2006-01-02T15:04:05.000Z07:00"))
+	for _, l := range t.Lines {
+		a.printf("%9.3f  %-28s %-10s %s%s\n", l.At.Sub(began).Seconds(), l.Process, l.Part, l.Event, fieldsOf(l))
+	}
+}
+
+func fieldsOf(l trace.Line) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		fmt.Fprintf(&b, "  %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,7 +106,9 @@
 	observed map[jobqueue.RunID]schedule.Observation
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
-	waitsLogged   map[jobqueue.StepID]time.Time
+	// waits are the steps that found no worker in the last round.
+	waits       []schedule.Wait
+	waitsLogged map[jobqueue.StepID]time.Time
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
--- a/dispatch/learnt_test.go
+++ b/dispatch/learnt_test.go
@@ -55,3 +55,38 @@
 		})
 	})
 }
+
+// Symptom: an operator asks why a job waits and gets no reason.
+// Sequence: one task of a step runs, another one finds no worker with the memory.
+// Cause: the reasons of the last round are not kept.
+func TestExplanationNamesRunsAndWaits(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1, 0)
+		defer s.loops.Wait()
+		defer stop()
+		s.sleep(time.Second)
+		if _, err := s.dispatcher.Report(ctx, &apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{
+			Id: "w1", Host: "h1", Pool: simPool, CpuMilli: 32_000, MemoryMb: 1000,
+		}}); err != nil {
+			t.Fatal(err)
+		}
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+			Id: "j1", Host: simHost, Path: "/q/j1", Steps: []*apiv1.JobStep{{Count: 2, CpuMilli: 100, MemoryMb: 600}},
+		}}}})
+		s.sleep(300 * time.Millisecond)
+		resp, err := s.dispatcher.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION, Id: "j1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := resp.GetExplanation()
+		running := e.GetJob().GetOccurrences()[0].GetSteps()[0].GetTasks()[0].GetRuns()
+		if len(running) != 1 || running[0].Worker != "w1" {
+			t.Errorf("the first task runs %v", running)
+		}
+		if len(e.GetWaits()) != 1 || e.Waits[0].Tasks != 1 || e.Waits[0].Workers != "memory 1" {
+			t.Errorf("the job waits for %v", e.GetWaits())
+		}
+	})
+}
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -16,11 +16,42 @@
 	if err := d.opts.Replica.Barrier(ctx); err != nil {
 		return &apiv1.JobsReadResponse{Unconfirmed: true}, nil
 	}
+	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION {
+		return d.explain(r.Id), nil
+	}
 	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) { read(m.CallerJobs(), r, resp) })
 	return resp, nil
 }
 
+// explain returns a job with what the leader knows of why its tasks wait.
+func (d *Dispatcher) explain(id string) *apiv1.JobsReadResponse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.ready()
+	if l == nil {
+		return &apiv1.JobsReadResponse{Unconfirmed: true}
+	}
+	resp := &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_NO_JOB}
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		if j := m.CallerJobs().Job(id); j != nil {
+			resp.Outcome = apiv1.JobOutcome_JOB_OUTCOME_OK
+			resp.Explanation = &apiv1.JobExplanation{Job: j.Record()}
+		}
+	})
+	if resp.Explanation == nil {
+		return resp
+	}
+	for _, w := range l.waits {
+		if w.Step.Job == id {
+			resp.Explanation.Waits = append(resp.Explanation.Waits, &apiv1.StepWait{
+				Occurrence: w.Step.Occurrence, Step: w.Step.Step, Tasks: uint32(w.Tasks), Workers: w.Why(),
+			})
+		}
+	}
+	return resp
+}
+
 func read(m *jobqueue.Machine, r *apiv1.JobsReadRequest, resp *apiv1.JobsReadResponse) {
 	resp.ConfigurationVersion = m.Configuration().Version
 	resp.Outcome = apiv1.JobOutcome_JOB_OUTCOME_OK
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -123,10 +124,15 @@
 		}
 		l.planner.RunEnded(ended)
 		d.logger.Info("run ended", zap.Stringer("task", run.ID.Task), zap.Uint64("run", e.Run),
-			zap.String("worker", w.Spec.Id), zap.Stringer("how", e.Kind))
+			zap.String("worker", w.Spec.Id), zap.String("how", endName(e.Kind)))
 	}
 }
 
+// endName is a kind of end in logs.
+func endName(k apiv1.RunEndKind) string {
+	return strings.ToLower(strings.TrimPrefix(k.String(), "RUN_END_KIND_"))
+}
+
 // reportCommand returns what of a report the log does not hold yet.
 func (l *leadership) reportCommand(m *jobqueue.Machine, r *apiv1.JobsReportRequest) *apiv1.ReportWorker {
 	w := m.Worker(r.Worker.GetId())
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -15,6 +15,7 @@
 // noteWaits counts and logs the steps whose tasks found no worker; each step at
 // most once in an interval, since rounds come many times a second.
 func (d *Dispatcher) noteWaits(l *leadership, waits []schedule.Wait, now time.Time) {
+	l.waits = waits
 	tasks := 0
 	logged := map[jobqueue.StepID]time.Time{}
 	for _, w := range waits {
--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -78,6 +78,16 @@
 	return err
 }
 
+// Explain returns a job's tasks, runs and waits.
+func (c *Client) Explain(ctx context.Context, id string) (*apiv1.JobExplanation, error) {
+	body, err := c.call(ctx, http.MethodGet, jobsPath+"/"+url.PathEscape(id)+"/explanation", nil)
+	if err != nil {
+		return nil, err
+	}
+	e := &apiv1.JobExplanation{}
+	return e, errors.Wrap(protojson.Unmarshal(body, e), "answer")
+}
+
 // PutWave submits a maintenance wave, as JSON.
 func (c *Client) PutWave(ctx context.Context, wave []byte) error {
 	_, err := c.call(ctx, http.MethodPost, wavesPath, wave)
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -6,6 +6,7 @@
 //	POST   /v1/jobs                a JobSpec; the same id is the same job
 //	GET    /v1/jobs?host=&path=    the state of a job, or what waits in a queue
 //	DELETE /v1/jobs?host=&path=    cancels a job
+//	GET    /v1/jobs/ID/explanation a JobExplanation: the job's tasks, runs and waits
 //	POST   /v1/waves               a MaintenanceWave; the same number is the same wave
 //	GET    /v1/waves/NUMBER        how far its hosts are, a WaveRecord
 //
@@ -71,6 +72,7 @@
 	r.POST(jobsPath, h.submit)
 	r.GET(jobsPath, h.read)
 	r.DELETE(jobsPath, h.cancel)
+	r.GET(jobsPath+"/:id/explanation", h.explain)
 	r.POST(wavesPath, h.putWave)
 	r.GET(wavesPath+"/:number", h.getWave)
 	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
@@ -177,6 +179,22 @@
 	writeOutcome(w, outcome, err)
 }
 
+func (h handler) explain(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{
+		Kind: apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION, Id: p.ByName("id"),
+	})
+	switch {
+	case err != nil:
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+	case resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK:
+		writeOutcome(w, resp.Outcome, nil)
+	default:
+		writeMessage(w, resp.Explanation)
+	}
+}
+
 func (h handler) putWave(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	wave := &apiv1.MaintenanceWave{}
 	err := decode(r, wave)
--- a/jobapi/jobapi_test.go
+++ b/jobapi/jobapi_test.go
@@ -158,3 +158,21 @@
 		t.Errorf("an unknown wave: %v", err)
 	}
 }
+
+func TestExplain(t *testing.T) {
+	g := &group{read: &apiv1.JobsReadResponse{
+		Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK, Explanation: &apiv1.JobExplanation{
+			Job:   &apiv1.SubmittedJobRecord{State: apiv1.JobState_JOB_STATE_RUNNING},
+			Waits: []*apiv1.StepWait{{Step: 1, Tasks: 2, Workers: "memory 3"}},
+		},
+	}}
+	client := serve(t, g)
+	e, err := client.Explain(t.Context(), "a")
+	if err != nil || e.Job.State != apiv1.JobState_JOB_STATE_RUNNING || e.Waits[0].Workers != "memory 3" {
+		t.Errorf("%v, %v", e, err)
+	}
+	g.read = &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_NO_JOB}
+	if _, err := client.Explain(t.Context(), "b"); status(t, err) != 410 {
+		t.Errorf("an unknown job: %v", err)
+	}
+}
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -14,7 +14,7 @@
 func (m *Machine) Snapshot() *apiv1.JobsSnapshot {
 	out := &apiv1.JobsSnapshot{Configuration: m.configuration, Learnt: m.learnt}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
-		out.Jobs = append(out.Jobs, m.jobs[id].record())
+		out.Jobs = append(out.Jobs, m.jobs[id].Record())
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.workers)) {
 		w := m.workers[id]
@@ -29,7 +29,8 @@
 	return out
 }
 
-func (j *Job) record() *apiv1.SubmittedJobRecord {
+// Record returns the job with its tasks and runs as a message.
+func (j *Job) Record() *apiv1.SubmittedJobRecord {
 	r := &apiv1.SubmittedJobRecord{
 		Spec: j.Spec, Queue: j.Queue, State: j.State, Started: j.Started,
 		AcceptedMs: j.AcceptedMs, FinishedMs: j.FinishedMs,
--- /dev/null
+++ b/trace/order.go
@@ -0,0 +1,186 @@
+package trace
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// edge says that one line came before another, by their places.
+type edge struct{ before, after int }
+
+// runKey names a run of a task.
+type runKey struct {
+	task string
+	run  float64
+}
+
+// causes returns what the rules say of lines of different processes.
+func causes(lines []Line) []edge {
+	byRun := map[runKey][]int{}
+	for i := range lines {
+		run, ok := lines[i].numeric(fieldRun)
+		if ok && lines[i].text(fieldTask) != "" {
+			key := runKey{lines[i].text(fieldTask), run}
+			byRun[key] = append(byRun[key], i)
+		}
+	}
+	var edges []edge
+	for _, places := range byRun {
+		edges = append(edges, causesOfRun(lines, places)...)
+	}
+	return append(edges, causesOfTerms(lines)...)
+}
+
+// causesOfRun: a run is ordered before it is answered for, and has ended last; a stop
+// is ordered before it is answered for.
+func causesOfRun(lines []Line, places []int) []edge {
+	var edges []edge
+	for _, i := range places {
+		for _, j := range places {
+			first, second := lines[i].Event, lines[j].Event
+			ordered := first == eventStart && second != eventStart ||
+				first == eventStop && second == eventStopAnswered ||
+				first == eventStartAnswered && second == eventEnded
+			if ordered && lines[i].Process != lines[j].Process {
+				edges = append(edges, edge{i, j})
+			}
+		}
+	}
+	return edges
+}
+
+// causesOfTerms: a leader is ready only after all that earlier leaders decided, and
+// decides nothing before.
+func causesOfTerms(lines []Line) []edge {
+	var edges []edge
+	for i := range lines {
+		if lines[i].Event != eventLeader {
+			continue
+		}
+		ready, _ := lines[i].numeric(fieldTerm)
+		for j := range lines {
+			term, ok := lines[j].numeric(fieldTerm)
+			switch {
+			case !ok || lines[j].Process == lines[i].Process:
+			case term < ready:
+				edges = append(edges, edge{j, i})
+			case term > ready && lines[j].Event == eventLeader:
+				edges = append(edges, edge{i, j})
+			}
+		}
+	}
+	return edges
+}
+
+// align returns how far each process's clock has to be moved for the edges to hold,
+// the least that does. The process with most lines keeps its clock; the others
+// follow it, those with the most edges to processes already aligned first.
+func align(lines []Line, edges []edge) map[string]time.Duration {
+	counts := map[string]int{}
+	for i := range lines {
+		counts[lines[i].Process]++
+	}
+	shifts := map[string]time.Duration{}
+	for len(shifts) < len(counts) {
+		p := nextToAlign(lines, edges, counts, shifts)
+		shifts[p] = shiftOf(p, lines, edges, shifts)
+	}
+	return shifts
+}
+
+func nextToAlign(lines []Line, edges []edge, counts map[string]int, aligned map[string]time.Duration) string {
+	ties := map[string]int{}
+	for _, e := range edges {
+		p, q := lines[e.before].Process, lines[e.after].Process
+		if _, known := aligned[p]; known {
+			ties[q]++
+		}
+		if _, known := aligned[q]; known {
+			ties[p]++
+		}
+	}
+	best := ""
+	for _, p := range slices.Sorted(maps.Keys(counts)) {
+		if _, known := aligned[p]; known {
+			continue
+		}
+		if best == "" || cmp.Or(cmp.Compare(ties[p], ties[best]), cmp.Compare(counts[p], counts[best])) > 0 {
+			best = p
+		}
+	}
+	return best
+}
+
+// shiftOf returns the least shift of a process that its edges to aligned ones allow.
+// Edges that contradict each other give the earliest time that puts it after all its
+// causes.
+func shiftOf(process string, lines []Line, edges []edge, aligned map[string]time.Duration) time.Duration {
+	const far = 1000 * time.Hour
+	least, most := -far, far
+	for _, e := range edges {
+		before, after := &lines[e.before], &lines[e.after]
+		gap := before.At.Sub(after.At)
+		if shift, known := aligned[before.Process]; known && after.Process == process {
+			least = max(least, gap+shift)
+		}
+		if shift, known := aligned[after.Process]; known && before.Process == process {
+			most = min(most, -gap+shift)
+		}
+	}
+	return max(least, min(most, 0))
+}
+
+// sorted puts the lines in order: after their causes and after the earlier lines of
+// their process, the earliest of those that may come next first.
+func sorted(lines []Line, edges []edge) []Line {
+	waits := make([]int, len(lines))
+	follow := make([][]int, len(lines))
+	for _, e := range slices.Concat(edges, ownOrder(lines)) {
+		waits[e.after]++
+		follow[e.before] = append(follow[e.before], e.after)
+	}
+	done := make([]bool, len(lines))
+	out := make([]Line, 0, len(lines))
+	for len(out) < len(lines) {
+		next := earliest(lines, done, waits)
+		done[next] = true
+		out = append(out, lines[next])
+		for _, j := range follow[next] {
+			waits[j]--
+		}
+	}
+	return out
+}
+
+// ownOrder says that the lines of a process come in their order.
+func ownOrder(lines []Line) []edge {
+	var edges []edge
+	last := map[string]int{}
+	for i := range lines {
+		if before, known := last[lines[i].Process]; known {
+			edges = append(edges, edge{before, i})
+		}
+		last[lines[i].Process] = i
+	}
+	return edges
+}
+
+// earliest returns the line to come next: one that waits for none if there is one,
+// since rules that contradict each other must not hide lines.
+func earliest(lines []Line, done []bool, waits []int) int {
+	best := -1
+	for i := range lines {
+		if done[i] {
+			continue
+		}
+		if best < 0 || cmp.Or(
+			cmp.Compare(min(waits[i], 1), min(waits[best], 1)),
+			lines[i].At.Compare(lines[best].At),
+		) < 0 {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,109 @@
+package trace_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/trace"
+)
+
+const traced = "7d068002bf51c04d"
+
+// logOf reads the lines of a process whose clock is off; each is a time in
+// milliseconds and the rest of the object.
+func logOf(t *testing.T, process string, off time.Duration, lines ...string) []trace.Line {
+	t.Helper()
+	var text strings.Builder
+	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, l := range lines {
+		ms, rest, found := strings.Cut(l, " ")
+		after, err := time.ParseDuration(ms + "ms")
+		if err != nil || !found {
+			t.Fatalf("line %q: %v", l, err)
+		}
+		at := began.Add(after + off).Format(time.RFC3339Nano)
+		fmt.Fprintf(&text, "12.5 %s {\"level\":\"info\",\"ts\":%q,\"process\":%q,%s}\n", process, at, process, rest)
+	}
+	read, err := trace.Read(strings.NewReader("no log line\n{broken\n"+text.String()), "file")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+// Symptom: a timeline made of several hosts' logs shows a task's end before its start.
+// Sequence: a leader starts a run, another follows and starts the next one; the
+// agent's clock is three seconds behind, the second leader's one second ahead.
+// Cause: lines are ordered by clocks that differ.
+func TestOrderDespiteClocks(t *testing.T) {
+	task := func(event string, run int, more string) string {
+		return fmt.Sprintf(`"part":"dispatch","msg":%q,"task":"%s/0/0/1","run":%d%s`, event, traced, run, more)
+	}
+	var lines []trace.Line
+	lines = append(lines, logOf(t, "a/control", 0,
+		`0 "part":"dispatch","msg":"leader is ready","term":2`,
+		"100 "+task("start", 1, `,"term":2,"worker":"w1"`),
+		`150 "part":"dispatch","msg":"tasks wait","job":"another"`,
+		`2000 "part":"dispatch","msg":"lease ran out","term":2,"worker":"w1"`,
+		`2001 "part":"dispatch","msg":"lease ran out","term":2,"worker":"w9"`,
+	)...)
+	lines = append(lines, logOf(t, "b/control", time.Second,
+		`2500 "part":"dispatch","msg":"leader is ready","term":3`,
+		"2600 "+task("start", 2, `,"term":3,"worker":"w2"`),
+		"4000 "+task("run ended", 2, `,"worker":"w2","how":"done"`),
+	)...)
+	lines = append(lines, logOf(t, "w2/agent", -3*time.Second,
+		"2610 "+task("start answered", 2, `,"answer":"done"`),
+	)...)
+	lines = append(lines, logOf(t, "c/entry", 0,
+		`90 "part":"frontend","msg":"request","method":"POST","path":"/q/`+traced+`","status":200`,
+	)...)
+	got := trace.Order(trace.Select(lines, traced))
+	var events []string
+	for i, l := range got.Lines {
+		events = append(events, l.Process+" "+l.Event)
+		if i > 0 && l.At.Before(got.Lines[i-1].At) && l.Process != got.Lines[i-1].Process {
+			t.Errorf("%s is shown before the line above it", l.Event)
+		}
+	}
+	want := []string{
+		"a/control leader is ready", "c/entry request", "a/control start", "a/control lease ran out", "b/control leader is ready", "b/control start",
+		"w2/agent start answered", "b/control run ended",
+	}
+	if fmt.Sprint(events) != fmt.Sprint(want) {
+		t.Errorf("the order is\n%s\nwant\n%s", strings.Join(events, "\n"), strings.Join(want, "\n"))
+	}
+	if len(got.Shifts) != 1 || got.Shifts[0].Process != "w2/agent" || got.Shifts[0].By < 3*time.Second {
+		t.Errorf("shifts %v", got.Shifts)
+	}
+}
+
+// Symptom: lines are missing from a timeline.
+// Cause: rules that contradict each other, as when a run is ordered again, must not
+// hide lines.
+func TestNoLineIsLost(t *testing.T) {
+	line := func(event string) string {
+		return fmt.Sprintf(`"part":"dispatch","msg":%q,"task":"%s/0/0/1","run":1`, event, traced)
+	}
+	lines := logOf(t, "a", 0, "0 "+line("start"), "10 "+line("run ended"))
+	lines = append(lines, logOf(t, "b", 0, "5 "+line("run ended"), "6 "+line("start"), "7 "+line("start answered"))...)
+	if got := trace.Order(trace.Select(lines, traced)); len(got.Lines) != len(lines) {
+		t.Errorf("%d of %d lines are left", len(got.Lines), len(lines))
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`{"ts":"2026-01-01T00:00:00Z","msg":"start","task":"a/0/0/1","run":1}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := trace.Read(strings.NewReader(text), "file")
+		if err != nil {
+			return
+		}
+		about := trace.Select(lines, "a")
+		if got := trace.Order(about); len(got.Lines) != len(about) {
+			t.Errorf("%d of %d lines are left", len(got.Lines), len(about))
+		}
+	})
+}
