--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -105,6 +105,8 @@
 	epoch uint64
 	// deadlineMs is the end of the leader's lease, a reading of the worker's clock.
 	deadlineMs int64
+	// status is what the worker last said of itself.
+	status Status
 	// clock is what the worker's clock last showed; sentMs the latest deadline that
 	// the worker may have got, answered or not.
 	clock        clockReading
@@ -287,7 +289,7 @@
 			s.pause(retryPause)
 			continue
 		}
-		s.heard(status.ClockMs, received)
+		s.heard(status, received)
 		s.settleStops(status, asked)
 		reported := s.report(status, received)
 		wait = renewalWait
--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -95,6 +95,16 @@
 	startCalls, renewals atomic.Int64
 	// refusing fails every start at once, as a host does where nobody listens.
 	refusing atomic.Bool
+	// silent is the one call that gets no answer: its name, or all for every one.
+	silent atomic.Value
+}
+
+const all = "all"
+
+// fault loses the calls that get no answer.
+func (w *countingWorker) fault(call string) fakes.OrderFault {
+	silent, _ := w.silent.Load().(string)
+	return fakes.OrderFault{Lost: silent == all || silent == call}
 }
 
 func (w *countingWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
@@ -120,6 +130,7 @@
 		watch := fakes.NewRunWatch()
 		watch.Submitted(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
 		w := &countingWorker{RunWorker: fakes.NewRunWorker(spec("w1"), watch)}
+		w.Fault = w.fault
 		d := runs.New(runs.Options{Worker: w, Leader: l})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
@@ -140,7 +151,7 @@
 func TestEndedSessionStartsNothing(t *testing.T) {
 	l := &leader{epoch: 1, orders: starts(1, 1)}
 	with(t, l, func(d *runs.Driver, w *countingWorker) {
-		w.Fault = func(call string) fakes.OrderFault { return fakes.OrderFault{Lost: call == "start"} }
+		w.silent.Store("start")
 		time.Sleep(2 * time.Second)
 		w.Crash()
 		l.set(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: 2, Epoch: 1} })
@@ -217,9 +228,7 @@
 	l := &leader{epoch: 1, orders: starts(1, 1)}
 	with(t, l, func(_ *runs.Driver, w *countingWorker) {
 		time.Sleep(2 * time.Second)
-		var silent atomic.Bool
-		silent.Store(true)
-		w.Fault = func(string) fakes.OrderFault { return fakes.OrderFault{Lost: silent.Load()} }
+		w.silent.Store(all)
 		time.Sleep(5500 * time.Millisecond)
 		if l.lapsedReports() != 0 {
 			t.Fatal("a lapse is told of while the worker may still run")
@@ -231,6 +240,58 @@
 	})
 }
 
+// Symptom: a task runs in two places.
+// Sequence: an agent starts a run and is restarted; its worker begins to drain before
+// the leader has heard of the run, and the new agent gets the order once more.
+// Cause: the new agent gives the start back as never made, since it did not make it.
+func TestRunOfAnEarlierAgentIsNotGivenBack(t *testing.T) {
+	l := &leader{epoch: 1, orders: starts(1, 1)}
+	with(t, l, func(d *runs.Driver, w *countingWorker) {
+		id := jobqueue.RunID{Task: first, Number: 1}
+		order := runs.Order{Incarnation: "w1", Term: term}
+		answer, err := w.RunWorker.Start(t.Context(), order, runs.Start{Run: id, DeadlineMs: 1_000_000 + leaseMs})
+		if err != nil || answer != runs.AnswerDone {
+			t.Fatalf("%v, %v", answer, err)
+		}
+		draining := spec("w1")
+		draining.Draining = true
+		d.Announce(runs.Announcement{Worker: draining, Sequence: 2})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, r := range l.reports {
+			if len(r.Refusals) > 0 {
+				t.Errorf("the run is given back: %v", r.Refusals)
+			}
+		}
+		if last := l.reports[len(l.reports)-1]; len(last.Running) != 1 {
+			t.Errorf("%v run, %v ended", last.Running, last.Ends)
+		}
+	})
+}
+
+// Symptom: a task waits until its worker has left.
+// Sequence: its start is ordered while the worker drains, and was never made.
+// Cause: the agent neither makes the start nor gives it back.
+func TestStartOnADrainingWorkerIsGivenBack(t *testing.T) {
+	l := &leader{epoch: 1, orders: starts(1, 1)}
+	with(t, l, func(d *runs.Driver, w *countingWorker) {
+		draining := spec("w1")
+		draining.Draining = true
+		d.Announce(runs.Announcement{Worker: draining, Sequence: 2})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		refused := 0
+		for _, r := range l.reports {
+			refused += len(r.Refusals)
+		}
+		if refused == 0 || w.startCalls.Load() > 0 {
+			t.Errorf("%d refusals, %d starts", refused, w.startCalls.Load())
+		}
+	})
+}
+
 // Symptom: all work on a worker ends in a cut between its agent and the leader that
 // is shorter than the leader's lease.
 // Sequence: the agent is cut off for nine seconds.
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -21,10 +21,11 @@
 }
 
 // heard notes an answer of the worker.
-func (s *session) heard(clockMs int64, received time.Time) {
+func (s *session) heard(status Status, received time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clock = clockReading{clockMs, received}
+	s.clock = clockReading{status.ClockMs, received}
+	s.status = status
 	s.lapseReported = false
 }
 
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -154,8 +154,8 @@
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
 		stop, leased := o.stop || o.epoch < s.epoch, s.deadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
-		if s.announced.Worker.Draining && !o.asked && !stop {
-			s.refuse(id, o, "worker drains")
+		if s.announced.Worker.Draining && !o.asked && leased && !stop {
+			s.giveBack(id, o)
 			stop = true
 		}
 		call := startCall{
@@ -216,16 +216,24 @@
 	return true
 }
 
-// refuse gives a run back. It may have been ordered before without an answer and
-// come about later: so the worker is told to stop it first, which makes it refuse
-// the run for good. s.mu is held.
+// giveBack gives back a start that came when the worker was about to leave, unless
+// the run is there already. What goes wrong without the look: an agent that was
+// restarted did not make the start, but the one before it did; the run goes on here
+// and starts elsewhere as well. s.mu is held.
+func (s *session) giveBack(id jobqueue.RunID, o *order) {
+	if listed(s.status, id) {
+		o.begun = true
+		return
+	}
+	s.refuse(id, o, "worker drains")
+}
+
+// refuse gives a run back. It may have been ordered before without an answer, by
+// this agent or one before it, and come about later: so the worker is told to stop
+// it first, which makes it refuse the run for good. s.mu is held.
 func (s *session) refuse(id jobqueue.RunID, o *order, reason string) {
 	s.d.meters.refused.Inc(1)
 	o.refuse = reason
-	if !o.asked {
-		s.refusals[id] = reason
-		return
-	}
 	o.stop = true
 }
 
--- a/dispatch/kinds_test.go
+++ b/dispatch/kinds_test.go
@@ -113,13 +113,13 @@
 		s.watch.Submitted(spec)
 		s.submitted = append(s.submitted, spec)
 		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
-		switch s.rand.IntN(4) {
+		switch s.intN(4) {
 		case 0:
 			s.trouble()
 		case 1:
-			s.hosts[s.rand.IntN(len(s.hosts))].drain(time.Duration(500+s.rand.IntN(3000)) * time.Millisecond)
+			s.hosts[s.intN(len(s.hosts))].drain(time.Duration(500+s.intN(3000)) * time.Millisecond)
 		}
-		s.sleep(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+		s.sleep(time.Duration(s.intN(1500)) * time.Millisecond)
 	}
 	s.endTrouble(seed)
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -225,7 +225,14 @@
 	h.mu.Lock()
 	worker, driver := h.worker, h.driver
 	h.mu.Unlock()
-	driver.Announce(runs.Announcement{Worker: worker.Spec, Sequence: sequence})
+	driver.Announce(runs.Announcement{Worker: worker.Announced(), Sequence: sequence})
+}
+
+// intN draws a number; faults are drawn meanwhile by others.
+func (s *sim) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rand.IntN(n)
 }
 
 // fault draws what goes wrong with a call of a worker.
@@ -325,8 +332,8 @@
 
 func (s *sim) submit(number int) {
 	steps := []*apiv1.JobStep{
-		{Count: 1 + uint32(s.rand.IntN(6)), CpuMilli: 500 + s.rand.Int64N(1500), MemoryMb: 500, EstimatedMs: 500, Checkpointing: true},
-		{Count: 1 + uint32(s.rand.IntN(4)), CpuMilli: 500 + s.rand.Int64N(1500), MemoryMb: 500, EstimatedMs: 500, After: []uint32{0}},
+		{Count: 1 + uint32(s.intN(6)), CpuMilli: 500 + int64(s.intN(1500)), MemoryMb: 500, EstimatedMs: 500, Checkpointing: true},
+		{Count: 1 + uint32(s.intN(4)), CpuMilli: 500 + int64(s.intN(1500)), MemoryMb: 500, EstimatedMs: 500, After: []uint32{0}},
 	}
 	spec := &apiv1.JobSpec{Id: fmt.Sprintf("job%d", number), Host: simHost, Path: fmt.Sprintf("/q/job%d", number), Steps: steps}
 	s.watch.Submitted(spec)
@@ -336,9 +343,9 @@
 
 // trouble does one thing that goes wrong.
 func (s *sim) trouble() {
-	h := s.hosts[s.rand.IntN(len(s.hosts))]
-	span := time.Duration(500+s.rand.IntN(8000)) * time.Millisecond
-	switch s.rand.IntN(4) {
+	h := s.hosts[s.intN(len(s.hosts))]
+	span := time.Duration(500+s.intN(8000)) * time.Millisecond
+	switch s.intN(4) {
 	case 0:
 		h.setCut(true)
 		time.AfterFunc(span, func() { h.setCut(false) })
@@ -395,10 +402,10 @@
 	s.sleep(3 * time.Second)
 	for i := range 12 {
 		s.submit(i)
-		if s.rand.IntN(2) == 0 {
+		if s.intN(2) == 0 {
 			s.trouble()
 		}
-		s.sleep(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+		s.sleep(time.Duration(s.intN(1500)) * time.Millisecond)
 	}
 	s.endTrouble(seed)
 }
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -124,10 +124,10 @@
 	}}}})
 	for i := range 8 {
 		s.submit(i)
-		if s.rand.IntN(3) == 0 {
-			s.loops.Go(func() { s.log.lose(time.Duration(s.rand.IntN(1500)) * time.Millisecond) })
+		if s.intN(3) == 0 {
+			s.loops.Go(func() { s.log.lose(time.Duration(s.intN(1500)) * time.Millisecond) })
 		}
-		s.sleep(time.Duration(500+s.rand.IntN(1500)) * time.Millisecond)
+		s.sleep(time.Duration(500+s.intN(1500)) * time.Millisecond)
 	}
 	for i := 0; i < 900 && !s.waveOver(); i++ {
 		s.sleep(100 * time.Millisecond)
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -42,9 +42,12 @@
 	// Judge is told of every run.
 	Judge *RunWatch
 
-	mu         sync.Mutex
-	began      time.Time
-	gone       bool
+	mu       sync.Mutex
+	began    time.Time
+	gone     bool
+	draining bool
+	// watched is set once the judge knows the worker.
+	watched    bool
 	term       uint64
 	deadlineMs int64
 	cursor     uint64
@@ -76,13 +79,11 @@
 
 // NewRunWorker returns a worker that runs nothing yet.
 func NewRunWorker(spec *apiv1.JobWorker, judge *RunWatch) *RunWorker {
-	w := &RunWorker{
+	return &RunWorker{
 		Spec: spec, Judge: judge, began: time.Now(),
 		running: map[jobqueue.TaskID]*workerRun{}, newest: map[jobqueue.TaskID]uint64{},
 		endedNews: make(chan struct{}), endedAt: map[uint64]time.Time{},
 	}
-	judge.add(w)
-	return w
 }
 
 // Crash ends the worker and all that runs on it, without a word.
@@ -98,11 +99,18 @@
 
 // Drain has the worker say from now on that it is about to leave.
 func (w *RunWorker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = true
+}
+
+// Announced is what the worker says of itself.
+func (w *RunWorker) Announced() *apiv1.JobWorker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	spec := proto.CloneOf(w.Spec)
-	spec.Draining = true
-	w.Spec = spec
+	spec.Draining = w.draining
+	return spec
 }
 
 // Running returns the tasks that are at work.
@@ -243,6 +251,10 @@
 		r.duration = w.Duration(task)
 	}
 	w.running[task] = r
+	if !w.watched {
+		w.watched = true
+		w.Judge.add(w)
+	}
 	w.Judge.started(w, s.Run)
 	return runs.AnswerDone
 }
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -226,6 +226,19 @@
 	return slices.SortedFunc(maps.Keys(w.Runs), compareRuns)
 }
 
+// RunsThat returns the runs that match, in order. Few do where this is asked for each
+// worker, so it is cheaper than to put all in order first.
+func (w *Worker) RunsThat(match func(*Run) bool) []*Run {
+	var found []*Run
+	for _, r := range w.Runs {
+		if match(r) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Run) int { return compareRuns(a.ID, b.ID) })
+	return found
+}
+
 // HasLabel reports whether the worker carries a label; every worker does the
 // empty one.
 func (w *Worker) HasLabel(label string) bool {
--- /dev/null
+++ b/schedule/bench_test.go
@@ -0,0 +1,98 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	benchImages = 9
+	// benchServing and benchBackfill are the tasks that run on each worker, as at the
+	// users' size: 21,000 latency-critical and 26,000 batch tasks on 3,700 workers.
+	benchServing  = 6
+	benchBackfill = 7
+	// benchRound is the time that one round's new work comes in.
+	benchRound = 20 * time.Millisecond
+)
+
+// busyRig is a fleet with its usual work.
+func busyRig(b *testing.B, workers int) *rig {
+	r := newRigFor(b)
+	for i := range workers {
+		r.worker(fmt.Sprintf("w%04d", i), 32_000, 128_000)
+	}
+	for i := range workers * benchServing / 6 {
+		step := serving(6, 3000)
+		step.Image = fmt.Sprintf("serving%d", i%benchImages)
+		r.submit("urgent", fmt.Sprintf("s%d", i), step)
+	}
+	r.settle()
+	for i := range workers * benchBackfill / 7 {
+		r.submit("batch", fmt.Sprintf("b%d", i), backfill(7, 1000, fmt.Sprintf("batch%d", i%benchImages)))
+	}
+	r.settle()
+	return r
+}
+
+// settle has the planner start what it can, and has all runs reported.
+func (r *rig) settle() {
+	r.plan()
+	for _, w := range r.machine.Workers() {
+		r.observeAll(w.Spec.Id, func(int) int64 { return 40 })
+	}
+	r.pass(paceInterval)
+}
+
+// BenchmarkPlan measures a round on a fleet with its usual work, while jobs of 6
+// tasks come in at a rate of starts; their ends are not measured. The figures are in
+// docs/CAPACITY.md.
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{11, 54, 3700} {
+		for _, rate := range []int{0, 60, 1000} {
+			b.Run(fmt.Sprintf("workers=%d/starts=%d", workers, rate), func(b *testing.B) {
+				r := busyRig(b, workers)
+				due := 0.0
+				number := 0
+				starts := 0
+				for b.Loop() {
+					b.StopTimer()
+					var submitted []string
+					for due += float64(rate) * benchRound.Seconds() / 6; due >= 1; due-- {
+						number++
+						id := fmt.Sprintf("n%d", number)
+						r.submit("urgent", id, &apiv1.JobStep{Count: 6, CpuMilli: 500, MemoryMb: 100, EstimatedMs: 1000})
+						submitted = append(submitted, id)
+					}
+					r.pass(benchRound)
+					b.StartTimer()
+					d := r.planner.Plan(r.machine, r, r.now, r.now.UnixMilli())
+					b.StopTimer()
+					starts += len(d.Starts)
+					r.finish(d, submitted)
+					b.StartTimer()
+				}
+				b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+			})
+		}
+	}
+}
+
+// finish applies a decision and ends what it started.
+func (r *rig) finish(d Decision, jobs []string) {
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
+		Term: testTerm, Starts: d.Starts, Stops: d.Stops,
+	}}})
+	for _, id := range jobs {
+		j := r.machine.Job(id)
+		for i := range j.Occurrences[0].Steps[0].Tasks {
+			run := jobqueue.RunID{Task: jobqueue.TaskID{Job: id, Index: uint32(i)}, Number: 1}
+			if r.machine.Run(run) != nil {
+				r.end(run, apiv1.RunEndKind_RUN_END_KIND_DONE)
+			}
+		}
+	}
+}
--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -25,18 +25,18 @@
 	since := map[string]time.Time{}
 	stops := 0
 	for _, s := range r.slots {
-		id := s.worker.Spec.Id
 		if !s.leaving {
 			continue
 		}
-		began, known := r.planner.leavingSince[id]
+		worker := s.worker.Spec.Id
+		began, known := r.planner.leavingSince[worker]
 		if !known {
 			began = r.now
 		}
-		since[id] = began
-		for _, run := range s.worker.SortedRuns() {
-			if stops < evacuationsPerRound && r.evacuates(s.worker.Runs[run], s, r.now.Sub(began)) {
-				r.stop(run, "host maintenance")
+		since[worker] = began
+		for _, id := range s.worker.SortedRuns() {
+			if stops < evacuationsPerRound && r.evacuates(s.worker.Runs[id], s, r.now.Sub(began)) {
+				r.stop(id, "host maintenance")
 				stops++
 			}
 		}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -29,11 +29,8 @@
 	seen := map[jobqueue.RunID]time.Time{}
 	moves := 0
 	for _, s := range r.slots {
-		for _, id := range s.worker.SortedRuns() {
-			run := s.worker.Runs[id]
-			if !r.heldBackNow(run) {
-				continue
-			}
+		for _, run := range s.worker.RunsThat(r.heldBackNow) {
+			id := run.ID
 			since, known := r.planner.heldBack[id]
 			if !known {
 				since = r.now
@@ -74,7 +71,7 @@
 	}
 	s.give(c, 1)
 	if run.Step.Backfill {
-		s.slack.take(run.Step, s.worker.Spec.CpuMilli, 1)
+		r.slackOf(s).take(run.Step, s.worker.Spec.CpuMilli, 1)
 	}
 	return true
 }
--- a/schedule/rig_test.go
+++ b/schedule/rig_test.go
@@ -11,7 +11,7 @@
 
 // rig holds a queue machine, a planner and the clock of a test.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	machine *jobqueue.Machine
 	planner *Planner
 	now     time.Time
@@ -26,7 +26,9 @@
 	testPool = "pool"
 )
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigFor(t) }
+
+func newRigFor(t testing.TB) *rig {
 	r := &rig{
 		t: t, machine: jobqueue.New(), planner: New(), now: time.UnixMilli(1_000_000),
 		seen: map[jobqueue.RunID]Observation{}, silent: map[string]bool{}, nextEnd: map[string]uint64{},
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -31,10 +31,10 @@
 	// is expected to use of its reservation, in thousandths of a core.
 	backfill int64
 	others   float64
-	// serving counts the serving tasks by image; slack is how much backfilling ones
-	// may still add to their tails.
+	// serving counts the serving tasks by image; slack is how much headroom backfilling
+	// ones may still take of them, nil until it is asked for.
 	serving  map[string]int
-	slack    slack
+	slack    *slack
 	usable   bool
 	leaving  bool
 	avoided  bool
@@ -63,7 +63,6 @@
 				s.backfill -= r.heldBack(run)
 			}
 		}
-		r.findSlack(s)
 		r.slots = append(r.slots, s)
 	}
 	r.planner.forgetGone(r.machine, r.now)
@@ -78,15 +77,20 @@
 	return run.Step.CpuMilli * (fullPace - int64(percent)) / fullPace
 }
 
-// findSlack sets what the present backfilling runs of a worker leave of its slack.
-func (r *round) findSlack(s *slot) {
-	learnt := r.planner.interference
-	s.slack = learnt.usualSlack(slices.Collect(maps.Keys(s.serving)), r.planner.trust(s.worker.Spec.Id), r.now)
+// slackOf returns what the present backfilling runs of a worker leave of its slack.
+func (r *round) slackOf(s *slot) slack {
+	if s.slack != nil {
+		return *s.slack
+	}
+	spec := s.worker.Spec
+	left := r.planner.interference.usualSlack(slices.Collect(maps.Keys(s.serving)), r.planner.trust(spec.Id), r.now)
 	for _, run := range s.worker.Runs {
 		if run.Step.Backfill {
-			s.slack.take(run.Step, s.worker.Spec.CpuMilli, 1)
+			left.take(run.Step, spec.CpuMilli, 1)
 		}
 	}
+	s.slack = &left
+	return left
 }
 
 // candidate is a step of an occurrence with tasks whose turn has come.
@@ -272,7 +276,7 @@
 	r.decision.Starts = append(r.decision.Starts, start)
 	s.give(c, 1)
 	if c.step.Spec.Backfill {
-		s.slack.take(c.step.Spec, s.worker.Spec.CpuMilli, 1)
+		r.slackOf(s).take(c.step.Spec, s.worker.Spec.CpuMilli, 1)
 		s.started = append(s.started, seenRun{run: &jobqueue.Run{ID: jobqueue.RunID{Task: id, Number: run}, Step: c.step.Spec}})
 	}
 }
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -95,7 +95,7 @@
 	if speed < minProcessorSpeed {
 		return 0, ReasonSlow
 	}
-	cost := s.slack.cost(spec, s.worker.Spec.CpuMilli)
+	cost := r.slackOf(s).cost(spec, s.worker.Spec.CpuMilli)
 	if cost > 1 {
 		speed = min(speed, 1/cost)
 	}
--- a/schedule/stuck.go
+++ b/schedule/stuck.go
@@ -19,22 +19,18 @@
 		if !s.usable {
 			continue
 		}
-		for _, id := range s.worker.SortedRuns() {
-			run := s.worker.Runs[id]
-			if run.Stopping || !r.stuck(id, run) {
-				continue
-			}
+		for _, run := range s.worker.RunsThat(r.stuck) {
 			r.planner.health.suspect(s.worker.Spec.Id, r.now)
 			s.avoided = true
-			r.stop(id, "no progress")
+			r.stop(run.ID, "no progress")
 		}
 	}
 }
 
-func (r *round) stuck(id jobqueue.RunID, run *jobqueue.Run) bool {
-	o, seen := r.fleet.Observed(id)
-	if !seen || run.Step.Backfill || run.Step.LongRunning || run.Step.Gang {
+func (r *round) stuck(run *jobqueue.Run) bool {
+	if run.Stopping || run.Step.Backfill || run.Step.LongRunning || run.Step.Gang {
 		return false
 	}
-	return o.At.Sub(o.ProgressAt) > stuckAfter
+	o, seen := r.fleet.Observed(run.ID)
+	return seen && o.At.Sub(o.ProgressAt) > stuckAfter
 }
