schedule: bear the first moments of tasks that start; overdraw the slack

A run works at full speed until its first pace has reached it, so nine tasks that start at once press nine times as hard as their paces allow; and a slack that was used up was noted as 0, so any number of tasks that each take little could follow.

Change: a task starts only where the tails stay within their objectives while it works at full speed, together with all that is there; what is overdrawn is remembered.

--- a/schedule/headroom_test.go
+++ b/schedule/headroom_test.go
@@ -188,3 +188,27 @@
 		t.Fatalf("%v run where many users are, %v where few", r.runsOn("w1"), r.runsOn("w2"))
 	}
 }
+
+// Symptom: a serving task is over its objective for a second whenever a large batch
+// step starts beside it.
+// Sequence: nine tasks of a step start on one worker; each by itself would be slowed
+// down a little.
+// Cause: until the first paces have reached them they all work at full speed.
+func TestFirstMomentsAreBearable(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 32_000, 64_000)
+	r.submit("urgent", "s1", serving(1, 6000))
+	r.plan()
+	for range 8 {
+		r.pass(paceInterval)
+		r.observeAll("w1", func(int) int64 { return 50 })
+	}
+	beside := &pressure{at: r.now, mean: 0.08}
+	r.planner.interference.servingImage("serving", r.now).pressures["some"] = beside
+	r.submit("batch", "b1", backfill(9, 2000, "some"))
+	r.plan()
+	started := float64(len(r.runsOn("w1")) - 1)
+	if headroom := 2 - started*2*beside.mean; headroom < 1 || started == 0 {
+		t.Fatalf("%v tasks start at once and leave a headroom of %.2f", started, headroom)
+	}
+}
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -99,7 +99,7 @@
 	if cost > 1 {
 		speed = min(speed, 1/cost)
 	}
-	if speed < c.neededSpeed {
+	if speed < c.neededSpeed || !r.slackOf(s).bearsStart(spec, s.worker.Spec.CpuMilli) {
 		return 0, ReasonDisturbs
 	}
 	score := speed - costPenalty*min(1, cost) + tieShare*(left-demand)/capacity
--- a/schedule/slack.go
+++ b/schedule/slack.go
@@ -10,7 +10,9 @@
 
 const (
 	// keptHeadroom is what backfilling tasks have to leave of a serving task's
-	// headroom: forecasts are off by 0.46.
+	// headroom: forecasts are off by 0.46. Between 1.2 and 1.4 the worth of thirty
+	// troubled days stays the same; at 1.4 serving tasks are over their objectives or
+	// paced down for 129 s a day, at 1.2 for 152 s.
 	keptHeadroom = 1.4
 	// minSlack stands for a slack that is used up: an image that adds next to nothing
 	// may still come.
@@ -57,10 +59,23 @@
 	return worst
 }
 
-// take takes from the slack what a task takes at a share of its speed.
+// bearsStart reports whether the tails stay within their objectives while a task
+// works at full speed, as it does until its first pace has reached it.
+func (s slack) bearsStart(spec *apiv1.JobStep, capacity int64) bool {
+	for image, left := range s.left {
+		if s.added(image, spec, capacity) > left+keptHeadroom-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// take takes from the slack what a task takes at a share of its speed. A slack may be
+// overdrawn: were that forgotten, any number of tasks could follow that each take
+// little.
 func (s slack) take(spec *apiv1.JobStep, capacity int64, share float64) {
 	for image := range maps.Keys(s.left) {
-		s.left[image] = max(0, s.left[image]-share*s.added(image, spec, capacity))
+		s.left[image] -= share * s.added(image, spec, capacity)
 	}
 }
 
