agent/runs: the calls of a session end with it

Cause: orders were carried out by plain goroutines, which nobody waited for: a panic in one ended the process without a word of where it came from, and a call of an ended session could outlive it.

Change: they run in the session's conc.WaitGroup; none begins once the session is over, and the session ends after the last.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -95,9 +95,13 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	slots       chan struct{}
+	// calls are the calls of the worker that are under way; they are begun with mu held.
+	calls conc.WaitGroup
 
 	mu        sync.Mutex
 	announced Announcement
+	// over is set at the end; no call is begun after that.
+	over bool
 	// confirmed is set once the worker answered under this incarnation.
 	confirmed bool
 	term      uint64
@@ -238,6 +242,11 @@
 	loops.Go(s.watch)
 	loops.Go(s.follow)
 	loops.Wait()
+	s.cancel()
+	s.mu.Lock()
+	s.over = true
+	s.mu.Unlock()
+	s.calls.Wait()
 }
 
 func (s *session) announce(a Announcement) {
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -104,16 +104,16 @@
 // session is over.
 func (s *session) advance(id jobqueue.RunID, o *order) {
 	switch {
-	case s.ctx.Err() != nil:
+	case s.over || s.ctx.Err() != nil:
 	case o.stop && !o.stopping && o.stoppedAt.IsZero():
 		o.stopping = true
-		go s.carryOutStop(id, o)
+		s.calls.Go(func() { s.carryOutStop(id, o) })
 	case s.mayStart(o):
 		o.starting = true
-		go s.carryOutStart(id, o)
+		s.calls.Go(func() { s.carryOutStart(id, o) })
 	case o.pace != o.paced && !o.stop && !o.starting && !o.pacing:
 		o.pacing = true
-		go s.carryOutPace(id, o)
+		s.calls.Go(func() { s.carryOutPace(id, o) })
 	}
 }
 
