quorum/node: a leader that joined late is answered

The transport forgot every other address, so it could not answer a leader that had joined since under a new id: it never acknowledged an entry and never got its vote. With the next lost disk the majority was gone. Ruled out: sizes of messages, timeouts, sessions of the transport (debug lines show no lost message).

Change: each request says where its sender is reached, and a replica answers there until its log names the sender.

The stand-in for the network kept all addresses for ever, which hid the fault; it forgets them now as the real one does.

--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -122,7 +122,7 @@
 		return nil, err
 	}
 	if n.transport == nil {
-		n.transport = NewTwirpTransport(TwirpOptions{Cell: o.Cell, Logger: n.logger, Metrics: o.Metrics})
+		n.transport = NewTwirpTransport(TwirpOptions{Cell: o.Cell, Address: o.Address, Logger: n.logger, Metrics: o.Metrics})
 	}
 	n.transport.Start(n.reportUnreachable)
 	n.goroutines.Go(n.run)
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -59,7 +59,7 @@
 		l.unreachable(m.To)
 		return
 	}
-	request := &apiv1.DeliverRequest{Cell: cell, Messages: []*apiv1.QuorumMessage{proto.CloneOf(m)}}
+	request := &apiv1.DeliverRequest{Cell: cell, Messages: []*apiv1.QuorumMessage{proto.CloneOf(m)}, SenderAddress: l.from}
 	if _, err := n.Service().Deliver(context.Background(), request); err != nil {
 		l.unreachable(m.To)
 	}
@@ -69,11 +69,21 @@
 func (l *link) SetMembers(m *apiv1.Membership) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.addresses = map[uint64]string{}
 	for _, r := range m.Replicas {
 		l.addresses[r.Id] = r.Address
 	}
 }
 
+// Heard implements node.Transport.
+func (l *link) Heard(id uint64, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addresses[id] == "" {
+		l.addresses[id] = address
+	}
+}
+
 // Send implements node.Transport.
 func (l *link) Send(messages []*apiv1.QuorumMessage) {
 	for _, m := range messages {
--- a/quorum/node/peer.go
+++ b/quorum/node/peer.go
@@ -110,7 +110,9 @@
 func (p *peer) deliver(batch []*apiv1.QuorumMessage, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	_, err := p.client.Deliver(ctx, &apiv1.DeliverRequest{Cell: p.t.opts.Cell, Messages: batch})
+	_, err := p.client.Deliver(ctx, &apiv1.DeliverRequest{
+		Cell: p.t.opts.Cell, Messages: batch, SenderAddress: p.t.opts.Address,
+	})
 	if err == nil || p.ctx.Err() != nil {
 		return
 	}
--- a/quorum/node/service.go
+++ b/quorum/node/service.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	for _, m := range r.Messages {
-		s.n.receive(m)
+		s.n.receive(m, r.SenderAddress)
 	}
 	return &apiv1.DeliverResponse{}, nil
 }
@@ -59,12 +59,13 @@
 // receive queues a message. One that is for another id is dropped: it is for the
 // replica that had this address before its disk was lost. An answer to it would
 // count as a promise of that one, and a vote in its name as a second vote.
-func (n *Node) receive(m *apiv1.QuorumMessage) {
+func (n *Node) receive(m *apiv1.QuorumMessage, sender string) {
 	n.meters.received.Inc(1)
 	if m.To != n.id() {
 		n.meters.foreign.Inc(1)
 		return
 	}
+	n.transport.Heard(m.From, sender)
 	select {
 	case n.inbox <- m:
 	default:
--- a/quorum/node/transport.go
+++ b/quorum/node/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/redial"
 )
 
@@ -22,6 +24,11 @@
 	Start(unreachable func(id uint64))
 	// SetMembers says where replicas are.
 	SetMembers(*apiv1.Membership)
+	// Heard says where the sender of a message is, which may be no member that is
+	// known here yet. What goes wrong without it: a replica that is far behind, or was
+	// just taken in, knows the group as it was long ago; it can't answer a leader that
+	// joined since, is never seen to catch up and never gets its vote.
+	Heard(id uint64, address string)
 	// Send takes messages over and never blocks.
 	Send([]*apiv1.QuorumMessage)
 	// Identify asks who is at an address; see apiv1.IdentifyRequest for founder.
@@ -45,7 +52,9 @@
 
 // TwirpOptions set up a TwirpTransport.
 type TwirpOptions struct {
-	Cell    string
+	Cell string
+	// Address is where the others reach this replica.
+	Address string
 	Logger  *zap.Logger
 	Metrics metrics.Registry
 	// DeliverTimeout bounds one request with messages, 1 s when 0;
@@ -66,9 +75,11 @@
 	dropped     metrics.Counter
 	failures    metrics.Counter
 
-	mu      sync.Mutex
-	closed  bool
-	peers   map[uint64]*peer
+	mu     sync.Mutex
+	closed bool
+	peers  map[uint64]*peer
+	// heard is where senders are that are no members as far as is known here.
+	heard   map[uint64]string
 	clients map[string]apiv1.Quorum
 }
 
@@ -92,6 +103,7 @@
 		dropped:  metrics.GetOrRegisterCounter("quorum.messages_queue_dropped", o.Metrics),
 		failures: metrics.GetOrRegisterCounter("quorum.deliver_failures", o.Metrics),
 		peers:    map[uint64]*peer{},
+		heard:    map[uint64]string{},
 		clients:  map[string]apiv1.Quorum{},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
@@ -122,11 +134,26 @@
 		t.peers[r.Id] = t.startPeer(r.Id, r.Address)
 	}
 	for id, p := range t.peers {
-		if !members[id] {
+		if !members[id] && t.heard[id] != p.address {
 			p.close()
 			delete(t.peers, id)
 		}
 	}
+	maps.DeleteFunc(t.heard, func(id uint64, _ string) bool { return members[id] })
+}
+
+// maxHeard bounds the senders that are remembered without being members.
+const maxHeard = quorum.MaxReplicas
+
+// Heard implements Transport.
+func (t *TwirpTransport) Heard(id uint64, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed || address == "" || t.peers[id] != nil || len(t.heard) >= maxHeard {
+		return
+	}
+	t.heard[id] = address
+	t.peers[id] = t.startPeer(id, address)
 }
 
 // Send implements Transport.
