dispatch, agent/runs: a host that announced that it leaves is not waited for

Cause: the leader's lease is twice the worker's own, for agents that come back after a cut. The agent of a host that leaves does not come back, and nobody reports the worker gone.

Change: an agent whose worker drains gives up what it holds beyond the worker's own limit before it reports, and says so; the leader counts that bound instead. A report that is lost leaves the longer lease in force, which is safe.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -347,6 +347,9 @@
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
 	sent := s.d.opts.Now()
+	if a.Worker.Draining && status.ClockMs > 0 {
+		r.LeaseBoundMs = s.boundLease(status.ClockMs)
+	}
 	resp, err := s.d.opts.Leader.Report(ctx, r)
 	if err != nil {
 		s.d.meters.reportsLost.Inc(1)
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -44,6 +44,19 @@
 	return deadline
 }
 
+// boundLease gives up what the agent holds of its lease beyond the time that the
+// worker may run on by itself, given the worker's newest clock, and returns what is
+// left at most, in milliseconds. What goes wrong without it: a host that announced
+// that it leaves is gone with its agent, and the leader waits for the whole lease,
+// which is meant for agents that come back.
+func (s *session) boundLease(clockMs int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := s.d.opts.MaxLease.Milliseconds()
+	s.deadlineMs = min(s.deadlineMs, clockMs+longest)
+	return longest * ppm / (ppm - clockRateErrorPPM)
+}
+
 // reportLapse tells the leader, once, that a worker without an answer has surely
 // stopped all that ran on it: the latest deadline that it may have got has passed.
 // What goes wrong without it: the leader waits for the end of its own, longer lease,
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -30,6 +30,8 @@
 	lapsing bool
 	// lapsed: the runs were given up; the next report makes the worker usable again.
 	lapsed bool
+	// duration is how long the lease was last granted for.
+	duration time.Duration
 }
 
 func newLeaseTable(now time.Time, duration, contact time.Duration) *leaseTable {
@@ -39,31 +41,36 @@
 func (t *leaseTable) of(worker string) *lease {
 	l := t.byWorker[worker]
 	if l == nil {
-		l = &lease{renewed: t.began}
+		l = &lease{renewed: t.began, duration: t.duration}
 		t.byWorker[worker] = l
 	}
 	return l
 }
 
-// renew counts a worker's lease from now on. It returns false while the lease
-// must not be renewed.
-func (t *leaseTable) renew(worker string, now time.Time) bool {
+// renew counts a worker's lease from now on, and returns for how long; false while
+// the lease must not be renewed. A bound above 0 is what the agent promises to hold
+// at most, of earlier grants too.
+func (t *leaseTable) renew(worker string, now time.Time, bound time.Duration) (time.Duration, bool) {
 	l := t.of(worker)
 	if l.lapsing {
-		return false
+		return 0, false
+	}
+	l.duration = t.duration
+	if bound > 0 {
+		l.duration = min(t.duration, bound)
 	}
 	l.renewed = now
 	l.heard = true
 	l.lapsed = false
-	return true
+	return l.duration, true
 }
 
 // expire returns the workers whose lease surely ran out and marks them.
 func (t *leaseTable) expire(workers []*jobqueue.Worker, now time.Time) []string {
-	wait := t.duration + t.duration*clockRateErrorPPM/1_000_000 + leaseMargin
 	var expired []string
 	for _, w := range workers {
 		l := t.of(w.Spec.Id)
+		wait := l.duration + l.duration*clockRateErrorPPM/1_000_000 + leaseMargin
 		if l.lapsing || l.lapsed || now.Sub(l.renewed) <= wait {
 			continue
 		}
--- /dev/null
+++ b/dispatch/leaving_test.go
@@ -0,0 +1,75 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+// Symptom: a long-running task is missing for twelve seconds though there is room.
+// Sequence: its worker says that it is about to leave; two seconds later the host is
+// gone with its agent, and nobody reports any more.
+// Cause: the leader waits for the end of a lease that is meant for agents that come
+// back, twice as long as the worker runs on by itself.
+func TestHostThatLeftIsNotWaitedFor(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1, 2)
+		defer s.loops.Wait()
+		defer stop()
+		s.mu.Lock()
+		s.calm = true
+		s.mu.Unlock()
+		s.lasting = "serving"
+		s.sleep(3 * time.Second)
+		job := &apiv1.JobSpec{Id: "serving", Host: simHost, Path: "/q/serving", Steps: []*apiv1.JobStep{
+			{Count: 1, CpuMilli: 1000, MemoryMb: 500, LongRunning: true},
+		}}
+		s.watch.Submitted(job)
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: job}}})
+		s.sleep(2 * time.Second)
+		worker := s.placeOf("serving")
+		h := s.hosts[0]
+		if h.incarnation() != worker {
+			h = s.hosts[1]
+		}
+		h.mu.Lock()
+		h.worker.Drain()
+		h.mu.Unlock()
+		s.sleep(2 * time.Second)
+		h.setCut(true)
+		h.mu.Lock()
+		h.stop()
+		h.worker.Crash()
+		h.mu.Unlock()
+		missing := time.Duration(0)
+		for missing < 20*time.Second && s.placeOf("serving") == worker {
+			s.sleep(100 * time.Millisecond)
+			missing += 100 * time.Millisecond
+		}
+		if missing > 7*time.Second {
+			t.Errorf("the task starts elsewhere after %v", missing)
+		}
+		for _, b := range s.watch.Broken() {
+			t.Error(b)
+		}
+	})
+}
+
+// placeOf returns the worker of a job's first task.
+func (s *sim) placeOf(job string) string {
+	place := ""
+	s.replica.ReadState(func(m *state.Machine) {
+		for _, r := range m.CallerJobs().Job(job).Occurrences[0].Steps[0].Tasks[0].Runs {
+			place = r.Worker
+		}
+	})
+	return place
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -18,7 +18,7 @@
 // Report implements apiv1.Jobs: it records what an agent learnt of its worker and
 // renews the worker's lease.
 func (d *Dispatcher) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	term, command, renewed := d.take(r)
+	term, command, granted := d.take(r)
 	if term == 0 {
 		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
 	}
@@ -32,8 +32,8 @@
 	if r.Lapsed {
 		d.noteLapse(term, r.Worker.GetId())
 	}
-	if renewed && outcome == apiv1.JobOutcome_JOB_OUTCOME_OK && !r.Departed {
-		resp.LeaseMs = d.opts.LeaseDuration.Milliseconds()
+	if outcome == apiv1.JobOutcome_JOB_OUTCOME_OK && !r.Departed {
+		resp.LeaseMs = granted.Milliseconds()
 	}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if w := m.CallerJobs().Worker(r.Worker.GetId()); w != nil {
@@ -44,18 +44,18 @@
 }
 
 // take notes what the report says and returns the command that records it, nil
-// when there is nothing new. The lease is renewed here, before the commit or the
-// barrier that confirms that this replica still leads.
-func (d *Dispatcher) take(r *apiv1.JobsReportRequest) (term uint64, command *apiv1.ReportWorker, renewed bool) {
+// when there is nothing new, and the lease to grant. The lease is renewed here, before
+// the commit or the barrier that confirms that this replica still leads.
+func (d *Dispatcher) take(r *apiv1.JobsReportRequest) (term uint64, command *apiv1.ReportWorker, granted time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.ready()
 	if l == nil {
-		return 0, nil, false
+		return 0, nil, 0
 	}
 	now := d.opts.Now()
 	if !r.Lapsed {
-		renewed = l.leases.renew(r.Worker.GetId(), now)
+		granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
 	}
 	for _, o := range r.Running {
 		l.observe(o, now)
@@ -66,7 +66,7 @@
 		command = l.reportCommand(jobs, r)
 		l.adjustPaces(jobs.Worker(r.Worker.GetId()), now)
 	})
-	return l.term, command, renewed
+	return l.term, command, granted
 }
 
 // noteLapse takes in that a worker's runs were given up because its agent gets no
