--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -25,6 +25,7 @@
 func TestWholePath(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, &entry{}, nil, echoID)
+	r.awaitSlots()
 	resp, err := r.dispatch(t.Context(), "a", "GET")
 	if err != nil || string(resp.Response.GetBody()) != "/pitch?n=1 a" || resp.Load.GetSlots() != 4 {
 		t.Fatalf("unexpected reply: %v %v", resp, err)
@@ -224,11 +225,7 @@
 func TestLocalInput(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, &entry{}, nil, echoID)
-	var before string
-	r.eventually("the configuration's slots are in force", func() bool {
-		_, before = r.local("GET", "", "")
-		return strings.Contains(before, `"slots":4`)
-	})
+	before := r.awaitSlots()
 	good := `{"service":"bookings","address":"127.0.0.1:9","ttl_ms":1000}`
 	tests := []struct{ name, body, text string }{
 		{"x", `{`, "can't be read"},
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -105,6 +105,17 @@
 	})
 }
 
+// awaitSlots waits until the slots of the first configuration are in force, and
+// returns what the agent then says of its targets.
+func (r *rig) awaitSlots() (targets string) {
+	r.t.Helper()
+	r.eventually("the configuration's slots are in force", func() bool {
+		_, targets = r.local("GET", "", "")
+		return strings.Contains(targets, `"slots":4`)
+	})
+	return targets
+}
+
 // local calls the agent's local interface about one target, or all when name is empty.
 func (r *rig) local(method, name, body string) (int, string) {
 	path := strings.TrimSuffix("/v1/targets/"+name, "/")
