redial: the test's silent link does not hold a server's own read

Cause, from the goroutines: the server had answered and ended the read that it waits in meanwhile, by a deadline; the link had just gone silent and held that read until it is closed; the server closes it only when the read has returned. So the stand-in blocked itself whenever it was silenced between an answer and the end of its request. Ruled out: the transport under test, whose goroutines were gone.

Change: a read that ends with an error returns; what arrives is held as before.

--- a/redial/redial_test.go
+++ b/redial/redial_test.go
@@ -54,7 +54,9 @@
 	l.mu.Lock()
 	silent := l.silent
 	l.mu.Unlock()
-	if silent {
+	// An error is the reader's own doing: the server ends a read that it waits in once
+	// it has answered, and waits until it has returned.
+	if silent && err == nil {
 		<-l.closed
 		return 0, net.ErrClosed
 	}
