--- a/redial/redial_test.go
+++ b/redial/redial_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	mu     sync.Mutex
 	silent bool
 	closed chan struct{}
+	// ended is closed while the read deadline has passed.
+	ended chan struct{}
 }
 
 func (l *silentLinks) Accept() (net.Conn, error) {
@@ -32,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := &link{Conn: c, closed: make(chan struct{})}
+	opened := &link{Conn: c, closed: make(chan struct{}), ended: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.links = append(l.links, opened)
@@ -52,15 +55,36 @@
 func (l *link) Read(b []byte) (int, error) {
 	n, err := l.Conn.Read(b)
 	l.mu.Lock()
-	silent := l.silent
+	silent, ended := l.silent, l.ended
 	l.mu.Unlock()
-	// An error is the reader's own doing: the server ends a read that it waits in once
-	// it has answered, and waits until it has returned.
-	if silent && err == nil {
-		<-l.closed
+	if !silent || err != nil {
+		return n, err
+	}
+	select {
+	case <-l.closed:
 		return 0, net.ErrClosed
+	case <-ended:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+// SetReadDeadline ends a held read as it does any other: the server ends the read
+// that it waits in once it has answered, and waits until it has returned.
+func (l *link) SetReadDeadline(t time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	past := !t.IsZero() && !t.After(time.Now())
+	select {
+	case <-l.ended:
+		if !past {
+			l.ended = make(chan struct{})
+		}
+	default:
+		if past {
+			close(l.ended)
+		}
 	}
-	return n, err
+	return l.Conn.SetReadDeadline(t)
 }
 
 func (l *link) Close() error {
