--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -49,7 +49,7 @@
 
 // BenchmarkPlan measures a round on a fleet with its usual work, while jobs of 6
 // tasks come in at a rate of starts; their ends are not measured. The figures are in
-// docs/CAPACITY.md.
+// docs/measurements/platform.md.
 func BenchmarkPlan(b *testing.B) {
 	for _, workers := range []int{11, 54, 3700} {
 		for _, rate := range []int{0, 60, 1000} {
