--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -89,17 +89,25 @@
 	return errors.Wrap(protojson.Unmarshal(body, m), "body")
 }
 
-func (h handler) putQueues(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	c := &apiv1.QueueConfiguration{}
-	err := decode(r, c)
+// accept reads and checks a message; a mistake is answered and false returned.
+func accept(w http.ResponseWriter, r *http.Request, m proto.Message, check func() error) bool {
+	err := decode(r, m)
 	if err == nil {
-		err = jobqueue.Validate(c)
+		err = check()
 	}
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
+	}
+	return err == nil
+}
+
+func (h handler) putQueues(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	c := &apiv1.QueueConfiguration{}
+	if !accept(w, r, c, func() error { return jobqueue.Validate(c) }) {
 		return
 	}
 	if len(c.Document) == 0 {
+		var err error
 		if c.Document, err = protojson.Marshal(c); err != nil {
 			writeError(w, http.StatusBadRequest, err.Error())
 			return
@@ -125,12 +133,7 @@
 
 func (h handler) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	spec := &apiv1.JobSpec{}
-	err := decode(r, spec)
-	if err == nil {
-		err = jobqueue.ValidateJob(spec)
-	}
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err.Error())
+	if !accept(w, r, spec, func() error { return jobqueue.ValidateJob(spec) }) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
@@ -185,24 +188,27 @@
 	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{
 		Kind: apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION, Id: p.ByName("id"),
 	})
+	if found(w, resp, err) {
+		writeMessage(w, resp.Explanation)
+	}
+}
+
+// found reports whether a read found what it asked for; else it is answered.
+func found(w http.ResponseWriter, resp *apiv1.JobsReadResponse, err error) bool {
 	switch {
 	case err != nil:
 		writeError(w, http.StatusServiceUnavailable, err.Error())
 	case resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK:
 		writeOutcome(w, resp.Outcome, nil)
 	default:
-		writeMessage(w, resp.Explanation)
+		return true
 	}
+	return false
 }
 
 func (h handler) putWave(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	wave := &apiv1.MaintenanceWave{}
-	err := decode(r, wave)
-	if err == nil {
-		err = jobqueue.ValidateWave(wave)
-	}
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err.Error())
+	if !accept(w, r, wave, func() error { return jobqueue.ValidateWave(wave) }) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
@@ -220,12 +226,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_WAVE, Wave: number})
-	switch {
-	case err != nil:
-		writeError(w, http.StatusServiceUnavailable, err.Error())
-	case resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK:
-		writeOutcome(w, resp.Outcome, nil)
-	default:
+	if found(w, resp, err) {
 		writeMessage(w, resp.Wave)
 	}
 }
