--- a/quorum/node/spare_test.go
+++ b/quorum/node/spare_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/quorum"
@@ -107,3 +108,23 @@
 	}
 	return voters
 }
+
+// Symptom: a group of three has four voters, so that it needs one more host.
+// Sequence: a spare restarts at another address and asks to be taken in again.
+// Cause: the note of its new address forgets that it is a spare.
+func TestSpareThatMovesStaysASpare(t *testing.T) {
+	forSeeds(t, 3, three, func(g *nodetest.Group) {
+		foundersAndSpares(g, "new")
+		leader := g.Leader()
+		moved := &apiv1.Replica{Id: g.Node("new").Status().ID, Name: "new", Address: "elsewhere", Learner: true, Spare: true}
+		answer, err := g.Node(leader).Service().Join(nodetest.Within(time.Second), &apiv1.JoinRequest{Cell: "test", Replica: moved})
+		if err != nil || !answer.Accepted {
+			g.T.Fatalf("seed %d: %v, %v", g.Seed, answer, err)
+		}
+		for _, r := range g.Node(leader).Status().Membership.Replicas {
+			if r.Name == "new" && (!r.Spare || r.Address != "elsewhere") {
+				g.T.Fatalf("seed %d: the spare is now %v", g.Seed, r)
+			}
+		}
+	})
+}
