quorum/node: five of five or more hosts vote; senders are answered where they said

Cause: the group was as large as it was founded, three votes on six hosts with disks. Two lost disks were a majority.

Ruled out: a vote for each host (an even majority), witnesses (decision 0011).

--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -84,7 +84,7 @@
 	if !n.leadership.Leading || s.Role != quorum.Leader || n.leaving.Load() {
 		return
 	}
-	next, reason := nextMembership(s, n.opts.replaceTicks())
+	next, reason := nextMembership(s, n.opts.membershipPolicy())
 	if next == nil {
 		return
 	}
@@ -99,14 +99,15 @@
 // nextMembership returns the change that a leader makes by itself, nil when there
 // is none. Of the replicas of one name the last one joined with the newest disk;
 // those before it are gone. A voter that was silent for replaceTicks is gone too as
-// soon as a spare has the whole log: the spare is first named its successor.
+// soon as a spare has the whole log: the spare is first named its successor. Only a
+// group without such repairs changes its size.
 //
 // The order is: take in the learner's log, remove its predecessor, then give the
 // learner its vote. With the vote first, three replicas would become four voters
 // of which three must be up; if the new disk were lost at that moment too, two
 // would be left and could never commit a change again. With the removal first,
 // the voters that must be up are at no step more than before.
-func nextMembership(s quorum.Status, replaceTicks int) (next *apiv1.Membership, reason string) {
+func nextMembership(s quorum.Status, p membershipPolicy) (next *apiv1.Membership, reason string) {
 	replicas := s.Membership.GetReplicas()
 	for i, r := range replicas {
 		successor := successorOf(replicas, i)
@@ -122,7 +123,10 @@
 			return withVoter(s.Membership, r.Id), "give a vote to " + r.Name
 		}
 	}
-	return nameSuccessor(s, replaceTicks)
+	if next, reason = nameSuccessor(s, p.replaceTicks); next != nil {
+		return next, reason
+	}
+	return resize(s, p)
 }
 
 // nameSuccessor makes a spare that has the whole log the successor of a voter that
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -26,6 +26,7 @@
 	tick                   = 10 * time.Millisecond
 	segmentBytes           = 4096
 	defaultSnapshotEntries = 40
+	defaultMaxVoters       = 5
 	// patience is how long Wait waits, in its polls.
 	pollInterval = time.Millisecond
 	patience     = 60_000
@@ -49,6 +50,8 @@
 	Seed uint64
 	// SnapshotEntries goes into the options of replicas that are started.
 	SnapshotEntries uint64
+	// MaxVoters goes into the options of replicas that are started.
+	MaxVoters int
 	// Delay is called for a question about identity and for its answer.
 	Delay func()
 
@@ -64,7 +67,7 @@
 // election timeouts, and on what power cuts leave on disks.
 func NewGroup(t testing.TB, seed uint64, names ...string) *Group {
 	g := &Group{
-		T: t, Seed: seed, SnapshotEntries: defaultSnapshotEntries, Delay: func() {},
+		T: t, Seed: seed, SnapshotEntries: defaultSnapshotEntries, MaxVoters: defaultMaxVoters, Delay: func() {},
 		names: names, spares: map[string]bool{}, hosts: map[string]*Host{}, cut: map[[2]string]bool{},
 	}
 	for i, name := range names {
@@ -98,7 +101,7 @@
 	started, err := node.Start(node.Options{
 		Cell: cell, Name: name, Address: name, Peers: peers,
 		Storage: log, StateMachine: m, Transport: &link{g: g, from: name},
-		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter,
+		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter, MaxVoters: g.MaxVoters,
 		Tick: tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
 	})
 	if err != nil {
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -22,7 +22,7 @@
 	from        string
 	unreachable func(uint64)
 	mu          sync.Mutex
-	addresses   map[uint64]string
+	addresses   node.AddressBook
 	queue       chan *apiv1.QuorumMessage
 	closing     chan struct{}
 	sender      conc.WaitGroup
@@ -33,7 +33,6 @@
 // Start implements node.Transport.
 func (l *link) Start(unreachable func(uint64)) {
 	l.unreachable = unreachable
-	l.addresses = map[uint64]string{}
 	l.queue = make(chan *apiv1.QuorumMessage, linkLength)
 	l.closing = make(chan struct{})
 	l.sender.Go(l.run)
@@ -52,7 +51,7 @@
 
 func (l *link) deliver(m *apiv1.QuorumMessage) {
 	l.mu.Lock()
-	to := l.addresses[m.To]
+	to := l.addresses.Address(m.To)
 	l.mu.Unlock()
 	n, err := l.g.reach(l.from, to)
 	if err != nil {
@@ -69,19 +68,14 @@
 func (l *link) SetMembers(m *apiv1.Membership) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addresses = map[uint64]string{}
-	for _, r := range m.Replicas {
-		l.addresses[r.Id] = r.Address
-	}
+	l.addresses.SetMembers(m)
 }
 
 // Heard implements node.Transport.
 func (l *link) Heard(id uint64, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.addresses[id] == "" {
-		l.addresses[id] = address
-	}
+	l.addresses.Heard(id, address)
 }
 
 // Send implements node.Transport.
--- a/quorum/node/options.go
+++ b/quorum/node/options.go
@@ -29,6 +29,10 @@
 	// ReplaceAfter is how long a voter must be silent for a spare to take its place;
 	// 2.5 s when 0, five election timeouts.
 	ReplaceAfter time.Duration
+	// MaxVoters is the number of voters that the leader brings the group to, in odd
+	// steps and as far as hosts are there, by giving votes to spares. 0 leaves the number
+	// as it was founded.
+	MaxVoters int
 	// Folder is used when Storage is nil.
 	Folder       string
 	Storage      Storage
@@ -96,8 +100,13 @@
 	}
 }
 
-// replaceTicks is ReplaceAfter in ticks.
-func (o *Options) replaceTicks() int { return int(o.ReplaceAfter / o.Tick) }
+// membershipPolicy is what these options say on the leader's own changes.
+func (o *Options) membershipPolicy() membershipPolicy {
+	return membershipPolicy{
+		replaceTicks: int(o.ReplaceAfter / o.Tick), recentTicks: o.ElectionTicks,
+		goneTicks: int(goneAfter / o.Tick), maxVoters: o.MaxVoters,
+	}
+}
 
 // electionTimeout is the shortest time without a leader before an election.
 func (o *Options) electionTimeout() time.Duration {
--- a/quorum/node/service.go
+++ b/quorum/node/service.go
@@ -101,7 +101,7 @@
 	}
 	status := s.n.Status()
 	if status.Role != quorum.Leader {
-		return &apiv1.JoinResponse{NotLeader: true, LeaderAddress: s.n.LeaderAddress()}, nil
+		return s.n.referToLeader(), nil
 	}
 	if member := findByID(status.Membership, r.Replica.Id); member != nil {
 		return s.n.readdress(ctx, status.Membership, member, r.Replica.Address), nil
@@ -117,6 +117,16 @@
 	return &apiv1.JoinResponse{Accepted: true}, nil
 }
 
+// referToLeader answers a request that only a leader can take. Without a leader it
+// says so: in a group that lost its majority this is all that a joining host learns.
+func (n *Node) referToLeader() *apiv1.JoinResponse {
+	answer := &apiv1.JoinResponse{NotLeader: true, LeaderAddress: n.LeaderAddress()}
+	if answer.LeaderAddress == "" {
+		answer.Message = "no leader is known here"
+	}
+	return answer
+}
+
 // voterNamed reports whether a voter has a name. Who comes back with an empty disk
 // takes its own place and is no spare.
 func voterNamed(m *apiv1.Membership, name string) bool {
@@ -134,7 +144,9 @@
 	if member.Address == address {
 		return &apiv1.JoinResponse{Accepted: true}
 	}
-	moved := &apiv1.Replica{Id: member.Id, Name: member.Name, Address: address, Learner: member.Learner}
+	// All else stays: a spare that lost its mark would get a vote beside the voters.
+	moved := proto.CloneOf(member)
+	moved.Address = address
 	if err := n.change(ctx, withReplaced(m, moved)); err != nil {
 		return &apiv1.JoinResponse{Message: err.Error()}
 	}
--- a/quorum/node/size_test.go
+++ b/quorum/node/size_test.go
@@ -60,3 +60,152 @@
 		})
 	}
 }
+
+// Symptom: a group needs one host more than it should, or bears one loss less.
+// Sequence: one host after another joins three founding ones.
+// Cause: every newcomer gets a vote, or none.
+func TestVotersFollowTheHosts(t *testing.T) {
+	for spares, want := range []int{3, 3, 5, 5, 5} {
+		t.Run(fmt.Sprint(3+spares, " hosts"), func(t *testing.T) {
+			forSeeds(t, 3, three, func(g *nodetest.Group) {
+				foundersAndSpares(g, []string{"d", "e", "f", "g"}[:spares]...)
+				if voters := g.Voters(); len(voters) != want {
+					g.T.Fatalf("seed %d: voters are %v", g.Seed, voters)
+				}
+			})
+		})
+	}
+}
+
+// Symptom: the operators' group of four or seven hosts loses votes by itself.
+// Sequence: a group whose number of voters is set by its settings runs for minutes.
+// Cause: the number of voters is brought to a figure that nobody asked for.
+func TestFoundedSizeStays(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g"}
+	for _, count := range []int{4, 7} {
+		forSeeds(t, 2, names[:count], func(g *nodetest.Group) {
+			g.MaxVoters = 0
+			g.MustStart()
+			g.Propose("1")
+			time.Sleep(3 * time.Minute)
+			if voters := g.Voters(); len(voters) != count {
+				g.T.Fatalf("seed %d: voters are %v", g.Seed, voters)
+			}
+		})
+	}
+}
+
+// Symptom: a host is lost while the group grows, and the next loss stops it.
+// Sequence: two spares are taken in; one of the five hosts is lost at some moment of
+// it, and another one right after; both come back with empty disks.
+// Cause: a vote that is given while a voter is silent, or to a spare that holds little
+// of the log, makes a majority of all that are left.
+func TestLossesWhileTheGroupGrows(t *testing.T) {
+	forSeeds(t, 60, three, func(g *nodetest.Group) {
+		random := rand.New(rand.NewPCG(g.Seed, 2))
+		g.MustStart()
+		g.Propose("first")
+		g.AddSpare("d")
+		g.AddSpare("e")
+		time.Sleep(time.Duration(random.Int64N(int64(nodetest.ReplaceAfter))))
+		lost := []string{"a", "b", "c", "d", "e"}[random.IntN(5)]
+		g.Kill(lost)
+		g.Propose("with one lost")
+		g.Host(lost).Disk.Erase()
+		g.MustStart(lost)
+		g.Wait("five voters", func() bool { return len(g.Voters()) == 5 })
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			g.Wait("all on "+name, func() bool { return g.Has(name, "first") && g.Has(name, "with one lost") })
+		}
+	})
+}
+
+// Symptom: hosts that were taken away for good go on counting, and a group that has
+// three hosts left stops with the next loss.
+// Sequence: two of five hosts are taken away; after some minutes one more is lost.
+// Cause: the majority is still counted from five.
+func TestGroupShrinksWithItsHosts(t *testing.T) {
+	forSeeds(t, 5, three, func(g *nodetest.Group) {
+		foundersAndSpares(g, "d", "e")
+		g.Kill("d", "e")
+		time.Sleep(2 * time.Minute)
+		g.Wait("three voters", func() bool { return len(g.Voters()) == 3 })
+		gone := g.Followers()
+		gone = slices.DeleteFunc(gone, func(name string) bool { return name == "d" || name == "e" })
+		g.Kill(gone[0])
+		g.Propose("with one more lost")
+	})
+}
+
+// Symptom: after some hundred replaced hosts no host is taken in any more.
+// Sequence: spares join and are taken away, one after another.
+// Cause: a learner that is gone is kept for ever, and the number of replicas is bounded.
+func TestSparesThatAreGoneAreForgotten(t *testing.T) {
+	forSeeds(t, 1, three, func(g *nodetest.Group) {
+		g.MustStart()
+		for i := range 20 {
+			name := fmt.Sprint("spare-", i)
+			g.AddSpare(name)
+			g.Wait("the spare's place", func() bool { return g.Node(name).Status().Membership != nil })
+			g.Kill(name)
+			time.Sleep(2 * time.Minute)
+		}
+		if replicas := g.Node(g.Leader()).Status().Membership.Replicas; len(replicas) != 3 {
+			g.T.Fatalf("seed %d: members are %v", g.Seed, replicas)
+		}
+	})
+}
+
+// Symptom: something acknowledged is gone, or the group never commits again.
+// Sequence: six hosts; again and again one or two of them, or all, lose their power, up
+// to two of those their disk, and others are cut off meanwhile; after each round the
+// group has the time to repair itself that its hosts are promised.
+// Cause: any fault in how votes are given, taken and replaced.
+func TestTwoLossesAgainAndAgain(t *testing.T) {
+	const rounds = 8
+	forSeeds(t, 20, three, func(g *nodetest.Group) {
+		foundersAndSpares(g, "d", "e", "f")
+		all := []string{"a", "b", "c", "d", "e", "f"}
+		random := rand.New(rand.NewPCG(g.Seed, 3))
+		for round := range rounds {
+			g.Propose(fmt.Sprint(round))
+			random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			down := all[:1+random.IntN(2)]
+			g.Kill(down...)
+			for _, name := range down {
+				if random.IntN(2) == 0 {
+					g.Host(name).Disk.Erase()
+				}
+			}
+			switch random.IntN(3) {
+			case 0:
+				g.Kill()
+				down = all
+			case 1:
+				time.Sleep(time.Duration(random.Int64N(int64(4 * nodetest.ReplaceAfter))))
+			}
+			g.MustStart(down...)
+			for _, name := range all {
+				for past := range round + 1 {
+					g.Wait(fmt.Sprint(past, " on ", name), func() bool { return g.Has(name, fmt.Sprint(past)) })
+				}
+			}
+			g.Wait("five running voters", func() bool { return runningVoters(g) == 5 })
+		}
+	})
+}
+
+// runningVoters is the number of voters, -1 if one of them has another disk by now.
+func runningVoters(g *nodetest.Group) int {
+	voters := 0
+	for _, r := range g.Node(g.Leader()).Status().Membership.Replicas {
+		n := g.Node(r.Name)
+		switch {
+		case n == nil || n.Status().ID != r.Id:
+			return -1
+		case !r.Learner:
+			voters++
+		}
+	}
+	return voters
+}
--- a/quorum/node/transport.go
+++ b/quorum/node/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
-	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/redial"
 )
 
@@ -25,9 +23,7 @@
 	// SetMembers says where replicas are.
 	SetMembers(*apiv1.Membership)
 	// Heard says where the sender of a message is, which may be no member that is
-	// known here yet. What goes wrong without it: a replica that is far behind, or was
-	// just taken in, knows the group as it was long ago; it can't answer a leader that
-	// joined since, is never seen to catch up and never gets its vote.
+	// known here yet; see AddressBook.
 	Heard(id uint64, address string)
 	// Send takes messages over and never blocks.
 	Send([]*apiv1.QuorumMessage)
@@ -75,12 +71,11 @@
 	dropped     metrics.Counter
 	failures    metrics.Counter
 
-	mu     sync.Mutex
-	closed bool
-	peers  map[uint64]*peer
-	// heard is where senders are that are no members as far as is known here.
-	heard   map[uint64]string
-	clients map[string]apiv1.Quorum
+	mu        sync.Mutex
+	closed    bool
+	addresses AddressBook
+	peers     map[uint64]*peer
+	clients   map[string]apiv1.Quorum
 }
 
 // NewTwirpTransport returns a transport whose peers serve Node.Handler.
@@ -103,7 +98,6 @@
 		dropped:  metrics.GetOrRegisterCounter("quorum.messages_queue_dropped", o.Metrics),
 		failures: metrics.GetOrRegisterCounter("quorum.deliver_failures", o.Metrics),
 		peers:    map[uint64]*peer{},
-		heard:    map[uint64]string{},
 		clients:  map[string]apiv1.Quorum{},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
@@ -114,46 +108,42 @@
 func (t *TwirpTransport) Start(unreachable func(id uint64)) { t.unreachable = unreachable }
 
 // SetMembers implements Transport. Replicas that are no longer members are
-// forgotten.
+// forgotten, but for those that were heard.
 func (t *TwirpTransport) SetMembers(m *apiv1.Membership) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.closed {
+	t.addresses.SetMembers(m)
+	t.reconnect()
+}
+
+// Heard implements Transport.
+func (t *TwirpTransport) Heard(id uint64, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.addresses.Address(id) == address {
 		return
 	}
-	members := map[uint64]bool{}
-	for _, r := range m.GetReplicas() {
-		members[r.Id] = true
-		p := t.peers[r.Id]
-		if p != nil && p.address == r.Address {
-			continue
-		}
-		if p != nil {
-			p.close()
-		}
-		t.peers[r.Id] = t.startPeer(r.Id, r.Address)
+	t.addresses.Heard(id, address)
+	t.reconnect()
+}
+
+// reconnect makes the peers follow the addresses; t.mu is held.
+func (t *TwirpTransport) reconnect() {
+	if t.closed {
+		return
 	}
+	all := t.addresses.All()
 	for id, p := range t.peers {
-		if !members[id] && t.heard[id] != p.address {
+		if all[id] != p.address {
 			p.close()
 			delete(t.peers, id)
 		}
 	}
-	maps.DeleteFunc(t.heard, func(id uint64, _ string) bool { return members[id] })
-}
-
-// maxHeard bounds the senders that are remembered without being members.
-const maxHeard = quorum.MaxReplicas
-
-// Heard implements Transport.
-func (t *TwirpTransport) Heard(id uint64, address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed || address == "" || t.peers[id] != nil || len(t.heard) >= maxHeard {
-		return
+	for id, address := range all {
+		if t.peers[id] == nil {
+			t.peers[id] = t.startPeer(id, address)
+		}
 	}
-	t.heard[id] = address
-	t.peers[id] = t.startPeer(id, address)
 }
 
 // Send implements Transport.
