quorum/node: a group without a leader says which voters it misses

A replica that joins asks the control hosts that its process knows from elsewhere, besides its peers.

--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -93,6 +93,9 @@
 		if next == stepAdopt && !n.mayAdopt(membership, promised, answers[0]) {
 			next = stepWait
 		}
+		if next == stepWait && n.opts.JoinOnly {
+			next, membership = n.discoverGroup()
+		}
 		switch next {
 		case stepFound, stepAdopt:
 			n.setGroup(membership)
@@ -183,6 +186,20 @@
 	return answers
 }
 
+// discoverGroup looks for the group at the control hosts that this process knows from
+// elsewhere: none of the configured peers may hold a replica any more.
+func (n *Node) discoverGroup() (step, *apiv1.Membership) {
+	ctx, cancel := context.WithTimeout(n.ctx, askTimeout)
+	defer cancel()
+	for _, address := range n.opts.Discover() {
+		answer, err := n.transport.Identify(ctx, address, 0)
+		if err == nil && answer.Membership != nil {
+			return stepJoin, answer.Membership
+		}
+	}
+	return stepWait, nil
+}
+
 // decide chooses the next step from the peers' answers.
 func (n *Node) decide(answers []*apiv1.IdentifyResponse) (step, *apiv1.Membership) {
 	fresh := n.stored.HardState == nil
@@ -278,7 +295,9 @@
 		if member == nil && !joining || member.GetAddress() == n.opts.Address {
 			break
 		}
-		n.askToJoin(self)
+		if !n.askToJoin(self) {
+			n.reportLeaderless()
+		}
 		n.pause(n.opts.electionTimeout())
 	}
 	n.joinAgain()
@@ -296,16 +315,20 @@
 		lonely += n.opts.electionTimeout()
 		if n.Status().Leader != 0 {
 			lonely = 0
+			n.leaderSeen()
 		}
 		if lonely >= n.opts.ReplaceAfter {
-			n.askToJoin(self)
+			if !n.askToJoin(self) {
+				n.reportLeaderless()
+			}
 			lonely = 0
 		}
 	}
 }
 
-// askToJoin asks each member once; a member that doesn't lead names the leader.
-func (n *Node) askToJoin(self *apiv1.Replica) {
+// askToJoin asks each member once; a member that doesn't lead names the leader. It
+// reports whether a leader takes the replica in.
+func (n *Node) askToJoin(self *apiv1.Replica) bool {
 	asked := map[string]bool{n.opts.Address: true}
 	var addresses []string
 	for _, r := range n.group().GetReplicas() {
@@ -314,6 +337,7 @@
 	for _, p := range n.peers() {
 		addresses = append(addresses, p.Address)
 	}
+	addresses = append(addresses, n.opts.Discover()...)
 	for i := 0; i < len(addresses) && n.ctx.Err() == nil; i++ {
 		address := addresses[i]
 		if asked[address] {
@@ -325,14 +349,19 @@
 		cancel()
 		switch {
 		case err != nil:
-			n.logger.Info("Request to join is unanswered.", zap.String("address", address), zap.Error(err))
+			if n.refusals.isNews(address, "unanswered") {
+				n.logger.Info("Request to join is unanswered.", zap.String("address", address), zap.Error(err))
+			}
 		case answer.Accepted:
-			n.logger.Info("Leader takes the replica in.", zap.String("leader", address))
-			return
+			if n.refusals.isNews(address, "accepted") {
+				n.logger.Info("Leader takes the replica in.", zap.String("leader", address))
+			}
+			return true
 		case answer.NotLeader && answer.LeaderAddress != "":
 			addresses = append(addresses, answer.LeaderAddress)
-		default:
+		case n.refusals.isNews(address, answer.Message):
 			n.logger.Warn("Request to join is refused.", zap.String("address", address), zap.String("reason", answer.Message))
 		}
 	}
+	return false
 }
--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -81,6 +81,7 @@
 // new leader goes on where the one before stopped.
 func (n *Node) reconcile() {
 	s := n.raft.Status()
+	n.meters.measureGroup(s, n.opts.ElectionTicks)
 	if !n.leadership.Leading || s.Role != quorum.Leader || n.leaving.Load() {
 		return
 	}
--- a/quorum/node/metrics.go
+++ b/quorum/node/metrics.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cairnlift/cairnlift/quorum"
+)
 
 // meters are what a replica counts; docs/OPERATIONS.md says what they mean.
 type meters struct {
@@ -19,6 +23,13 @@
 	commit          metrics.Gauge
 	appliedIndex    metrics.Gauge
 	role            metrics.Gauge
+	// voters, learners and votersHeard are what a leader sees; votersLost and
+	// votersSilent what a replica found that knows no leader.
+	voters       metrics.Gauge
+	learners     metrics.Gauge
+	votersHeard  metrics.Gauge
+	votersLost   metrics.Gauge
+	votersSilent metrics.Gauge
 	// save is the time that a synced write of entries takes, in microseconds.
 	save metrics.Histogram
 	// batch is the number of entries in such a write.
@@ -48,7 +59,32 @@
 		commit:          metrics.GetOrRegisterGauge("quorum.commit", r),
 		appliedIndex:    metrics.GetOrRegisterGauge("quorum.applied", r),
 		role:            metrics.GetOrRegisterGauge("quorum.role", r),
+		voters:          metrics.GetOrRegisterGauge("quorum.voters", r),
+		learners:        metrics.GetOrRegisterGauge("quorum.learners", r),
+		votersHeard:     metrics.GetOrRegisterGauge("quorum.voters_heard", r),
+		votersLost:      metrics.GetOrRegisterGauge("quorum.voters_lost", r),
+		votersSilent:    metrics.GetOrRegisterGauge("quorum.voters_silent", r),
 		save:            histogram("quorum.save_microseconds", r),
 		batch:           histogram("quorum.save_entries", r),
 	}
 }
+
+// measureGroup updates the gauges of a leader's view, and zeroes them on others.
+func (m *meters) measureGroup(s quorum.Status, recentTicks int) {
+	var voters, learners, heard int64
+	if s.Role == quorum.Leader {
+		for _, r := range s.Membership.GetReplicas() {
+			switch {
+			case r.Learner:
+				learners++
+				continue
+			case r.Id == s.ID || s.SilentTicks[r.Id] < recentTicks:
+				heard++
+			}
+			voters++
+		}
+	}
+	m.voters.Update(voters)
+	m.learners.Update(learners)
+	m.votersHeard.Update(heard)
+}
--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -76,6 +77,10 @@
 	leadership   Leadership
 	reconciling  int
 
+	// Owned by the goroutine that forms or joins the group.
+	refusals         refusals
+	leaderlessReport time.Time
+
 	view       view
 	goroutines conc.WaitGroup
 	// staging writes snapshots' files; the folder is closed after it.
@@ -108,6 +113,7 @@
 		stop:        make(chan struct{}),
 		done:        make(chan struct{}),
 		failed:      make(chan error, 1),
+		refusals:    refusals{},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if n.storage == nil {
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/quorum/node"
@@ -42,6 +44,8 @@
 	// Node is nil while the replica isn't running.
 	Node    *node.Node
 	Machine *Machine
+	// Metrics are the running replica's.
+	Metrics metrics.Registry
 }
 
 // Group is a control group. A host's name is its address too.
@@ -52,6 +56,10 @@
 	SnapshotEntries uint64
 	// MaxVoters goes into the options of replicas that are started.
 	MaxVoters int
+	// Peers are the hosts that replicas started from now on are told of, all when nil.
+	Peers []string
+	// Discover goes into the options of replicas that are started.
+	Discover func() []string
 	// Delay is called for a question about identity and for its answer.
 	Delay func()
 
@@ -94,14 +102,19 @@
 		return err
 	}
 	var peers []settings.Peer
-	for _, n := range g.names {
+	told := g.names
+	if g.Peers != nil {
+		told = g.Peers
+	}
+	for _, n := range told {
 		peers = append(peers, settings.Peer{Name: n, Address: n})
 	}
 	m := &Machine{}
+	registry := metrics.NewRegistry()
 	started, err := node.Start(node.Options{
 		Cell: cell, Name: name, Address: name, Peers: peers,
 		Storage: log, StateMachine: m, Transport: &link{g: g, from: name},
-		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter, MaxVoters: g.MaxVoters,
+		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter, MaxVoters: g.MaxVoters, Metrics: registry, Discover: g.Discover,
 		Tick: tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
 	})
 	if err != nil {
@@ -109,7 +122,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.hosts[name].Node, g.hosts[name].Machine = started, m
+	g.hosts[name].Node, g.hosts[name].Machine, g.hosts[name].Metrics = started, m, registry
 	return nil
 }
 
--- a/quorum/node/options.go
+++ b/quorum/node/options.go
@@ -19,6 +19,9 @@
 	// Peers are the hosts of the control group, this one included. They matter
 	// only until the replica belongs to a group.
 	Peers []settings.Peer
+	// Discover returns addresses of control hosts that this process knows from
+	// elsewhere; they are asked beside the peers by a replica that joins. May be nil.
+	Discover func() []string
 	// JoinOnly keeps an empty replica from forming a group or being an initial
 	// member of one: it joins the group of its peers, whenever that is there.
 	JoinOnly bool
@@ -95,6 +98,9 @@
 	if o.OnLeadership == nil {
 		o.OnLeadership = func(Leadership) {}
 	}
+	if o.Discover == nil {
+		o.Discover = func() []string { return nil }
+	}
 	for o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
