quorum/node: a silent voter keeps its vote until its successor has one

Change: a silent voter is removed after its successor's vote; one whose disk is known to be lost before it, as until now. A voter that is back before that keeps its vote.

--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -51,7 +51,7 @@
 
 func withVoter(m *apiv1.Membership, id uint64) *apiv1.Membership {
 	r := findByID(m, id)
-	return withReplaced(m, &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address})
+	return withReplaced(m, &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Replaces: r.Replaces})
 }
 
 // withReplaced puts a replica in the place of the one with its id.
@@ -98,20 +98,36 @@
 }
 
 // nextMembership returns the change that a leader makes by itself, nil when there
-// is none. Of the replicas of one name the last one joined with the newest disk;
-// those before it are gone. A voter that was silent for replaceTicks is gone too as
-// soon as a spare has the whole log: the spare is first named its successor. Only a
-// group without such repairs changes its size.
+// is none. Repairs come first: of the replicas of one name the last one joined with
+// the newest disk, those before it are gone; and a spare takes the place of a voter
+// that was silent for replaceTicks. Only a group without repairs changes its size.
 //
-// The order is: take in the learner's log, remove its predecessor, then give the
-// learner its vote. With the vote first, three replicas would become four voters
-// of which three must be up; if the new disk were lost at that moment too, two
-// would be left and could never commit a change again. With the removal first,
-// the voters that must be up are at no step more than before.
+// Between the steps the group must bear the loss of as many disks as before, so the
+// order depends on what is known of the voter that is replaced:
+//
+//   - Its disk is lost, since its host came back with an empty one: the old replica is
+//     removed before the new one gets its vote. With the vote first, both would count,
+//     and the new disk's loss at that moment would cost a second vote of one host.
+//   - It is silent, and may hold what only it and a disk that is lost next hold: the
+//     spare gets its vote before the silent one is removed. With the removal first,
+//     three voters become two, of which no disk may be lost, and five become four, of
+//     which one may.
 func nextMembership(s quorum.Status, p membershipPolicy) (next *apiv1.Membership, reason string) {
+	for _, choose := range []func(quorum.Status, membershipPolicy) (*apiv1.Membership, string){
+		removePredecessor, endReplacement, giveVote, nameSuccessor, resize,
+	} {
+		if next, reason = choose(s, p); next != nil {
+			return next, reason
+		}
+	}
+	return nil, ""
+}
+
+// removePredecessor removes a replica whose disk was lost, as one of its name is there.
+func removePredecessor(s quorum.Status, _ membershipPolicy) (*apiv1.Membership, string) {
 	replicas := s.Membership.GetReplicas()
 	for i, r := range replicas {
-		successor := successorOf(replicas, i)
+		successor := lastNamed(replicas[i+1:], r.Name)
 		if successor == nil || r.Id == s.ID {
 			continue
 		}
@@ -119,26 +135,64 @@
 			return without(s.Membership, r.Id), "remove the predecessor of " + r.Name
 		}
 	}
-	for _, r := range replicas {
+	return nil, ""
+}
+
+// lastNamed returns the last replica of a name, nil when there is none.
+func lastNamed(replicas []*apiv1.Replica, name string) *apiv1.Replica {
+	for _, r := range slices.Backward(replicas) {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+// endReplacement removes the voter whose place another one has taken by now, and takes
+// the mark from a replica that has none to replace: the voter came back, leads, or is
+// gone.
+func endReplacement(s quorum.Status, p membershipPolicy) (*apiv1.Membership, string) {
+	for _, r := range s.Membership.GetReplicas() {
+		if r.Replaces == 0 {
+			continue
+		}
+		before := findByID(s.Membership, r.Replaces)
+		if !r.Learner && before != nil && before.Id != s.ID {
+			return without(s.Membership, before.Id), "remove " + before.Name + ", replaced by " + r.Name
+		}
+		if before == nil || before.Id == s.ID || answers(s, before.Id, p.replaceTicks) {
+			unmarked := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: r.Learner, Spare: r.Learner}
+			return withReplaced(s.Membership, unmarked), r.Name + " replaces nobody any more"
+		}
+	}
+	return nil, ""
+}
+
+// answers reports whether a replica was heard within some ticks, and in this term: a
+// new leader starts to count silence anew.
+func answers(s quorum.Status, id uint64, within int) bool {
+	return id == s.ID || s.Match[id] > 0 && s.SilentTicks[id] < within
+}
+
+// giveVote makes a learner a voter that is no spare, or that takes a voter's place.
+func giveVote(s quorum.Status, _ membershipPolicy) (*apiv1.Membership, string) {
+	for _, r := range s.Membership.GetReplicas() {
 		if r.Learner && !r.Spare && caughtUp(s, r.Id) {
 			return withVoter(s.Membership, r.Id), "give a vote to " + r.Name
 		}
 	}
-	if next, reason = nameSuccessor(s, p.replaceTicks); next != nil {
-		return next, reason
-	}
-	return resize(s, p)
+	return nil, ""
 }
 
 // nameSuccessor makes a spare that has the whole log the successor of a voter that
-// is gone.
-func nameSuccessor(s quorum.Status, replaceTicks int) (next *apiv1.Membership, reason string) {
-	gone := silentVoter(s, replaceTicks)
+// is gone, unless one that runs is named already.
+func nameSuccessor(s quorum.Status, p membershipPolicy) (next *apiv1.Membership, reason string) {
+	gone := silentVoter(s, p.replaceTicks)
 	if gone == nil {
 		return nil, ""
 	}
 	for _, r := range s.Membership.GetReplicas() {
-		if !r.Learner || !r.Spare || !caughtUp(s, r.Id) || s.SilentTicks[r.Id] >= replaceTicks {
+		if !r.Learner || !r.Spare || !caughtUp(s, r.Id) || !answers(s, r.Id, p.replaceTicks) {
 			continue
 		}
 		successor := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: true, Replaces: gone.Id}
@@ -157,18 +211,6 @@
 	return nil
 }
 
-// successorOf returns the last replica of the same name, or one that replaces it.
-func successorOf(replicas []*apiv1.Replica, number int) *apiv1.Replica {
-	before := replicas[number]
-	var found *apiv1.Replica
-	for i, r := range replicas {
-		if i > number && r.Name == before.Name || r.Learner && r.Replaces == before.Id {
-			found = r
-		}
-	}
-	return found
-}
-
 // caughtUp reports whether a replica lacks no more than one message can bring.
 func caughtUp(s quorum.Status, id uint64) bool {
 	match := s.Match[id]
