--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -48,8 +48,11 @@
 
 	mu      sync.Mutex
 	clients map[string]apiv1.Jobs
-	peers   []string
-	contact time.Time
+	// peers are the control hosts that are asked, in order.
+	peers []string
+	// directories are the hosts that only pass on what they heard of the group.
+	directories map[string]bool
+	contact     time.Time
 }
 
 // New returns a client that starts from the seeds, internal addresses of control
@@ -62,7 +65,7 @@
 	f.TryTimeout = tryTimeout
 	return &Client{
 		seeds: slices.Clone(seeds), http: hc, forwarder: f, logger: logger.Named("jobclient"),
-		clients: map[string]apiv1.Jobs{}, peers: slices.Clone(seeds),
+		clients: map[string]apiv1.Jobs{}, peers: slices.Clone(seeds), directories: map[string]bool{},
 	}
 }
 
@@ -79,35 +82,78 @@
 	}
 }
 
-// refresh asks one control host after another for the members of the group.
+// refresh asks one control host after another, until a member of the group tells
+// who belongs to it. What a directory tells leads on to members but is neither a
+// contact with the group nor a reason to forget members: it may be old.
 func (c *Client) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshInterval)
 	defer cancel()
+	heard := false
 	c.forwarder.Ask(ctx, false, func(ctx context.Context, address string) (string, bool) {
 		resp, err := c.jobs(address).Members(ctx, &apiv1.JobsMembersRequest{})
 		if err != nil || len(resp.Addresses) == 0 {
 			return "", false
 		}
-		c.adopt(resp.Addresses)
-		return "", true
+		// A member of the group names itself too.
+		heard = slices.Contains(resp.Addresses, address)
+		if heard {
+			c.adopt(resp.Addresses)
+		} else {
+			c.follow(address, resp.Addresses)
+		}
+		return "", heard
 	})
+	if !heard {
+		c.startOver()
+	}
 }
 
 // adopt takes a list of members over. The seeds stay on it: should all members
-// that this process knows be replaced while it is cut off, they lead back.
+// that this process knows be replaced while it is cut off, they lead back. Those
+// that are directories are left out until then: a request that they can't serve
+// would wait for its next try.
 func (c *Client) adopt(members []string) {
-	peers := slices.Concat(members, c.seeds)
-	slices.Sort(peers)
-	peers = slices.Compact(peers)
 	c.mu.Lock()
-	changed := !slices.Equal(peers, c.peers)
-	c.peers = peers
+	defer c.mu.Unlock()
 	c.contact = time.Now()
-	c.mu.Unlock()
-	if changed {
-		c.forwarder.SetPeers(peers)
-		c.logger.Info("control hosts changed", zap.Strings("addresses", peers))
+	seeds := slices.DeleteFunc(slices.Clone(c.seeds), func(a string) bool { return c.directories[a] })
+	c.setPeers(slices.Concat(members, seeds))
+}
+
+// follow adds the hosts that a directory told of to those that are asked.
+func (c *Client) follow(directory string, told []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directories[directory] = true
+	c.setPeers(slices.Concat(c.peers, told))
+}
+
+// startOver asks the seeds again, directories too, beside all others.
+func (c *Client) startOver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.directories)
+	c.setPeers(slices.Concat(c.peers, c.seeds))
+}
+
+// setPeers replaces the hosts that are asked. The caller holds mu.
+func (c *Client) setPeers(peers []string) {
+	slices.Sort(peers)
+	peers = slices.Compact(peers)
+	if slices.Equal(peers, c.peers) {
+		return
 	}
+	c.peers = peers
+	c.forwarder.SetPeers(peers)
+	c.logger.Info("control hosts changed", zap.Strings("addresses", peers))
+}
+
+// Addresses returns the internal addresses of the control hosts known here, with
+// the seeds as long as the group was not found.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.peers)
 }
 
 // ContactAge is the time since a control host last answered.
