--- a/quorum/node/options.go
+++ b/quorum/node/options.go
@@ -19,6 +19,9 @@
 	// Peers are the hosts of the control group, this one included. They matter
 	// only until the replica belongs to a group.
 	Peers []settings.Peer
+	// Discover returns addresses of control hosts that this process knows from
+	// elsewhere; they are asked beside the peers by a replica that joins. May be nil.
+	Discover func() []string
 	// JoinOnly keeps an empty replica from forming a group or being an initial
 	// member of one: it joins the group of its peers, whenever that is there.
 	JoinOnly bool
@@ -29,6 +32,10 @@
 	// ReplaceAfter is how long a voter must be silent for a spare to take its place;
 	// 2.5 s when 0, five election timeouts.
 	ReplaceAfter time.Duration
+	// MaxVoters is the number of voters that the leader brings the group to, in odd
+	// steps and as far as hosts are there, by giving votes to spares. 0 leaves the number
+	// as it was founded.
+	MaxVoters int
 	// Folder is used when Storage is nil.
 	Folder       string
 	Storage      Storage
@@ -91,13 +98,21 @@
 	if o.OnLeadership == nil {
 		o.OnLeadership = func(Leadership) {}
 	}
+	if o.Discover == nil {
+		o.Discover = func() []string { return nil }
+	}
 	for o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
 }
 
-// replaceTicks is ReplaceAfter in ticks.
-func (o *Options) replaceTicks() int { return int(o.ReplaceAfter / o.Tick) }
+// membershipPolicy is what these options say on the leader's own changes.
+func (o *Options) membershipPolicy() membershipPolicy {
+	return membershipPolicy{
+		replaceTicks: int(o.ReplaceAfter / o.Tick), recentTicks: o.ElectionTicks,
+		goneTicks: int(goneAfter / o.Tick), maxVoters: o.MaxVoters,
+	}
+}
 
 // electionTimeout is the shortest time without a leader before an election.
 func (o *Options) electionTimeout() time.Duration {
