quorum/node, jobclient: a group is founded without hosts that keep no replica

Cause: a founder waits for the answers of all hosts that the settings name; one without a disk never gave any. Its directory now says that it keeps no replica. TestFoundingWithoutAHostThatHasNoDisk fails without it ('never: a leader', nine plays).

--- a/jobclient/directory.go
+++ b/jobclient/directory.go
@@ -9,6 +9,8 @@
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
 
+const noReplica = "this host keeps no replica"
+
 // Directory stands in for a replica on a control host that keeps none, as it has no
 // disk. Other processes may have been told nothing but such hosts: they have to
 // find the group through them, and must go on to the next host with everything
@@ -18,6 +20,8 @@
 // was committed.
 type Directory struct {
 	client *Client
+	// name is this host's in the control group's settings.
+	name string
 	// address is this host's own, which is never named: only a member of the group
 	// names itself.
 	address string
@@ -26,11 +30,28 @@
 var (
 	_ apiv1.Jobs    = Directory{}
 	_ apiv1.Control = Directory{}
+	_ apiv1.Quorum  = Directory{}
 )
 
-// NewDirectory returns the directory of a host at an internal address.
-func NewDirectory(client *Client, address string) Directory {
-	return Directory{client: client, address: address}
+// NewDirectory returns the directory of a host with a name and an internal address.
+func NewDirectory(client *Client, name, address string) Directory {
+	return Directory{client: client, name: name, address: address}
+}
+
+// Identify implements apiv1.Quorum: an answer without an id says that there is no
+// replica to wait for. Hosts that found a group would wait for ever without it.
+func (d Directory) Identify(context.Context, *apiv1.IdentifyRequest) (*apiv1.IdentifyResponse, error) {
+	return &apiv1.IdentifyResponse{Name: d.name}, nil
+}
+
+// Join implements apiv1.Quorum.
+func (d Directory) Join(context.Context, *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
+	return &apiv1.JoinResponse{NotLeader: true, Message: noReplica}, nil
+}
+
+// Deliver implements apiv1.Quorum.
+func (d Directory) Deliver(context.Context, *apiv1.DeliverRequest) (*apiv1.DeliverResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, noReplica)
 }
 
 // Members implements apiv1.Jobs.
--- a/jobclient/directory_test.go
+++ b/jobclient/directory_test.go
@@ -81,7 +81,7 @@
 	var c *Client
 	h := startHost(t, func(address string) (apiv1.Jobs, apiv1.Control) {
 		c = New(append(seeds, address), zap.NewNop())
-		d := NewDirectory(c, address)
+		d := NewDirectory(c, address, address)
 		return d, d
 	})
 	return h, c
--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -144,11 +144,12 @@
 	}
 }
 
-// peers returns the other configured hosts, ordered by name.
+// peers returns the other configured hosts, ordered by name, but for those that said
+// that they keep no replica: a group that waited for them would never be formed.
 func (n *Node) peers() []settings.Peer {
 	var others []settings.Peer
 	for _, p := range n.opts.Peers {
-		if p.Name != n.opts.Name {
+		if p.Name != n.opts.Name && !n.withoutReplica[p.Name] {
 			others = append(others, p)
 		}
 	}
@@ -183,6 +184,13 @@
 		})
 	}
 	asking.Wait()
+	for i, a := range answers {
+		if a != nil && a.ReplicaId == 0 {
+			n.logger.Info("Peer keeps no replica.", zap.String("peer", peers[i].Name))
+			n.withoutReplica[a.Name] = true
+			answers[i] = nil
+		}
+	}
 	return answers
 }
 
--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -78,7 +78,9 @@
 	reconciling  int
 
 	// Owned by the goroutine that forms or joins the group.
-	refusals         refusals
+	refusals refusals
+	// withoutReplica are the names of peers that keep no replica.
+	withoutReplica   map[string]bool
 	leaderlessReport time.Time
 
 	view       view
@@ -114,6 +116,8 @@
 		done:        make(chan struct{}),
 		failed:      make(chan error, 1),
 		refusals:    refusals{},
+
+		withoutReplica: map[string]bool{},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if n.storage == nil {
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -58,6 +58,8 @@
 	MaxVoters int
 	// Peers are the hosts that replicas started from now on are told of, all when nil.
 	Peers []string
+	// WithoutReplica are names of peers that answer, and keep no replica.
+	WithoutReplica []string
 	// Discover goes into the options of replicas that are started.
 	Discover func() []string
 	// Delay is called for a question about identity and for its answer.
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/sourcegraph/conc"
@@ -90,6 +91,9 @@
 
 // Identify implements node.Transport.
 func (l *link) Identify(ctx context.Context, address string, founder uint64) (*apiv1.IdentifyResponse, error) {
+	if slices.Contains(l.g.WithoutReplica, address) {
+		return &apiv1.IdentifyResponse{Name: address}, nil
+	}
 	n, err := l.g.reach(l.from, address)
 	if err != nil {
 		return nil, err
--- a/quorum/node/size_test.go
+++ b/quorum/node/size_test.go
@@ -209,3 +209,21 @@
 	}
 	return voters
 }
+
+// Symptom: a new deployment never serves anything.
+// Sequence: one of the three hosts that the settings name has no disk.
+// Cause: the founder waits for the answer of a replica that never comes to be.
+func TestFoundingWithoutAHostThatHasNoDisk(t *testing.T) {
+	for _, hollow := range []string{"0", "n", "z"} { // before, between and after the others
+		forSeeds(t, 3, []string{"m", "o"}, func(g *nodetest.Group) {
+			g.Peers = []string{hollow, "m", "o"}
+			g.WithoutReplica = []string{hollow}
+			g.MustStart()
+			g.Propose("1")
+			g.Peers = []string{hollow}
+			g.Discover = func() []string { return []string{"m"} }
+			g.AddSpare("p")
+			g.Wait("three voters", func() bool { return len(g.Voters()) == 3 })
+		})
+	}
+}
