quorum/node: a silent host does not hide the group from one that joins

Cause: all discovered hosts shared one second; a silent one that came first used it up in each round. TestSilentHostDoesNotHideTheGroup fails without it on its three seeds.

--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -197,17 +197,27 @@
 // discoverGroup looks for the group at the control hosts that this process knows from
 // elsewhere: none of the configured peers may hold a replica any more.
 func (n *Node) discoverGroup() (step, *apiv1.Membership) {
-	ctx, cancel := context.WithTimeout(n.ctx, askTimeout)
-	defer cancel()
 	for _, address := range n.opts.Discover() {
-		answer, err := n.transport.Identify(ctx, address, 0)
-		if err == nil && answer.Membership != nil {
-			return stepJoin, answer.Membership
+		if m := n.membershipAt(address); m != nil {
+			return stepJoin, m
 		}
 	}
 	return stepWait, nil
 }
 
+// membershipAt asks one host for its group, nil when it has none. Each host has its own
+// time to answer: one that is silent must not use up that of the next.
+func (n *Node) membershipAt(address string) *apiv1.Membership {
+	ctx, cancel := context.WithTimeout(n.ctx, askTimeout)
+	defer cancel()
+	answer, err := n.transport.Identify(ctx, address, 0)
+	if err != nil {
+		n.logger.Debug("Discovered host does not identify itself.", zap.String("address", address), zap.Error(err))
+		return nil
+	}
+	return answer.Membership
+}
+
 // decide chooses the next step from the peers' answers.
 func (n *Node) decide(answers []*apiv1.IdentifyResponse) (step, *apiv1.Membership) {
 	fresh := n.stored.HardState == nil
--- a/quorum/node/missing_test.go
+++ b/quorum/node/missing_test.go
@@ -65,6 +65,21 @@
 	})
 }
 
+// Symptom: a host with an empty disk never takes part, though the group is whole.
+// Sequence: its settings name a host that is silent, as does what it discovered, before
+// a member of the group.
+// Cause: the silent host uses up the time for all of them, in each round.
+func TestSilentHostDoesNotHideTheGroup(t *testing.T) {
+	forSeeds(t, 3, three, func(g *nodetest.Group) {
+		foundersAndSpares(g, "d", "e", "f")
+		g.Silent = []string{"silent"}
+		g.Discover = func() []string { return []string{"silent", "e"} }
+		g.Peers = []string{"silent"}
+		g.AddSpare("late")
+		g.Wait("the log on the late host", func() bool { return g.Has("late", "first") })
+	})
+}
+
 // Symptom: an operator can't see from the metrics that one more loss stops the group.
 // Sequence: a follower of three is down.
 // Cause: the leader does not show whom it hears.
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -60,6 +60,8 @@
 	Peers []string
 	// WithoutReplica are names of peers that answer, and keep no replica.
 	WithoutReplica []string
+	// Silent are addresses that take questions and never answer.
+	Silent []string
 	// Discover goes into the options of replicas that are started.
 	Discover func() []string
 	// Delay is called for a question about identity and for its answer.
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -91,6 +91,10 @@
 
 // Identify implements node.Transport.
 func (l *link) Identify(ctx context.Context, address string, founder uint64) (*apiv1.IdentifyResponse, error) {
+	if slices.Contains(l.g.Silent, address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if slices.Contains(l.g.WithoutReplica, address) {
 		return &apiv1.IdentifyResponse{Name: address}, nil
 	}
