--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -98,6 +98,9 @@
 	if slices.Contains(l.g.WithoutReplica, address) {
 		return &apiv1.IdentifyResponse{Name: address}, nil
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	n, err := l.g.reach(l.from, address)
 	if err != nil {
 		return nil, err
