entry: failing test of a claim that waits past its caller's deadline

Symptom: beside heavy load callers with an idempotency key give up with no answer. Cause: the claim's proposal carries no deadline; on a host that leads it waits until the leadership is lost, then the forwarder takes 5 s of its own, and a claim made anew for a retry does so once more.

--- a/entry/claim_test.go
+++ b/entry/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/control"
 )
 
 func keyed(id, key string) map[string]string {
@@ -173,3 +175,67 @@
 		t.Errorf("the charge was dispatched %d times", n)
 	}
 }
+
+// silentGroup is a control group without a leader: claims get no answer from it. It
+// keeps how long each claim was allowed to wait.
+type silentGroup struct {
+	control.Service
+	mu    sync.Mutex
+	waits []time.Duration
+}
+
+// unbounded is the wait of a claim whose context has no deadline.
+const unbounded = time.Duration(math.MaxInt64)
+
+func (s *silentGroup) Propose(ctx context.Context, cmd *apiv1.Command) (*apiv1.Result, error) {
+	if cmd.GetClaim() == nil {
+		return s.Service.Propose(ctx, cmd)
+	}
+	wait := unbounded
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = time.Until(deadline)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waits = append(s.waits, wait)
+	return nil, &control.UnknownError{Cause: "nobody answers"}
+}
+
+// Symptom: a caller with an idempotency key gives up without any answer, seconds past
+// its deadline. Sequence: the control group has no leader for a while, as when its hosts
+// are short of processor time; the claim of the key waits for one. Cause: the wait ended
+// with the control group's own timeout, counted anew at each claim, and not with the
+// caller's deadline.
+func TestClaimEndsByTheCallersDeadline(t *testing.T) {
+	group := &silentGroup{}
+	g := newRigOver(t, 1, func(c control.Service) control.Service {
+		group.Service = c
+		return group
+	})
+	g.startAgent()
+	for id, c := range map[string]struct{ timeout, longest time.Duration }{
+		"hasty":   {200 * time.Millisecond, 200 * time.Millisecond},
+		"patient": {maxTimeout, 5 * time.Second},
+	} {
+		t.Run(id, func(t *testing.T) {
+			group.waits = nil
+			headers := keyed(id, id)
+			headers[HeaderTimeoutMs] = fmt.Sprint(c.timeout.Milliseconds())
+			w := g.call(g.entries[0], http.MethodPost, "/bookings/pay", "5", headers)
+			if got := w.Header().Get(HeaderOutcome); got != "not-run" || w.Header().Get("Retry-After") == "" {
+				t.Errorf("the caller got %s, Retry-After %q: %s", got, w.Header().Get("Retry-After"), w.Body)
+			}
+			if n := g.runs(id); n != 0 {
+				t.Errorf("a charge that was said not to have run ran %d times", n)
+			}
+			if len(group.waits) == 0 {
+				t.Fatal("no claim was made")
+			}
+			for _, wait := range group.waits {
+				if wait > c.longest {
+					t.Errorf("a claim may wait for %v, longer than %v", wait, c.longest)
+				}
+			}
+		})
+	}
+}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -37,6 +37,11 @@
 }
 
 func newRig(t testing.TB, entries int) *rig {
+	return newRigOver(t, entries, func(c control.Service) control.Service { return c })
+}
+
+// newRigOver makes a rig whose entries reach the control group by what over returns.
+func newRigOver(t testing.TB, entries int, over func(control.Service) control.Service) *rig {
 	ctx, stop := context.WithCancel(context.Background())
 	g := &rig{t: t, ctx: ctx, ran: map[string]int{}, replica: control.NewReplica(control.Config{Planner: place.New(place.Config{})})}
 	g.replica.Attach(control.NewMemoryLog(g.replica, "127.0.0.1:1"))
@@ -73,7 +78,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e.useControl(g.replica)
+		e.useControl(over(g.replica))
 		servers[i].Handle("/", e.internalHandler())
 		e.startLoops(ctx)
 		wg.Go(func() { e.loops.Wait(); e.background.Wait() })
