entry: a claim ends by its caller's deadline

Cause: raw request context, no deadline, handed to the control group for the claim of an idempotency key; the wait was up to the time that a leadership lasts plus 5 s, per claim. Mend: all claims of a request end at the same time as its dispatches; one claim also after claimTimeout, the 5 s that the forwarder used before, so that a caller with ten minutes isn't held for them.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -18,8 +18,8 @@
 	// must cost a request little, since nothing was sent to it.
 	dialTimeout    = 300 * time.Millisecond
 	maxIdlePerHost = 512
-	// revokeShare and maxRevokeTime set aside the last part of a request's time
-	// for asking the agent what became of an attempt that gave no answer.
+	// revokeShare and maxRevokeTime set aside the last part of a request's time; see
+	// workDeadline.
 	revokeShare   = 10
 	maxRevokeTime = 100 * time.Millisecond
 	// maxStatus is the highest HTTP status (RFC 9110, 15).
@@ -48,11 +48,11 @@
 func (e *Entry) dispatch(ctx context.Context, r *request, target route.Target, number uint32) attempt {
 	a := attempt{target: target, number: number}
 	started := e.now()
-	margin := min(r.Deadline.Sub(started)/revokeShare, maxRevokeTime)
-	sendCtx, cancel := context.WithDeadline(ctx, r.Deadline.Add(-margin))
+	end := r.workDeadline(started)
+	sendCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	client := e.agents.client(target.Address)
-	resp, err := client.Dispatch(sendCtx, e.dispatchRequest(r, target, number, started.Add(margin)))
+	resp, err := client.Dispatch(sendCtx, e.dispatchRequest(r, target, number, end.Sub(started)))
 	a.took = e.now().Sub(started)
 	if err != nil {
 		e.settleLost(r, &a, client, err)
@@ -62,14 +62,21 @@
 	return a
 }
 
-func (e *Entry) dispatchRequest(r *request, target route.Target, number uint32, from time.Time) *apiv1.DispatchRequest {
+// workDeadline is when claims and dispatches end, so that the last part of the request's
+// time is left to find out what became of an attempt and to answer.
+func (r *request) workDeadline(now time.Time) time.Time {
+	margin := min(r.Deadline.Sub(now)/revokeShare, maxRevokeTime)
+	return r.Deadline.Add(-margin)
+}
+
+func (e *Entry) dispatchRequest(r *request, target route.Target, number uint32, remaining time.Duration) *apiv1.DispatchRequest {
 	return &apiv1.DispatchRequest{
 		RequestId:            r.ID,
 		Attempt:              number,
 		Service:              r.Service,
 		Target:               localName(target),
 		AgentIncarnation:     target.AgentIncarnation,
-		RemainingMs:          r.Deadline.Sub(from).Milliseconds(),
+		RemainingMs:          remaining.Milliseconds(),
 		Request:              r.http,
 		ConfigurationVersion: e.services.Load().version,
 		ConfirmedAgeMs:       e.confirmedAgeMs(),
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -26,6 +26,9 @@
 	maxStoredAnswer = 64 << 10
 	// maxOrphanWait bounds the revocation of another entry's request.
 	maxOrphanWait = 500 * time.Millisecond
+	// claimTimeout bounds one claim: ten election timeouts of the default settings. A
+	// caller that would wait longer is told to come back.
+	claimTimeout = 5 * time.Second
 	// settleTimeout bounds the storing of an outcome.
 	settleTimeout = 5 * time.Second
 )
@@ -36,14 +39,20 @@
 // Without it a resend that reaches another entry would run the request twice. The
 // claim names the agent and attempt of the dispatch that follows, so that any
 // entry can ask that agent for its outcome when this one dies in between.
+//
+// All claims of a request together end by its deadline. While the control group has no
+// leader each waits for one; with a bound of its own the caller would have given up
+// before it is told "not run", and never learn that it may safely come back.
 func (e *Entry) claim(ctx context.Context, r *request) pipeline.Status {
 	if r.key == "" {
 		return pipeline.Status{}
 	}
+	ctx, cancel := context.WithDeadline(ctx, r.workDeadline(e.now()))
+	defer cancel()
 	poll := claimPollFirst
 	for {
 		asked := e.now()
-		res, err := e.control.Propose(ctx, e.claimCommand(r))
+		res, err := e.proposeClaim(ctx, r)
 		if err != nil {
 			return e.claimFailed(r, err)
 		}
@@ -65,6 +74,12 @@
 	}
 }
 
+func (e *Entry) proposeClaim(ctx context.Context, r *request) (*apiv1.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return e.control.Propose(ctx, e.claimCommand(r))
+}
+
 // standingClaim is a claim that another request holds, and when the log was asked.
 type standingClaim struct {
 	*apiv1.ClaimResult
--- a/entry/claim_test.go
+++ b/entry/claim_test.go
@@ -215,7 +215,7 @@
 	g.startAgent()
 	for id, c := range map[string]struct{ timeout, longest time.Duration }{
 		"hasty":   {200 * time.Millisecond, 200 * time.Millisecond},
-		"patient": {maxTimeout, 5 * time.Second},
+		"patient": {maxTimeout, claimTimeout},
 	} {
 		t.Run(id, func(t *testing.T) {
 			group.waits = nil
