entry: failing test of a dispatch whose time is over before it is sent

Symptom: "unknown" of a charge that was never sent. Cause: an HTTP call on a context that has ended fails like one without an answer; the router also counts the target as slow.

--- a/entry/claim_test.go
+++ b/entry/claim_test.go
@@ -239,3 +239,42 @@
 		})
 	}
 }
+
+// lateGroup grants a claim, and lets the caller's deadline pass before it says so.
+type lateGroup struct {
+	control.Service
+	timeout time.Duration
+}
+
+func (s lateGroup) Propose(ctx context.Context, cmd *apiv1.Command) (*apiv1.Result, error) {
+	res, err := s.Service.Propose(ctx, cmd)
+	if cmd.GetClaim() != nil {
+		time.Sleep(s.timeout)
+	}
+	return res, err
+}
+
+// Symptom: a trader is told "unknown" of a charge that was never sent to any target.
+// Sequence: the claim of the key is granted, and the entry stands still until the
+// caller's deadline has passed. Cause: a dispatch whose time was over before it was sent
+// counted as one whose answer was lost.
+func TestClaimGrantedTooLateIsNotRun(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	g := newRigOver(t, 1, func(c control.Service) control.Service { return lateGroup{c, timeout} })
+	f := &faultyAgent{fault: func(*apiv1.DispatchRequest, *apiv1.DispatchResponse) {}}
+	g.announceAgent(apiv1.NewAgentServer(f))
+	headers := keyed("charge", "k")
+	headers[HeaderTimeoutMs] = fmt.Sprint(timeout.Milliseconds())
+	w := g.call(g.entries[0], http.MethodPost, "/bookings/pay", "5", headers)
+	if got := w.Header().Get(HeaderOutcome); got != "not-run" {
+		t.Errorf("the caller got %s: %s", got, w.Body)
+	}
+	if n := f.dispatches.Load(); n != 0 {
+		t.Errorf("the charge was dispatched %d times", n)
+	}
+	g.entries[0].background.Wait() // whatever is stored is stored now
+	w = g.call(g.entries[0], http.MethodPost, "/bookings/pay", "5", keyed("charge", "k"))
+	if got := w.Header().Get(HeaderOutcome); got != "answered" || f.dispatches.Load() != 1 {
+		t.Errorf("the resend got %s after %d dispatches: %s", got, f.dispatches.Load(), w.Body)
+	}
+}
