--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -48,6 +48,10 @@
 func (e *Entry) dispatch(ctx context.Context, r *request, target route.Target, number uint32) attempt {
 	a := attempt{target: target, number: number}
 	started := e.now()
+	if !started.Before(r.Deadline) {
+		a.keepBack()
+		return a
+	}
 	end := r.workDeadline(started)
 	sendCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
@@ -62,6 +66,16 @@
 	return a
 }
 
+// keepBack is the outcome of an attempt that is not sent, since the deadline passed
+// while its claim was made or this process stood still. A call whose time is over fails
+// like one that was sent and got no answer: the caller would be told "unknown", and the
+// router would count the target as slow.
+func (a *attempt) keepBack() {
+	a.outcome = apiv1.Outcome_OUTCOME_NOT_RUN
+	a.reason = apiv1.Reason_REASON_DEADLINE
+	a.text = "the deadline passed before anything was sent"
+}
+
 // workDeadline is when claims and dispatches end, so that the last part of the request's
 // time is left to find out what became of an attempt and to answer.
 func (r *request) workDeadline(now time.Time) time.Time {
