--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -12,6 +12,8 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/dependency"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 const (
@@ -62,6 +64,7 @@
 	logger *zap.Logger
 	meters meters
 	news   chan struct{}
+	worker *dependency.Watch
 
 	mu      sync.Mutex
 	session *session
@@ -83,8 +86,9 @@
 	}
 	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
 	return &Driver{
-		opts: o, logger: o.Logger.Named("runs"), meters: newMeters(o.Metrics),
-		news: make(chan struct{}, 1), left: map[string]bool{},
+		opts: o, logger: event.Runs.Named(o.Logger), meters: newMeters(o.Metrics),
+		worker: dependency.New("worker", o.Logger, o.Now),
+		news:   make(chan struct{}, 1), left: map[string]bool{},
 	}
 }
 
@@ -126,7 +130,7 @@
 func (d *Driver) Announce(a Announcement) {
 	id := a.Worker.Id
 	if !d.confirm(id) {
-		d.logger.Info("announcement of an incarnation that does not answer", zap.String("worker", id))
+		event.AnnouncementFalse.Write(d.logger, event.Worker(id))
 		return
 	}
 	d.mu.Lock()
@@ -142,7 +146,7 @@
 			d.left[s.incarnation] = true
 			s.cancel()
 		}
-		d.logger.Info("worker found", zap.String("worker", id), zap.String("before", incarnationOf(s)))
+		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
 		d.session = d.newSession(a)
 	}
 	d.wake()
@@ -292,8 +296,7 @@
 			s.pause(retryPause)
 			continue
 		case err != nil || answer != AnswerDone:
-			s.d.logger.Info("lease is not renewed", zap.String("worker", s.incarnation),
-				zap.Stringer("answer", answer), zap.Error(err))
+			event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
 			s.reportLapse()
 			s.pause(retryPause)
 			continue
@@ -315,7 +318,9 @@
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
 	defer cancel()
-	return s.d.opts.Worker.Renew(ctx, o, r)
+	status, answer, err := s.d.opts.Worker.Renew(ctx, o, r)
+	s.d.worker.Note(err)
+	return status, answer, err
 }
 
 // depart tells the leader that the incarnation is gone.
@@ -324,7 +329,7 @@
 	s.d.left[s.incarnation] = true
 	s.d.mu.Unlock()
 	a := s.announcement()
-	s.d.logger.Info("worker left", zap.String("worker", s.incarnation), zap.Bool("replaced", replaced))
+	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(replaced))
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 		_, err := s.d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{Worker: a.Worker, Departed: true})
@@ -353,12 +358,12 @@
 	resp, err := s.d.opts.Leader.Report(ctx, r)
 	if err != nil {
 		s.d.meters.reportsLost.Inc(1)
-		s.d.logger.Info("report is lost", zap.String("worker", s.incarnation), zap.Int("ends", len(r.Ends)),
-			zap.Int("running", len(r.Running)), zap.Error(err))
+		event.ReportLost.Write(s.d.logger, event.Worker(s.incarnation), event.EndCount(len(r.Ends)),
+			event.RunningCount(len(r.Running)), event.Err(err))
 		return false
 	}
 	if resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE {
-		s.d.logger.Warn("leader takes the worker for one that left", zap.String("worker", s.incarnation))
+		event.WorkerTakenForOther.Write(s.d.logger, event.Worker(s.incarnation))
 		return false
 	}
 	s.granted(resp, status.ClockMs, received, sent)
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // clockReading is what the worker's clock showed, read no later than received.
@@ -72,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
 	_, err := s.d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{Worker: s.announcement().Worker, Lapsed: true})
-	s.d.logger.Warn("worker's lease ran out", zap.String("worker", s.incarnation), zap.Error(err))
+	event.WorkersLeaseRanOut.Write(s.d.logger, event.Worker(s.incarnation), event.Err(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapseReported = err == nil
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // order is what the agent has to do about one run.
@@ -192,11 +191,10 @@
 func (s *session) startAnswered(id jobqueue.RunID, o *order, answer Answer, err error) bool {
 	if err != nil {
 		s.d.meters.unanswered.Inc(1)
-		s.d.logger.Info("start is unanswered", zap.Stringer("task", id.Task), zap.Uint64("run", id.Number), zap.Error(err))
+		event.StartUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Err(err))
 		return false
 	}
-	s.d.logger.Info("start answered", zap.Stringer("task", id.Task), zap.Uint64("run", id.Number),
-		zap.Stringer("answer", answer))
+	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Answer(answer))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch answer {
@@ -247,8 +245,7 @@
 			s.pause(retry.next())
 			continue
 		}
-		s.d.logger.Info("stop answered", zap.Stringer("task", id.Task), zap.Uint64("run", id.Number),
-			zap.Stringer("answer", answer))
+		event.StopAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Answer(answer))
 		if answer == AnswerOther {
 			s.cancel()
 		}
@@ -285,12 +282,12 @@
 	o.pacing = false
 	if err != nil {
 		s.d.meters.unanswered.Inc(1)
-		s.d.logger.Info("pace is unanswered", zap.Stringer("task", id.Task), zap.Error(err))
+		event.PaceUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Err(err))
 		time.AfterFunc(maxRetryPause, func() { s.repeat(id) })
 		return
 	}
-	s.d.logger.Info("pace answered", zap.Stringer("task", id.Task), zap.Uint64("run", id.Number),
-		zap.Uint32("percent", percent), zap.Stringer("answer", answer))
+	event.PaceAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Percent(percent),
+		event.Answer(answer))
 	o.paced = percent
 	s.advance(id, o)
 }
--- a/control/decisions.go
+++ b/control/decisions.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/place"
 )
 
@@ -76,32 +77,27 @@
 }
 
 func (d *decisionRing) log(dec place.Decision) {
-	message := "task placed"
+	kind := event.TaskPlaced
 	if dec.Worker == "" {
-		message = "task waits"
+		kind = event.TaskWaits
 	}
-	d.logger.Info(message,
-		zap.String("task", dec.Task), zap.Uint64("attempt", dec.Attempt),
-		zap.String("worker", dec.Worker), zap.String("reason", dec.Reason),
-		zap.Int("candidates", dec.Candidates), zap.Float64("score", dec.Score),
-		zap.Any("refused", dec.Refused))
+	kind.Write(d.logger, event.TaskName(dec.Task), event.Attempt(dec.Attempt), event.Worker(dec.Worker),
+		event.Reason(dec.Reason), event.Candidates(dec.Candidates), event.Score(dec.Score), event.Refused(dec.Refused))
 }
 
 // logActions leaves a line for each running task that has to give way. A throttle
 // that is only ordered again is no new decision.
 func (d *decisionRing) logActions(p place.Plan) {
 	for _, e := range p.Evictions {
-		d.logger.Info("task evicted",
-			zap.String("task", e.Task), zap.Uint64("attempt", e.Attempt),
-			zap.String("worker", e.Worker), zap.String("reason", e.Reason))
+		event.TaskEvicted.Write(d.logger, event.TaskName(e.Task), event.Attempt(e.Attempt), event.Worker(e.Worker),
+			event.Reason(e.Reason))
 	}
 	for _, t := range p.Throttles {
 		if t.Reason == place.ReasonStillInForce {
 			continue
 		}
-		d.logger.Info("task throttled",
-			zap.String("task", t.Task), zap.Uint64("attempt", t.Attempt),
-			zap.String("worker", t.Worker), zap.Int32("share_milli", t.ShareMilli), zap.String("reason", t.Reason))
+		event.TaskThrottled.Write(d.logger, event.TaskName(t.Task), event.Attempt(t.Attempt), event.Worker(t.Worker),
+			event.ShareMilli(t.ShareMilli), event.Reason(t.Reason))
 	}
 }
 
--- a/control/leader.go
+++ b/control/leader.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
-	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/place"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -66,7 +66,7 @@
 	l := newLeases(r.cfg.LeaseDuration, r.cfg.ClockRateErrorPPM, now)
 	c := newCoordinator(term, l, r.cfg.Planner, r.throttles)
 	r.setCoordinator(c)
-	r.logger.Info("leader is ready", zap.Uint64("term", term), zap.Uint64("index", res.Index))
+	event.CoordinatorReady.Write(r.logger, event.Term(term), event.Index(res.Index))
 	return c
 }
 
@@ -101,7 +101,7 @@
 		p.Go(func() {
 			res, err := r.proposeOwn(ctx, cmd)
 			if err != nil {
-				r.logger.Warn("command failed", zap.String("command", commandName(cmd)), zap.Error(err))
+				event.CommandFailed.Write(r.logger, event.Command(commandName(cmd)), event.Err(err))
 				return
 			}
 			results[i] = res
@@ -144,7 +144,7 @@
 	cmds := make([]*apiv1.Command, len(workers))
 	for i, w := range workers {
 		cmds[i] = expiries[w]
-		r.logger.Warn("leases ran out", zap.String("worker", w), zap.Int("attempts", len(cmds[i].GetExpire().Tasks)))
+		event.LeasesRanOut.Write(r.logger, event.Worker(w), event.AttemptCount(len(cmds[i].GetExpire().Tasks)))
 	}
 	results := r.proposeAll(ctx, cmds)
 	r.leading.Lock()
@@ -173,9 +173,8 @@
 			if results[i] == nil || results[i].Grants[n].Verdict == apiv1.Verdict_VERDICT_ACCEPTED {
 				continue
 			}
-			r.decisions.logger.Info("grant refused",
-				zap.String("task", g.Task), zap.Uint64("attempt", g.Attempt),
-				zap.String("worker", g.Worker), zap.String("reason", results[i].Grants[n].Message))
+			event.GrantRefused.Write(r.decisions.logger, event.TaskName(g.Task), event.Attempt(g.Attempt),
+				event.Worker(g.Worker), event.Reason(results[i].Grants[n].Message))
 		}
 	}
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -15,6 +15,7 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/failstop"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -110,13 +111,13 @@
 	cfg.setDefaults()
 	return &Replica{
 		cfg:       cfg,
-		logger:    cfg.Logger.Named("control"),
+		logger:    event.Control.Named(cfg.Logger),
 		metrics:   newReplicaMetrics(cfg.Metrics),
 		machine:   state.New(),
 		started:   cfg.Now(),
 		changed:   make(chan struct{}),
 		throttles: map[string]throttle{},
-		decisions: decisionRing{logger: cfg.Logger.Named("place")},
+		decisions: decisionRing{logger: event.Place.Named(cfg.Logger)},
 	}
 }
 
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -4,8 +4,7 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 )
 
@@ -63,9 +62,9 @@
 	advice, err := d.opts.Advisor.Approve(ctx, q.Question)
 	now := d.opts.Now()
 	d.meters.advice.Update(now.Sub(asked))
-	d.logger.Info("placement advice", zap.Uint64("term", q.term), zap.Stringer("step", q.Step),
-		zap.Int("asked", len(q.Workers)), zap.Int("approved", len(advice.Tickets)), zap.Duration("took", now.Sub(asked)),
-		zap.Error(err))
+	d.advisor.Note(err)
+	event.PlacementAdvice.Write(d.logger, event.Term(q.term), event.Step(q.Step), event.Asked(len(q.Workers)),
+		event.Approved(len(advice.Tickets)), event.Took(now.Sub(asked)), event.Err(err))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leading == nil || d.leading.term != q.term {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,8 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/dependency"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -91,6 +93,8 @@
 	changed broadcast
 	// questions are those that the advisor has not been asked yet.
 	questions chan askedQuestion
+	advisor   *dependency.Watch
+	hosts     *dependency.Watch
 
 	// mu guards what the leader knows beside the log. It is taken before the
 	// replica's own lock.
@@ -108,7 +112,8 @@
 	paceRevisions map[string]uint64
 	// waits are the steps that found no worker in the last round.
 	waits       []schedule.Wait
-	waitsLogged map[jobqueue.StepID]time.Time
+	waitsLogged map[jobqueue.StepID]waitLogged
+	runLog      *runLog
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
@@ -133,12 +138,14 @@
 	}
 	return &Dispatcher{
 		opts:    o,
-		logger:  o.Logger.Named("dispatch"),
+		logger:  event.Dispatch.Named(o.Logger),
 		meters:  newMeters(o.Metrics),
 		wake:    make(chan struct{}, 1),
 		changed: newBroadcast(),
 
 		questions: make(chan askedQuestion, maxQuestions),
+		advisor:   dependency.New("advisor", o.Logger, o.Now),
+		hosts:     dependency.New("list of hosts", o.Logger, o.Now),
 	}
 }
 
@@ -157,6 +164,7 @@
 	defer beside.Wait()
 	beside.Go(func() { d.askAdvisor(ctx) })
 	beside.Go(func() { d.maintain(ctx) })
+	defer d.endRunLog()
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
 	for ctx.Err() == nil {
@@ -173,13 +181,22 @@
 	}
 }
 
+// endRunLog writes what was gathered when the process ends.
+func (d *Dispatcher) endRunLog() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leading != nil {
+		d.leading.runLog.write(d.leading.term, d.opts.Now())
+	}
+}
+
 // lead makes this replica ready to lead when it was elected.
 func (d *Dispatcher) lead(ctx context.Context) bool {
 	term, ok := d.opts.Replica.Leading()
 	d.mu.Lock()
 	current := d.leading
-	if !ok || current != nil && current.term != term {
-		d.leading = nil
+	if current != nil && (!ok || current.term != term) {
+		d.resign()
 	}
 	d.mu.Unlock()
 	if !ok {
@@ -191,6 +208,12 @@
 	return d.takeOver(ctx, term)
 }
 
+// resign forgets what the leader of a term knows; d.mu is held.
+func (d *Dispatcher) resign() {
+	d.leading.runLog.write(d.leading.term, d.opts.Now())
+	d.leading = nil
+}
+
 // takeOver commits that this replica leads: once that is applied, everything of
 // earlier terms is, and nothing that an earlier leader decided is accepted any
 // more. Each worker's lease counts as renewed at that moment, since the earlier
@@ -202,7 +225,7 @@
 		Body: &apiv1.Command_Lead{Lead: &apiv1.Lead{Term: term}},
 	})
 	if err != nil || res.Verdict != apiv1.Verdict_VERDICT_ACCEPTED {
-		d.logger.Warn("leader is not ready", zap.Uint64("term", term), zap.Error(err))
+		event.LeaderNotReady.Write(d.logger, event.Term(term), event.Err(err))
 		return false
 	}
 	d.mu.Lock()
@@ -217,9 +240,10 @@
 		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
 		observed:      map[jobqueue.RunID]schedule.Observation{},
 		paceRevisions: map[string]uint64{},
-		waitsLogged:   map[jobqueue.StepID]time.Time{},
+		waitsLogged:   map[jobqueue.StepID]waitLogged{},
+		runLog:        newRunLog(d.logger),
 	}
-	d.logger.Info("leader is ready", zap.Uint64("term", term), zap.Uint64("index", res.Index))
+	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
 }
 
@@ -245,7 +269,7 @@
 		Body: &apiv1.JobsCommand_Plan{Plan: plan},
 	}))
 	if err != nil {
-		d.logger.Warn("plan is not committed", zap.Uint64("term", plan.Term), zap.Error(err))
+		event.PlanUncommitted.Write(d.logger, event.Term(plan.Term), event.Err(err))
 	}
 	if len(lapsed) > 0 {
 		d.endLapses(plan.Term, lapsed, err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK)
@@ -278,7 +302,8 @@
 		d.noteWaits(l, decision.Waits, now)
 		d.putQuestions(l, decision.Questions, now)
 		l.forgetRuns(jobs)
-		d.logDecision(jobs, l, plan)
+		d.logDecision(jobs, l, plan, now)
+		l.runLog.tick(l.term, now)
 	})
 	d.meters.planning.UpdateSince(began)
 	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed) == 0 && plan.Learnt == nil {
@@ -308,7 +333,7 @@
 		return
 	}
 	if !committed {
-		d.leading = nil
+		d.resign()
 		return
 	}
 	for _, w := range workers {
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -90,8 +89,9 @@
 	listing, cancel := context.WithTimeout(ctx, hostCallTimeout)
 	hosts, err := d.opts.Hosts.List(listing)
 	cancel()
+	d.hosts.Note(err)
 	if err != nil {
-		d.logger.Warn("hosts can't be listed", zap.Uint64("term", term), zap.Error(err))
+		event.HostsUnlisted.Write(d.logger, event.Term(term), event.Err(err))
 		return
 	}
 	var steps []*apiv1.MaintainHost
@@ -113,8 +113,8 @@
 		Body: &apiv1.JobsCommand_Maintain{Maintain: step},
 	}))
 	taken := err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK
-	d.logger.Info("host maintenance", zap.Uint64("term", term), zap.Uint64("wave", step.Wave), zap.String("host", step.Host),
-		zap.String("worker", step.Worker), zap.Stringer("state", step.State), zap.Bool("taken", taken), zap.Error(err))
+	event.Maintenance.Write(d.logger, event.Term(term), event.Wave(step.Wave), event.Host(step.Host),
+		event.Worker(step.Worker), event.State(step.State), event.Taken(taken), event.Err(err))
 	return taken
 }
 
@@ -143,8 +143,8 @@
 	calling, cancel := context.WithTimeout(ctx, hostCallTimeout)
 	answer, err := d.opts.Hosts.Maintain(calling, term, h.Name, h.wave)
 	cancel()
-	d.logger.Info("host maintenance ordered", zap.Uint64("term", term), zap.Uint64("wave", h.wave),
-		zap.String("host", h.Name), zap.Stringer("answer", answer), zap.Error(err))
+	event.MaintenanceOrder.Write(d.logger, event.Term(term), event.Wave(h.wave), event.Host(h.Name),
+		event.Answer(answer), event.Err(err))
 	// A refusal tells nothing of an earlier call, which may still be carried out: so
 	// the host stays ordered, and counts as down, until an order is answered or the
 	// host leaves the fleet.
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
-	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // meters are the dispatcher's metrics.
@@ -33,21 +35,21 @@
 	}
 }
 
-// logDecision writes one line for each start, stop and lost worker.
-func (d *Dispatcher) logDecision(m *jobqueue.Machine, l *leadership, p *apiv1.PlanRuns) {
+// logDecision tells of each start, stop and lost worker.
+func (d *Dispatcher) logDecision(m *jobqueue.Machine, l *leadership, p *apiv1.PlanRuns, now time.Time) {
 	for _, s := range p.Starts {
 		d.meters.starts.Inc(1)
-		d.logger.Info("start", zap.Uint64("term", l.term), zap.Stringer("task", jobqueue.TaskIDOf(s.Task)),
-			zap.Uint64("run", s.Run), zap.String("worker", s.Worker))
+		l.runLog.start(l.term, s.Worker, jobqueue.RunID{Task: jobqueue.TaskIDOf(s.Task), Number: s.Run}, now)
 	}
 	for _, s := range p.Stops {
 		d.meters.stops.Inc(1)
-		d.logger.Info("stop", zap.Uint64("term", l.term), zap.Stringer("task", jobqueue.TaskIDOf(s.Task)),
-			zap.Uint64("run", s.Run), zap.String("reason", s.Reason))
+		event.RunStop.Write(d.logger, event.Term(l.term), event.Task(jobqueue.TaskIDOf(s.Task)), event.Run(s.Run),
+			event.Reason(s.Reason))
 	}
 	for _, id := range p.Lapsed {
 		d.meters.lapses.Inc(1)
-		d.logger.Warn("lease ran out", zap.Uint64("term", l.term), zap.String("worker", id),
-			zap.Int("runs", len(m.Worker(id).Runs)))
+		lease := l.leases.of(id)
+		event.LeaseRanOut.Write(d.logger, event.Term(l.term), event.Worker(id), event.RunCount(len(m.Worker(id).Runs)),
+			event.Silent(now.Sub(lease.renewed)), event.Lease(lease.duration))
 	}
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -6,11 +6,11 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -25,7 +25,7 @@
 	outcome, err := d.commitReport(ctx, command)
 	now, leads := d.opts.Replica.Leading()
 	if err != nil || !leads || now != term {
-		d.logger.Info("report is not confirmed", zap.String("worker", r.Worker.GetId()), zap.Error(err))
+		event.ReportUnproved.Write(d.logger, event.Worker(r.Worker.GetId()), event.Err(err))
 		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
 	}
 	resp := &apiv1.JobsReportResponse{Term: term, Outcome: outcome}
@@ -77,7 +77,7 @@
 	if d.leading != nil && d.leading.term == term {
 		d.leading.leases.endLapse(worker)
 	}
-	d.logger.Warn("worker gives no answer", zap.Uint64("term", term), zap.String("worker", worker))
+	event.WorkerSilent.Write(d.logger, event.Term(term), event.Worker(worker))
 }
 
 // observe notes the state of a run.
@@ -107,8 +107,8 @@
 	for _, refusal := range r.Refusals {
 		d.meters.refused.Inc(1)
 		l.planner.StartRefused(jobqueue.TaskIDOf(refusal.Task).StepID(), w.Spec.Id)
-		d.logger.Warn("start refused", zap.String("worker", w.Spec.Id), zap.String("reason", refusal.Reason),
-			zap.Stringer("task", jobqueue.TaskIDOf(refusal.Task)), zap.Uint64("run", refusal.Run))
+		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason),
+			event.Task(jobqueue.TaskIDOf(refusal.Task)), event.Run(refusal.Run))
 	}
 	for _, e := range r.Ends {
 		run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}]
@@ -123,8 +123,12 @@
 			ended.Took = now.Sub(o.FirstAt)
 		}
 		l.planner.RunEnded(ended)
-		d.logger.Info("run ended", zap.Stringer("task", run.ID.Task), zap.Uint64("run", e.Run),
-			zap.String("worker", w.Spec.Id), zap.String("how", endName(e.Kind)))
+		if e.Kind == apiv1.RunEndKind_RUN_END_KIND_DONE {
+			l.runLog.end(l.term, w.Spec.Id, run.ID, now)
+			continue
+		}
+		event.RunEnded.Write(d.logger, event.Task(run.ID.Task), event.Run(e.Run), event.Worker(w.Spec.Id),
+			event.How(endName(e.Kind)))
 	}
 }
 
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -3,30 +3,36 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 )
 
 // waitLogInterval is the time between two lines about one step that waits.
 const waitLogInterval = 2 * time.Second
 
+// waitLogged is since when a step has waited in every round, and when the last line
+// said so.
+type waitLogged struct{ since, at time.Time }
+
 // noteWaits counts and logs the steps whose tasks found no worker; each step at
 // most once in an interval, since rounds come many times a second.
 func (d *Dispatcher) noteWaits(l *leadership, waits []schedule.Wait, now time.Time) {
 	l.waits = waits
 	tasks := 0
-	logged := map[jobqueue.StepID]time.Time{}
+	logged := map[jobqueue.StepID]waitLogged{}
 	for _, w := range waits {
 		tasks += w.Tasks
-		at, known := l.waitsLogged[w.Step]
-		if !known || now.Sub(at) >= waitLogInterval {
-			at = now
-			d.logger.Info("tasks wait", zap.String("job", w.Step.Job), zap.Uint32("occurrence", w.Step.Occurrence),
-				zap.Uint32("step", w.Step.Step), zap.Int("tasks", w.Tasks), zap.String("workers", w.Why()))
+		wait, known := l.waitsLogged[w.Step]
+		if !known {
+			wait.since = now
+		}
+		if !known || now.Sub(wait.at) >= waitLogInterval {
+			wait.at = now
+			event.TasksWait.Write(d.logger, event.Step(w.Step), event.TaskCount(w.Tasks), event.WorkersByReason(w.Why()),
+				event.Waited(now.Sub(wait.since)))
 		}
-		logged[w.Step] = at
+		logged[w.Step] = wait
 	}
 	l.waitsLogged = logged
 	d.meters.waiting.Update(int64(tasks))
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -15,6 +15,8 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/logging/dependency"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/redial"
 )
 
@@ -45,6 +47,7 @@
 	http      *http.Client
 	forwarder *control.Forwarder
 	logger    *zap.Logger
+	leader    *dependency.Watch
 
 	mu      sync.Mutex
 	clients map[string]apiv1.Jobs
@@ -61,7 +64,8 @@
 	f := control.NewForwarder(seeds, hc)
 	f.TryTimeout = tryTimeout
 	return &Client{
-		seeds: slices.Clone(seeds), http: hc, forwarder: f, logger: logger.Named("jobclient"),
+		seeds: slices.Clone(seeds), http: hc, forwarder: f, logger: event.JobClient.Named(logger),
+		leader:  dependency.New("leader", logger, nil),
 		clients: map[string]apiv1.Jobs{}, peers: slices.Clone(seeds),
 	}
 }
@@ -106,7 +110,7 @@
 	c.mu.Unlock()
 	if changed {
 		c.forwarder.SetPeers(peers)
-		c.logger.Info("control hosts changed", zap.Strings("addresses", peers))
+		event.ControlHostsNews.Write(c.logger, event.Addresses(peers))
 	}
 }
 
@@ -132,6 +136,7 @@
 // not proposed and never will be), *control.UnknownError.
 func (c *Client) propose(ctx context.Context, cmd *apiv1.JobsCommand) (apiv1.JobOutcome, error) {
 	res, err := c.forwarder.Propose(ctx, &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: cmd}})
+	c.noteLeader(ctx, err)
 	if err != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, err
 	}
@@ -139,6 +144,14 @@
 	return res.Job, nil
 }
 
+// noteLeader takes in whether a leader answered. A caller that went away tells nothing.
+func (c *Client) noteLeader(ctx context.Context, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	c.leader.Note(err)
+}
+
 func (c *Client) touch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -181,8 +194,10 @@
 		return "", true
 	})
 	if found == nil {
+		c.noteLeader(ctx, ErrUnconfirmed)
 		return nil, ErrUnconfirmed
 	}
+	c.noteLeader(ctx, nil)
 	c.touch()
 	return found, nil
 }
@@ -208,8 +223,10 @@
 		return "", true
 	})
 	if found == nil {
+		c.noteLeader(ctx, cause)
 		return nil, cause
 	}
+	c.noteLeader(ctx, nil)
 	return found, nil
 }
 
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -8,21 +8,57 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
+// budget bounds what a process writes in a second.
+type budget struct{ lines, bytes int }
+
+// Each class of lines has a budget of its own, so that a flood of one never pushes out
+// another: the line that explains a failure, or the one that says when the leader
+// changed. The bytes bound how far back the last 95 kB of a process reach, which is what
+// an incident's record keeps of it. A site's busy leader writes some 4 kB a second.
+var budgets = [classes]budget{
+	routine: {lines: 400, bytes: 32 << 10},
+	rare:    {lines: 50, bytes: 8 << 10},
+	warning: {lines: 200, bytes: 32 << 10},
+}
+
+// class is a class of lines with a budget.
+type class int
+
+const (
+	routine class = iota
+	rare
+	warning
+	classes
+)
+
+// classOf returns a line's class; event.Rank says what belongs where.
+func classOf(level zapcore.Level, fields []zapcore.Field) class {
+	switch {
+	case level >= zapcore.WarnLevel:
+		return warning
+	case event.IsRare(fields):
+		return rare
+	}
+	return routine
+}
+
 const (
-	// routineLinesPerSecond and urgentLinesPerSecond bound what a process writes. A
-	// site's burst makes about 200 lines a second on the busiest process; warnings and
-	// errors have a budget of their own, so that a flood of routine lines never
-	// pushes out the line that explains a failure.
-	routineLinesPerSecond = 400
-	urgentLinesPerSecond  = 200
 	// queuedLines wait for a slow reader of the output.
 	queuedLines = 2048
 	// flushTimeout bounds the wait for a slow reader at the process's end.
 	flushTimeout = 200 * time.Millisecond
+	// noticeInterval is the time between two lines that say what was left out.
+	noticeInterval = time.Second
+	// timeLayout is how the other lines write their time.
+	timeLayout = "2006-01-02T15:04:05.000Z0700"
+	processKey = "process"
 )
 
 // Bounded is a logger's output whose volume is bounded and that never blocks.
@@ -32,28 +68,32 @@
 // requests costs more for its lines than for its answers.
 type Bounded struct {
 	out     io.Writer
+	process string
 	lines   chan []byte
 	written chan struct{}
 	dropped atomic.Int64
 	now     func() time.Time
 
-	mu      sync.Mutex
-	second  time.Time
-	routine int
-	urgent  int
+	mu     sync.Mutex
+	second time.Time
+	used   [classes]budget
 }
 
-// NewBounded returns a logger that writes JSON lines to out, and its bounded output.
-func NewBounded(out io.Writer, level string) (*zap.Logger, *Bounded, error) {
+// NewBounded returns a logger that writes JSON lines to out, each with the name of the
+// process, and its bounded output.
+func NewBounded(out io.Writer, level, process string) (*zap.Logger, *Bounded, error) {
 	at := zapcore.InfoLevel
 	if level != "" {
 		if err := at.Set(level); err != nil {
 			return nil, nil, errors.Wrap(err, "log level")
 		}
 	}
-	b := &Bounded{out: out, lines: make(chan []byte, queuedLines), written: make(chan struct{}), now: time.Now}
+	b := &Bounded{
+		out: out, process: process, lines: make(chan []byte, queuedLines), written: make(chan struct{}), now: time.Now,
+	}
 	go b.write()
-	return zap.New(shortErrors{&boundedCore{LevelEnabler: at, encoder: zapcore.NewJSONEncoder(encoding()), b: b}}), b, nil
+	core := shortErrors{&boundedCore{LevelEnabler: at, encoder: zapcore.NewJSONEncoder(encoding()), b: b}}
+	return zap.New(core).With(zap.String(processKey, process)), b, nil
 }
 
 // Close ends the output and waits, for flushTimeout at most, until what was logged
@@ -66,39 +106,80 @@
 	}
 }
 
+// Register shows the number of lines left out among a process's metrics.
+func (b *Bounded) Register(r metrics.Registry) {
+	r.GetOrRegister("log.lines_left_out", metrics.NewFunctionalGauge(b.Dropped))
+}
+
 // Dropped is the number of lines that were left out so far.
 func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
-// write hands the lines on and says, in a line of its own, how many were left out.
+// write hands the lines on and says, in lines of its own, how many were left out.
 func (b *Bounded) write() {
 	defer close(b.written)
-	var told int64
-	for line := range b.lines {
-		if _, err := b.out.Write(line); err != nil {
-			b.dropped.Add(1) // nowhere is left to say so but the counter
-		}
-		if dropped := b.dropped.Load(); dropped > told && len(b.lines) == 0 {
-			_, _ = fmt.Fprintf(b.out, "{\"level\":\"warn\",\"part\":\"log\",\"msg\":\"lines left out\",\"lines\":%d}\n", dropped-told)
-			told = dropped
+	notices := time.NewTicker(noticeInterval)
+	defer notices.Stop()
+	n := notice{b: b}
+	for {
+		select {
+		case line, open := <-b.lines:
+			if !open {
+				n.tell()
+				return
+			}
+			if _, err := b.out.Write(line); err != nil {
+				b.dropped.Add(1) // nowhere is left to say so but the counter
+			}
+			if len(b.lines) == 0 && b.now().Sub(n.at) >= noticeInterval {
+				n.tell()
+			}
+		case <-notices.C:
+			n.tell()
 		}
 	}
 }
 
-// admit spends the budget of this second.
-func (b *Bounded) admit(level zapcore.Level) bool {
+// notice says how many lines were left out since it last did.
+type notice struct {
+	b    *Bounded
+	told int64
+	at   time.Time
+}
+
+func (n *notice) tell() {
+	dropped := n.b.dropped.Load()
+	if dropped == n.told {
+		return
+	}
+	at := n.b.now()
+	_, _ = fmt.Fprintf(n.b.out, "{\"level\":\"warn\",\"ts\":%q,\"part\":%q,\"msg\":%q,%q:%q,\"lines\":%d}\n",
+		at.Format(timeLayout), event.LinesLeftOut.Part, event.LinesLeftOut.Name, processKey, n.b.process, dropped-n.told)
+	n.told, n.at = dropped, at
+}
+
+// admitLine spends one line of this second's budget; lines that find none are not even
+// encoded.
+func (b *Bounded) admitLine(c class) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now := b.now(); now.Sub(b.second) >= time.Second {
-		b.second, b.routine, b.urgent = now, 0, 0
+		b.second, b.used = now, [classes]budget{}
 	}
-	used, budget := &b.routine, routineLinesPerSecond
-	if level >= zapcore.WarnLevel {
-		used, budget = &b.urgent, urgentLinesPerSecond
+	if b.used[c].lines >= budgets[c].lines {
+		return false
 	}
-	if *used >= budget {
+	b.used[c].lines++
+	return true
+}
+
+// admitBytes spends the bytes of a line.
+func (b *Bounded) admitBytes(c class, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used[c].bytes+bytes > budgets[c].bytes {
 		return false
 	}
-	*used++
+	b.used[c].bytes += bytes
 	return true
 }
 
@@ -128,7 +209,8 @@
 
 // Write implements zapcore.Core.
 func (c *boundedCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	if !c.b.admit(e.Level) {
+	class := classOf(e.Level, fields)
+	if !c.b.admitLine(class) {
 		c.b.dropped.Add(1)
 		return nil
 	}
@@ -136,10 +218,13 @@
 	if err != nil {
 		return errors.Wrap(err, "log line")
 	}
-	line := append([]byte(nil), buffer.Bytes()...)
-	buffer.Free()
+	defer buffer.Free()
+	if !c.b.admitBytes(class, buffer.Len()) {
+		c.b.dropped.Add(1)
+		return nil
+	}
 	select {
-	case c.b.lines <- line:
+	case c.b.lines <- append([]byte(nil), buffer.Bytes()...):
 	default:
 		c.b.dropped.Add(1)
 	}
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -37,7 +37,7 @@
 // Cause: a logger that waits for its output.
 func TestStuckOutputCostsLinesOnly(t *testing.T) {
 	w := &stuckWriter{release: make(chan struct{})}
-	log, bounded, err := logging.NewBounded(w, "info")
+	log, bounded, err := logging.NewBounded(w, "info", "h1/entry")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &stuckWriter{release: make(chan struct{})}
 		close(w.release)
-		log, bounded, err := logging.NewBounded(w, "info")
+		log, bounded, err := logging.NewBounded(w, "info", "h1/entry")
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/logging/dependency/dependency.go
@@ -0,0 +1,72 @@
+// Package dependency tells when a process loses another one that it needs, and when
+// it has it back: one line each, however many calls fail between.
+//
+// What goes wrong without it: each call that fails leaves a line of its own, hundreds
+// in an outage, and none says when the outage began and how long it lasted.
+package dependency
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// lostAfter is how long calls must have failed, without one that was answered, for the
+// other side to count as lost: an election, or a restart of the agent's worker, takes
+// less.
+const lostAfter = time.Second
+
+// Watch follows the calls of one dependency.
+type Watch struct {
+	name   string
+	logger *zap.Logger
+	now    func() time.Time
+
+	mu sync.Mutex
+	// failing is when the first of the calls failed that no answer followed; zero when
+	// the last call was answered.
+	failing time.Time
+	lost    bool
+}
+
+// New returns a watch of the dependency of a name. The clock is time.Now when nil.
+func New(name string, logger *zap.Logger, now func() time.Time) *Watch {
+	if now == nil {
+		now = time.Now
+	}
+	return &Watch{name: name, logger: logger, now: now}
+}
+
+// Note takes in how a call ended; nil means that it was answered. A call that its
+// caller gave up tells nothing.
+func (w *Watch) Note(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	now := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		w.answered(now)
+		return
+	}
+	if w.failing.IsZero() {
+		w.failing = now
+	}
+	if !w.lost && now.Sub(w.failing) >= lostAfter {
+		w.lost = true
+		event.DependencyLost.Write(w.logger, event.Dependency(w.name), event.Silent(now.Sub(w.failing)), event.Err(err))
+	}
+}
+
+func (w *Watch) answered(now time.Time) {
+	if w.lost {
+		event.DependencyBack.Write(w.logger, event.Dependency(w.name), event.Away(now.Sub(w.failing)))
+	}
+	w.failing, w.lost = time.Time{}, false
+}
--- /dev/null
+++ b/logging/event/events.go
@@ -0,0 +1,109 @@
+package event
+
+// Lines of a process as a whole.
+var (
+	ProcessStarted   = declare(Process, Rare, "started", "role", "node", "ip", "bootstrap", "addresses")
+	ProcessStopping  = declare(Process, Rare, "stopping")
+	ProcessStopped   = declare(Process, Rare, "stopped")
+	ProcessFailed    = declare(Process, Failure, "failed", "error")
+	SettingsReread   = declare(Process, Rare, "settings reread", "changed", "reason", "error")
+	ReplicaUnclean   = declare(Process, Failure, "replica did not stop cleanly", "error")
+	DependencyLost   = declare(Process, Warning, "dependency lost", "dependency", "silent", "error")
+	DependencyBack   = declare(Process, Rare, "dependency is back", "dependency", "away")
+	LinesLeftOut     = declare(Log, Warning, "lines left out", "lines")
+	ControlHostsNews = declare(JobClient, Rare, "control hosts changed", "addresses")
+)
+
+// Lines about calls of callers and operators.
+var (
+	Request               = declare(Frontend, Routine, "request", requestFields...)
+	RequestUnanswered     = declare(Frontend, Warning, "request failed", requestFields...)
+	ConfigurationRefused  = declare(Operator, Warning, "configuration refused", NameVersion, "error")
+	ConfigurationReceived = declare(Operator, Rare, "configuration submitted", NameVersion, "status", "error")
+	WaveRefused           = declare(Operator, Warning, "wave refused", "wave", "error")
+	WaveReceived          = declare(Operator, Rare, "wave submitted", "wave", "hosts", "status", "error")
+)
+
+var requestFields = []string{"method", "host", NamePath, NameJob, "status", "allowed", "took", "error"}
+
+// Lines of the leader about jobs.
+var (
+	LeaderReady      = declare(Dispatch, Rare, "leader is ready", NameTerm, "index")
+	LeaderNotReady   = declare(Dispatch, Warning, "leader is not ready", NameTerm, "error")
+	PlanUncommitted  = declare(Dispatch, Warning, "plan is not committed", NameTerm, "error")
+	RunsRoutine      = declare(Dispatch, Routine, "runs", NameTerm, NameStarted, NameEnded)
+	RunStop          = declare(Dispatch, Routine, "stop", NameTerm, NameTask, NameRun, "reason")
+	RunEnded         = declare(Dispatch, Warning, "run ended", NameTask, NameRun, NameWorker, NameHow)
+	StartRefused     = declare(Dispatch, Warning, "start refused", NameWorker, "reason", NameTask, NameRun)
+	TasksWait        = declare(Dispatch, Routine, "tasks wait", NameStep, "tasks", "workers", "waited")
+	LeaseRanOut      = declare(Dispatch, Warning, "lease ran out", NameTerm, NameWorker, "runs", "silent", "lease")
+	WorkerSilent     = declare(Dispatch, Warning, "worker gives no answer", NameTerm, NameWorker)
+	PlacementAdvice  = declare(Dispatch, Routine, "placement advice", NameTerm, NameStep, "asked", "approved", "took", "error")
+	Maintenance      = declare(Dispatch, Rare, "host maintenance", NameTerm, "wave", "host", NameWorker, "state", "taken", "error")
+	MaintenanceOrder = declare(Dispatch, Rare, "host maintenance ordered", NameTerm, "wave", "host", "answer", "error")
+	HostsUnlisted    = declare(Dispatch, Warning, "hosts can't be listed", NameTerm, "error")
+	ReportUnproved   = declare(Dispatch, Rare, "report is not confirmed", NameWorker, "error")
+)
+
+// Lines of agents.
+var (
+	WorkerFound         = declare(Runs, Rare, "worker found", NameWorker, "before")
+	WorkerLeft          = declare(Runs, Rare, "worker left", NameWorker, "replaced")
+	AnnouncementFalse   = declare(Runs, Rare, "announcement of an incarnation that does not answer", NameWorker)
+	WorkerTakenForOther = declare(Runs, Warning, "leader takes the worker for one that left", NameWorker)
+	WorkersLeaseRanOut  = declare(Runs, Warning, "worker's lease ran out", NameWorker, "error")
+	LeaseNotRenewed     = declare(Runs, Rare, "lease is not renewed", NameWorker, "answer", "error")
+	StartUnanswered     = declare(Runs, Routine, "start is unanswered", NameTask, NameRun, "error")
+	StartAnswered       = declare(Runs, Routine, "start answered", NameTask, NameRun, "answer")
+	StopAnswered        = declare(Runs, Routine, "stop answered", NameTask, NameRun, "answer")
+	PaceUnanswered      = declare(Runs, Routine, "pace is unanswered", NameTask, NameRun, "error")
+	PaceAnswered        = declare(Runs, Routine, "pace answered", NameTask, NameRun, "percent", "answer")
+	ReportLost          = declare(Runs, Rare, "report is lost", NameWorker, "ends", "running", "error")
+)
+
+// StateOfGroup sums up what a control host believes.
+var StateOfGroup = declare(Group, Rare, "state", NameTerm, "leader", "leads", "voters", "heard", "spares", NameVersion,
+	"workers", "reachable", "waiting", "since")
+
+// Lines of the control group's coordinator, which the users' platform does not use.
+var (
+	CoordinatorReady = declare(Control, Rare, "leader is ready", NameTerm, "index")
+	CommandFailed    = declare(Control, Warning, "command failed", "command", "error")
+	LeasesRanOut     = declare(Control, Warning, "leases ran out", NameWorker, "attempts")
+	TaskPlaced       = declare(Place, Routine, "task placed", placementFields...)
+	TaskWaits        = declare(Place, Routine, "task waits", placementFields...)
+	TaskEvicted      = declare(Place, Routine, "task evicted", NameTask, "attempt", NameWorker, "reason")
+	TaskThrottled    = declare(Place, Routine, "task throttled", NameTask, "attempt", NameWorker, "share_milli", "reason")
+	GrantRefused     = declare(Place, Routine, "grant refused", NameTask, "attempt", NameWorker, "reason")
+)
+
+var placementFields = []string{NameTask, "attempt", NameWorker, "reason", "candidates", "score", "refused"}
+
+// Lines of the replicated log's replica.
+var (
+	LeadershipChanged  = declare(Quorum, Rare, "Leadership changed.", "leading", NameTerm)
+	MembershipChanges  = declare(Quorum, Rare, "Membership changes.", "change")
+	MembershipWaits    = declare(Quorum, Debug, "Membership change has to wait.", "change", "error")
+	HandoverImpossible = declare(Quorum, Rare, "Leadership can't be handed over.", "error")
+	MessagesLost       = declare(Quorum, Debug, "Messages are lost.", "address", "error")
+	MessageRefused     = declare(Quorum, Debug, "Message is refused.", "error")
+	SnapshotReplaces   = declare(Quorum, Rare, "Snapshot of the leader replaces the log.", "index", "bytes")
+	SnapshotTooLarge   = declare(Quorum, Failure, "State is too large for a snapshot.", "bytes")
+	SnapshotUnrecorded = declare(Quorum, Rare, "Snapshot is left unrecorded.", "error")
+	PeerUnidentified   = declare(Quorum, Rare, "Peer does not identify itself.", "peer", "error")
+	GroupNamesReplica  = declare(Quorum, Rare, "Group names this replica; its initial membership is awaited.", "peer")
+	GroupFormed        = declare(Quorum, Rare, "Replica belongs to a new group.", "replicas")
+	JoinUnanswered     = declare(Quorum, Rare, "Request to join is unanswered.", "address", "error")
+	JoinAccepted       = declare(Quorum, Rare, "Leader takes the replica in.", "leader")
+	JoinRefused        = declare(Quorum, Warning, "Request to join is refused.", "address", "reason")
+	ReplicaStopped     = declare(Quorum, Failure, "Replica stopped.", "error")
+	ReplicaStopsLeads  = declare(Quorum, Warning, "Replica stops while it leads.", "error")
+	DisksLost          = declare(Quorum, Failure, "The group lost the disks of a majority.", leaderlessFields...)
+	GroupLeaderless    = declare(Quorum, Warning, "The group has no leader.", leaderlessFields...)
+	SegmentUnfinished  = declare(Quorum, Warning, "Unfinished segment file is removed.", "file")
+	TornRecordCut      = declare(Quorum, Warning, "Torn record at the end of the log is cut off.", "file", "offset", "bytes")
+	SnapshotDamaged    = declare(Quorum, Failure, "Snapshot is damaged; an older one and the log replace it.", "file")
+	GroupLedAgain      = declare(Quorum, Rare, "The group has a leader again.", "leader")
+)
+
+var leaderlessFields = []string{"voters", "silent_voters", "disk_lost", "id"}
--- /dev/null
+++ b/logging/event/fields.go
@@ -0,0 +1,200 @@
+package event
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Names of the fields that tie the lines of several processes together.
+const (
+	NameJob     = "job"
+	NameTask    = "task"
+	NameStep    = "step"
+	NameRun     = "run"
+	NameWorker  = "worker"
+	NameTerm    = "term"
+	NameVersion = "version"
+	NamePath    = "path"
+	NameStarted = "started"
+	NameEnded   = "ended"
+	NameHow     = "how"
+)
+
+// Ids, spelled the same in all parts.
+
+// Job is the id that the caller gave a job.
+func Job(id string) Field { return text(NameJob, id) }
+
+// Task is a task of a job: JOB/OCCURRENCE/STEP/INDEX.
+func Task(id fmt.Stringer) Field { return Field{zap.Stringer(NameTask, id)} }
+
+// TaskName is a task by its name alone.
+func TaskName(id string) Field { return text(NameTask, id) }
+
+// Step is a step of a job: JOB/OCCURRENCE/STEP.
+func Step(id fmt.Stringer) Field { return Field{zap.Stringer(NameStep, id)} }
+
+// Run is the number of a task's run; each start gets the next one.
+func Run(number uint64) Field { return number64(NameRun, number) }
+
+// Worker is an incarnation of a worker.
+func Worker(id string) Field { return text(NameWorker, id) }
+
+// Term is the leader's term.
+func Term(t uint64) Field { return number64(NameTerm, t) }
+
+// Version is a version of the configuration.
+func Version(v uint64) Field { return number64(NameVersion, v) }
+
+// Wave is the number of a maintenance wave.
+func Wave(number uint64) Field { return number64("wave", number) }
+
+// Outcomes and what decided them.
+
+// Err is the error; nil adds no field.
+func Err(err error) Field { return Field{zap.Error(err)} }
+
+// Reason is why.
+func Reason(why string) Field { return text("reason", why) }
+
+// Answer is what the other side answered to an order.
+func Answer(a fmt.Stringer) Field { return Field{zap.Stringer("answer", a)} }
+
+// How is how a run ended.
+func How(kind string) Field { return text(NameHow, kind) }
+
+// Status is the HTTP status of an answer.
+func Status(code int) Field { return number("status", code) }
+
+// Took is how long it took.
+func Took(d time.Duration) Field { return Field{zap.Duration("took", d)} }
+
+// Allowed is how long the caller was ready to wait.
+func Allowed(d time.Duration) Field { return Field{zap.Duration("allowed", d)} }
+
+// Silent is how long ago the other side was heard of last.
+func Silent(d time.Duration) Field { return Field{zap.Duration("silent", d)} }
+
+// Lease is for how long the lease was granted.
+func Lease(d time.Duration) Field { return Field{zap.Duration("lease", d)} }
+
+// Waited is how long it has waited so far.
+func Waited(d time.Duration) Field { return Field{zap.Duration("waited", d)} }
+
+// Percent is a pace.
+func Percent(p uint32) Field { return Field{zap.Uint32("percent", p)} }
+
+// Counts and lists.
+
+// RunCount is a number of runs.
+func RunCount(n int) Field { return number("runs", n) }
+
+// TaskCount is a number of tasks.
+func TaskCount(n int) Field { return number("tasks", n) }
+
+// EndCount is a number of ended runs.
+func EndCount(n int) Field { return number("ends", n) }
+
+// RunningCount is a number of running runs.
+func RunningCount(n int) Field { return number("running", n) }
+
+// HostCount is a number of hosts.
+func HostCount(n int) Field { return number("hosts", n) }
+
+// WorkersByReason says how many workers each reason rules out.
+func WorkersByReason(why string) Field { return text("workers", why) }
+
+// Asked is the number of workers that the advisor was asked about.
+func Asked(n int) Field { return number("asked", n) }
+
+// Approved is the number of workers that the advisor allows.
+func Approved(n int) Field { return number("approved", n) }
+
+// Started lists the runs that were started, by worker; each is "TASK RUN AGE", the
+// age in milliseconds before the line.
+func Started(byWorker map[string][]string) Field { return byName(NameStarted, byWorker) }
+
+// Ended lists the runs that ended done, like Started.
+func Ended(byWorker map[string][]string) Field { return byName(NameEnded, byWorker) }
+
+// Others.
+
+// Method is the method of a caller's request.
+func Method(m string) Field { return text("method", m) }
+
+// Host is a queue's host, or a host of the fleet.
+func Host(name string) Field { return text("host", name) }
+
+// Path is the path of a caller's request.
+func Path(p string) Field { return text(NamePath, p) }
+
+// State is a host's state in a wave.
+func State(s fmt.Stringer) Field { return Field{zap.Stringer("state", s)} }
+
+// Taken says whether a step of a wave was committed.
+func Taken(yes bool) Field { return Field{zap.Bool("taken", yes)} }
+
+// Before is the incarnation that was served before.
+func Before(worker string) Field { return text("before", worker) }
+
+// Replaced says that another incarnation answers in a worker's place.
+func Replaced(yes bool) Field { return Field{zap.Bool("replaced", yes)} }
+
+// Role is the process's role.
+func Role(name string) Field { return text("role", name) }
+
+// Node is the host's name in the settings.
+func Node(name string) Field { return text("node", name) }
+
+// IP is the host's address.
+func IP(address string) Field { return text("ip", address) }
+
+// Bootstrap says that the process forms the first group.
+func Bootstrap(yes bool) Field { return Field{zap.Bool("bootstrap", yes)} }
+
+// Addresses are addresses of control hosts.
+func Addresses(list []string) Field { return Field{zap.Strings("addresses", list)} }
+
+// Address is the address of another process.
+func Address(a string) Field { return text("address", a) }
+
+// Index is an index of the log.
+func Index(i uint64) Field { return number64("index", i) }
+
+// Changed names the settings that a reload found changed.
+func Changed(names []string) Field { return Field{zap.Strings("changed", names)} }
+
+// Dependency is what a process needs another one for.
+func Dependency(name string) Field { return text("dependency", name) }
+
+// Away is how long a dependency was lost.
+func Away(d time.Duration) Field { return Field{zap.Duration("away", d)} }
+
+func text(name, value string) Field { return Field{zap.String(name, value)} }
+
+func number(name string, n int) Field { return Field{zap.Int(name, n)} }
+
+func number64(name string, n uint64) Field { return Field{zap.Uint64(name, n)} }
+
+// byName is a map of lists, written in the order of the names.
+func byName(name string, lists map[string][]string) Field {
+	if len(lists) == 0 {
+		return Field{zap.Skip()}
+	}
+	return Field{zap.Object(name, namedLists(lists))}
+}
+
+type namedLists map[string][]string
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (l namedLists) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	for _, name := range slices.Sorted(maps.Keys(l)) {
+		zap.Strings(name, l[name]).AddTo(enc)
+	}
+	return nil
+}
--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -9,10 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/settings"
 )
@@ -176,7 +176,7 @@
 		asking.Go(func() {
 			answer, err := n.transport.Identify(ctx, p.Address, founder)
 			if err != nil || answer.Name != p.Name {
-				n.logger.Info("Peer does not identify itself.", zap.String("peer", p.Name), zap.Error(err))
+				event.PeerUnidentified.Write(n.logger, event.Peer(p.Name), event.Err(err))
 				return
 			}
 			answers[i] = answer
@@ -216,7 +216,7 @@
 		if self := findByID(a.Membership, n.id()); fresh && self != nil && !self.Learner {
 			// An initial membership that the peer has not stored yet. To join that
 			// group as an empty learner would leave it without a voter's log.
-			n.logger.Info("Group names this replica; its initial membership is awaited.", zap.String("peer", a.Name))
+			event.GroupNamesReplica.Write(n.logger, event.Peer(a.Name))
 		} else if a.Membership != nil {
 			group = a.Membership
 		}
@@ -280,7 +280,7 @@
 	}
 	n.identity.Store(id)
 	n.stored = quorum.Stored{Snapshot: s}
-	n.logger.Info("Replica belongs to a new group.", zap.Int("replicas", len(m.Replicas)))
+	event.GroupFormed.Write(n.logger, event.ReplicaCount(len(m.Replicas)))
 	return n.restore(s)
 }
 
@@ -350,17 +350,17 @@
 		switch {
 		case err != nil:
 			if n.refusals.isNews(address, "unanswered") {
-				n.logger.Info("Request to join is unanswered.", zap.String("address", address), zap.Error(err))
+				event.JoinUnanswered.Write(n.logger, event.Address(address), event.Err(err))
 			}
 		case answer.Accepted:
 			if n.refusals.isNews(address, "accepted") {
-				n.logger.Info("Leader takes the replica in.", zap.String("leader", address))
+				event.JoinAccepted.Write(n.logger, event.LeaderAddress(address))
 			}
 			return true
 		case answer.NotLeader && answer.LeaderAddress != "":
 			addresses = append(addresses, answer.LeaderAddress)
 		case n.refusals.isNews(address, answer.Message):
-			n.logger.Warn("Request to join is refused.", zap.String("address", address), zap.String("reason", answer.Message))
+			event.JoinRefused.Write(n.logger, event.Address(address), event.Reason(answer.Message))
 		}
 	}
 	return false
--- a/quorum/node/loop.go
+++ b/quorum/node/loop.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 )
 
@@ -92,7 +92,7 @@
 		return err
 	}
 	n.meters.refused.Inc(1)
-	n.logger.Debug("Message is refused.", zap.Error(err))
+	event.MessageRefused.Write(n.logger, event.Err(err))
 	return nil
 }
 
@@ -192,8 +192,7 @@
 			return err
 		}
 	}
-	n.logger.Info("Snapshot of the leader replaces the log.",
-		zap.Uint64("index", rd.Snapshot.Meta.Index), zap.Int("bytes", len(rd.Snapshot.Data)))
+	event.SnapshotReplaces.Write(n.logger, event.Index(rd.Snapshot.Meta.Index), event.Bytes(len(rd.Snapshot.Data)))
 	return n.storage.SaveSnapshot(rd.Snapshot)
 }
 
@@ -217,7 +216,10 @@
 		return
 	}
 	if n.leadership.Leading != l.Leading {
-		n.logger.Info("Leadership changed.", zap.Bool("leading", l.Leading), zap.Uint64("term", l.Term))
+		event.LeadershipChanged.Write(n.logger, event.Leading(l.Leading), event.Term(l.Term))
+		if l.Leading {
+			n.meters.elections.Inc(1)
+		}
 		n.opts.OnLeadership(l)
 	}
 	n.leadership = l
@@ -236,7 +238,7 @@
 	}
 	if len(data) > MaxSnapshotBytes {
 		// A follower could not take it in: the log stays instead, and grows.
-		n.logger.Error("State is too large for a snapshot.", zap.Int("bytes", len(data)))
+		event.SnapshotTooLarge.Write(n.logger, event.Bytes(len(data)))
 		n.meters.snapshotRefused.Inc(1)
 		n.snapshotAt = n.applied
 		return nil
@@ -263,6 +265,6 @@
 		return n.storage.CommitSnapshot(s.Meta)
 	}
 	if err := n.do(n.ctx, record); err != nil {
-		n.logger.Info("Snapshot is left unrecorded.", zap.Error(err))
+		event.SnapshotUnrecorded.Write(n.logger, event.Err(err))
 	}
 }
--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -5,9 +5,9 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 )
 
@@ -91,10 +91,10 @@
 	}
 	_, _, err := n.raft.ProposeMembership(next)
 	if err != nil {
-		n.logger.Debug("Membership change has to wait.", zap.String("change", reason), zap.Error(err))
+		event.MembershipWaits.Write(n.logger, event.Change(reason), event.Err(err))
 		return
 	}
-	n.logger.Info("Membership changes.", zap.String("change", reason))
+	event.MembershipChanges.Write(n.logger, event.Change(reason))
 }
 
 // nextMembership returns the change that a leader makes by itself, nil when there
@@ -230,7 +230,7 @@
 		}
 		err := n.do(ctx, func() error {
 			if err := n.raft.TransferLeadership(to); err != nil {
-				n.logger.Info("Leadership can't be handed over.", zap.Error(err))
+				event.HandoverImpossible.Write(n.logger, event.Err(err))
 			}
 			return nil
 		})
--- a/quorum/node/metrics.go
+++ b/quorum/node/metrics.go
@@ -30,6 +30,10 @@
 	votersHeard  metrics.Gauge
 	votersLost   metrics.Gauge
 	votersSilent metrics.Gauge
+	// elections counts those that this replica won; lag is how far a leader's slowest
+	// voter is behind, in entries.
+	elections metrics.Counter
+	lag       metrics.Gauge
 	// save is the time that a synced write of entries takes, in microseconds.
 	save metrics.Histogram
 	// batch is the number of entries in such a write.
@@ -64,6 +68,8 @@
 		votersHeard:     metrics.GetOrRegisterGauge("quorum.voters_heard", r),
 		votersLost:      metrics.GetOrRegisterGauge("quorum.voters_lost", r),
 		votersSilent:    metrics.GetOrRegisterGauge("quorum.voters_silent", r),
+		elections:       metrics.GetOrRegisterCounter("quorum.elections", r),
+		lag:             metrics.GetOrRegisterGauge("quorum.lag_entries", r),
 		save:            histogram("quorum.save_microseconds", r),
 		batch:           histogram("quorum.save_entries", r),
 	}
@@ -71,20 +77,12 @@
 
 // measureGroup updates the gauges of a leader's view, and zeroes them on others.
 func (m *meters) measureGroup(s quorum.Status, recentTicks int) {
-	var voters, learners, heard int64
+	var g GroupSize
 	if s.Role == quorum.Leader {
-		for _, r := range s.Membership.GetReplicas() {
-			switch {
-			case r.Learner:
-				learners++
-				continue
-			case r.Id == s.ID || s.SilentTicks[r.Id] < recentTicks:
-				heard++
-			}
-			voters++
-		}
+		g = groupSizeOf(s, recentTicks)
 	}
-	m.voters.Update(voters)
-	m.learners.Update(learners)
-	m.votersHeard.Update(heard)
+	m.voters.Update(int64(g.Voters))
+	m.learners.Update(int64(g.Spares))
+	m.votersHeard.Update(int64(g.Heard))
+	m.lag.Update(int64(lagOf(s)))
 }
--- a/quorum/node/missing.go
+++ b/quorum/node/missing.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // repeatAfter is the time between lines that say the same on a group without a leader.
@@ -75,15 +75,14 @@
 	n.leaderlessReport = time.Now()
 	n.meters.votersLost.Update(int64(len(w.lost)))
 	n.meters.votersSilent.Update(int64(len(w.silent)))
-	fields := []zap.Field{
-		zap.Int("voters", w.voters), zap.Strings("silent", w.silent), zap.Strings("disk_lost", w.lost),
-		zap.Uint64("id", n.id()),
+	fields := []event.Field{
+		event.Voters(w.voters), event.SilentVoters(w.silent), event.DiskLost(w.lost), event.ReplicaID(n.id()),
 	}
 	if w.majorityLost() {
-		n.logger.Error("The group lost the disks of a majority.", fields...)
+		event.DisksLost.Write(n.logger, fields...)
 		return
 	}
-	n.logger.Warn("The group has no leader.", fields...)
+	event.GroupLeaderless.Write(n.logger, fields...)
 }
 
 // leaderSeen ends what reportLeaderless said.
@@ -94,7 +93,7 @@
 	n.leaderlessReport = time.Time{}
 	n.meters.votersLost.Update(0)
 	n.meters.votersSilent.Update(0)
-	n.logger.Info("The group has a leader again.", zap.Uint64("leader", n.Status().Leader))
+	event.GroupLedAgain.Write(n.logger, event.LeaderID(n.Status().Leader))
 }
 
 // refusals keeps the last answer to a request to join from each address, so that the
--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/quorum/wal"
 )
@@ -242,7 +243,7 @@
 	n.publishStopped()
 	close(n.done)
 	if n.err != nil {
-		n.logger.Error("Replica stopped.", zap.Error(n.err))
+		event.ReplicaStopped.Write(n.logger, event.Err(n.err))
 		n.failed <- n.err
 	}
 }
@@ -260,7 +261,7 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.leaving.Store(true)
 	if err := n.TransferLeadership(ctx); err != nil && ctx.Err() != nil {
-		n.logger.Warn("Replica stops while it leads.", zap.Error(err))
+		event.ReplicaStopsLeads.Write(n.logger, event.Err(err))
 	}
 	n.stopOnce.Do(func() { close(n.stop) })
 	n.cancel()
--- a/quorum/node/peer.go
+++ b/quorum/node/peer.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // peer queues messages for one replica and sends them in order, one request at a
@@ -117,6 +117,6 @@
 		return
 	}
 	p.t.failures.Inc(1)
-	p.t.opts.Logger.Debug("Messages are lost.", zap.String("address", p.address), zap.Error(err))
+	event.MessagesLost.Write(p.t.opts.Logger, event.Address(p.address), event.Err(err))
 	p.t.unreachable(p.id)
 }
--- a/quorum/wal/load.go
+++ b/quorum/wal/load.go
@@ -4,10 +4,10 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 )
 
@@ -99,7 +99,7 @@
 		if _, ok := decodeHeader(b); last && !ok && len(b) <= headerSize {
 			// A power cut while the file was created: the header is synced before
 			// any frame is written, so this file never held one.
-			l.logger.Warn("Unfinished segment file is removed.", zap.String("file", path))
+			event.SegmentUnfinished.Write(l.logger, event.File(path))
 			return l.remove(segmentName(seq))
 		}
 		s, size, err := readSegment(path, b, last, r.visit)
@@ -109,8 +109,7 @@
 		l.segments = append(l.segments, s)
 		l.size = size
 		if cut := int64(len(b)) - size; cut > 0 {
-			l.logger.Warn("Torn record at the end of the log is cut off.",
-				zap.String("file", path), zap.Int64("offset", size), zap.Int64("bytes", cut))
+			event.TornRecordCut.Write(l.logger, event.File(path), event.Offset(size), event.Bytes(int(cut)))
 		}
 	}
 	return nil
--- a/quorum/wal/snapshot.go
+++ b/quorum/wal/snapshot.go
@@ -9,10 +9,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // A snapshot file, like the identity file, is a magic, the payload's XXH64 and
@@ -164,7 +164,7 @@
 func (l *Log) setAside(ids []snapshotID) error {
 	for _, id := range ids {
 		path := l.path(id.name())
-		l.logger.Error("Snapshot is damaged; an older one and the log replace it.", zap.String("file", path))
+		event.SnapshotDamaged.Write(l.logger, event.File(path))
 		if err := l.fs.Rename(path, path+damagedSuffix); err != nil {
 			return l.fail("rename", path, err)
 		}
--- /dev/null
+++ b/trace/gathered.go
@@ -0,0 +1,65 @@
+package trace
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// howDone is how the runs of a gathered line ended.
+const howDone = "done"
+
+// appendLine adds a line to those read so far; a line that gathers what happened to
+// many runs becomes a line for each.
+func appendLine(lines []Line, l Line) []Line {
+	if l.Event != event.RunsRoutine.Name {
+		return append(lines, l)
+	}
+	gathered := append(gatheredOf(l, event.NameStarted, eventStart), gatheredOf(l, event.NameEnded, eventEnded)...)
+	slices.SortStableFunc(gathered, func(a, b Line) int { return a.At.Compare(b.At) })
+	for _, g := range gathered {
+		lines = slices.Insert(lines, placeOf(lines, g), g)
+	}
+	return lines
+}
+
+// placeOf returns where a gathered line belongs. A process writes it up to a second
+// after the moment that it tells of, so it goes before the lines of the same process
+// that were written since; the order in the log would put a stop before its start.
+func placeOf(lines []Line, l Line) int {
+	place := len(lines)
+	for place > 0 && lines[place-1].Process == l.Process && lines[place-1].At.After(l.At) {
+		place--
+	}
+	return place
+}
+
+// gatheredOf returns a line for each run that a field of a gathered line lists, by
+// worker, as "TASK RUN AGE" with the age in milliseconds.
+func gatheredOf(l Line, field, name string) []Line {
+	byWorker, _ := l.Fields[field].(map[string]any)
+	var lines []Line
+	for _, worker := range slices.Sorted(maps.Keys(byWorker)) {
+		runs, _ := byWorker[worker].([]any)
+		for _, r := range runs {
+			var task string
+			var run float64
+			var age int64
+			entry, _ := r.(string)
+			if _, err := fmt.Sscan(strings.TrimSpace(entry), &task, &run, &age); err != nil {
+				continue
+			}
+			g := Line{Process: l.Process, At: l.At.Add(-time.Duration(age) * time.Millisecond), Part: l.Part, Event: name, Level: l.Level}
+			g.Fields = map[string]any{fieldTask: task, fieldRun: run, fieldWorker: worker, fieldTerm: l.Fields[fieldTerm]}
+			if name == eventEnded {
+				g.Fields[event.NameHow] = howDone
+			}
+			lines = append(lines, g)
+		}
+	}
+	return lines
+}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // Line is a line of a process's log.
@@ -46,7 +48,7 @@
 			continue
 		}
 		if l, ok := parse(text[start:], source); ok {
-			lines = append(lines, l)
+			lines = appendLine(lines, l)
 		}
 	}
 	return lines, errors.Wrap(scanner.Err(), "log")
@@ -94,14 +96,14 @@
 
 // Names of the fields that tie lines together.
 const (
-	fieldJob     = "job"
-	fieldTask    = "task"
-	fieldStep    = "step"
-	fieldPath    = "path"
+	fieldJob     = event.NameJob
+	fieldTask    = event.NameTask
+	fieldStep    = event.NameStep
+	fieldPath    = event.NamePath
 	fieldRequest = "request"
-	fieldRun     = "run"
-	fieldWorker  = "worker"
-	fieldTerm    = "term"
+	fieldRun     = event.NameRun
+	fieldWorker  = event.NameWorker
+	fieldTerm    = event.NameTerm
 )
 
 // About reports whether a line is about a job or request.
@@ -140,20 +142,22 @@
 }
 
 // Events that rules speak of; docs/OPERATIONS.md tells what each means.
-const (
-	eventStart          = "start"
-	eventStartAnswered  = "start answered"
-	eventStop           = "stop"
-	eventStopAnswered   = "stop answered"
-	eventEnded          = "run ended"
-	eventLeader         = "leader is ready"
-	eventLeaseRanOut    = "lease ran out"
-	eventWorkerSilent   = "worker gives no answer"
-	eventWorkerFound    = "worker found"
-	eventWorkerLeft     = "worker left"
-	eventWorkersRunsEnd = "worker's lease ran out"
+var (
+	eventStartAnswered  = event.StartAnswered.Name
+	eventStop           = event.RunStop.Name
+	eventStopAnswered   = event.StopAnswered.Name
+	eventEnded          = event.RunEnded.Name
+	eventLeader         = event.LeaderReady.Name
+	eventLeaseRanOut    = event.LeaseRanOut.Name
+	eventWorkerSilent   = event.WorkerSilent.Name
+	eventWorkerFound    = event.WorkerFound.Name
+	eventWorkerLeft     = event.WorkerLeft.Name
+	eventWorkersRunsEnd = event.WorkersLeaseRanOut.Name
 )
 
+// eventStart is made here: a start is written only among the runs of a gathered line.
+const eventStart = "start"
+
 // isFate reports whether a line is about what became of a worker.
 func isFate(l *Line) bool {
 	switch l.Event {
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// Symptom: a run's stop is shown before its start.
+// Sequence: the leader gathers the starts and ends of a second into one line, which it
+// writes after the line of the stop. Cause: the place in the log taken for the order.
+func TestGatheredRunsHaveTheirOwnTimes(t *testing.T) {
+	lines := logOf(t, "a/control", 0,
+		`400 "part":"dispatch","msg":"stop","term":2,"task":"`+traced+`/0/0/1","run":1`,
+		`1000 "part":"dispatch","msg":"runs","term":2,"started":{"w1":["`+traced+`/0/0/1 1 900","broken"],"w2":["other/0/0/1 1 5"]},`+
+			`"ended":{"w1":["`+traced+`/0/0/2 3 10"]}`,
+	)
+	lines = append(lines, logOf(t, "w1/agent", 0,
+		`110 "part":"runs","msg":"start answered","task":"`+traced+`/0/0/1","run":1,"answer":"done"`)...)
+	got := trace.Order(trace.Select(lines, traced))
+	var events []string
+	for _, l := range got.Lines {
+		events = append(events, fmt.Sprint(l.Event, " ", l.Fields["task"], " ", l.Fields["run"], " ", l.Fields["worker"]))
+	}
+	want := []string{
+		"start " + traced + "/0/0/1 1 w1", "start answered " + traced + "/0/0/1 1 <nil>",
+		"stop " + traced + "/0/0/1 1 <nil>", "run ended " + traced + "/0/0/2 3 w1",
+	}
+	if fmt.Sprint(events) != fmt.Sprint(want) || len(got.Shifts) > 0 {
+		t.Errorf("the order is\n%s\nwant\n%s\nclocks moved: %v", strings.Join(events, "\n"), strings.Join(want, "\n"), got.Shifts)
+	}
+}
+
 // Symptom: lines are missing from a timeline.
 // Cause: rules that contradict each other, as when a run is ordered again, must not
 // hide lines.
