--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -51,8 +51,8 @@
 }
 
 const (
-	// queuedLines wait for a slow reader of the output.
-	queuedLines = 2048
+	// QueuedLines is the number of lines that wait for a slow reader of the output.
+	QueuedLines = 2048
 	// flushTimeout bounds the wait for a slow reader at the process's end.
 	flushTimeout = 200 * time.Millisecond
 	// noticeInterval is the time between two lines that say what was left out.
@@ -90,7 +90,7 @@
 		}
 	}
 	b := &Bounded{
-		out: out, process: process, lines: make(chan []byte, queuedLines), written: make(chan struct{}), now: time.Now,
+		out: out, process: process, lines: make(chan []byte, QueuedLines), written: make(chan struct{}), now: time.Now,
 	}
 	go b.write()
 	core := shortErrors{&boundedCore{LevelEnabler: at, encoder: zapcore.NewJSONEncoder(encoding()), b: b}}
@@ -107,11 +107,15 @@
 	}
 }
 
-// Register shows the number of lines left out among a process's metrics.
+// Register shows the numbers of lines left out and waiting among a process's metrics.
 func (b *Bounded) Register(r metrics.Registry) {
 	r.GetOrRegister("log.lines_left_out", metrics.NewFunctionalGauge(b.Dropped))
+	r.GetOrRegister("log.lines_queued", metrics.NewFunctionalGauge(func() int64 { return int64(b.Queued()) }))
 }
 
+// Queued is the number of lines that wait for the reader of the output.
+func (b *Bounded) Queued() int { return len(b.lines) }
+
 // Dropped is the number of lines that were left out so far.
 func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -127,10 +127,12 @@
 			for i := range perSecond {
 				event.Request.Write(log, event.Method("POST"), event.Path("/queue/0123456789abcdef"), event.Job("0123456789abcdef"),
 					event.Status(200), event.Took(time.Duration(i)*time.Microsecond))
+				if i == perSecond-1 { // when routine lines have long found no room
+					event.RequestUnanswered.Write(log, event.Status(503))
+					event.ControlHostsNews.Write(log, event.Addresses([]string{"10.0.0.1:7000"}))
+				}
 				time.Sleep(time.Second / perSecond)
 			}
-			event.RequestUnanswered.Write(log, event.Status(503))
-			event.ControlHostsNews.Write(log, event.Addresses([]string{"10.0.0.1:7000"}))
 		}
 		bounded.Close()
 		synctest.Wait()
