--- a/dispatch/runlog.go
+++ b/dispatch/runlog.go
@@ -8,6 +8,7 @@
 
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
+	"github.com/cairnlift/cairnlift/schedule"
 )
 
 const (
@@ -18,8 +19,8 @@
 	runLogMost = 200
 )
 
-// runLog gathers what routinely happens to runs, starts and ends without a failure,
-// into one line an interval, by worker.
+// runLog gathers what routinely happens into lines of an interval: starts, and ends
+// without a failure, by worker; steps that wait by what rules the workers out.
 //
 // What goes wrong without it: a busy leader starts and ends 60 runs a second, and two
 // lines for each were 94 of 100 bytes that it wrote, 13 kB a second. Whoever has only
@@ -31,6 +32,14 @@
 	count   int
 	started map[string][]gatheredRun
 	ended   map[string][]gatheredRun
+	waits   map[string][]gatheredWait
+}
+
+// gatheredWait is a step whose tasks found no worker.
+type gatheredWait struct {
+	wait   schedule.Wait
+	waited time.Duration
+	at     time.Time
 }
 
 // gatheredRun is a run and when it started or ended.
@@ -40,7 +49,8 @@
 }
 
 func newRunLog(logger *zap.Logger) *runLog {
-	return &runLog{logger: logger, started: map[string][]gatheredRun{}, ended: map[string][]gatheredRun{}}
+	return &runLog{logger: logger, started: map[string][]gatheredRun{}, ended: map[string][]gatheredRun{},
+		waits: map[string][]gatheredWait{}}
 }
 
 func (g *runLog) start(term uint64, worker string, id jobqueue.RunID, now time.Time) {
@@ -53,6 +63,12 @@
 	g.gathered(term, now)
 }
 
+func (g *runLog) wait(term uint64, w schedule.Wait, waited time.Duration, now time.Time) {
+	why := w.Why()
+	g.waits[why] = append(g.waits[why], gatheredWait{w, waited, now})
+	g.gathered(term, now)
+}
+
 func (g *runLog) gathered(term uint64, now time.Time) {
 	if g.count == 0 {
 		g.began = now
@@ -75,9 +91,15 @@
 	if g.count == 0 {
 		return
 	}
-	event.RunsRoutine.Write(g.logger, event.Term(term), event.Started(named(g.started, now)), event.Ended(named(g.ended, now)))
+	if len(g.started)+len(g.ended) > 0 {
+		event.RunsRoutine.Write(g.logger, event.Term(term), event.Started(named(g.started, now)), event.Ended(named(g.ended, now)))
+	}
+	if len(g.waits) > 0 {
+		event.TasksWait.Write(g.logger, event.Term(term), event.Waits(namedWaits(g.waits, now)))
+	}
 	clear(g.started)
 	clear(g.ended)
+	clear(g.waits)
 	g.count = 0
 }
 
@@ -91,3 +113,15 @@
 	}
 	return lists
 }
+
+// namedWaits writes each step as "STEP TASKS WAITED AGE", both times in milliseconds.
+func namedWaits(waits map[string][]gatheredWait, now time.Time) map[string][]string {
+	lists := make(map[string][]string, len(waits))
+	for why, list := range waits {
+		for _, w := range list {
+			lists[why] = append(lists[why], fmt.Sprintf("%s %d %d %d", w.wait.Step, w.wait.Tasks, w.waited.Milliseconds(),
+				now.Sub(w.at).Milliseconds()))
+		}
+	}
+	return lists
+}
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -4,18 +4,17 @@
 	"time"
 
 	"github.com/cairnlift/cairnlift/jobqueue"
-	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 )
 
-// waitLogInterval is the time between two lines about one step that waits.
+// waitLogInterval is the time between two notes on one step that waits.
 const waitLogInterval = 2 * time.Second
 
 // waitLogged is since when a step has waited in every round, and when the last line
 // said so.
 type waitLogged struct{ since, at time.Time }
 
-// noteWaits counts and logs the steps whose tasks found no worker; each step at
+// noteWaits counts and notes for the log the steps whose tasks found no worker; each step at
 // most once in an interval, since rounds come many times a second.
 func (d *Dispatcher) noteWaits(l *leadership, waits []schedule.Wait, now time.Time) {
 	l.waits = waits
@@ -29,8 +28,7 @@
 		}
 		if !known || now.Sub(wait.at) >= waitLogInterval {
 			wait.at = now
-			event.TasksWait.Write(d.logger, event.Step(w.Step), event.TaskCount(w.Tasks), event.WorkersByReason(w.Why()),
-				event.Waited(now.Sub(wait.since)))
+			l.runLog.wait(l.term, w, now.Sub(wait.since), now)
 		}
 		logged[w.Step] = wait
 	}
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -73,6 +73,7 @@
 	lines   chan []byte
 	written chan struct{}
 	dropped atomic.Int64
+	bytes   atomic.Int64
 	now     func() time.Time
 
 	mu     sync.Mutex
@@ -107,9 +108,13 @@
 	}
 }
 
-// Register shows the numbers of lines left out and waiting among a process's metrics.
+// MetricBytes is the name of the number of bytes logged so far.
+const MetricBytes = "log.bytes"
+
+// Register shows the bytes logged and the lines left out and waiting among a process's metrics.
 func (b *Bounded) Register(r metrics.Registry) {
 	r.GetOrRegister("log.lines_left_out", metrics.NewFunctionalGauge(b.Dropped))
+	r.GetOrRegister(MetricBytes, metrics.NewFunctionalGauge(b.bytes.Load))
 	r.GetOrRegister("log.lines_queued", metrics.NewFunctionalGauge(func() int64 { return int64(b.Queued()) }))
 }
 
@@ -230,6 +235,7 @@
 	}
 	select {
 	case c.b.lines <- append([]byte(nil), buffer.Bytes()...):
+		c.b.bytes.Add(int64(buffer.Len()))
 	default:
 		c.b.dropped.Add(1)
 	}
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -35,7 +35,7 @@
 	RunStop          = declare(Dispatch, Routine, "stop", NameTerm, NameTask, NameRun, "reason")
 	RunEnded         = declare(Dispatch, Warning, "run ended", NameTask, NameRun, NameWorker, NameHow)
 	StartRefused     = declare(Dispatch, Warning, "start refused", NameWorker, "reason", NameTask, NameRun)
-	TasksWait        = declare(Dispatch, Routine, "tasks wait", NameStep, "tasks", "workers", "waited")
+	TasksWait        = declare(Dispatch, Routine, "tasks wait", NameTerm, NameWaits)
 	LeaseRanOut      = declare(Dispatch, Warning, "lease ran out", NameTerm, NameWorker, "runs", "silent", "lease")
 	RunsLost         = declare(Dispatch, Warning, "runs are lost", NameTerm, "reason", "core_seconds", NameLost)
 	WorkerSilent     = declare(Dispatch, Warning, "worker gives no answer", NameTerm, NameWorker)
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -25,6 +25,10 @@
 	NameHow     = "how"
 	NameLost    = "lost"
 	NameReason  = "reason"
+	NameWaits   = "waits"
+	NameTasks   = "tasks"
+	NameWorkers = "workers"
+	NameWaited  = "waited"
 )
 
 // Ids, spelled the same in all parts.
@@ -85,9 +89,6 @@
 // Lease is for how long the lease was granted.
 func Lease(d time.Duration) Field { return duration("lease", d) }
 
-// Waited is how long it has waited so far.
-func Waited(d time.Duration) Field { return duration("waited", d) }
-
 // Percent is a pace.
 func Percent(p uint32) Field { return Field{zap.Uint32("percent", p)} }
 
@@ -96,9 +97,6 @@
 // RunCount is a number of runs.
 func RunCount(n int) Field { return number("runs", n) }
 
-// TaskCount is a number of tasks.
-func TaskCount(n int) Field { return number("tasks", n) }
-
 // EndCount is a number of ended runs.
 func EndCount(n int) Field { return number("ends", n) }
 
@@ -108,9 +106,6 @@
 // HostCount is a number of hosts.
 func HostCount(n int) Field { return number("hosts", n) }
 
-// WorkersByReason says how many workers each reason rules out.
-func WorkersByReason(why string) Field { return text("workers", why) }
-
 // Asked is the number of workers that the advisor was asked about.
 func Asked(n int) Field { return number("asked", n) }
 
@@ -127,6 +122,10 @@
 // Lost lists the runs that are lost, like Started.
 func Lost(byWorker map[string][]string) Field { return byName(NameLost, byWorker) }
 
+// Waits lists the steps that wait, by how many workers each reason rules out; each is
+// "STEP TASKS WAITED AGE", both times in milliseconds.
+func Waits(byReasons map[string][]string) Field { return byName(NameWaits, byReasons) }
+
 // CoreSeconds is processor time.
 func CoreSeconds(s float64) Field { return Field{zap.Float64("core_seconds", s)} }
 
--- a/trace/gathered.go
+++ b/trace/gathered.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cairnlift/cairnlift/logging/event"
@@ -20,6 +19,8 @@
 	switch l.Event {
 	case event.RunsRoutine.Name:
 		gathered = append(gatheredOf(l, event.NameStarted, eventStart), gatheredOf(l, event.NameEnded, eventEnded)...)
+	case event.TasksWait.Name:
+		gathered = waitsOf(l)
 	case event.RunsLost.Name:
 		gathered = gatheredOf(l, event.NameLost, eventLost)
 	default:
@@ -55,7 +56,7 @@
 			var run float64
 			var age int64
 			entry, _ := r.(string)
-			if _, err := fmt.Sscan(strings.TrimSpace(entry), &task, &run, &age); err != nil {
+			if _, err := fmt.Sscan(entry, &task, &run, &age); err != nil {
 				continue
 			}
 			g := Line{Process: l.Process, At: l.At.Add(-time.Duration(age) * time.Millisecond), Part: l.Part, Event: name, Level: l.Level}
@@ -71,3 +72,28 @@
 	}
 	return lines
 }
+
+// waitsOf returns a line for each step that a gathered line lists, by what rules the
+// workers out, as "STEP TASKS WAITED AGE" with both times in milliseconds.
+func waitsOf(l Line) []Line {
+	byReasons, _ := l.Fields[event.NameWaits].(map[string]any)
+	var lines []Line
+	for _, reasons := range slices.Sorted(maps.Keys(byReasons)) {
+		steps, _ := byReasons[reasons].([]any)
+		for _, s := range steps {
+			var step string
+			var tasks, waited, age int64
+			entry, _ := s.(string)
+			if _, err := fmt.Sscan(entry, &step, &tasks, &waited, &age); err != nil {
+				continue
+			}
+			w := Line{Process: l.Process, At: l.At.Add(-time.Duration(age) * time.Millisecond), Part: l.Part, Event: l.Event, Level: l.Level}
+			w.Fields = map[string]any{
+				fieldStep: step, event.NameTasks: tasks, event.NameWorkers: reasons,
+				event.NameWaited: time.Duration(waited) * time.Millisecond,
+			}
+			lines = append(lines, w)
+		}
+	}
+	return lines
+}
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -1,6 +1,7 @@
 package trace_test
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -88,17 +89,18 @@
 		`400 "part":"dispatch","msg":"stop","term":2,"task":"`+traced+`/0/0/1","run":1`,
 		`1000 "part":"dispatch","msg":"runs","term":2,"started":{"w1":["`+traced+`/0/0/1 1 900","broken"],"w2":["other/0/0/1 1 5"]},`+
 			`"ended":{"w1":["`+traced+`/0/0/2 3 10"]}`,
+		`1001 "part":"dispatch","msg":"tasks wait","term":2,"waits":{"processors 3":["`+traced+`/0/1 4 700 300","other/0/0 1 0 0"]}`,
 	)
 	lines = append(lines, logOf(t, "w1/agent", 0,
 		`110 "part":"runs","msg":"start answered","task":"`+traced+`/0/0/1","run":1,"answer":"done"`)...)
 	got := trace.Order(trace.Select(lines, traced))
 	var events []string
 	for _, l := range got.Lines {
-		events = append(events, fmt.Sprint(l.Event, " ", l.Fields["task"], " ", l.Fields["run"], " ", l.Fields["worker"]))
+		events = append(events, fmt.Sprint(l.Event, " ", cmp.Or(l.Fields["task"], l.Fields["step"]), " ", l.Fields["run"], " ", cmp.Or(l.Fields["worker"], l.Fields["workers"])))
 	}
 	want := []string{
 		"start " + traced + "/0/0/1 1 w1", "start answered " + traced + "/0/0/1 1 <nil>",
-		"stop " + traced + "/0/0/1 1 <nil>", "run ended " + traced + "/0/0/2 3 w1",
+		"stop " + traced + "/0/0/1 1 <nil>", "tasks wait " + traced + "/0/1 <nil> processors 3", "run ended " + traced + "/0/0/2 3 w1",
 	}
 	if fmt.Sprint(events) != fmt.Sprint(want) || len(got.Shifts) > 0 {
 		t.Errorf("the order is\n%s\nwant\n%s\nclocks moved: %v", strings.Join(events, "\n"), strings.Join(want, "\n"), got.Shifts)
