--- a/trace/gathered.go
+++ b/trace/gathered.go
@@ -38,8 +38,14 @@
 // that were written since; the order in the log would put a stop before its start.
 func placeOf(lines []Line, l Line) int {
 	place := len(lines)
-	for place > 0 && lines[place-1].Process == l.Process && lines[place-1].At.After(l.At) {
-		place--
+	for i := len(lines) - 1; i >= 0; i-- {
+		if lines[i].Process != l.Process {
+			continue
+		}
+		if !lines[i].At.After(l.At) {
+			break
+		}
+		place = i
 	}
 	return place
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -87,6 +87,7 @@
 func TestGatheredRunsHaveTheirOwnTimes(t *testing.T) {
 	lines := logOf(t, "a/control", 0,
 		`400 "part":"dispatch","msg":"stop","term":2,"task":"`+traced+`/0/0/1","run":1`,
+		`500 "process":"b/control","part":"dispatch","msg":"leader is not ready","term":1`,
 		`1000 "part":"dispatch","msg":"runs","term":2,"started":{"w1":["`+traced+`/0/0/1 1 900","broken"],"w2":["other/0/0/1 1 5"]},`+
 			`"ended":{"w1":["`+traced+`/0/0/2 3 10"]}`,
 		`1001 "part":"dispatch","msg":"tasks wait","term":2,"waits":{"processors 3":["`+traced+`/0/1 4 700 300","other/0/0 1 0 0"]}`,
