--- /dev/null
+++ b/dispatch/lines_test.go
@@ -0,0 +1,126 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/dispatch"
+	"github.com/cairnlift/cairnlift/trace"
+)
+
+// recordingSim is a simulation whose leader writes its lines as a daemon does, into a
+// buffer.
+func recordingSim(ctx context.Context, t *testing.T, workers int) (*sim, *bytes.Buffer, metrics.Registry) {
+	before, end := context.WithCancel(ctx)
+	s := newSim(before, t, 1, 0)
+	end()
+	s.loops.Wait()
+	s.ctx, s.calm = ctx, true
+	lines, registry := &bytes.Buffer{}, metrics.NewRegistry()
+	config := zap.NewProductionEncoderConfig()
+	config.NameKey, config.EncodeTime = "part", zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(lines)), zap.InfoLevel)
+	s.log.lose(100 * time.Millisecond)
+	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, Logger: zap.New(core), Metrics: registry})
+	s.loops.Go(func() { s.dispatcher.Run(ctx) })
+	for i := range workers {
+		h := &simSide{s: s, name: fmt.Sprintf("host%d", i)}
+		h.startWorker()
+		h.startAgent()
+		s.hosts = append(s.hosts, h)
+	}
+	s.loops.Go(s.announceLoop)
+	return s, lines, registry
+}
+
+// tracedRuns returns what a log says of each run, in order.
+func tracedRuns(t *testing.T, log *bytes.Buffer) map[string][]string {
+	t.Helper()
+	lines, err := trace.Read(log, "leader")
+	if err != nil {
+		t.Fatal(err)
+	}
+	runs := map[string][]string{}
+	for _, l := range lines {
+		if task := l.Fields["task"]; task != nil {
+			run := fmt.Sprint(task, " ", l.Fields["run"])
+			runs[run] = append(runs[run], l.Event)
+		}
+	}
+	return runs
+}
+
+// Symptom: the last part of a busy leader's log holds nothing but starts and ends, or a
+// run that was lost can't be found in it.
+// Sequence: a hundred jobs of three tasks within five seconds; then a worker crashes with a
+// run on it. Cause: a line for each start and end, and none for what is lost with a
+// worker.
+func TestRunsAreTracedFromFewLines(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s, log, registry := recordingSim(ctx, t, 4)
+		s.lasting = "long"
+		s.sleep(2 * time.Second)
+		const jobs, tasks = 100, 3
+		for i := range jobs {
+			id := fmt.Sprintf("job%d", i)
+			s.submitSpec(&apiv1.JobSpec{Id: id, Host: simHost, Path: "/q/" + id, Steps: []*apiv1.JobStep{
+				{Count: tasks, CpuMilli: 100, MemoryMb: 10, EstimatedMs: 400},
+			}})
+			s.sleep(50 * time.Millisecond)
+		}
+		s.submitSpec(&apiv1.JobSpec{Id: "long", Host: simHost, Path: "/q/long", Steps: []*apiv1.JobStep{
+			{Count: 1, CpuMilli: 1000, MemoryMb: 10, LongRunning: true},
+		}})
+		s.sleep(5 * time.Second)
+		worker := s.placeOf("long")
+		for _, h := range s.hosts {
+			if h.incarnation() == worker {
+				h.startWorker()
+			}
+		}
+		s.sleep(15 * time.Second)
+		stop()
+		s.loops.Wait()
+
+		if n := strings.Count(log.String(), "\n"); n > 60 {
+			t.Errorf("%d lines for %d runs", n, jobs*tasks)
+		}
+		runs := tracedRuns(t, log)
+		for i := range jobs {
+			for index := range tasks {
+				run := fmt.Sprintf("job%d/0/0/%d 1", i, index)
+				if got := strings.Join(runs[run], ", "); got != "start, run ended" {
+					t.Errorf("run %s: %s", run, got)
+				}
+			}
+		}
+		first, second := strings.Join(runs["long/0/0/0 1"], ", "), strings.Join(runs["long/0/0/0 2"], ", ")
+		if first != "start, run lost" || second != "start" {
+			t.Errorf("the run that was lost: %s; the one after it: %s", first, second)
+		}
+		lost := registry.Get("dispatch.work_lost_core_ms").(metrics.Counter).Count()
+		if lost <= 0 || lost > 3000 { // the stand-in saves a checkpoint each second
+			t.Errorf("%d core-milliseconds were lost, want those since the last checkpoint, until the loss was seen", lost)
+		}
+		if n := registry.Get("dispatch.ready_to_start").(metrics.Timer).Count(); n < jobs*tasks {
+			t.Errorf("%d starts are timed", n)
+		}
+	})
+}
+
+func (s *sim) submitSpec(spec *apiv1.JobSpec) {
+	s.watch.Submitted(spec)
+	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+}
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -67,7 +67,7 @@
 	}
 	l.lostTold[w.Spec.Id] = w.Epoch
 	d.meters.workLost.Inc(work.Milliseconds())
-	event.RunsLost.Write(d.logger, event.Term(l.term), event.Reason(why), event.CoreSeconds(work.Seconds()),
+	event.RunsLost.Write(d.logger, event.Term(l.term), event.Reason(why), event.CoreSeconds(work),
 		event.Lost(named(map[string][]gatheredRun{w.Spec.Id: lost}, now)))
 }
 
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -127,7 +127,9 @@
 func Waits(byReasons map[string][]string) Field { return byName(NameWaits, byReasons) }
 
 // CoreSeconds is processor time.
-func CoreSeconds(s float64) Field { return Field{zap.Float64("core_seconds", s)} }
+func CoreSeconds(d time.Duration) Field {
+	return Field{zap.Float64("core_seconds", d.Round(time.Millisecond).Seconds())}
+}
 
 // Others.
 
