--- a/control/status.go
+++ b/control/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cairnlift/cairnlift/hdrmetric"
 	"github.com/cairnlift/cairnlift/state"
 )
 
@@ -103,7 +104,7 @@
 type replicaMetrics struct {
 	applied     metrics.Meter
 	unconfirmed metrics.Meter
-	commit      metrics.Timer
+	commit      *hdrmetric.Histogram
 	round       metrics.Timer
 }
 
@@ -111,7 +112,7 @@
 	return &replicaMetrics{
 		applied:     metrics.GetOrRegisterMeter("control.applied", reg),
 		unconfirmed: metrics.GetOrRegisterMeter("control.unconfirmed", reg),
-		commit:      metrics.GetOrRegisterTimer("control.commit", reg),
+		commit:      hdrmetric.GetOrRegister("control.commit_us", reg),
 		round:       metrics.GetOrRegisterTimer("control.round", reg),
 	}
 }
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -61,7 +61,7 @@
 	asked := d.opts.Now()
 	advice, err := d.opts.Advisor.Approve(ctx, q.Question)
 	now := d.opts.Now()
-	d.meters.advice.Update(now.Sub(asked))
+	d.meters.advice.Observe(now.Sub(asked))
 	d.advisor.Note(err)
 	d.countCall("dispatch.advice_calls", err)
 	event.PlacementAdvice.Write(d.logger, event.Term(q.term), event.Step(q.Step), event.Asked(len(q.Workers)),
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -312,7 +312,7 @@
 		l.forgetRuns(jobs)
 		l.runLog.tick(l.term, now)
 	})
-	d.meters.planning.UpdateSince(began)
+	d.meters.planning.Since(began)
 	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed) == 0 && plan.Learnt == nil {
 		return nil, nil
 	}
--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -114,7 +114,7 @@
 		if lost <= 0 || lost > 3000 { // the stand-in saves a checkpoint each second
 			t.Errorf("%d core-milliseconds were lost, want those since the last checkpoint, until the loss was seen", lost)
 		}
-		if n := registry.Get("dispatch.ready_to_start").(metrics.Timer).Count(); n < jobs*tasks {
+		if n := registry.Get("dispatch.ready_to_start_us").(metrics.Histogram).Count(); n < jobs*tasks {
 			t.Errorf("%d starts are timed", n)
 		}
 	})
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/hdrmetric"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
 )
@@ -13,16 +14,16 @@
 // meters are the dispatcher's metrics.
 type meters struct {
 	waiting  metrics.Gauge
-	planning metrics.Timer
+	planning *hdrmetric.Histogram
 	starts   metrics.Counter
 	stops    metrics.Counter
 	lapses   metrics.Counter
 	refused  metrics.Counter
 	ends     metrics.Counter
-	advice   metrics.Timer
+	advice   *hdrmetric.Histogram
 	// readyToStart is how long tasks were ready before they started, workLost the
 	// allotted processor time of lost runs in core-milliseconds.
-	readyToStart metrics.Timer
+	readyToStart *hdrmetric.Histogram
 	workLost     metrics.Counter
 	paceOrders   metrics.Counter
 }
@@ -30,15 +31,15 @@
 func newMeters(r metrics.Registry) meters {
 	return meters{
 		waiting:  metrics.GetOrRegisterGauge("dispatch.tasks_waiting", r),
-		planning: metrics.GetOrRegisterTimer("dispatch.planning", r),
+		planning: hdrmetric.GetOrRegister("dispatch.planning_us", r),
 		starts:   metrics.GetOrRegisterCounter("dispatch.starts", r),
 		stops:    metrics.GetOrRegisterCounter("dispatch.stops", r),
 		lapses:   metrics.GetOrRegisterCounter("dispatch.leases_lapsed", r),
 		refused:  metrics.GetOrRegisterCounter("dispatch.starts_refused", r),
 		ends:     metrics.GetOrRegisterCounter("dispatch.ends", r),
-		advice:   metrics.GetOrRegisterTimer("dispatch.advice", r),
+		advice:   hdrmetric.GetOrRegister("dispatch.advice_us", r),
 
-		readyToStart: metrics.GetOrRegisterTimer("dispatch.ready_to_start", r),
+		readyToStart: hdrmetric.GetOrRegister("dispatch.ready_to_start_us", r),
 		workLost:     metrics.GetOrRegisterCounter("dispatch.work_lost_core_ms", r),
 		paceOrders:   metrics.GetOrRegisterCounter("dispatch.pace_orders", r),
 	}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -45,5 +45,5 @@
 	if wait, ok := l.waitsLogged[jobqueue.TaskIDOf(s.Task).StepID()]; ok {
 		waited = now.Sub(wait.since)
 	}
-	d.meters.readyToStart.Update(waited)
+	d.meters.readyToStart.Observe(waited)
 }
