--- a/control/keep.go
+++ b/control/keep.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum/wal"
 )
 
@@ -40,11 +41,11 @@
 		if ctx.Err() != nil || !errors.As(err, &refused) {
 			return err
 		}
-		h.Logger.Error("disk refuses writes, the replica waits", zap.Error(err))
+		event.DiskRefuses.Write(h.Logger, event.Err(err))
 		if err := h.waitForDisk(ctx); err != nil || ctx.Err() != nil {
 			return err
 		}
-		h.Logger.Info("disk takes writes again, the replica starts")
+		event.DiskTakesWrites.Write(h.Logger)
 	}
 }
 
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -1,53 +1,66 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
-	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/hdrmetric"
 	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // meters are the dispatcher's metrics.
 type meters struct {
 	waiting  metrics.Gauge
-	planning metrics.Timer
+	planning *hdrmetric.Histogram
 	starts   metrics.Counter
 	stops    metrics.Counter
 	lapses   metrics.Counter
 	refused  metrics.Counter
 	ends     metrics.Counter
-	advice   metrics.Timer
+	advice   *hdrmetric.Histogram
+	// readyToStart is how long tasks were ready before they started, workLost the
+	// allotted processor time of lost runs in core-milliseconds.
+	readyToStart *hdrmetric.Histogram
+	workLost     metrics.Counter
+	paceOrders   metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
 	return meters{
 		waiting:  metrics.GetOrRegisterGauge("dispatch.tasks_waiting", r),
-		planning: metrics.GetOrRegisterTimer("dispatch.planning", r),
+		planning: hdrmetric.GetOrRegister("dispatch.planning_us", r),
 		starts:   metrics.GetOrRegisterCounter("dispatch.starts", r),
 		stops:    metrics.GetOrRegisterCounter("dispatch.stops", r),
 		lapses:   metrics.GetOrRegisterCounter("dispatch.leases_lapsed", r),
 		refused:  metrics.GetOrRegisterCounter("dispatch.starts_refused", r),
 		ends:     metrics.GetOrRegisterCounter("dispatch.ends", r),
-		advice:   metrics.GetOrRegisterTimer("dispatch.advice", r),
+		advice:   hdrmetric.GetOrRegister("dispatch.advice_us", r),
+
+		readyToStart: hdrmetric.GetOrRegister("dispatch.ready_to_start_us", r),
+		workLost:     metrics.GetOrRegisterCounter("dispatch.work_lost_core_ms", r),
+		paceOrders:   metrics.GetOrRegisterCounter("dispatch.pace_orders", r),
 	}
 }
 
-// logDecision writes one line for each start, stop and lost worker.
-func (d *Dispatcher) logDecision(m *jobqueue.Machine, l *leadership, p *apiv1.PlanRuns) {
+// logDecision tells of each start, stop and lost worker.
+func (d *Dispatcher) logDecision(m *jobqueue.Machine, l *leadership, p *apiv1.PlanRuns, now time.Time) {
 	for _, s := range p.Starts {
-		d.meters.starts.Inc(1)
-		d.logger.Info("start", zap.Uint64("term", l.term), zap.Stringer("task", jobqueue.TaskIDOf(s.Task)),
-			zap.Uint64("run", s.Run), zap.String("worker", s.Worker))
+		d.countStart(l, s, now)
+		l.runLog.start(l.term, s.Worker, jobqueue.RunID{Task: jobqueue.TaskIDOf(s.Task), Number: s.Run}, now)
 	}
 	for _, s := range p.Stops {
 		d.meters.stops.Inc(1)
-		d.logger.Info("stop", zap.Uint64("term", l.term), zap.Stringer("task", jobqueue.TaskIDOf(s.Task)),
-			zap.Uint64("run", s.Run), zap.String("reason", s.Reason))
+		event.RunStop.Write(d.logger, event.Term(l.term), event.Task(jobqueue.TaskIDOf(s.Task)), event.Run(s.Run),
+			event.Reason(s.Reason))
 	}
 	for _, id := range p.Lapsed {
 		d.meters.lapses.Inc(1)
-		d.logger.Warn("lease ran out", zap.Uint64("term", l.term), zap.String("worker", id),
-			zap.Int("runs", len(m.Worker(id).Runs)))
+		lease := l.leases.of(id)
+		event.LeaseRanOut.Write(d.logger, event.Term(l.term), event.Worker(id), event.RunCount(len(m.Worker(id).Runs)),
+			event.Silent(now.Sub(lease.renewed)), event.Lease(lease.duration))
+		d.noteLost(l, m.Worker(id), lostByLease, nil, now)
 	}
 }
--- /dev/null
+++ b/dispatch/runlog.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+	"github.com/cairnlift/cairnlift/schedule"
+)
+
+const (
+	// runLogInterval is the time that starts and ends are gathered for one line.
+	runLogInterval = time.Second
+	// runLogMost is the number of starts and ends that one line names at most, so that
+	// a line stays below some 10 kB.
+	runLogMost = 200
+)
+
+// runLog gathers what routinely happens into lines of an interval: starts, and ends
+// without a failure, by worker; steps that wait by what rules the workers out.
+//
+// What goes wrong without it: a busy leader starts and ends 60 runs a second, and two
+// lines for each were 94 of 100 bytes that it wrote, 13 kB a second. Whoever has only
+// the last 95 kB of a process then sees seconds of starts, and not the line that says
+// when leadership, a worker or the configuration changed.
+type runLog struct {
+	logger  *zap.Logger
+	began   time.Time
+	count   int
+	started map[string][]gatheredRun
+	ended   map[string][]gatheredRun
+	waits   map[string][]gatheredWait
+}
+
+// gatheredWait is a step whose tasks found no worker.
+type gatheredWait struct {
+	wait   schedule.Wait
+	waited time.Duration
+	at     time.Time
+}
+
+// gatheredRun is a run and when it started or ended.
+type gatheredRun struct {
+	id jobqueue.RunID
+	at time.Time
+}
+
+func newRunLog(logger *zap.Logger) *runLog {
+	return &runLog{logger: logger, started: map[string][]gatheredRun{}, ended: map[string][]gatheredRun{},
+		waits: map[string][]gatheredWait{}}
+}
+
+func (g *runLog) start(term uint64, worker string, id jobqueue.RunID, now time.Time) {
+	g.started[worker] = append(g.started[worker], gatheredRun{id, now})
+	g.gathered(term, now)
+}
+
+func (g *runLog) end(term uint64, worker string, id jobqueue.RunID, now time.Time) {
+	g.ended[worker] = append(g.ended[worker], gatheredRun{id, now})
+	g.gathered(term, now)
+}
+
+func (g *runLog) wait(term uint64, w schedule.Wait, waited time.Duration, now time.Time) {
+	why := w.Why()
+	g.waits[why] = append(g.waits[why], gatheredWait{w, waited, now})
+	g.gathered(term, now)
+}
+
+func (g *runLog) gathered(term uint64, now time.Time) {
+	if g.count == 0 {
+		g.began = now
+	}
+	g.count++
+	if g.count >= runLogMost {
+		g.write(term, now)
+	}
+}
+
+// tick writes what is due.
+func (g *runLog) tick(term uint64, now time.Time) {
+	if g.count > 0 && now.Sub(g.began) >= runLogInterval {
+		g.write(term, now)
+	}
+}
+
+// write writes what was gathered.
+func (g *runLog) write(term uint64, now time.Time) {
+	if g.count == 0 {
+		return
+	}
+	if len(g.started)+len(g.ended) > 0 {
+		event.RunsRoutine.Write(g.logger, event.Term(term), event.Started(named(g.started, now)), event.Ended(named(g.ended, now)))
+	}
+	if len(g.waits) > 0 {
+		event.TasksWait.Write(g.logger, event.Term(term), event.Waits(namedWaits(g.waits, now)))
+	}
+	clear(g.started)
+	clear(g.ended)
+	clear(g.waits)
+	g.count = 0
+}
+
+// named writes each run as "TASK RUN AGE", the age in milliseconds.
+func named(runs map[string][]gatheredRun, now time.Time) map[string][]string {
+	lists := make(map[string][]string, len(runs))
+	for worker, list := range runs {
+		for _, r := range list {
+			lists[worker] = append(lists[worker], fmt.Sprintf("%s %d %d", r.id.Task, r.id.Number, now.Sub(r.at).Milliseconds()))
+		}
+	}
+	return lists
+}
+
+// namedWaits writes each step as "STEP TASKS WAITED AGE", both times in milliseconds.
+func namedWaits(waits map[string][]gatheredWait, now time.Time) map[string][]string {
+	lists := make(map[string][]string, len(waits))
+	for why, list := range waits {
+		for _, w := range list {
+			lists[why] = append(lists[why], fmt.Sprintf("%s %d %d %d", w.wait.Step, w.wait.Tasks, w.waited.Milliseconds(),
+				now.Sub(w.at).Milliseconds()))
+		}
+	}
+	return lists
+}
--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -9,10 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum"
 	"github.com/cairnlift/cairnlift/settings"
 )
@@ -177,7 +177,7 @@
 		asking.Go(func() {
 			answer, err := n.transport.Identify(ctx, p.Address, founder)
 			if err != nil || answer.Name != p.Name {
-				n.logger.Info("Peer does not identify itself.", zap.String("peer", p.Name), zap.Error(err))
+				event.PeerUnidentified.Write(n.logger, event.Peer(p.Name), event.Err(err))
 				return
 			}
 			answers[i] = answer
@@ -186,7 +186,7 @@
 	asking.Wait()
 	for i, a := range answers {
 		if a != nil && a.ReplicaId == 0 {
-			n.logger.Info("Peer keeps no replica.", zap.String("peer", peers[i].Name))
+			event.PeerWithoutReplica.Write(n.logger, event.Peer(peers[i].Name))
 			n.withoutReplica[a.Name] = true
 			answers[i] = nil
 		}
@@ -210,7 +210,7 @@
 		if self := findByID(a.Membership, n.id()); fresh && self != nil && !self.Learner {
 			// An initial membership that the peer has not stored yet. To join that
 			// group as an empty learner would leave it without a voter's log.
-			n.logger.Info("Group names this replica; its initial membership is awaited.", zap.String("peer", a.Name))
+			event.GroupNamesReplica.Write(n.logger, event.Peer(a.Name))
 		} else if a.Membership != nil {
 			group = a.Membership
 		}
@@ -274,6 +274,6 @@
 	}
 	n.identity.Store(id)
 	n.stored = quorum.Stored{Snapshot: s}
-	n.logger.Info("Replica belongs to a new group.", zap.Int("replicas", len(m.Replicas)))
+	event.GroupFormed.Write(n.logger, event.ReplicaCount(len(m.Replicas)))
 	return n.restore(s)
 }
--- a/quorum/node/join.go
+++ b/quorum/node/join.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/logging/event"
 )
 
 // discoverGroup looks for the group at the control hosts that this process knows from
@@ -27,7 +26,7 @@
 	defer cancel()
 	answer, err := n.transport.Identify(ctx, address, 0)
 	if err != nil {
-		n.logger.Debug("Discovered host does not identify itself.", zap.String("address", address), zap.Error(err))
+		event.DiscoveredUnidentified.Write(n.logger, event.Address(address), event.Err(err))
 		return nil
 	}
 	return answer.Membership
@@ -99,17 +98,17 @@
 		switch {
 		case err != nil:
 			if n.refusals.isNews(address, "unanswered") {
-				n.logger.Info("Request to join is unanswered.", zap.String("address", address), zap.Error(err))
+				event.JoinUnanswered.Write(n.logger, event.Address(address), event.Err(err))
 			}
 		case answer.Accepted:
 			if n.refusals.isNews(address, "accepted") {
-				n.logger.Info("Leader takes the replica in.", zap.String("leader", address))
+				event.JoinAccepted.Write(n.logger, event.LeaderAddress(address))
 			}
 			return true
 		case answer.NotLeader && answer.LeaderAddress != "":
 			addresses = append(addresses, answer.LeaderAddress)
 		case n.refusals.isNews(address, answer.Message):
-			n.logger.Warn("Request to join is refused.", zap.String("address", address), zap.String("reason", answer.Message))
+			event.JoinRefused.Write(n.logger, event.Address(address), event.Reason(answer.Message))
 		}
 	}
 	return false
