--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -26,6 +27,9 @@
 	waves := a.kingpin.Command("wave", "Start or follow a maintenance wave.")
 	a.Command(waves, "start", "Submit a wave, a JSON file; the same number is the same wave.", a.startWave)
 	a.Command(waves, "state", "Show how far the hosts of a wave are.", a.waveState)
+	hosts := a.kingpin.Command("host", "List the hosts, or move one to another pool.")
+	a.Command(hosts, "list", "Show each host with its pool, its worker and its newest move.", a.listHosts)
+	a.Command(hosts, "move", "Move a host to a pool, once what runs there is elsewhere.", a.moveHost)
 }
 
 // withJobs runs f with a client until the timeout.
@@ -188,3 +192,47 @@
 func maintenanceName(s apiv1.MaintenanceState) string {
 	return strings.ToLower(strings.TrimPrefix(s.String(), "MAINTENANCE_STATE_"))
 }
+
+func (a *App) listHosts(*kingpin.CmdClause) Runner {
+	return func(ctx context.Context) error {
+		return a.withJobs(ctx, func(ctx context.Context, c *jobapi.Client) error {
+			hosts, err := c.Hosts(ctx)
+			if err != nil {
+				return err
+			}
+			for _, h := range hosts {
+				a.printf("%s\t%s\t%s\t%s\t%s\n", h.Host, h.Pool, upName(h.Up), cmp.Or(h.Worker, "-"), moveName(h.Move))
+			}
+			return nil
+		})
+	}
+}
+
+func upName(up bool) string {
+	if up {
+		return "up"
+	}
+	return "away"
+}
+
+// moveName is a move's state for operators.
+func moveName(m *apiv1.HostMove) string {
+	if m == nil {
+		return "-"
+	}
+	return "to " + m.Pool + ": " + strings.ToLower(strings.TrimPrefix(m.State.String(), "MOVE_STATE_"))
+}
+
+func (a *App) moveHost(c *kingpin.CmdClause) Runner {
+	host := c.Arg("host", "The host, as the platform names it.").Required().String()
+	pool := c.Arg("pool", "The pool of workers that it is to join.").Required().String()
+	return func(ctx context.Context) error {
+		return a.withJobs(ctx, func(ctx context.Context, c *jobapi.Client) error {
+			if err := c.MoveHost(ctx, *host, *pool); err != nil {
+				return err
+			}
+			a.printf("accepted\n")
+			return nil
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,7 +41,8 @@
 	// Advisor says which workers may run the steps of advised queues; without one,
 	// these queues wait.
 	Advisor Advisor
-	// Hosts takes hosts down for their maintenance; without it, waves wait.
+	// Hosts takes hosts down for their maintenance and moves them between pools; without
+	// it, waves wait and nothing moves.
 	Hosts Hosts
 	// LeaseDuration is how long a worker may run on after its agent's last report.
 	// A short lease hands lost work on sooner, a long one survives elections and
@@ -109,6 +110,7 @@
 	// waits are the steps that found no worker in the last round.
 	waits       []schedule.Wait
 	waitsLogged map[jobqueue.StepID]time.Time
+	moves       *movesLed
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
@@ -156,7 +158,7 @@
 	var beside conc.WaitGroup
 	defer beside.Wait()
 	beside.Go(func() { d.askAdvisor(ctx) })
-	beside.Go(func() { d.maintain(ctx) })
+	beside.Go(func() { d.tendHosts(ctx) })
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
 	for ctx.Err() == nil {
@@ -218,6 +220,7 @@
 		observed:      map[jobqueue.RunID]schedule.Observation{},
 		paceRevisions: map[string]uint64{},
 		waitsLogged:   map[jobqueue.StepID]time.Time{},
+		moves:         newMovesLed(now),
 	}
 	d.logger.Info("leader is ready", zap.Uint64("term", term), zap.Uint64("index", res.Index))
 	return true
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -18,8 +18,11 @@
 	List(ctx context.Context) (map[string]schedule.HostView, error)
 	// Maintain takes a host down for its maintenance, and ends all that runs there. A
 	// call without an answer may have been carried out, or may be seconds later; it is
-	// repeated until it gets one. term is a fencing token.
-	Maintain(ctx context.Context, term uint64, host string, wave uint64) (HostAnswer, error)
+	// repeated until it gets one. token is a fencing token.
+	Maintain(ctx context.Context, token uint64, host string, wave uint64) (HostAnswer, error)
+	// Move ends all that runs on a host and has it join another pool. As with Maintain, a
+	// call without an answer may have been carried out, or may be seconds later.
+	Move(ctx context.Context, token uint64, host, pool string) (HostAnswer, error)
 }
 
 // HostAnswer is what the platform says to an order about a host.
@@ -33,7 +36,8 @@
 	HostFenced
 	// HostBusy: the host is not up or about to leave; nothing was done.
 	HostBusy
-	// HostRefused: the platform knows no such host, or no such wave; nothing was done.
+	// HostRefused: the platform knows no such host or wave, or the host is none of that
+	// pool's kind; nothing was done.
 	HostRefused
 )
 
@@ -47,60 +51,86 @@
 }
 
 const (
-	// maintenanceInterval is the time between two looks at the hosts while a wave is
+	// hostsInterval is the time between two looks at the hosts while a wave or a move is
 	// open: a fraction of the two seconds that a maintenance takes at least.
-	maintenanceInterval = 500 * time.Millisecond
+	hostsInterval = 500 * time.Millisecond
 	// hostCallTimeout bounds one call about hosts.
 	hostCallTimeout = 2 * time.Second
 )
 
-// maintain carries the waves out whenever this replica leads, until ctx ends.
-func (d *Dispatcher) maintain(ctx context.Context) {
+// tendHosts carries waves and moves out whenever this replica leads, until ctx ends.
+func (d *Dispatcher) tendHosts(ctx context.Context) {
 	if d.opts.Hosts == nil {
 		return
 	}
 	for ctx.Err() == nil {
-		pause(ctx, maintenanceInterval)
-		if term, open := d.openWaves(); open {
-			d.advanceWaves(ctx, term)
+		pause(ctx, hostsInterval)
+		if look := d.lookAtHosts(); look.waves || look.moves {
+			d.advanceHosts(ctx, look)
 		}
 	}
 }
 
-// openWaves reports whether this replica leads and a wave is not over.
-func (d *Dispatcher) openWaves() (term uint64, open bool) {
+// hostLook says what there is to do about hosts; nothing when this replica does not
+// lead.
+type hostLook struct {
+	term uint64
+	// waves: a wave is not over. moves: one is open, or is to begin.
+	waves, moves bool
+}
+
+func (d *Dispatcher) lookAtHosts() hostLook {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	l := d.ready()
-	d.mu.Unlock()
 	if l == nil {
-		return 0, false
+		return hostLook{}
 	}
+	look := hostLook{term: l.term}
+	now := d.opts.Now()
 	d.opts.Replica.ReadState(func(m *state.Machine) {
-		for _, w := range m.CallerJobs().Waves() {
-			open = open || !w.Over()
+		jobs := m.CallerJobs()
+		for _, w := range jobs.Waves() {
+			look.waves = look.waves || !w.Over()
 		}
+		look.moves = l.moves.look(jobs, l.fleet(now), l.waits, now)
 	})
-	return l.term, open
+	return look
 }
 
-// advanceWaves takes each host the step on that it can take. A host is noted as
+// advanceHosts takes each host the step on that it can take. A host is noted as
 // ordered before the order goes out: whoever leads next repeats the order until it is
-// answered, so the cap holds whatever becomes of a call.
-func (d *Dispatcher) advanceWaves(ctx context.Context, term uint64) {
-	listing, cancel := context.WithTimeout(ctx, hostCallTimeout)
-	hosts, err := d.opts.Hosts.List(listing)
-	cancel()
+// answered, so the bounds hold whatever becomes of a call.
+func (d *Dispatcher) advanceHosts(ctx context.Context, look hostLook) {
+	hosts, err := d.listHosts(ctx)
 	if err != nil {
-		d.logger.Warn("hosts can't be listed", zap.Uint64("term", term), zap.Error(err))
+		d.logger.Warn("hosts can't be listed", zap.Uint64("term", look.term), zap.Error(err))
 		return
 	}
+	if look.waves {
+		d.advanceWaves(ctx, look.term, hosts)
+	}
+	if look.moves {
+		d.advanceMoves(ctx, look.term, hosts)
+	}
+}
+
+func (d *Dispatcher) listHosts(ctx context.Context) (map[string]schedule.HostView, error) {
+	ctx, cancel := context.WithTimeout(ctx, hostCallTimeout)
+	defer cancel()
+	return d.opts.Hosts.List(ctx)
+}
+
+func (d *Dispatcher) advanceWaves(ctx context.Context, term uint64, hosts map[string]schedule.HostView) {
 	var steps []*apiv1.MaintainHost
 	d.opts.Replica.ReadState(func(m *state.Machine) { steps = schedule.NextMaintenance(m.CallerJobs(), hosts) })
 	for _, step := range steps {
 		d.takeStep(ctx, term, step)
 	}
-	for _, h := range d.orderedHosts() {
-		d.orderMaintenance(ctx, term, h)
+	for _, h := range d.orderedHosts(term) {
+		if !d.fenced(term, h.Name) {
+			d.orderMaintenance(ctx, term, h)
+		}
 	}
 }
 
@@ -121,16 +151,19 @@
 // orderedHost is a host whose order has no answer yet.
 type orderedHost struct {
 	wave uint64
+	// token is that of its orders.
+	token uint64
 	jobqueue.WaveHost
 }
 
-func (d *Dispatcher) orderedHosts() []orderedHost {
+func (d *Dispatcher) orderedHosts(term uint64) []orderedHost {
 	var ordered []orderedHost
 	d.opts.Replica.ReadState(func(m *state.Machine) {
+		orders := m.CallerJobs().HostOrders()
 		for _, w := range m.CallerJobs().Waves() {
 			for _, h := range w.Hosts {
 				if h.State == apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED {
-					ordered = append(ordered, orderedHost{w.Spec.Number, *h})
+					ordered = append(ordered, orderedHost{wave: w.Spec.Number, token: hostToken(term, orders), WaveHost: *h})
 				}
 			}
 		}
@@ -141,10 +174,13 @@
 // orderMaintenance orders a host's maintenance and notes what the platform answered.
 func (d *Dispatcher) orderMaintenance(ctx context.Context, term uint64, h orderedHost) {
 	calling, cancel := context.WithTimeout(ctx, hostCallTimeout)
-	answer, err := d.opts.Hosts.Maintain(calling, term, h.Name, h.wave)
+	answer, err := d.opts.Hosts.Maintain(calling, h.token, h.Name, h.wave)
 	cancel()
 	d.logger.Info("host maintenance ordered", zap.Uint64("term", term), zap.Uint64("wave", h.wave),
 		zap.String("host", h.Name), zap.Stringer("answer", answer), zap.Error(err))
+	if err == nil && answer == HostFenced {
+		d.noteFenced(term, h.Name)
+	}
 	// A refusal tells nothing of an earlier call, which may still be carried out: so
 	// the host stays ordered, and counts as down, until an order is answered or the
 	// host leaves the fleet.
--- /dev/null
+++ b/dispatch/moves.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/schedule"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+const (
+	// doubtBound is how long after an unanswered call the platform may still carry it
+	// out; late calls were seen to be carried out within ten seconds.
+	doubtBound = 30 * time.Second
+	// tokenTermShift is where the term begins in the fencing token of an order, in bits.
+	tokenTermShift = 20
+	// listAge is how old a list of hosts may be that operators are shown: asking often
+	// must not use up the readings that the platform accepts.
+	listAge = time.Second
+)
+
+// hostToken is the fencing token of an order about a host: the term, so that each new
+// leader's is higher, and the number of the order, so that a call that is carried out
+// late does not undo a later order of the same leader.
+func hostToken(term, order uint64) uint64 {
+	return term<<tokenTermShift | order&(1<<tokenTermShift-1)
+}
+
+// movesLed is what the leader of a term knows of moves beside the log. The
+// dispatcher's lock guards it.
+type movesLed struct {
+	mover *schedule.Mover
+	// fenced are the hosts that another holder gave an order about, under a higher token.
+	fenced map[string]bool
+	// doubts says when a call about a host was last made that got no answer; the orders
+	// of earlier leaders count as made when this one began to lead.
+	doubts map[string]time.Time
+	// own are the hosts that this leader ordered away, with the number of the order.
+	own   map[string]uint64
+	began time.Time
+	// list is the newest list of hosts, for operators.
+	list     map[string]schedule.HostView
+	listedAt time.Time
+}
+
+func newMovesLed(now time.Time) *movesLed {
+	return &movesLed{
+		mover: schedule.NewMover(now), fenced: map[string]bool{}, doubts: map[string]time.Time{}, own: map[string]uint64{}, began: now,
+	}
+}
+
+// look reports whether a move is open or is to begin.
+func (l *movesLed) look(m *jobqueue.Machine, fleet schedule.Fleet, waits []schedule.Wait, now time.Time) bool {
+	l.mover.Note(m, fleet, waits, now)
+	open := slices.ContainsFunc(m.Moves(), func(v jobqueue.Move) bool { return !v.Over() })
+	return open || l.mover.Wanted(m, now)
+}
+
+// certain reports whether all calls of a move have been answered, or are too old to be
+// carried out.
+func (l *movesLed) certain(v jobqueue.Move, now time.Time) bool {
+	doubt, in := l.doubts[v.Host]
+	if l.own[v.Host] != v.Order {
+		doubt, in = later(doubt, l.began), true
+	}
+	return !in || now.Sub(doubt) >= doubtBound
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// withMoves calls f if this replica still leads in the term.
+func (d *Dispatcher) withMoves(term uint64, f func(*movesLed)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.ready(); l != nil && l.term == term {
+		f(l.moves)
+	}
+}
+
+// fenced reports whether orders about a host were refused since another holder has a
+// higher token, or this replica leads no more.
+func (d *Dispatcher) fenced(term uint64, host string) bool {
+	fenced := true
+	d.withMoves(term, func(l *movesLed) { fenced = l.fenced[host] })
+	return fenced
+}
+
+func (d *Dispatcher) noteFenced(term uint64, host string) {
+	d.withMoves(term, func(l *movesLed) { l.fenced[host] = true })
+	d.logger.Warn("another holder gave an order about the host", zap.Uint64("term", term), zap.String("host", host))
+}
+
+// advanceMoves takes the moves on, begins those that are due and gives the orders.
+func (d *Dispatcher) advanceMoves(ctx context.Context, term uint64, hosts map[string]schedule.HostView) {
+	var steps []*apiv1.MoveHost
+	settled := false
+	d.withMoves(term, func(l *movesLed) {
+		now := d.opts.Now()
+		settled = l.mover.Settled(now)
+		d.opts.Replica.ReadState(func(m *state.Machine) { steps = l.mover.Next(m.CallerJobs(), hosts, now) })
+	})
+	for _, step := range steps {
+		d.takeMoveStep(ctx, term, step)
+	}
+	if !settled {
+		return
+	}
+	for _, v := range d.orderedMoves() {
+		if !d.orderMove(ctx, term, v) {
+			// The platform is slow, or was asked too often: the next look goes on.
+			return
+		}
+	}
+}
+
+// takeMoveStep commits a step.
+func (d *Dispatcher) takeMoveStep(ctx context.Context, term uint64, step *apiv1.MoveHost) {
+	step.Term = term
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	res, err := d.opts.Replica.ProposeLocal(ctx, jobsCommand(&apiv1.JobsCommand{
+		Body: &apiv1.JobsCommand_MoveHost{MoveHost: step},
+	}))
+	taken := err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK
+	if taken && step.State == apiv1.MoveState_MOVE_STATE_ORDERED {
+		d.noteOrdered(term, step.Host)
+	}
+	d.logger.Info("host move", zap.Uint64("term", term), zap.String("host", step.Host), zap.String("from", step.From),
+		zap.String("pool", step.Pool), zap.String("worker", step.Worker), zap.Stringer("state", step.State),
+		zap.Bool("taken", taken), zap.Error(err))
+}
+
+// noteOrdered notes that no order of the host's move has gone out yet.
+func (d *Dispatcher) noteOrdered(term uint64, host string) {
+	d.withMoves(term, func(l *movesLed) {
+		d.opts.Replica.ReadState(func(m *state.Machine) {
+			if v, ok := m.CallerJobs().MoveOf(host); ok {
+				l.own[host] = v.Order
+				delete(l.doubts, host)
+			}
+		})
+	})
+}
+
+// orderedMoves returns the moves whose orders have no answer yet.
+func (d *Dispatcher) orderedMoves() []jobqueue.Move {
+	var ordered []jobqueue.Move
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		for _, v := range m.CallerJobs().Moves() {
+			if v.State == apiv1.MoveState_MOVE_STATE_ORDERED {
+				ordered = append(ordered, jobqueue.Move{HostMove: proto.CloneOf(v.HostMove)})
+			}
+		}
+	})
+	return ordered
+}
+
+// orderMove orders a move and notes what the platform answered; false when it gave no
+// answer. Once another holder used a higher token, nothing more is ordered.
+func (d *Dispatcher) orderMove(ctx context.Context, term uint64, v jobqueue.Move) bool {
+	answer, err := HostFenced, error(nil)
+	if !d.fenced(term, v.Host) {
+		calling, cancel := context.WithTimeout(ctx, hostCallTimeout)
+		answer, err = d.opts.Hosts.Move(calling, hostToken(term, v.Order), v.Host, v.Pool)
+		cancel()
+		d.logger.Info("host move ordered", zap.Uint64("term", term), zap.String("host", v.Host), zap.String("pool", v.Pool),
+			zap.Uint64("order", v.Order), zap.Stringer("answer", answer), zap.Error(err))
+		if err == nil && answer == HostFenced {
+			d.noteFenced(term, v.Host)
+		}
+	}
+	certain := false
+	d.withMoves(term, func(l *movesLed) {
+		if err != nil {
+			l.doubts[v.Host] = d.opts.Now()
+		}
+		certain = l.certain(v, d.opts.Now())
+	})
+	step := &apiv1.MoveHost{Host: v.Host, Pool: v.Pool, From: v.From, Worker: v.Worker}
+	switch {
+	case err != nil:
+		return false
+	case answer == HostDone:
+		step.State = apiv1.MoveState_MOVE_STATE_BEGUN
+	case answer == HostRefused, certain:
+		step.State = apiv1.MoveState_MOVE_STATE_REFUSED
+	default:
+		// Busy or fenced tells nothing of an earlier call, which may still be carried out:
+		// the host stays ordered meanwhile.
+		return true
+	}
+	d.takeMoveStep(ctx, term, step)
+	return true
+}
+
+// readHosts lists the hosts for operators; the leader alone answers.
+func (d *Dispatcher) readHosts(ctx context.Context) *apiv1.JobsReadResponse {
+	if d.opts.Hosts == nil {
+		return &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS}
+	}
+	term, leads := d.opts.Replica.Leading()
+	if !leads {
+		return &apiv1.JobsReadResponse{Unconfirmed: true}
+	}
+	var hosts map[string]schedule.HostView
+	d.withMoves(term, func(l *movesLed) {
+		if d.opts.Now().Sub(l.listedAt) < listAge {
+			hosts = l.list
+		}
+	})
+	if hosts == nil {
+		var err error
+		if hosts, err = d.listHosts(ctx); err != nil {
+			d.logger.Warn("hosts can't be listed", zap.Uint64("term", term), zap.Error(err))
+			return &apiv1.JobsReadResponse{Unconfirmed: true}
+		}
+		d.withMoves(term, func(l *movesLed) { l.list, l.listedAt = hosts, d.opts.Now() })
+	}
+	resp := &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
+	d.opts.Replica.ReadState(func(m *state.Machine) { resp.Hosts = hostRecords(m.CallerJobs(), hosts) })
+	return resp
+}
+
+func hostRecords(m *jobqueue.Machine, hosts map[string]schedule.HostView) []*apiv1.HostRecord {
+	var records []*apiv1.HostRecord
+	for _, name := range slices.Sorted(maps.Keys(hosts)) {
+		view := hosts[name]
+		r := &apiv1.HostRecord{Host: name, Pool: view.Pool, Worker: view.Worker, Up: view.Up}
+		if v, ok := m.MoveOf(name); ok {
+			r.Move = proto.CloneOf(v.HostMove)
+		}
+		records = append(records, r)
+	}
+	return records
+}
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -19,6 +19,9 @@
 	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION {
 		return d.explain(r.Id), nil
 	}
+	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS {
+		return d.readHosts(ctx), nil
+	}
 	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) { read(m.CallerJobs(), r, resp) })
 	return resp, nil
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -123,6 +123,9 @@
 	lives  int
 	rate   int64
 	labels []string
+	pool   string
+	// off: the host is switched off, so its worker announces nothing.
+	off bool
 }
 
 var errCut = errors.New("cut off")
@@ -165,6 +168,12 @@
 	h.cut = cut
 }
 
+func (h *simSide) setPool(pool string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pool, h.off = pool, false
+}
+
 // startWorker puts a new incarnation on the host.
 func (h *simSide) startWorker() {
 	h.mu.Lock()
@@ -174,7 +183,7 @@
 	}
 	h.lives++
 	h.worker = fakes.NewRunWorker(&apiv1.JobWorker{
-		Id: fmt.Sprintf("%s-%d", h.name, h.lives), Host: h.name, Pool: simPool, CpuMilli: 4000, MemoryMb: 8000,
+		Id: fmt.Sprintf("%s-%d", h.name, h.lives), Host: h.name, Pool: h.pool, CpuMilli: 4000, MemoryMb: 8000,
 		Labels: h.labels,
 	}, h.s.watch)
 	h.worker.ClockRatePPM = h.rate
@@ -223,8 +232,11 @@
 // announce has the worker tell its agent that it is there.
 func (h *simSide) announce(sequence uint64) {
 	h.mu.Lock()
-	worker, driver := h.worker, h.driver
+	worker, driver, off := h.worker, h.driver, h.off
 	h.mu.Unlock()
+	if off {
+		return
+	}
 	driver.Announce(runs.Announcement{Worker: worker.Announced(), Sequence: sequence})
 }
 
@@ -286,7 +298,7 @@
 		},
 	}}})
 	for i := range workers {
-		h := &simSide{s: s, name: fmt.Sprintf("host%d", i), rate: int64(i%3) * 10_000}
+		h := &simSide{s: s, name: fmt.Sprintf("host%d", i), rate: int64(i%3) * 10_000, pool: simPool}
 		h.startWorker()
 		h.startAgent()
 		s.hosts = append(s.hosts, h)
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -47,6 +47,14 @@
 	return 0, errNoFleet
 }
 
+// Move implements dispatch.Hosts.
+func (h simHosts) Move(ctx context.Context, token uint64, host, pool string) (dispatch.HostAnswer, error) {
+	if f := h.s.fleetOf.Load(); f != nil {
+		return f.Move(ctx, token, host, pool)
+	}
+	return 0, errNoFleet
+}
+
 // fleet has the simulation's hosts go down and come back for their maintenance.
 func (s *sim) fleet() *fakes.Hosts {
 	f := &fakes.Hosts{Takes: 2 * time.Second, Fault: s.fault}
@@ -66,6 +74,9 @@
 	}
 	f.Up = func(name string) {
 		h := host(name)
+		if pool := f.PoolOf(name); pool != "" {
+			h.setPool(pool)
+		}
 		h.startWorker()
 		f.Put(name, h.incarnation())
 	}
--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -104,6 +104,27 @@
 	return w, errors.Wrap(protojson.Unmarshal(body, w), "answer")
 }
 
+// Hosts lists all hosts with their newest moves.
+func (c *Client) Hosts(ctx context.Context) ([]*apiv1.HostRecord, error) {
+	body, err := c.call(ctx, http.MethodGet, hostsPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp := &apiv1.JobsReadResponse{}
+	err = protojson.Unmarshal(body, resp)
+	return resp.Hosts, errors.Wrap(err, "answer")
+}
+
+// MoveHost asks that a host moves to a pool.
+func (c *Client) MoveHost(ctx context.Context, host, pool string) error {
+	body, err := protojson.Marshal(&apiv1.RequestMove{Host: host, Pool: pool})
+	if err != nil {
+		return errors.Wrap(err, "move")
+	}
+	_, err = c.call(ctx, http.MethodPost, hostsPath+movePath, body)
+	return err
+}
+
 func at(host, path string) string {
 	return jobsPath + "?" + url.Values{"host": {host}, "path": {path}}.Encode()
 }
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -9,6 +9,8 @@
 //	GET    /v1/jobs/ID/explanation a JobExplanation: the job's tasks, runs and waits
 //	POST   /v1/waves               a MaintenanceWave; the same number is the same wave
 //	GET    /v1/waves/NUMBER        how far its hosts are, a WaveRecord
+//	GET    /v1/hosts               all hosts, JobsReadResponse.hosts
+//	POST   /v1/hosts/move          a RequestMove; the same again is the same move
 //
 // 503 says that nothing was done and never will be, with Retry-After; 504 that it is
 // not known what became of the request, which may be sent again.
@@ -18,6 +20,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +39,8 @@
 	queuesPath = "/v1/queues"
 	jobsPath   = "/v1/jobs"
 	wavesPath  = "/v1/waves"
+	hostsPath  = "/v1/hosts"
+	movePath   = "/move"
 	// maxBody bounds a request's body in bytes.
 	maxBody = 8 << 20
 	// requestTimeout bounds a request: two elections and some.
@@ -49,6 +54,7 @@
 	Submit(ctx context.Context, spec *apiv1.JobSpec) (apiv1.JobOutcome, error)
 	Cancel(ctx context.Context, host, path, id string) (apiv1.JobOutcome, error)
 	PutWave(ctx context.Context, w *apiv1.MaintenanceWave) (apiv1.JobOutcome, error)
+	RequestMove(ctx context.Context, r *apiv1.RequestMove) (apiv1.JobOutcome, error)
 	Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error)
 }
 
@@ -61,7 +67,7 @@
 }
 
 // Paths lists the path prefixes that the handler serves.
-func Paths() []string { return []string{queuesPath, jobsPath, wavesPath} }
+func Paths() []string { return []string{queuesPath, jobsPath, wavesPath, hostsPath} }
 
 // Handler serves the interface.
 func Handler(b Backend) http.Handler {
@@ -75,6 +81,8 @@
 	r.GET(jobsPath+"/:id/explanation", h.explain)
 	r.POST(wavesPath, h.putWave)
 	r.GET(wavesPath+"/:number", h.getWave)
+	r.GET(hostsPath, h.getHosts)
+	r.POST(hostsPath+movePath, h.moveHost)
 	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
 }
 
@@ -231,6 +239,44 @@
 	}
 }
 
+func (h handler) getHosts(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	if resp, err := h.readHosts(ctx); found(w, resp, err) {
+		writeMessage(w, &apiv1.JobsReadResponse{Hosts: resp.Hosts})
+	}
+}
+
+func (h handler) readHosts(ctx context.Context) (*apiv1.JobsReadResponse, error) {
+	return h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS})
+}
+
+// moveHost looks the host up first: the log does not know hosts that have no worker.
+func (h handler) moveHost(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	move := &apiv1.RequestMove{}
+	check := func() error {
+		if move.Host == "" || move.Pool == "" {
+			return errors.New("a move needs a host and a pool")
+		}
+		return nil
+	}
+	if !accept(w, r, move, check) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.readHosts(ctx)
+	if !found(w, resp, err) {
+		return
+	}
+	if !slices.ContainsFunc(resp.Hosts, func(listed *apiv1.HostRecord) bool { return listed.Host == move.Host }) {
+		writeError(w, http.StatusNotFound, "there is no host "+strconv.Quote(move.Host))
+		return
+	}
+	outcome, err := h.RequestMove(ctx, move)
+	writeOutcome(w, outcome, err)
+}
+
 // writeMessage answers with a message as JSON.
 func writeMessage(w http.ResponseWriter, m proto.Message) {
 	data, err := protojson.Marshal(m)
@@ -255,8 +301,12 @@
 	switch o {
 	case apiv1.JobOutcome_JOB_OUTCOME_OK:
 		return http.StatusOK
-	case apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_WAVE:
+	case apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_WAVE, apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:
 		return http.StatusNotFound
+	case apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:
+		return http.StatusConflict
+	case apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS:
+		return http.StatusNotImplemented
 	case apiv1.JobOutcome_JOB_OUTCOME_NO_JOB:
 		return http.StatusGone
 	case apiv1.JobOutcome_JOB_OUTCOME_INVALID:
@@ -265,6 +315,13 @@
 	return http.StatusServiceUnavailable
 }
 
+// outcomeMessages explain what an outcome's name does not.
+var outcomeMessages = map[apiv1.JobOutcome]string{
+	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:  "the configuration in force has no such pool",
+	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT: "the host is in a maintenance wave or on another move, or was moved within the last 30 s",
+	apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS: "this deployment has no interface to its hosts",
+}
+
 func writeOutcome(w http.ResponseWriter, o apiv1.JobOutcome, err error) {
 	status := StatusOf(o, err)
 	if status == http.StatusServiceUnavailable {
@@ -274,7 +331,10 @@
 		writeJSON(w, status, struct{}{})
 		return
 	}
-	message := o.String()
+	message, known := outcomeMessages[o]
+	if !known {
+		message = o.String()
+	}
 	if err != nil {
 		message = err.Error()
 	}
--- a/jobapi/jobapi_test.go
+++ b/jobapi/jobapi_test.go
@@ -40,6 +40,10 @@
 	return g.answer()
 }
 
+func (g *group) RequestMove(context.Context, *apiv1.RequestMove) (apiv1.JobOutcome, error) {
+	return g.answer()
+}
+
 func (g *group) Read(context.Context, *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error) {
 	return g.read, g.err
 }
@@ -159,6 +163,43 @@
 	}
 }
 
+func TestHosts(t *testing.T) {
+	g := &group{outcome: apiv1.JobOutcome_JOB_OUTCOME_OK, read: &apiv1.JobsReadResponse{
+		Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK, Hosts: []*apiv1.HostRecord{
+			{Host: "h/1", Pool: "p", Up: true, Move: &apiv1.HostMove{State: apiv1.MoveState_MOVE_STATE_DONE}},
+		},
+	}}
+	client := serve(t, g)
+	hosts, err := client.Hosts(t.Context())
+	if err != nil || len(hosts) != 1 || hosts[0].Pool != "p" || hosts[0].Move.State != apiv1.MoveState_MOVE_STATE_DONE {
+		t.Errorf("%v, %v", hosts, err)
+	}
+	if got := status(t, client.MoveHost(t.Context(), "h/1", "")); got != 400 {
+		t.Errorf("a move to nowhere: %d", got)
+	}
+	if got := status(t, client.MoveHost(t.Context(), "nosuch", "q")); got != 404 {
+		t.Errorf("a move of an unknown host: %d", got)
+	}
+	if g.calls != 0 {
+		t.Errorf("%d mistakes were passed on", g.calls)
+	}
+	if err := client.MoveHost(t.Context(), "h/1", "q"); err != nil || g.calls != 1 {
+		t.Errorf("%v after %d calls", err, g.calls)
+	}
+	for outcome, want := range map[apiv1.JobOutcome]int{
+		apiv1.JobOutcome_JOB_OUTCOME_NO_POOL: 404, apiv1.JobOutcome_JOB_OUTCOME_CONFLICT: 409, apiv1.JobOutcome_JOB_OUTCOME_FULL: 503,
+	} {
+		g.outcome = outcome
+		if got := status(t, client.MoveHost(t.Context(), "h/1", "q")); got != want {
+			t.Errorf("%v: %d, want %d", outcome, got, want)
+		}
+	}
+	g.read = &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS}
+	if got := status(t, client.MoveHost(t.Context(), "h/1", "q")); got != 501 {
+		t.Errorf("without an interface to hosts: %d", got)
+	}
+}
+
 func TestExplain(t *testing.T) {
 	g := &group{read: &apiv1.JobsReadResponse{
 		Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK, Explanation: &apiv1.JobExplanation{
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -169,6 +169,11 @@
 	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{Wave: w}}})
 }
 
+// RequestMove asks that a host moves to a pool; see propose for errors.
+func (c *Client) RequestMove(ctx context.Context, r *apiv1.RequestMove) (apiv1.JobOutcome, error) {
+	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_RequestMove{RequestMove: r}})
+}
+
 // Read reads from state that is confirmed to be the newest. Errors: ErrUnconfirmed.
 func (c *Client) Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error) {
 	var found *apiv1.JobsReadResponse
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -38,7 +38,10 @@
 	// must not bring it back.
 	departed []string
 	waves    map[uint64]*Wave
-	// leaving are the workers that are emptied for their hosts' maintenance.
+	// moves is the newest move of each host; hostOrders counts the hosts ordered away.
+	moves      map[string]*apiv1.HostMove
+	hostOrders uint64
+	// leaving are the workers that are emptied, for maintenance or a move of their hosts.
 	leaving map[string]bool
 	// learnt is what the leader last kept for its successors.
 	learnt *apiv1.Learnt
@@ -54,6 +57,7 @@
 		workers:       map[string]*Worker{},
 		current:       map[string]string{},
 		waves:         map[uint64]*Wave{},
+		moves:         map[string]*apiv1.HostMove{},
 	}
 }
 
@@ -77,6 +81,10 @@
 		return m.putWave(body.PutWave.GetWave())
 	case *apiv1.JobsCommand_Maintain:
 		return m.maintain(body.Maintain, leaderTerm)
+	case *apiv1.JobsCommand_RequestMove:
+		return m.requestMove(body.RequestMove)
+	case *apiv1.JobsCommand_MoveHost:
+		return m.moveHost(body.MoveHost, leaderTerm)
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 }
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -52,6 +52,7 @@
 	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
 	m.workers[spec.Id] = w
 	m.current[spec.Host] = spec.Id
+	m.followMove(w)
 	return w
 }
 
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
@@ -26,6 +27,7 @@
 	for _, w := range m.Waves() {
 		out.Waves = append(out.Waves, w.Record())
 	}
+	out.Moves, out.HostOrders = m.snapshotMoves(), m.hostOrders
 	return out
 }
 
@@ -74,6 +76,10 @@
 	for _, r := range s.GetWaves() {
 		m.restoreWave(r)
 	}
+	for _, v := range s.GetMoves() {
+		m.moves[v.Host] = proto.CloneOf(v)
+	}
+	m.hostOrders = s.GetHostOrders()
 	m.noteLeaving()
 	slices.SortStableFunc(m.departed, func(a, b string) int {
 		return cmp.Compare(m.workers[a].DepartedMs, m.workers[b].DepartedMs)
--- a/jobqueue/waves.go
+++ b/jobqueue/waves.go
@@ -149,12 +149,19 @@
 	if h == nil || !m.mayMaintain(w, h, c) {
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
 	}
+	if c.State == apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED {
+		m.hostOrders++
+	}
 	h.State, h.Worker = c.State, c.Worker
 	m.noteLeaving()
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
 func (m *Machine) mayMaintain(w *Wave, h *WaveHost, c *apiv1.MaintainHost) bool {
+	if move, ok := m.MoveOf(c.Host); ok && !move.Over() && !h.Down() && c.State != apiv1.MaintenanceState_MAINTENANCE_STATE_GONE {
+		// One order at a time: the host's turn comes when it is where it goes to.
+		return false
+	}
 	switch c.State {
 	case apiv1.MaintenanceState_MAINTENANCE_STATE_LEAVING:
 		return !h.Over() && !h.Down()
@@ -181,9 +188,14 @@
 			}
 		}
 	}
+	for _, v := range m.moves {
+		if !(Move{v}).Over() {
+			m.leaving[v.Worker] = true
+		}
+	}
 }
 
-// Leaving reports whether a worker is emptied for its host's maintenance.
+// Leaving reports whether a worker is emptied for its host's maintenance or move.
 func (m *Machine) Leaving(worker string) bool { return m.leaving[worker] }
 
 // Waves returns the waves by number.
--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -36,7 +36,7 @@
 		since[worker] = began
 		for _, id := range s.worker.SortedRuns() {
 			if stops < evacuationsPerRound && r.evacuates(s.worker.Runs[id], s, r.now.Sub(began)) {
-				r.stop(id, "host maintenance")
+				r.stop(id, "host maintenance or move")
 				stops++
 			}
 		}
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -9,8 +9,15 @@
 type HostView struct {
 	// Worker is the incarnation of its worker, empty while there is none.
 	Worker string
+	// Pool is the pool of workers that the host belongs to.
+	Pool string
 	// Up is set unless the host is down, in maintenance or on the move.
 	Up bool
+	// Down is set for a host that is switched off or lost.
+	Down bool
+	// Capacity and Labels are what its worker has, or would have.
+	Capacity jobqueue.Resources
+	Labels   []string
 }
 
 // NextMaintenance returns the steps that hosts of waves can take, given a whole list
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -329,6 +329,8 @@
 func (r *round) feasible(c *candidate, s *slot) Reason {
 	spec := c.step.Spec
 	switch {
+	case s.worker.Spec.Pool != c.queue.Pool:
+		return ReasonPool
 	case s.worker.Spec.Draining:
 		return ReasonDraining
 	case s.leaving:
@@ -337,8 +339,6 @@
 		return ReasonUnreachable
 	case s.avoided:
 		return ReasonAvoided
-	case s.worker.Spec.Pool != c.queue.Pool:
-		return ReasonPool
 	case !s.worker.HasLabel(spec.RequiredLabel):
 		return ReasonLabel
 	}
