--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -127,8 +127,44 @@
 	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
 }
 
-// judgeOrders checks that no token stands for two orders, that a host's tokens never
-// fall, that few hosts were away at once and that the platform's rates were kept.
+// heldOrder is who gave an order that moves a host, and when.
+type heldOrder struct {
+	host  string
+	token uint64
+	term  uint64
+	at    time.Time
+}
+
+// holderPause is how long the platform has one holder give orders about a host before
+// another one does.
+const holderPause = 3 * time.Second
+
+func (s *sim) noteHolder(host string, token uint64) {
+	term, _ := s.log.Leading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = append(s.held, heldOrder{host, token, term, time.Now()})
+}
+
+// judgeHolders checks that no token was used by two leaders, and that they did not give
+// orders about a host by turns.
+func (s *sim) judgeHolders(seed uint64) {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := map[string]heldOrder{}
+	for _, o := range s.held {
+		before, known := last[o.host]
+		if known && before.term != o.term && (before.token >= o.token || o.at.Sub(before.at) < holderPause) {
+			s.t.Errorf("seed %d: leaders order by turns: %+v, %+v", seed, before, o)
+		}
+		last[o.host] = o
+	}
+}
+
+// judgeOrders checks that no token stands for two orders or holders, that a host's
+// tokens never fall, that few hosts were away at once and that the platform's rates were
+// kept.
 func (s *sim) judgeOrders(seed uint64, f *fakes.Hosts) {
 	s.t.Helper()
 	type key struct {
@@ -147,6 +183,7 @@
 		}
 		meant[k], newest[o.Host] = o, o.Token
 	}
+	s.judgeHolders(seed)
 	if n := f.MostAway(); n > jobqueue.MaxMovesAtOnce {
 		s.t.Errorf("seed %d: %d hosts were away at once", seed, n)
 	}
@@ -331,17 +368,29 @@
 // moved.
 // Cause: the refusal is taken for a lost answer, and the order repeated.
 func TestRefusalByAHigherTokenIsFinal(t *testing.T) {
-	refusedMove(t, func(f *fakes.Hosts) { f.Fence("host0") })
+	refusedMove(t, 1, func(f *fakes.Hosts) { f.Fence("host0") })
+}
+
+// Symptom: two holders give orders about one host by turns.
+// Sequence: the first call of a move gets no answer, and the next one is refused since
+// somebody else has a higher token.
+// Cause: the order is repeated for as long as the first call is in doubt.
+func TestNothingIsOrderedAfterAHigherToken(t *testing.T) {
+	refusedMove(t, 2, func(f *fakes.Hosts) {
+		f.Fence("host0")
+		f.Fault = func(string) fakes.OrderFault { return fakes.OrderFault{Lost: len(f.Orders()) == 1} }
+	})
 }
 
 // Symptom: a worker gets no work for good.
 // Sequence: the platform says that its host can't be moved.
 // Cause: the order is repeated without an end, and the host counts as on the move.
 func TestBusyHostGetsWorkAgain(t *testing.T) {
-	refusedMove(t, func(f *fakes.Hosts) { f.SetBusy("host0", true) })
+	refusedMove(t, 1, func(f *fakes.Hosts) { f.SetBusy("host0", true) })
 }
 
-func refusedMove(t *testing.T, refuse func(*fakes.Hosts)) {
+// refusedMove has a move refused, after some calls.
+func refusedMove(t *testing.T, calls int, refuse func(*fakes.Hosts)) {
 	metrics.NewMeter().Stop()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
@@ -353,10 +402,10 @@
 		s.sleep(moverSettles)
 		refuse(f)
 		s.askMove("host0", otherPool)
-		if !s.await(20*time.Second, func() bool { return s.moveOf("host0").State == apiv1.MoveState_MOVE_STATE_REFUSED }) {
+		if !s.await(time.Minute, func() bool { return s.moveOf("host0").State == apiv1.MoveState_MOVE_STATE_REFUSED }) {
 			t.Errorf("the move is %v", s.moveOf("host0"))
 		}
-		if orders := f.Orders(); len(orders) != 1 {
+		if orders := f.Orders(); len(orders) != calls {
 			t.Errorf("ordered %v", orders)
 		}
 		leaving := true
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -97,6 +97,8 @@
 	advisor    *fakes.Advisor
 	// fleetOf takes hosts down for their maintenance, where a test has waves.
 	fleetOf atomic.Pointer[fakes.Hosts]
+	// held are the orders that move hosts, with the term of the leader that gave them.
+	held []heldOrder
 	// lasting is the job whose tasks work until they are stopped.
 	lasting string
 	// demandTickets has the workers refuse advised steps without a valid ticket.
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -50,6 +50,7 @@
 // Move implements dispatch.Hosts.
 func (h simHosts) Move(ctx context.Context, token uint64, host, pool string) (dispatch.HostAnswer, error) {
 	if f := h.s.fleetOf.Load(); f != nil {
+		h.s.noteHolder(host, token)
 		return f.Move(ctx, token, host, pool)
 	}
 	return 0, errNoFleet
