--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -67,7 +67,6 @@
 	jobs := jobapi.Handler(e.jobs)
 	for _, path := range jobapi.Paths() {
 		mux.Handle(path, jobs)
-		mux.Handle(path+"/", jobs)
 	}
 	mux.Handle("/", admin)
 	return mux
--- a/entry/jobs_paths_test.go
+++ b/entry/jobs_paths_test.go
@@ -12,17 +12,25 @@
 // Sequence: the command asks an entry for a path below those of the jobs' interface.
 // Cause: the entry passes the paths themselves on, and none below them.
 func TestJobsPathsReachTheirInterface(t *testing.T) {
-	h := (&Entry{}).withJobs(http.NotFoundHandler())
-	for _, c := range []struct{ method, path, body string }{
-		{http.MethodGet, "/v1/waves/x", ""},
-		{http.MethodPost, "/v1/hosts/move", `{"host":"h1"}`},
-		{http.MethodPost, "/v1/jobs", `{}`},
-		{http.MethodPost, "/v1/waves", `{}`},
+	admin := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	h := (&Entry{}).withJobs(admin)
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{http.MethodGet, "/v1/waves/x", "", http.StatusBadRequest},
+		{http.MethodPost, "/v1/hosts/move", `{"host":"h1"}`, http.StatusBadRequest},
+		{http.MethodPost, "/v1/jobs", `{}`, http.StatusBadRequest},
+		{http.MethodPost, "/v1/waves", `{}`, http.StatusBadRequest},
+		{http.MethodPost, "/v1/explanations/x", "", http.StatusMethodNotAllowed},
+		// The administration API explains the jobs of the operators' text.
+		{http.MethodGet, "/v1/jobs/x/explanation", "", http.StatusTeapot},
+		{http.MethodGet, "/v1/status", "", http.StatusTeapot},
 	} {
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
-		if w.Code != http.StatusBadRequest {
-			t.Errorf("%s %s with a mistake: %d %s", c.method, c.path, w.Code, w.Body)
+		if w.Code != c.want {
+			t.Errorf("%s %s: %d, want %d: %s", c.method, c.path, w.Code, c.want, w.Body)
 		}
 	}
 }
--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -80,7 +80,7 @@
 
 // Explain returns a job's tasks, runs and waits.
 func (c *Client) Explain(ctx context.Context, id string) (*apiv1.JobExplanation, error) {
-	body, err := c.call(ctx, http.MethodGet, jobsPath+"/"+url.PathEscape(id)+"/explanation", nil)
+	body, err := c.call(ctx, http.MethodGet, explanationsPath+"/"+url.PathEscape(id), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -6,7 +6,7 @@
 //	POST   /v1/jobs                a JobSpec; the same id is the same job
 //	GET    /v1/jobs?host=&path=    the state of a job, or what waits in a queue
 //	DELETE /v1/jobs?host=&path=    cancels a job
-//	GET    /v1/jobs/ID/explanation a JobExplanation: the job's tasks, runs and waits
+//	GET    /v1/explanations/ID     a JobExplanation: the job's tasks, runs and waits
 //	POST   /v1/waves               a MaintenanceWave; the same number is the same wave
 //	GET    /v1/waves/NUMBER        how far its hosts are, a WaveRecord
 //	GET    /v1/hosts               all hosts, JobsReadResponse.hosts
@@ -39,8 +39,11 @@
 	queuesPath = "/v1/queues"
 	jobsPath   = "/v1/jobs"
 	wavesPath  = "/v1/waves"
-	hostsPath  = "/v1/hosts"
-	movePath   = "/move"
+	// explanationsPath is apart from jobsPath, below which the administration API explains
+	// the jobs of the operators' text.
+	explanationsPath = "/v1/explanations"
+	hostsPath        = "/v1/hosts"
+	movePath         = "/move"
 	// maxBody bounds a request's body in bytes.
 	maxBody = 8 << 20
 	// requestTimeout bounds a request: two elections and some.
@@ -66,8 +69,11 @@
 	Pending *uint32 `json:"pending,omitempty"`
 }
 
-// Paths lists the path prefixes that the handler serves.
-func Paths() []string { return []string{queuesPath, jobsPath, wavesPath, hostsPath} }
+// Paths lists the patterns of http.ServeMux that the handler serves. What is below the
+// path of the jobs is the administration API's.
+func Paths() []string {
+	return []string{queuesPath, jobsPath, explanationsPath + "/", wavesPath, wavesPath + "/", hostsPath, hostsPath + "/"}
+}
 
 // Handler serves the interface.
 func Handler(b Backend) http.Handler {
@@ -78,7 +84,7 @@
 	r.POST(jobsPath, h.submit)
 	r.GET(jobsPath, h.read)
 	r.DELETE(jobsPath, h.cancel)
-	r.GET(jobsPath+"/:id/explanation", h.explain)
+	r.GET(explanationsPath+"/:id", h.explain)
 	r.POST(wavesPath, h.putWave)
 	r.GET(wavesPath+"/:number", h.getWave)
 	r.GET(hostsPath, h.getHosts)
