--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -448,3 +448,44 @@
 		}
 	})
 }
+
+// Symptom: operators who look at the hosts use up the readings that the platform
+// accepts, or see hosts without their moves.
+// Sequence: hosts are listed ten times in a row, and a second later once more.
+// Cause: each look asks the platform.
+func TestHostsAreListedFromOneReading(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1, 2)
+		defer s.loops.Wait()
+		defer stop()
+		s.calmDown()
+		f := s.pools(map[string]string{"host0": simPool, "host1": reservePool})
+		s.sleep(moverSettles)
+		list := func(times int) *apiv1.JobsReadResponse {
+			var resp *apiv1.JobsReadResponse
+			for range times {
+				var err error
+				resp, err = s.dispatcher.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS})
+				if err != nil || resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK || len(resp.Hosts) != 2 {
+					t.Fatalf("%v, %v", resp, err)
+				}
+			}
+			return resp
+		}
+		if h := list(10).Hosts[1]; h.Host != "host1" || h.Pool != reservePool || h.Up || h.Move != nil {
+			t.Errorf("listed %v", h)
+		}
+		s.sleep(time.Second)
+		list(1)
+		if all, _ := f.Calls(); all != 2 {
+			t.Errorf("%d calls", all)
+		}
+		s.askMove("host1", simPool)
+		s.await(20*time.Second, func() bool { return s.moveOf("host1").Over() })
+		if h := list(1).Hosts[1]; h.Pool != simPool || !h.Up || h.Move.GetState() != apiv1.MoveState_MOVE_STATE_DONE {
+			t.Errorf("listed %v", h)
+		}
+	})
+}
