--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -20,7 +20,7 @@
 	// out; late calls were seen to be carried out within ten seconds.
 	doubtBound = 30 * time.Second
 	// tokenTermShift is where the term begins in the fencing token of an order, in bits.
-	tokenTermShift = 20
+	tokenTermShift = 32
 	// listAge is how old a list of hosts may be that operators are shown: asking often
 	// must not use up the readings that the platform accepts.
 	listAge = time.Second
@@ -59,8 +59,15 @@
 // look reports whether a move is open or is to begin.
 func (l *movesLed) look(m *jobqueue.Machine, fleet schedule.Fleet, waits []schedule.Wait, now time.Time) bool {
 	l.mover.Note(m, fleet, waits, now)
-	open := slices.ContainsFunc(m.Moves(), func(v jobqueue.Move) bool { return !v.Over() })
-	return open || l.mover.Wanted(m, now)
+	goesOn := slices.ContainsFunc(m.Moves(), func(v jobqueue.Move) bool { return mayGoOn(m, v) })
+	return goesOn || l.mover.Wanted(m, now)
+}
+
+// mayGoOn reports whether a list of hosts may tell that a move goes on: one whose worker
+// still has runs waits for them, and the platform need not be asked meanwhile.
+func mayGoOn(m *jobqueue.Machine, v jobqueue.Move) bool {
+	w := m.Worker(v.Worker)
+	return v.Down() || !v.Over() && (w == nil || len(w.Runs) == 0)
 }
 
 // certain reports whether all calls of a move have been answered, or are too old to be
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -449,6 +449,35 @@
 	})
 }
 
+// Symptom: the platform is asked for lists of hosts all the time.
+// Sequence: an operator moves a host whose serving task can't go elsewhere.
+// Cause: an open move is taken for one that a list may take on.
+func TestMoveThatWaitsForItsTasksCostsNoCalls(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1, 3)
+		defer s.loops.Wait()
+		defer stop()
+		s.calmDown()
+		s.lasting = "serving"
+		f := s.pools(map[string]string{"host0": simPool, "host1": simPool, "host2": simPool})
+		s.submitSpec(servingJob())
+		s.sleep(moverSettles)
+		s.askMove("host0", otherPool)
+		s.sleep(10 * time.Second)
+		before, _ := f.Calls()
+		s.sleep(time.Minute)
+		if after, _ := f.Calls(); after != before || s.moveOf("host0").State != apiv1.MoveState_MOVE_STATE_LEAVING {
+			t.Errorf("%d calls, the move is %v", after-before, s.moveOf("host0"))
+		}
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Cancel{Cancel: &apiv1.CancelJob{Id: "serving", Host: simHost, Path: "/q/serving"}}})
+		if !s.await(20*time.Second, func() bool { return s.moveOf("host0").State == apiv1.MoveState_MOVE_STATE_DONE }) {
+			t.Errorf("the move is %v", s.moveOf("host0"))
+		}
+	})
+}
+
 // Symptom: operators who look at the hosts use up the readings that the platform
 // accepts, or see hosts without their moves.
 // Sequence: hosts are listed ten times in a row, and a second later once more.
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -32,6 +32,10 @@
 			}
 		}
 		for _, h := range w.Hosts {
+			if move, ok := m.MoveOf(h.Name); ok && !move.Over() {
+				// Its turn comes when it is in the pool that it goes to.
+				continue
+			}
 			view, listed := hosts[h.Name]
 			step := nextStep(m, h, view, listed, room > 0)
 			if step == nil {
--- a/schedule/pools_test.go
+++ b/schedule/pools_test.go
@@ -274,6 +274,23 @@
 	}
 }
 
+// Symptom: a wave stands still.
+// Sequence: the first of its hosts is on the move to another pool.
+// Cause: the host on the move takes the room of the others.
+func TestWaveGoesOnBesideAMove(t *testing.T) {
+	r := newMoverRig(t)
+	r.host("a", testPool)
+	r.host("b", testPool)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_RequestMove{RequestMove: &apiv1.RequestMove{Host: "a", Pool: batchPool}}})
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{
+		Wave: &apiv1.MaintenanceWave{Number: 1, Hosts: []string{"a", "b"}, DurationMs: 1000, Cap: 1},
+	}}})
+	steps := NextMaintenance(r.machine, r.hosts)
+	if len(steps) != 1 || steps[0].Host != "b" {
+		t.Errorf("the steps are %v", steps)
+	}
+}
+
 // Symptom: a move counts as done before it began, or its host as gone.
 // Sequence: the list of hosts is older than the order, or the host crashes and comes
 // back where it was.
