--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,7 +43,8 @@
 	// Advisor says which workers may run the steps of advised queues; without one,
 	// these queues wait.
 	Advisor Advisor
-	// Hosts takes hosts down for their maintenance; without it, waves wait.
+	// Hosts takes hosts down for their maintenance and moves them between pools; without
+	// it, waves wait and nothing moves.
 	Hosts Hosts
 	// LeaseDuration is how long a worker may run on after its agent's last report.
 	// A short lease hands lost work on sooner, a long one survives elections and
@@ -118,6 +119,7 @@
 	// the loss of its runs was told.
 	saved    map[jobqueue.RunID]saved
 	lostTold map[string]uint64
+	moves    *movesLed
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
@@ -167,7 +169,7 @@
 	var beside conc.WaitGroup
 	defer beside.Wait()
 	beside.Go(func() { d.askAdvisor(ctx) })
-	beside.Go(func() { d.maintain(ctx) })
+	beside.Go(func() { d.tendHosts(ctx) })
 	defer d.endRunLog()
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
@@ -248,6 +250,7 @@
 		runLog:        newRunLog(d.logger),
 		saved:         map[jobqueue.RunID]saved{},
 		lostTold:      map[string]uint64{},
+		moves:         newMovesLed(now),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -213,3 +213,12 @@
 	}
 	return nil
 }
+
+// Pool is the pool that a host moves to.
+func Pool(name string) Field { return text("pool", name) }
+
+// FromPool is the pool that a host leaves.
+func FromPool(name string) Field { return text("from", name) }
+
+// Order is the number of an order about a host.
+func Order(n uint64) Field { return number64("order", n) }
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -9,8 +9,15 @@
 type HostView struct {
 	// Worker is the incarnation of its worker, empty while there is none.
 	Worker string
+	// Pool is the pool of workers that the host belongs to.
+	Pool string
 	// Up is set unless the host is down, in maintenance or on the move.
 	Up bool
+	// Down is set for a host that is switched off or lost.
+	Down bool
+	// Capacity and Labels are what its worker has, or would have.
+	Capacity jobqueue.Resources
+	Labels   []string
 }
 
 // NextMaintenance returns the steps that hosts of waves can take, given a whole list
@@ -25,6 +32,10 @@
 			}
 		}
 		for _, h := range w.Hosts {
+			if move, ok := m.MoveOf(h.Name); ok && !move.Over() {
+				// Its turn comes when it is in the pool that it goes to.
+				continue
+			}
 			view, listed := hosts[h.Name]
 			step := nextStep(m, h, view, listed, room > 0)
 			if step == nil {
