--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -34,7 +34,7 @@
 	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, Logger: zap.New(core), Metrics: registry})
 	s.loops.Go(func() { s.dispatcher.Run(ctx) })
 	for i := range workers {
-		h := &simSide{s: s, name: fmt.Sprintf("host%d", i)}
+		h := &simSide{s: s, name: fmt.Sprintf("host%d", i), pool: simPool}
 		h.startWorker()
 		h.startAgent()
 		s.hosts = append(s.hosts, h)
