--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/logging/event"
@@ -85,7 +86,10 @@
 	if !n.leadership.Leading || s.Role != quorum.Leader || n.leaving.Load() {
 		return
 	}
-	next, reason := nextMembership(s, n.opts.membershipPolicy())
+	next, reason := n.withOwnAddress(s)
+	if next == nil {
+		next, reason = nextMembership(s, n.opts.membershipPolicy())
+	}
 	if next == nil {
 		return
 	}
@@ -97,6 +101,19 @@
 	event.MembershipChanges.Write(n.logger, event.Change(reason))
 }
 
+// withOwnAddress notes where a leader is reached that moved while it was down. Others
+// ask the leader to note their address; it can't ask itself, and all would be referred
+// to where it was.
+func (n *Node) withOwnAddress(s quorum.Status) (next *apiv1.Membership, reason string) {
+	self := findByID(s.Membership, s.ID)
+	if self == nil || self.Address == n.opts.Address {
+		return nil, ""
+	}
+	moved := proto.CloneOf(self)
+	moved.Address = n.opts.Address
+	return withReplaced(s.Membership, moved), "note the leader's own address"
+}
+
 // nextMembership returns the change that a leader makes by itself, nil when there
 // is none. Repairs come first: of the replicas of one name the last one joined with
 // the newest disk, those before it are gone; and a spare takes the place of a voter
@@ -174,10 +191,12 @@
 	return id == s.ID || s.Match[id] > 0 && s.SilentTicks[id] < within
 }
 
-// giveVote makes a learner a voter that is no spare, or that takes a voter's place.
-func giveVote(s quorum.Status, _ membershipPolicy) (*apiv1.Membership, string) {
+// giveVote makes a learner a voter that is no spare, or that takes a voter's place. One
+// that is silent is passed over: the core would refuse it at each look, and nothing
+// else would ever be repaired.
+func giveVote(s quorum.Status, p membershipPolicy) (*apiv1.Membership, string) {
 	for _, r := range s.Membership.GetReplicas() {
-		if r.Learner && !r.Spare && caughtUp(s, r.Id) {
+		if r.Learner && !r.Spare && caughtUp(s, r.Id) && s.SilentTicks[r.Id] < p.recentTicks {
 			return withVoter(s.Membership, r.Id), "give a vote to " + r.Name
 		}
 	}
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -73,6 +73,8 @@
 	hosts  map[string]*Host
 	cut    map[[2]string]bool
 	starts uint64
+	// moved holds the addresses of hosts that are not reached at their names.
+	moved map[string]string
 }
 
 // NewGroup returns a group whose replicas don't run yet. The seed decides on
@@ -80,7 +82,7 @@
 func NewGroup(t testing.TB, seed uint64, names ...string) *Group {
 	g := &Group{
 		T: t, Seed: seed, SnapshotEntries: defaultSnapshotEntries, MaxVoters: defaultMaxVoters, Delay: func() {},
-		names: names, spares: map[string]bool{}, hosts: map[string]*Host{}, cut: map[[2]string]bool{},
+		names: names, spares: map[string]bool{}, hosts: map[string]*Host{}, cut: map[[2]string]bool{}, moved: map[string]string{},
 	}
 	for i, name := range names {
 		g.hosts[name] = &Host{Disk: waltest.NewDisk(seed + uint64(i))}
@@ -111,12 +113,12 @@
 		told = g.Peers
 	}
 	for _, n := range told {
-		peers = append(peers, settings.Peer{Name: n, Address: n})
+		peers = append(peers, settings.Peer{Name: n, Address: g.AddressOf(n)})
 	}
 	m := &Machine{}
 	registry := metrics.NewRegistry()
 	started, err := node.Start(node.Options{
-		Cell: cell, Name: name, Address: name, Peers: peers,
+		Cell: cell, Name: name, Address: g.AddressOf(name), Peers: peers,
 		Storage: log, StateMachine: m, Transport: &link{g: g, from: name},
 		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter, MaxVoters: g.MaxVoters, Metrics: registry, Discover: g.Discover,
 		Tick: tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
@@ -210,10 +212,59 @@
 	}
 }
 
+// CutLink cuts one direction between two hosts, or connects it again.
+func (g *Group) CutLink(from, to string, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[[2]string{from, to}] = cut
+}
+
+// Heal ends all cuts.
+func (g *Group) Heal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.cut)
+}
+
+// Names returns all hosts.
+func (g *Group) Names() []string { return slices.Clone(g.names) }
+
+// Move gives a host another address, from its next start on.
+func (g *Group) Move(name, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.moved[name] = address
+}
+
+// AddressOf returns a host's address: its name, unless it was moved.
+func (g *Group) AddressOf(name string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.addressOf(name)
+}
+
+func (g *Group) addressOf(name string) string {
+	if address := g.moved[name]; address != "" {
+		return address
+	}
+	return name
+}
+
+// hostAt returns the name of the host at an address, "" when there is none.
+func (g *Group) hostAt(address string) string {
+	for _, name := range g.names {
+		if g.addressOf(name) == address {
+			return name
+		}
+	}
+	return ""
+}
+
 // reach returns the replica at the other end of a link.
 func (g *Group) reach(from, to string) (*node.Node, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	to = g.hostAt(to)
 	h := g.hosts[to]
 	if h == nil || h.Node == nil || g.cut[[2]string{from, to}] {
 		return nil, errCut
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -59,7 +59,7 @@
 		l.unreachable(m.To)
 		return
 	}
-	request := &apiv1.DeliverRequest{Cell: cell, Messages: []*apiv1.QuorumMessage{proto.CloneOf(m)}, SenderAddress: l.from}
+	request := &apiv1.DeliverRequest{Cell: cell, Messages: []*apiv1.QuorumMessage{proto.CloneOf(m)}, SenderAddress: l.g.AddressOf(l.from)}
 	if _, err := n.Service().Deliver(context.Background(), request); err != nil {
 		l.unreachable(m.To)
 	}
--- a/quorum/node/service.go
+++ b/quorum/node/service.go
@@ -159,6 +159,9 @@
 	if joiner.Name == n.opts.Name {
 		return "the leader has this name"
 	}
+	// The one who asks waits askTimeout in all, and would take silence for a refusal.
+	ctx, cancel := context.WithTimeout(ctx, n.opts.electionTimeout())
+	defer cancel()
 	for _, r := range m.GetReplicas() {
 		if r.Name != joiner.Name {
 			continue
--- a/quorum/raft.go
+++ b/quorum/raft.go
@@ -175,8 +175,15 @@
 		r.tickLeader()
 		return
 	}
-	if r.electionElapsed >= r.electionTimeout && r.isVoter(r.id) {
+	switch {
+	case r.electionElapsed < r.electionTimeout:
+	case r.isVoter(r.id):
 		r.campaign(PreCandidate, false)
+	case r.leader != 0:
+		// Without a vote there is no election to lose the leader in. A replica that
+		// believed in one for ever would not notice that the group has forgotten it, or
+		// never took it in.
+		r.becomeFollower(r.term, 0)
 	}
 }
 
