--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,12 +17,13 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/dispatch"
+	"github.com/cairnlift/cairnlift/schedule"
 	"github.com/cairnlift/cairnlift/trace"
 )
 
 // recordingSim is a simulation whose leader writes its lines as a daemon does, into a
 // buffer.
-func recordingSim(ctx context.Context, t *testing.T, workers int) (*sim, *bytes.Buffer, metrics.Registry) {
+func recordingSim(ctx context.Context, t *testing.T, workers int, o dispatch.Options) (*sim, *bytes.Buffer, metrics.Registry) {
 	before, end := context.WithCancel(ctx)
 	s := newSim(before, t, 1, 0)
 	end()
@@ -31,7 +34,8 @@
 	config.NameKey, config.EncodeTime = "part", zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(lines)), zap.InfoLevel)
 	s.log.lose(100 * time.Millisecond)
-	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, Logger: zap.New(core), Metrics: registry})
+	o.Replica, o.Logger, o.Metrics = s.replica, zap.New(core), registry
+	s.dispatcher = dispatch.New(o)
 	s.loops.Go(func() { s.dispatcher.Run(ctx) })
 	for i := range workers {
 		h := &simSide{s: s, name: fmt.Sprintf("host%d", i)}
@@ -69,7 +73,7 @@
 	metrics.NewMeter().Stop()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		s, log, registry := recordingSim(ctx, t, 4)
+		s, log, registry := recordingSim(ctx, t, 4, dispatch.Options{})
 		s.lasting = "long"
 		s.sleep(2 * time.Second)
 		const jobs, tasks = 100, 3
@@ -120,6 +124,72 @@
 	})
 }
 
+// moodyPlatform answers nothing until it is well.
+type moodyPlatform struct{ well atomic.Bool }
+
+var errUnwell = errors.New("the platform gives no answer")
+
+func (p *moodyPlatform) Approve(context.Context, schedule.Question) (schedule.Advice, error) {
+	if !p.well.Load() {
+		return schedule.Advice{}, errUnwell
+	}
+	return schedule.Advice{}, nil
+}
+
+func (p *moodyPlatform) List(context.Context) (map[string]schedule.HostView, error) {
+	if !p.well.Load() {
+		return nil, errUnwell
+	}
+	return map[string]schedule.HostView{}, nil
+}
+
+func (p *moodyPlatform) Maintain(context.Context, uint64, string, uint64) (dispatch.HostAnswer, error) {
+	return 0, errUnwell
+}
+
+// Symptom: tasks of an advised queue and a wave of maintenance stand still, and nothing
+// says since when the platform has given no answer.
+// Sequence: its advisor and its list of hosts fail for ten seconds. Cause: a line for
+// each call, or none.
+func TestLostPlatformIsTold(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		platform := &moodyPlatform{}
+		s, log, registry := recordingSim(ctx, t, 2, dispatch.Options{Advisor: platform, Hosts: platform})
+		s.sleep(2 * time.Second)
+		s.submitSpec(&apiv1.JobSpec{Id: "a", Host: simHost, Path: "/advised/a", Steps: []*apiv1.JobStep{
+			{Count: 1, CpuMilli: 100, MemoryMb: 10, EstimatedMs: 400},
+		}})
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{
+			Wave: &apiv1.MaintenanceWave{Number: 1, Hosts: []string{"host0"}, DurationMs: 1000, Cap: 1},
+		}}})
+		s.sleep(10 * time.Second)
+		platform.well.Store(true)
+		s.sleep(10 * time.Second)
+		stop()
+		s.loops.Wait()
+		for _, dependency := range []string{"advisor", "list of hosts"} {
+			for _, line := range []string{"dependency lost", "dependency is back"} {
+				n := 0
+				for _, l := range strings.Split(log.String(), "\n") {
+					if strings.Contains(l, line) && strings.Contains(l, `"dependency":"`+dependency+`"`) {
+						n++
+					}
+				}
+				if n != 1 {
+					t.Errorf("%s: %q is told %d times", dependency, line, n)
+				}
+			}
+		}
+		for _, name := range []string{"advice_calls.unanswered", "advice_calls.answered", "host_lists.unanswered", "host_lists.answered"} {
+			if c, ok := registry.Get("dispatch." + name).(metrics.Counter); !ok || c.Count() == 0 {
+				t.Errorf("%s is not counted", name)
+			}
+		}
+	})
+}
+
 func (s *sim) submitSpec(spec *apiv1.JobSpec) {
 	s.watch.Submitted(spec)
 	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
