--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -71,6 +71,7 @@
 	out     io.Writer
 	process string
 	lines   chan []byte
+	closing chan struct{}
 	written chan struct{}
 	dropped atomic.Int64
 	bytes   atomic.Int64
@@ -91,7 +92,7 @@
 		}
 	}
 	b := &Bounded{
-		out: out, process: process, lines: make(chan []byte, QueuedLines), written: make(chan struct{}), now: time.Now,
+		out: out, process: process, lines: make(chan []byte, QueuedLines), closing: make(chan struct{}), written: make(chan struct{}), now: time.Now,
 	}
 	go b.write()
 	core := shortErrors{&boundedCore{LevelEnabler: at, encoder: zapcore.NewJSONEncoder(encoding()), b: b}}
@@ -99,9 +100,9 @@
 }
 
 // Close ends the output and waits, for flushTimeout at most, until what was logged
-// is written. Nothing may be logged after it.
+// is written. Lines of goroutines that outlive it are left out.
 func (b *Bounded) Close() {
-	close(b.lines)
+	close(b.closing)
 	select {
 	case <-b.written:
 	case <-time.After(flushTimeout):
@@ -132,23 +133,29 @@
 	n := notice{b: b}
 	for {
 		select {
-		case line, open := <-b.lines:
-			if !open {
-				n.tell()
-				return
-			}
-			if _, err := b.out.Write(line); err != nil {
-				b.dropped.Add(1) // nowhere is left to say so but the counter
-			}
+		case line := <-b.lines:
+			b.handOn(line)
 			if len(b.lines) == 0 && b.now().Sub(n.at) >= noticeInterval {
 				n.tell()
 			}
 		case <-notices.C:
 			n.tell()
+		case <-b.closing:
+			for range len(b.lines) {
+				b.handOn(<-b.lines)
+			}
+			n.tell()
+			return
 		}
 	}
 }
 
+func (b *Bounded) handOn(line []byte) {
+	if _, err := b.out.Write(line); err != nil {
+		b.dropped.Add(1) // nowhere is left to say so but the counter
+	}
+}
+
 // notice says how many lines were left out since it last did.
 type notice struct {
 	b    *Bounded
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -149,3 +149,24 @@
 		}
 	})
 }
+
+// Symptom: a process that is asked to stop ends with a panic and exit code 2.
+// Sequence: its output is closed while a goroutine that outlives its role by a moment
+// still writes a line. Cause: a line sent to a queue that is closed.
+func TestLinesAfterCloseAreLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &stuckWriter{release: make(chan struct{})}
+		close(w.release)
+		log, bounded, err := logging.NewBounded(w, "info", "h1/control")
+		if err != nil {
+			t.Fatal(err)
+		}
+		log.Info("before")
+		bounded.Close()
+		log.Info("after")
+		synctest.Wait()
+		if text := w.text(); !strings.Contains(text, "before") || strings.Contains(text, "after") {
+			t.Error(text)
+		}
+	})
+}
