--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -449,6 +449,41 @@
 	})
 }
 
+// Symptom: two leaders give orders about a host by turns or under one token, or a move is
+// given up that an earlier leader's call may still carry out.
+// Sequence: the leader is lost right after it has ordered the move, and its call gets no
+// answer; the next leader's first call is refused as busy.
+// Cause: the next leader takes the order for its own.
+func TestNextLeaderTakesAMoveOver(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSim(ctx, t, 1, 2)
+		defer s.loops.Wait()
+		defer stop()
+		s.calmDown()
+		f := s.pools(map[string]string{"host0": simPool, "host1": simPool})
+		f.Fault = func(string) fakes.OrderFault {
+			if len(f.Orders()) > 1 {
+				return fakes.OrderFault{}
+			}
+			f.SetBusy("host0", true)
+			s.loops.Go(func() { s.log.lose(200 * time.Millisecond) })
+			time.AfterFunc(moverSettles+2*time.Second, func() { f.SetBusy("host0", false) })
+			return fakes.OrderFault{Late: moverSettles + 3*time.Second}
+		}
+		s.sleep(moverSettles)
+		s.askMove("host0", otherPool)
+		if !s.await(time.Minute, func() bool { return f.PoolOf("host0") == otherPool && s.moveOf("host0").Over() }) {
+			t.Errorf("the move is %v", s.moveOf("host0"))
+		}
+		if term, _ := s.log.Leading(); term < 2 || len(f.Orders()) < 3 {
+			t.Errorf("term %d, orders %v", term, f.Orders())
+		}
+		s.judgeOrders(1, f)
+	})
+}
+
 // Symptom: the platform is asked for lists of hosts all the time.
 // Sequence: an operator moves a host whose serving task can't go elsewhere.
 // Cause: an open move is taken for one that a list may take on.
--- a/schedule/pools_test.go
+++ b/schedule/pools_test.go
@@ -194,6 +194,27 @@
 	}
 }
 
+// Symptom: a pool gives its hosts away between two of its own jobs.
+// Sequence: another pool is short while the hosts' work ends.
+// Cause: a worker without runs is taken for one that is not needed.
+func TestHostThatJustBecameIdleStays(t *testing.T) {
+	r := newMoverRig(t)
+	r.host("a", testPool)
+	r.host("b1", batchPool)
+	r.host("b2", batchPool)
+	r.submit("batch", "busy", &apiv1.JobStep{Count: 2, CpuMilli: 100, MemoryMb: 1, EstimatedMs: 60_000, MaxPerWorker: 1})
+	r.live(moverSettle)
+	r.demand("j", 8, "")
+	expectMoves(t, r.live(10*time.Second))
+	for _, w := range []string{"w-b1", "w-b2"} {
+		for _, id := range r.runsOn(w) {
+			r.end(id, apiv1.RunEndKind_RUN_END_KIND_DONE)
+		}
+	}
+	expectMoves(t, r.live(spareAfter-time.Second))
+	expectMoves(t, r.live(lookInterval+2*time.Second), "b1 to pool")
+}
+
 // Symptom: a host comes that can't run what waits.
 // Sequence: tasks need a label that only some hosts carry.
 // Cause: any host counts as help.
