fakes, scenario: a call's time is judged without the time its entry was frozen

The check was wrong: it called each call unanswered that had no answer seven seconds after it was sent. The chaos scripts freeze entries for up to 3.5 s; an entry that is frozen when the deadline of five seconds comes can't answer before it is thawed, up to 8.5 s after the send. In its place, as strict: callers wait ten seconds longer, and the judge names each call, whatever its end, that lasted more than the seven seconds while its entry wasn't frozen. A call without any final answer stays a fault, frozen or not; an answer past the bound is named too, and a send past the bound isn't covered up by a resend.

--- a/fakes/call.go
+++ b/fakes/call.go
@@ -27,14 +27,20 @@
 	Unsent Outcome = "unsent"
 	// Lost: the connection broke before a whole answer.
 	Lost Outcome = "lost"
-	// NoAnswer: the deadline passed by far and the connection still stood.
+	// NoAnswer: the caller gave up and the connection still stood.
 	NoAnswer Outcome = "no-answer"
 	// Unnamed: an answer without an outcome, as from a target directly.
 	Unnamed Outcome = "unnamed"
 )
 
-// answerGrace is how long past its deadline a caller still waits for an answer.
-const answerGrace = 2 * time.Second
+const (
+	// answerGrace is how long past the deadline a call may end, for the way of the
+	// answer and the waits for a processor on a machine that runs a whole cluster.
+	answerGrace = 2 * time.Second
+	// maxStandstill is added to a caller's patience: an entry that a script freezes
+	// can't answer before it is thawed. The judge deducts the time it was frozen.
+	maxStandstill = 10 * time.Second
+)
 
 // Call is one request of a stand-in caller.
 type Call struct {
@@ -60,13 +66,18 @@
 	Reason     string  `json:"reason,omitempty"`
 	Status     int     `json:"status,omitempty"`
 	// Own: the answer is whole and answers this request.
-	Own        bool          `json:"own"`
-	RetryAfter string        `json:"retry_after,omitempty"`
-	Entry      string        `json:"entry"`
-	Sends      int           `json:"sends"`
-	At         time.Duration `json:"at_ns"`
-	Latency    time.Duration `json:"latency_ns"`
-	Error      string        `json:"error,omitempty"`
+	Own        bool   `json:"own"`
+	RetryAfter string `json:"retry_after,omitempty"`
+	Entry      string `json:"entry"`
+	Sends      int    `json:"sends"`
+	// At is when the last send began, Took how long it lasted, and Bound how long it
+	// may have lasted while the entry was not frozen.
+	At    time.Duration `json:"at_ns"`
+	Took  time.Duration `json:"took_ns"`
+	Bound time.Duration `json:"bound_ns"`
+	// Latency is that of all sends together.
+	Latency time.Duration `json:"latency_ns"`
+	Error   string        `json:"error,omitempty"`
 }
 
 // sender makes calls over pooled connections.
@@ -87,11 +98,19 @@
 
 // send makes one attempt at a call through an entry.
 func (s *sender) send(ctx context.Context, entry string, c Call) CallResult {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout+answerGrace)
+	bound := s.timeout + answerGrace
+	ctx, cancel := context.WithTimeout(ctx, bound+maxStandstill)
 	defer cancel()
+	began := worker.Now()
+	res := s.exchange(ctx, entry, c)
+	res.At, res.Took, res.Bound = began, worker.Now()-began, bound
+	return res
+}
+
+func (s *sender) exchange(ctx context.Context, entry string, c Call) CallResult {
 	res := CallResult{
 		CallerID: c.ID, Method: c.Method, URI: c.URI, Key: c.Key, Entry: entry,
-		Repeatable: c.Method == http.MethodGet, At: worker.Now(),
+		Repeatable: c.Method == http.MethodGet,
 	}
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
--- a/fakes/caller.go
+++ b/fakes/caller.go
@@ -196,12 +196,12 @@
 }
 
 // finish sends a call and, where its key allows, sends it again until the
-// answer is known.
+// answer is known. A send that took too long ends it, so that the judge sees it.
 func (c *Caller) finish(call Call, due time.Duration) {
 	res := c.sender.send(context.Background(), c.balancer.Pick(), call)
 	for sends := 1; ; sends++ {
 		res.Sends = sends
-		if call.Key == "" || sends > c.cfg.Resends || !unsettled(res) {
+		if call.Key == "" || sends > c.cfg.Resends || !unsettled(res) || res.Took > res.Bound {
 			break
 		}
 		time.Sleep(resendPause)
--- a/fakes/fakecmd/caller.go
+++ b/fakes/fakecmd/caller.go
@@ -52,6 +52,7 @@
 	calls := c.Flag("calls", "Record of a caller.").Strings()
 	ran := c.Flag("ran", "Record of a target.").Strings()
 	workers := c.Flag("runs", "Record of a worker.").Strings()
+	frozen := c.Flag("frozen", "Record of the times for which entries were frozen.").Strings()
 	rules := &fakes.Rules{}
 	c.Flag("max-lost", "Calls that may have been cut off.").IntVar(&rules.MaxLost)
 	c.Flag("max-unknown", "Calls that may have ended unknown.").IntVar(&rules.MaxUnknown)
@@ -66,6 +67,9 @@
 		if err != nil {
 			return err
 		}
+		if evidence.Standstills, err = readAll[fakes.Standstill](*frozen); err != nil {
+			return err
+		}
 		return report(fakes.Judge(evidence, *rules))
 	}
 }
--- a/fakes/judge.go
+++ b/fakes/judge.go
@@ -12,6 +12,16 @@
 	Calls   []CallRecord
 	Ran     []RanRequest
 	Workers []RunEvent
+	// Standstills are the times for which entries were frozen.
+	Standstills []Standstill
+}
+
+// Standstill is a time for which an entry was frozen.
+type Standstill struct {
+	// Entry is the address that callers use.
+	Entry string        `json:"entry"`
+	From  time.Duration `json:"from_ns"`
+	To    time.Duration `json:"to_ns"`
 }
 
 // Rules says what a run may and must show beyond the standing promises.
@@ -80,6 +90,7 @@
 		ended++
 		counts[rec.Result.Outcome]++
 		faults = append(faults, judgeCall(*rec.Result, idx)...)
+		faults = append(faults, judgeTime(*rec.Result, e.Standstills)...)
 	}
 	if started != ended {
 		faults = append(faults, fmt.Sprintf("%d calls began and %d ended", started, ended))
@@ -130,6 +141,23 @@
 	return faults
 }
 
+// judgeTime bounds how long a call lasted, whatever its end was. A frozen entry can
+// neither read nor answer, so the time for which the call's entry was frozen does not
+// count; without that a call would be blamed whose deadline passed in the meantime.
+func judgeTime(r CallResult, standstills []Standstill) []string {
+	counted := r.Took
+	for _, s := range standstills {
+		if s.Entry == r.Entry {
+			counted -= max(0, min(s.To, r.At+r.Took)-max(s.From, r.At))
+		}
+	}
+	if counted <= r.Bound {
+		return nil
+	}
+	return []string{fmt.Sprintf("call %s (%s %s): ended after %v, of which its entry was frozen for %v; at most %v counted time is allowed",
+		r.CallerID, r.Method, r.Outcome, r.Took, r.Took-counted, r.Bound)}
+}
+
 func judgeCounts(counts map[Outcome]int, ended int, rules Rules) []string {
 	var faults []string
 	check := func(bad bool, format string, args ...any) {
--- a/fakes/judge_test.go
+++ b/fakes/judge_test.go
@@ -12,6 +12,17 @@
 	return CallRecord{Result: &r}
 }
 
+// late makes a call of one second too long, through entry e1.
+func late(r CallResult, at time.Duration) CallResult {
+	r.Entry, r.At, r.Took, r.Bound = "e1", at, 8*time.Second, 7*time.Second
+	return r
+}
+
+func frozen(entry string, from, to float64) []Standstill {
+	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	return []Standstill{{Entry: entry, From: seconds(from), To: seconds(to)}}
+}
+
 func summaryOf(started int) CallRecord { return CallRecord{Summary: &CallSummary{Started: started}} }
 
 func event(kind EventKind, worker, task string, attempt uint64, at, deadline time.Duration, why string) RunEvent {
@@ -37,6 +48,15 @@
 		{"run twice", Evidence{Calls: []CallRecord{call(CallResult{Outcome: Unknown}), summaryOf(1)}, Ran: append(ran, ran...)}, Rules{MaxUnknown: 1}, "ran 2 times"},
 		{"never ended", Evidence{Calls: []CallRecord{call(own), summaryOf(2)}, Ran: ran}, Rules{}, "2 calls began and 1 ended"},
 		{"no final answer", Evidence{Calls: []CallRecord{call(CallResult{Outcome: NoAnswer}), summaryOf(1)}}, Rules{}, "without a final answer"},
+		{"late answer", Evidence{Calls: []CallRecord{call(late(own, 0)), summaryOf(1)}, Ran: ran}, Rules{}, "ended after 8s"},
+		{"late refusal", Evidence{Calls: []CallRecord{call(late(CallResult{Outcome: NotRun, RetryAfter: "1"}, 0)), summaryOf(1)}}, Rules{}, "ended after 8s"},
+		{"late cut-off", Evidence{Calls: []CallRecord{call(late(CallResult{Outcome: Lost}, 0)), summaryOf(1)}}, Rules{MaxLost: 1}, "ended after 8s"},
+		{"late, entry frozen", Evidence{Calls: []CallRecord{call(late(own, 0)), summaryOf(1)}, Ran: ran, Standstills: frozen("e1", 4, 6)}, Rules{}, ""},
+		{"late, entry frozen before the call too", Evidence{Calls: []CallRecord{call(late(own, 5*time.Second)), summaryOf(1)}, Ran: ran, Standstills: frozen("e1", 3, 6)}, Rules{}, ""},
+		{"late, entry frozen for less", Evidence{Calls: []CallRecord{call(late(own, 0)), summaryOf(1)}, Ran: ran, Standstills: frozen("e1", 4, 4.5)}, Rules{}, "ended after 8s"},
+		{"late, entry frozen before", Evidence{Calls: []CallRecord{call(late(own, 6*time.Second)), summaryOf(1)}, Ran: ran, Standstills: frozen("e1", 3, 6)}, Rules{}, "ended after 8s"},
+		{"late, another entry frozen", Evidence{Calls: []CallRecord{call(late(own, 0)), summaryOf(1)}, Ran: ran, Standstills: frozen("e2", 4, 6)}, Rules{}, "ended after 8s"},
+		{"no answer after a freeze", Evidence{Calls: []CallRecord{call(late(CallResult{Outcome: NoAnswer}, 0)), summaryOf(1)}, Standstills: frozen("e1", 4, 6)}, Rules{}, "without a final answer"},
 		{"cut off", Evidence{Calls: []CallRecord{call(CallResult{Outcome: Lost}), summaryOf(1)}}, Rules{}, "1 calls were cut off"},
 		{"work after it left", Evidence{Ran: []RanRequest{{Target: "t1", Left: true}, {Target: "t1", At: leaveGrace + 1}}}, Rules{}, "after it had left"},
 		{"work as it left", Evidence{Ran: []RanRequest{{Target: "t1", Left: true}, {Target: "t1", At: leaveGrace}}}, Rules{}, ""},
--- a/fakes/record.go
+++ b/fakes/record.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// Close closes the file, if there is one.
+func (r *Recorder[T]) Close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.file == nil {
+		return nil
+	}
+	return errors.Wrap(r.file.Close(), "record can't be closed")
+}
+
 // Values returns a copy of what was recorded by this process.
 func (r *Recorder[T]) Values() []T {
 	r.mu.Lock()
--- a/scenario/chaos/generate_test.go
+++ b/scenario/chaos/generate_test.go
@@ -13,7 +13,8 @@
 	// maxOpen bounds the faults that last at the same time.
 	maxOpen = 4
 	// maxFreezeMS is well past the leases of two seconds, and short enough for a
-	// caller that waits seven seconds to get an answer from a frozen entry.
+	// caller to get an answer from an entry that was frozen at its deadline: it waits
+	// for ten seconds beyond what the judge allows an entry that is not frozen.
 	maxFreezeMS = 3500
 )
 
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -28,8 +28,8 @@
 		"finish":    finish,
 		"crash":     crash,
 		"terminate": signalAll(syscall.SIGTERM),
-		"freeze":    signalAll(syscall.SIGSTOP),
-		"thaw":      signalAll(syscall.SIGCONT),
+		"freeze":    freeze,
+		"thaw":      thaw,
 		"ready":     ready,
 		"waitfor":   waitFor,
 		"capture":   capture,
@@ -128,7 +128,9 @@
 // judge judges every record in the work directory.
 func judge(s *stage, ts *testscript.TestScript, args []string) error {
 	all := []string{"judge"}
-	for flag, pattern := range map[string]string{"--calls": "*.calls", "--ran": "*.ran", "--runs": "*.runs"} {
+	for flag, pattern := range map[string]string{
+		"--calls": "*.calls", "--ran": "*.ran", "--runs": "*.runs", "--frozen": "*" + frozenSuffix,
+	} {
 		files, err := filepath.Glob(filepath.Join(s.dir, pattern))
 		if err != nil {
 			return errors.Wrap(err, pattern)
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -15,7 +15,8 @@
 //	shutdown NAME...                  SIGTERM all, then wait until each exits 0
 //	terminate NAME...                 SIGTERM, without a wait
 //	finish NAME...                    wait until each exits 0
-//	crash | freeze | thaw NAME...     SIGKILL, SIGSTOP, SIGCONT
+//	crash | freeze | thaw NAME...     SIGKILL, SIGSTOP, SIGCONT; for judge, the times for
+//	                                  which entries were frozen are recorded
 //	ready NAME...                     wait until each is ready
 //	waitfor REGEXP PROGRAM ARGS...    run until it exits 0 and prints a match
 //	capture VAR REGEXP PROGRAM ...    the same, and set VAR to the pattern's first group
--- a/scenario/process.go
+++ b/scenario/process.go
@@ -16,6 +16,8 @@
 	cmd  *exec.Cmd
 
 	exited chan struct{}
+	// frozenAt is when it was frozen, on the clock of the callers' records.
+	frozenAt time.Duration
 }
 
 // launch starts a program whose output goes to the end of a log file. The
--- a/scenario/signals.go
+++ b/scenario/signals.go
@@ -1,9 +1,15 @@
 package scenario
 
 import (
+	"path/filepath"
+	"strings"
 	"syscall"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/worker"
 )
 
 // each does something to every process named, until the first error.
@@ -45,3 +51,39 @@
 		return s.each(args, func(p *process) error { return p.signal(sig) })
 	}
 }
+
+// frozenSuffix ends the name of an entry's record of the times for which it was frozen.
+const frozenSuffix = ".frozen"
+
+func freeze(s *stage, _ *testscript.TestScript, args []string) error {
+	return s.each(args, func(p *process) error {
+		err := p.signal(syscall.SIGSTOP)
+		p.frozenAt = worker.Now()
+		return err
+	})
+}
+
+func thaw(s *stage, _ *testscript.TestScript, args []string) error {
+	return s.each(args, func(p *process) error {
+		until := worker.Now()
+		if err := p.signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		return s.recordStandstill(p, until)
+	})
+}
+
+// recordStandstill tells the judge for how long an entry could not answer callers.
+func (s *stage) recordStandstill(p *process, until time.Duration) error {
+	i, isEntry := strings.CutPrefix(p.name, "entry")
+	if !isEntry || p.frozenAt == 0 {
+		return nil
+	}
+	record, err := fakes.NewRecorder[fakes.Standstill](filepath.Join(s.dir, p.name+frozenSuffix))
+	if err != nil {
+		return err
+	}
+	record.Add(fakes.Standstill{Entry: s.cluster.vars()["ENTRY"+i], From: p.frozenAt, To: until})
+	p.frozenAt = 0
+	return record.Close()
+}
