platform, runs: what another program wrote drops itself, never what is beside it

A status of which rows were dropped gives no run back as never begun; a machine whose entry is spoilt is neither up nor gone; a worker that was never here can leave without ending the one that is.

Ruled out: skipping spoilt machines silently (their hosts would count as gone); treating an end of an unknown kind as a failure (it would use up an attempt).

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -102,9 +103,7 @@
 	announced Announcement
 	// over is set at the end; no call is begun after that.
 	over bool
-	// confirmed is set once the worker answered under this incarnation.
-	confirmed bool
-	term      uint64
+	term uint64
 	// epoch is that of the lease; see order.epoch.
 	epoch uint64
 	// deadlineMs is the end of the leader's lease, a reading of the worker's clock.
@@ -122,41 +121,42 @@
 	refusals      map[jobqueue.RunID]string
 }
 
-// Announce takes in what the worker says of itself. It may take callTimeout.
-func (d *Driver) Announce(a Announcement) {
+// Announce takes in what the worker says of itself. It may take callTimeout. An error
+// means that the worker can't have said it; nothing is changed then.
+func (d *Driver) Announce(a Announcement) error {
 	id := a.Worker.Id
 	if !d.confirm(id) {
 		d.logger.Info("announcement of an incarnation that does not answer", zap.String("worker", id))
-		return
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.session
 	switch {
 	case d.left[id]:
-		return
+		return nil
 	case s != nil && s.incarnation == id:
-		s.announce(a)
+		return s.announce(a)
 	default:
 		if s != nil {
-			d.left[s.incarnation] = true
+			d.noteLeft(s.incarnation)
 			s.cancel()
 		}
 		d.logger.Info("worker found", zap.String("worker", id), zap.String("before", incarnationOf(s)))
 		d.session = d.newSession(a)
 	}
 	d.wake()
+	return nil
 }
 
 // confirm reports whether an announcement may be believed. One of an earlier
-// incarnation may come late, after its successor is known: so the worker is asked
-// which one it is, unless that is known. No lock is held while it is asked.
+// incarnation may come late, after its successor is known, and another program may send
+// one: so the worker is asked which one it is, unless that is known. What goes wrong
+// without it: the announcement ends the session with the worker that is there, and that
+// one is never taken again. No lock is held while it is asked.
 func (d *Driver) confirm(incarnation string) bool {
 	s := d.current()
-	if s == nil || s.incarnation == incarnation || !s.isConfirmed() {
-		return true
-	}
-	return d.answers(incarnation)
+	return s == nil || s.incarnation == incarnation || d.answers(incarnation)
 }
 
 // Depart takes in that an incarnation says that it ends.
@@ -164,9 +164,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.session; s != nil && s.incarnation == incarnation {
-		a := s.announcement()
-		a.Departed = true
-		s.announce(a)
+		s.noteDeparture()
+	}
+	d.noteLeft(incarnation)
+}
+
+// maxLeft bounds the incarnations that are remembered as gone. One that is forgotten
+// comes back only if the worker says that it is the one.
+const maxLeft = 256
+
+// noteLeft remembers that an incarnation is gone; d.mu is held.
+func (d *Driver) noteLeft(incarnation string) {
+	if len(d.left) >= maxLeft {
+		clear(d.left)
 	}
 	d.left[incarnation] = true
 }
@@ -249,22 +259,29 @@
 	s.calls.Wait()
 }
 
-func (s *session) announce(a Announcement) {
+// announce takes in a further announcement of the incarnation, unless it names another
+// pool: an incarnation stays in one. What goes wrong without that: an announcement that
+// another program wrote takes a worker that is well out of use.
+func (s *session) announce(a Announcement) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	departed := s.announced.Departed || a.Departed
+	if pool := s.announced.Worker.Pool; a.Worker.Pool != pool {
+		return errors.Newf("worker %.60q is of pool %.40q, not %.40q", s.incarnation, pool, a.Worker.Pool)
+	}
+	departed := s.announced.Departed
 	draining := s.announced.Worker.Draining || a.Worker.Draining
-	if a.Sequence >= s.announced.Sequence || a.Departed {
+	if a.Sequence >= s.announced.Sequence {
 		s.announced = a
 	}
 	s.announced.Departed = departed
 	s.announced.Worker.Draining = draining
+	return nil
 }
 
-func (s *session) isConfirmed() bool {
+func (s *session) noteDeparture() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.confirmed
+	s.announced.Departed = true
 }
 
 func (s *session) announcement() Announcement {
@@ -302,7 +319,9 @@
 		s.settleStops(status, asked)
 		reported := s.report(status, received)
 		wait = renewalWait
-		if !reported {
+		if !reported || status.Partial {
+			// An end that can't be read is never acknowledged, so the worker would answer
+			// each call at once.
 			s.pause(retryPause)
 		}
 	}
@@ -321,7 +340,7 @@
 // depart tells the leader that the incarnation is gone.
 func (s *session) depart(replaced bool) {
 	s.d.mu.Lock()
-	s.d.left[s.incarnation] = true
+	s.d.noteLeft(s.incarnation)
 	s.d.mu.Unlock()
 	a := s.announcement()
 	s.d.logger.Info("worker left", zap.String("worker", s.incarnation), zap.Bool("replaced", replaced))
@@ -372,7 +391,6 @@
 func (s *session) granted(resp *apiv1.JobsReportResponse, clockMs int64, received, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirmed = true
 	s.term = max(s.term, resp.Term)
 	s.acknowledged = max(s.acknowledged, resp.Acknowledged)
 	if resp.LeaseMs == 0 {
--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -124,6 +124,13 @@
 	return &apiv1.JobWorker{Id: id, Host: "h", Pool: "p", CpuMilli: 1000, MemoryMb: 1000}
 }
 
+func announce(t *testing.T, d *runs.Driver, a runs.Announcement) {
+	t.Helper()
+	if err := d.Announce(a); err != nil {
+		t.Error(err)
+	}
+}
+
 // with runs a driver on a stand-in worker in virtual time.
 func with(t *testing.T, l *leader, f func(d *runs.Driver, w *countingWorker)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -135,10 +142,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { d.Run(ctx) })
-		d.Announce(runs.Announcement{Worker: spec("w1"), Sequence: 1})
+		// A test that fails must end its driver too: virtual time would go on for ever.
+		defer running.Wait()
+		defer cancel()
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
 		f(d, w)
-		cancel()
-		running.Wait()
 	})
 }
 
@@ -255,7 +263,7 @@
 		}
 		draining := spec("w1")
 		draining.Draining = true
-		d.Announce(runs.Announcement{Worker: draining, Sequence: 2})
+		announce(t, d, runs.Announcement{Worker: draining, Sequence: 2})
 		time.Sleep(3 * time.Second)
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -278,7 +286,7 @@
 	with(t, l, func(d *runs.Driver, w *countingWorker) {
 		draining := spec("w1")
 		draining.Draining = true
-		d.Announce(runs.Announcement{Worker: draining, Sequence: 2})
+		announce(t, d, runs.Announcement{Worker: draining, Sequence: 2})
 		time.Sleep(3 * time.Second)
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -312,3 +320,110 @@
 		}
 	})
 }
+
+// Symptom: a worker that is well gets nothing any more until it is restarted.
+// Sequence: an agent that has not reached the leader yet gets an announcement of an
+// incarnation that another program made up, then one of the worker.
+// Cause: the made-up one ends the session with the worker, which counts as gone for good.
+func TestMadeUpIncarnationDoesNotEndTheWorker(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}, away: true}
+	with(t, l, func(d *runs.Driver, _ *countingWorker) {
+		time.Sleep(time.Second)
+		announce(t, d, runs.Announcement{Worker: spec("w9"), Sequence: 1})
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 2})
+		time.Sleep(time.Second)
+		l.set(func() { l.away = false })
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.reports) == 0 {
+			t.Fatal("nothing is reported")
+		}
+		for _, r := range l.reports {
+			if r.Worker.Id != "w1" || r.Departed {
+				t.Fatalf("reported %v", r)
+			}
+		}
+	})
+}
+
+// Symptom: a worker that is well is not used any more.
+// Sequence: an announcement under its name tells of another pool.
+// Cause: an announcement is believed as a whole, though an incarnation stays in its pool.
+func TestIncarnationStaysInItsPool(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}}
+	with(t, l, func(d *runs.Driver, _ *countingWorker) {
+		time.Sleep(time.Second)
+		other := spec("w1")
+		other.Pool, other.Draining = "elsewhere", true
+		if err := d.Announce(runs.Announcement{Worker: other, Sequence: 9}); err == nil {
+			t.Error("another pool is taken over")
+		}
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if w := l.reports[len(l.reports)-1].Worker; w.Pool != "p" || w.Draining {
+			t.Errorf("reported %v", w)
+		}
+	})
+}
+
+// partialWorker lists nothing and says that a part of what it lists can't be read, while
+// unreadable is set.
+type partialWorker struct {
+	*countingWorker
+	unreadable atomic.Bool
+}
+
+func (w *partialWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	status, answer, err := w.countingWorker.Renew(ctx, o, r)
+	if w.unreadable.Load() {
+		status.Running, status.Ended, status.Partial = nil, nil, true
+	}
+	return status, answer, err
+}
+
+// Symptom: a task runs in two places.
+// Sequence: a run is stopped, and the rows of what the worker lists can't be read
+// meanwhile.
+// Cause: a run that is not among the rows that could be read is given back as one that
+// never began, though it is still being stopped.
+func TestUnreadableRunIsNotGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: starts(1, 1)}
+		watch := fakes.NewRunWatch()
+		watch.Submitted(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &partialWorker{countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(spec("w1"), watch)}}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
+		time.Sleep(2 * time.Second)
+		if w.startCalls.Load() == 0 {
+			t.Fatal("nothing was started")
+		}
+		w.unreadable.Store(true)
+		l.set(func() {
+			l.orders = &apiv1.JobsOrdersResponse{
+				Term: term, Sequence: 2, Epoch: 1, Stops: []*apiv1.StopOrder{{Task: first.Ref(), Run: 1}},
+			}
+		})
+		time.Sleep(3 * time.Second)
+		w.unreadable.Store(false)
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, r := range l.reports {
+			if len(r.Refusals) > 0 {
+				t.Fatalf("the run is given back: %v", r.Refusals)
+			}
+			if len(r.Ends) > 0 {
+				return // the leader drops the order now
+			}
+		}
+		t.Fatal("its end is not told of")
+	})
+}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -306,8 +306,12 @@
 
 // settleStops gives back the runs that were stopped before they began: the worker
 // confirmed the stop, and a status asked for after that shows the run neither
-// among those that run nor among the ended.
+// among those that run nor among the ended. A status of which a part could not be read
+// shows nothing of the kind: the run may be in that part.
 func (s *session) settleStops(status Status, asked time.Time) {
+	if status.Partial {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, o := range s.orders {
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -55,6 +55,9 @@
 	ClockMs int64
 	Running []*apiv1.RunObservation
 	Ended   []*apiv1.RunEnd
+	// Partial: some of what the worker listed could not be read, so what is not here
+	// may run or have ended all the same.
+	Partial bool
 }
 
 // Answer is a worker's answer.
--- a/dev/jobs.go
+++ b/dev/jobs.go
@@ -27,6 +27,7 @@
 	client *jobclient.Client
 	driver *runs.Driver
 	worker *fakes.RunWorker
+	log    *zap.Logger
 }
 
 func newJobsDemo(o Options) *jobsDemo {
@@ -38,7 +39,7 @@
 	worker.Duration = func(jobqueue.TaskID) time.Duration { return jobTaskTime }
 	client := jobclient.New([]string{o.Addresses.Internal}, o.Logger)
 	return &jobsDemo{
-		client: client, worker: worker,
+		client: client, worker: worker, log: o.Logger,
 		driver: runs.New(runs.Options{Worker: worker, Leader: client, Logger: o.Logger.With(zap.String("demo", "jobs"))}),
 	}
 }
@@ -55,7 +56,9 @@
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		d.driver.Announce(runs.Announcement{Worker: d.worker.Spec, Sequence: sequence})
+		if err := d.driver.Announce(runs.Announcement{Worker: d.worker.Spec, Sequence: sequence}); err != nil {
+			d.log.Error("worker is not taken", zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -225,7 +225,9 @@
 	h.mu.Lock()
 	worker, driver := h.worker, h.driver
 	h.mu.Unlock()
-	driver.Announce(runs.Announcement{Worker: worker.Announced(), Sequence: sequence})
+	if err := driver.Announce(runs.Announcement{Worker: worker.Announced(), Sequence: sequence}); err != nil {
+		h.s.t.Error(err)
+	}
 }
 
 // intN draws a number; faults are drawn meanwhile by others.
--- a/jobqueue/machine_test.go
+++ b/jobqueue/machine_test.go
@@ -359,3 +359,28 @@
 		}
 	}
 }
+
+// Symptom: a task runs in two places, and its worker never gets work again.
+// Sequence: an agent that was just started hears of an incarnation that another program
+// made up, finds that it isn't there, and reports that it left.
+// Cause: the made-up one takes the place of the worker on its host before it leaves.
+func TestMadeUpIncarnationLeavesTheWorker(t *testing.T) {
+	m := newMachine()
+	m.submit("j", one(1))
+	m.worker("w1", "h", 1000)
+	if !m.start(task("j", 0, 0), 1, "w1") {
+		t.Fatal("not started")
+	}
+	if o := m.report(&apiv1.ReportWorker{Worker: spec("w9", "h", 1000), Departed: true}); o != apiv1.JobOutcome_JOB_OUTCOME_OK {
+		t.Fatal(o)
+	}
+	if w := m.Worker("w1"); w == nil || len(w.Runs) != 1 {
+		t.Fatalf("the worker is %v", w)
+	}
+	if o := m.worker("w1", "h", 1000); o != apiv1.JobOutcome_JOB_OUTCOME_OK {
+		t.Errorf("the worker's next report: %v", o)
+	}
+	if o := m.worker("w9", "h", 1000); o != apiv1.JobOutcome_JOB_OUTCOME_STALE || m.Worker("w9") != nil {
+		t.Errorf("a delayed report of the one that left: %v", o)
+	}
+}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -15,6 +15,9 @@
 	if known := m.workers[spec.Id]; known != nil && known.Departed {
 		// A message of an earlier incarnation that was delayed on its way.
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
+	} else if known == nil && r.Departed {
+		m.noteGone(spec)
+		return apiv1.JobOutcome_JOB_OUTCOME_OK
 	}
 	m.takeCheckpoints(r.Checkpoints)
 	w := m.join(spec)
@@ -55,6 +58,17 @@
 	return w
 }
 
+// noteGone notes that a worker that was never here has left, so that a delayed report
+// doesn't bring it in. The worker that is on its host stays: what goes wrong otherwise is
+// that an agent that was just started hears of an incarnation that another program made
+// up, finds that it isn't there, and its saying so ends the one that is: its tasks run on
+// and start elsewhere as well.
+func (m *Machine) noteGone(spec *apiv1.JobWorker) {
+	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
+	m.workers[spec.Id] = w
+	m.depart(w)
+}
+
 // firstEpoch is the epoch of a worker whose lease never ran out; 0 is none.
 const firstEpoch = 1
 
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -13,12 +13,18 @@
 	Up bool
 }
 
+// UnnamedHost stands in a list for hosts whose names can't be read. While there are any,
+// no host is known to be missing from the list. What goes wrong without it: a host whose
+// entry is spoilt counts as gone, and its wave is called done without its maintenance.
+const UnnamedHost = ""
+
 // NextMaintenance returns the steps that hosts of waves can take, given a whole list
 // of the fleet's hosts.
 func NextMaintenance(m *jobqueue.Machine, hosts map[string]HostView) []*apiv1.MaintainHost {
 	var steps []*apiv1.MaintainHost
 	for _, w := range m.Waves() {
 		room := w.Room()
+		_, unnamed := hosts[UnnamedHost]
 		for _, h := range w.Hosts {
 			if h.Leaving() && !h.Down() {
 				room--
@@ -26,7 +32,7 @@
 		}
 		for _, h := range w.Hosts {
 			view, listed := hosts[h.Name]
-			step := nextStep(m, h, view, listed, room > 0)
+			step := nextStep(m, h, view, listed || unnamed, room > 0)
 			if step == nil {
 				continue
 			}
