--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -143,6 +143,10 @@
 	return map[string]schedule.HostView{}, nil
 }
 
+func (p *moodyPlatform) Move(context.Context, uint64, string, string) (dispatch.HostAnswer, error) {
+	return 0, errUnwell
+}
+
 func (p *moodyPlatform) Maintain(context.Context, uint64, string, uint64) (dispatch.HostAnswer, error) {
 	return 0, errUnwell
 }
--- a/logging/event/event.go
+++ b/logging/event/event.go
@@ -21,6 +21,7 @@
 const (
 	Process   Part = ""
 	Frontend  Part = "frontend"
+	Platform  Part = "platform"
 	Operator  Part = "operator"
 	JobClient Part = "jobclient"
 	Dispatch  Part = "dispatch"
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -21,6 +21,7 @@
 var (
 	Request               = declare(Frontend, Routine, "request", requestFields...)
 	RequestUnanswered     = declare(Frontend, Warning, "request failed", requestFields...)
+	EntriesDropped        = declare(Platform, Warning, "unusable entries dropped", "kind", "entries", "so_far", "error")
 	ConfigurationRefused  = declare(Operator, Warning, "configuration refused", NameVersion, "error")
 	ConfigurationReceived = declare(Operator, Rare, "configuration submitted", NameVersion, "status", "error")
 	WaveRefused           = declare(Operator, Warning, "wave refused", "wave", "error")
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -222,3 +222,12 @@
 
 // Order is the number of an order about a host.
 func Order(n uint64) Field { return number64("order", n) }
+
+// Kind is what kind of entries a line is about.
+func Kind(name string) Field { return text("kind", name) }
+
+// EntryCount is the number of entries of one message.
+func EntryCount(n int) Field { return number("entries", n) }
+
+// SoFar is a count since the start of the process.
+func SoFar(n int64) Field { return Field{zap.Int64("so_far", n)} }
