agent/runs: a lease is not counted without a reading of the worker's clock

Cause: an agent that doesn't know the term is refused by its worker, asks the leader and is granted a lease, which it counted from the clock reading 0 that it doesn't have. Its end seemed long past: starts were late, and the first unanswered call was taken for the end of all that ran there, under the lease of the agent before.

Ruled out: a data race (none reported). Test: the sequence on the stand-in worker; it failed before. A renewal gets its lease with the next report.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -394,13 +394,14 @@
 
 // granted takes a lease over. It counts from the sending of the report and is
 // turned into a reading of the worker's clock: that clock showed clockMs no later
-// than at received, and may run slower than ours by the bound on its rate error.
+// than at received, and may run slower than ours by the bound on its rate error. Without
+// a reading, 0, there is no lease to count: the next report brings one.
 func (s *session) granted(resp *apiv1.JobsReportResponse, clockMs int64, received, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.term = max(s.term, resp.Term)
 	s.acknowledged = max(s.acknowledged, resp.Acknowledged)
-	if resp.LeaseMs == 0 {
+	if resp.LeaseMs == 0 || clockMs == 0 {
 		return
 	}
 	left := sent.Sub(received).Milliseconds() + resp.LeaseMs
--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -22,11 +22,15 @@
 
 // leader answers as the test says and notes what it is told.
 type leader struct {
-	mu      sync.Mutex
-	orders  *apiv1.JobsOrdersResponse
-	epoch   uint64
-	away    bool
-	reports []*apiv1.JobsReportRequest
+	mu     sync.Mutex
+	orders *apiv1.JobsOrdersResponse
+	epoch  uint64
+	away   bool
+	// awayAfter is after how many more reports it is away; 0 is never.
+	awayAfter int
+	// noOrders fails the calls for orders only.
+	noOrders bool
+	reports  []*apiv1.JobsReportRequest
 }
 
 var errAway = errors.New("no leader")
@@ -38,6 +42,10 @@
 		return nil, errAway
 	}
 	l.reports = append(l.reports, r)
+	if l.awayAfter > 0 {
+		l.awayAfter--
+		l.away = l.awayAfter == 0
+	}
 	resp := &apiv1.JobsReportResponse{Term: term, LeaseMs: leaseMs, Epoch: l.epoch, Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
 	for _, e := range r.Ends {
 		resp.Acknowledged = max(resp.Acknowledged, e.Sequence)
@@ -47,7 +55,7 @@
 
 func (l *leader) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
 	l.mu.Lock()
-	orders, away := l.orders, l.away
+	orders, away := l.orders, l.away || l.noOrders
 	l.mu.Unlock()
 	if away {
 		return nil, errAway
@@ -427,3 +435,30 @@
 		t.Fatal("its end is not told of")
 	})
 }
+
+// Symptom: a task that has ended well runs once more.
+// Sequence: an agent is restarted; its worker refuses its first call, since it has seen a
+// higher term, and the leader grants the lease and is gone. Later the worker leaves a call
+// unanswered.
+// Cause: the lease was counted from a reading of the worker's clock that nobody had made,
+// zero; so its end seemed long past, and the agent told the leader that the worker had
+// stopped everything, which still ran under the lease of the agent before it.
+func TestLeaseIsNotCountedWithoutTheWorkersClock(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}, away: true, noOrders: true}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		order := runs.Order{Incarnation: "w1", Term: term}
+		if _, answer, err := w.RunWorker.Renew(t.Context(), order, runs.Renewal{DeadlineMs: 1_000_000 + 6000}); err != nil || answer != runs.AnswerDone {
+			t.Fatal(answer, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		l.set(func() { l.away, l.awayAfter = false, 1 })
+		time.Sleep(time.Second)
+		w.silent.Store(all)
+		time.Sleep(time.Second)
+		l.set(func() { l.away = false })
+		time.Sleep(time.Second)
+		if n := l.lapsedReports(); n != 0 {
+			t.Errorf("a lapse is told of %d times while the worker may still run", n)
+		}
+	})
+}
