--- a/platform/groupstate.go
+++ b/dispatch/groupstate.go
@@ -1,4 +1,4 @@
-package platform
+package dispatch
 
 import (
 	"context"
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnlift/cairnlift/control"
-	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/logging"
 	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/quorum/node"
@@ -38,31 +37,34 @@
 	workers, reachable int
 }
 
-// stateReporter repeats what a control host believes, every some seconds and at each
+// StateReporter repeats what a control host believes, every some seconds and at each
 // change.
 //
 // What goes wrong without it: whoever gets only the last part of a process's lines
 // can't tell who led, how many voters were there and which configuration was in force,
 // as the lines of these changes are older than what he has.
-type stateReporter struct {
+type StateReporter struct {
 	node       *node.Node
 	replica    *control.Replica
-	dispatcher *dispatch.Dispatcher
+	dispatcher *Dispatcher
 	logger     *zap.Logger
 	age        metrics.Gauge
 	// bytes is what the process has logged so far.
 	bytes metrics.Gauge
 
 	last groupState
-	// told is when the last line was written, toldAt after how many bytes; ledSince since when leader and term are
-	// as they are, inForceSince the configuration.
+	// told is when the last line was written, toldAt after how many bytes; ledSince is
+	// since when leader and term are as they are, inForceSince the configuration.
 	told, ledSince, inForceSince time.Time
 	toldAt                       int64
 }
 
-func newStateReporter(n *node.Node, r *control.Replica, d *dispatch.Dispatcher, registry metrics.Registry, log *zap.Logger) *stateReporter {
+// NewStateReporter returns a reporter for a control host.
+func NewStateReporter(
+	n *node.Node, r *control.Replica, d *Dispatcher, registry metrics.Registry, log *zap.Logger,
+) *StateReporter {
 	now := time.Now()
-	return &stateReporter{
+	return &StateReporter{
 		ledSince: now, inForceSince: now,
 		node: n, replica: r, dispatcher: d, logger: event.Group.Named(log),
 		age:   metrics.GetOrRegisterGauge("group.configuration_age_ms", registry),
@@ -70,8 +72,8 @@
 	}
 }
 
-// run reports until ctx ends.
-func (s *stateReporter) run(ctx context.Context) {
+// Run reports until ctx ends.
+func (s *StateReporter) Run(ctx context.Context) {
 	ticker := time.NewTicker(stateLook)
 	defer ticker.Stop()
 	for {
@@ -84,7 +86,7 @@
 	}
 }
 
-func (s *stateReporter) look(now time.Time) {
+func (s *StateReporter) look(now time.Time) {
 	standing := s.dispatcher.Standing()
 	seen := groupState{
 		leader: s.node.LeaderAddress(), size: s.node.GroupSize(), workers: standing.Workers, reachable: standing.Reachable,
@@ -112,6 +114,6 @@
 
 // due reports whether a line is to be written: what is seen has changed, or the last
 // line is old, or so many bytes were logged after it.
-func (s *stateReporter) due(seen groupState, now time.Time, logged int64) bool {
+func (s *StateReporter) due(seen groupState, now time.Time, logged int64) bool {
 	return seen != s.last || now.Sub(s.told) >= stateRepeat || logged-s.toldAt >= stateBytes
 }
--- a/platform/groupstate_test.go
+++ b/dispatch/groupstate_internal_test.go
@@ -1,4 +1,4 @@
-package platform
+package dispatch
 
 import (
 	"testing"
@@ -11,7 +11,7 @@
 // Cause: a line of state at changes only, or by the clock alone.
 func TestStateIsRepeated(t *testing.T) {
 	now := time.Unix(100, 0)
-	s := &stateReporter{}
+	s := &StateReporter{}
 	leads := groupState{term: 2, leader: "10.0.0.1:7000", leads: true}
 	if !s.due(leads, now, 0) {
 		t.Error("the first state gets no line")
