--- a/control/keep_test.go
+++ b/control/keep_test.go
@@ -18,7 +18,7 @@
 // nothing on.
 // Sequence: the disk is full; after some seconds it has room again.
 // Cause: the process ends with its replica.
-// Evidence: on a hunted day with a full disk one control process ended seven times, each
+// Evidence: on a day with a full disk one control process ended seven times, each
 // time with "no space left on device" for the file of the log.
 func TestFullDiskDoesNotEndTheHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/jobqueue/machine_test.go
+++ b/jobqueue/machine_test.go
@@ -384,3 +384,39 @@
 		t.Errorf("a delayed report of the one that left: %v", o)
 	}
 }
+
+// Symptom: a task starts after its caller was told that the job is cancelled.
+// Sequence: a task is planned; the job is cancelled before the plan is applied; the same
+// job is handed in once more.
+// Cause: a plan that is taken at its word, or a resend that opens the job again.
+func TestCancelledJobStartsNothing(t *testing.T) {
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.submit("a", one(100))
+	if outcome := m.cancel("a"); outcome != ok {
+		t.Fatal(outcome)
+	}
+	if m.start(task("a", 0, 0), 1, "w1") {
+		t.Error("a task of a cancelled job started")
+	}
+	m.submit("a", one(100))
+	if m.start(task("a", 0, 0), 1, "w1") || m.Job("a").State != apiv1.JobState_JOB_STATE_CANCELED {
+		t.Errorf("a resend opened the cancelled job: %v", m.Job("a").State)
+	}
+}
+
+// Symptom: a task is lost with a worker that had said that it leaves.
+// Sequence: a start is planned; the worker's report says that it drains; the plan is
+// applied.
+// Cause: only the planner looks at what the worker says.
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.submit("a", one(100))
+	leaving := spec("w1", "h1", 1000)
+	leaving.Draining = true
+	m.report(&apiv1.ReportWorker{Worker: leaving})
+	if m.start(task("a", 0, 0), 1, "w1") {
+		t.Error("a task started on a draining worker")
+	}
+}
