--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -21,8 +21,8 @@
 // Each class of lines has a budget of its own, so that a flood of one never pushes out
 // another: the line that explains a failure, or the one that says when the leader
 // changed. The bytes bound how far back the last 95 kB of a process reach, which is what
-// an incident's record keeps of it. A site's busy leader writes 6 kB a second, an entry up to 45 kB in the second
-// in which all clients come back after an outage.
+// an incident's record keeps of it. A busy leader of eleven workers writes 6 kB a second,
+// an entry up to 45 kB in the second in which all callers come back after an outage.
 var budgets = [classes]budget{
 	routine: {lines: 400, bytes: 64 << 10},
 	rare:    {lines: 50, bytes: 8 << 10},
@@ -92,7 +92,8 @@
 		}
 	}
 	b := &Bounded{
-		out: out, process: process, lines: make(chan []byte, QueuedLines), closing: make(chan struct{}), written: make(chan struct{}), now: time.Now,
+		out: out, process: process, now: time.Now,
+		lines: make(chan []byte, QueuedLines), closing: make(chan struct{}), written: make(chan struct{}),
 	}
 	go b.write()
 	core := shortErrors{&boundedCore{LevelEnabler: at, encoder: zapcore.NewJSONEncoder(encoding()), b: b}}
