--- a/dispatch/kinds_test.go
+++ b/dispatch/kinds_test.go
@@ -1,16 +1,12 @@
 package dispatch_test
 
 import (
-	"context"
 	"fmt"
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
@@ -83,20 +79,10 @@
 // carried out late.
 // Cause: any fault in how starts are judged, or tickets kept.
 func TestKindsOfJobsUnderTrouble(t *testing.T) {
-	metrics.NewMeter().Stop()
-	const seeds = 40
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { kindsUnderTrouble(t, seed) })
-		})
-	}
+	playSeeds(t, 40, 4, kindsUnderTrouble)
 }
 
-func kindsUnderTrouble(t *testing.T, seed uint64) {
-	ctx, stop := context.WithCancel(t.Context())
-	s := newSim(ctx, t, seed, 4)
-	defer s.loops.Wait()
-	defer stop()
+func kindsUnderTrouble(t *testing.T, s *sim, seed uint64) {
 	s.advisor.Allowed = allowed
 	s.advisor.Applies = func(job string) bool { return numberOf(job)%kinds == kindAdvised }
 	s.advisor.Fails = func(number int) bool { return number%5 == 0 }
--- a/dispatch/learnt_test.go
+++ b/dispatch/learnt_test.go
@@ -1,13 +1,9 @@
 package dispatch_test
 
 import (
-	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -18,16 +14,11 @@
 // another leader follows.
 // Cause: what was learnt ended with the leader.
 func TestLearntOutlivesTheLeader(t *testing.T) {
-	metrics.NewMeter().Stop()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		s := newSim(ctx, t, 1, 0)
-		defer s.loops.Wait()
-		defer stop()
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
 		worker := &apiv1.JobWorker{Id: "w1", Host: "h1", Pool: simPool, CpuMilli: 32_000, MemoryMb: 64_000}
 		report := func(running ...*apiv1.RunObservation) {
 			t.Helper()
-			if _, err := s.dispatcher.Report(ctx, &apiv1.JobsReportRequest{Worker: worker, Running: running}); err != nil {
+			if _, err := s.dispatcher.Report(s.ctx, &apiv1.JobsReportRequest{Worker: worker, Running: running}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -60,14 +51,9 @@
 // Sequence: one task of a step runs, another one finds no worker with the memory.
 // Cause: the reasons of the last round are not kept.
 func TestExplanationNamesRunsAndWaits(t *testing.T) {
-	metrics.NewMeter().Stop()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		s := newSim(ctx, t, 1, 0)
-		defer s.loops.Wait()
-		defer stop()
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
 		s.sleep(time.Second)
-		if _, err := s.dispatcher.Report(ctx, &apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{
+		if _, err := s.dispatcher.Report(s.ctx, &apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{
 			Id: "w1", Host: "h1", Pool: simPool, CpuMilli: 32_000, MemoryMb: 1000,
 		}}); err != nil {
 			t.Fatal(err)
@@ -76,7 +62,7 @@
 			Id: "j1", Host: simHost, Path: "/q/j1", Steps: []*apiv1.JobStep{{Count: 2, CpuMilli: 100, MemoryMb: 600}},
 		}}}})
 		s.sleep(300 * time.Millisecond)
-		resp, err := s.dispatcher.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION, Id: "j1"})
+		resp, err := s.dispatcher.Read(s.ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION, Id: "j1"})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -1,13 +1,9 @@
 package dispatch_test
 
 import (
-	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -18,12 +14,7 @@
 // Cause: the leader waits for the end of a lease that is meant for agents that come
 // back, twice as long as the worker runs on by itself.
 func TestHostThatLeftIsNotWaitedFor(t *testing.T) {
-	metrics.NewMeter().Stop()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		s := newSim(ctx, t, 1, 2)
-		defer s.loops.Wait()
-		defer stop()
+	playSim(t, 1, 2, func(t *testing.T, s *sim) {
 		s.mu.Lock()
 		s.calm = true
 		s.mu.Unlock()
--- /dev/null
+++ b/dispatch/movesrig_test.go
@@ -0,0 +1,199 @@
+package dispatch_test
+
+import (
+	"slices"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+const (
+	otherPool   = "other"
+	reservePool = "reserve"
+	// hostCallsPerSecond is what the stand-in of the platform accepts.
+	hostCallsPerSecond = 12
+	// moverSettles is longer than a leader waits before it has hosts moved.
+	moverSettles = 12 * time.Second
+)
+
+// pools gives the simulation two pools with a queue each and one in standby, and puts
+// the hosts into them.
+func (s *sim) pools(of map[string]string) *fakes.Hosts {
+	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{
+		Configuration: &apiv1.QueueConfiguration{
+			Version: 2, Pools: []*apiv1.WorkerPool{{Name: simPool}, {Name: otherPool}, {Name: reservePool, Standby: true}},
+			Queues: []*apiv1.JobQueue{
+				{Name: "q", Host: simHost, PathPrefix: "/q/", Pool: simPool, MaxAttempts: 4, Stretch: 2, AllowanceMs: 500, TimeoutMs: 1000},
+				{Name: "o", Host: simHost, PathPrefix: "/o/", Pool: otherPool, MaxAttempts: 4, Stretch: 2, AllowanceMs: 500, TimeoutMs: 1000},
+			},
+		},
+	}}})
+	f := s.fleet()
+	f.CallsPerSecond = hostCallsPerSecond
+	f.Standby = map[string]bool{reservePool: true}
+	f.Stale = func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return !s.calm && s.rand.IntN(4) == 0
+	}
+	f.Down = func(name string) {
+		h := s.side(name)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if running := h.worker.Running(); len(running) > 0 {
+			s.t.Errorf("%v ran on %s when it went away", running, name)
+		}
+		h.worker.Crash()
+		h.off = true
+	}
+	for name, pool := range of {
+		h := s.side(name)
+		h.setPool(pool)
+		h.startWorker()
+		if f.Standby[pool] {
+			h.mu.Lock()
+			h.worker.Crash()
+			h.off = true
+			h.mu.Unlock()
+		}
+	}
+	for _, h := range s.hosts {
+		worker := h.incarnation()
+		if f.Standby[h.pool] {
+			worker = ""
+		}
+		f.Put(h.name, worker)
+		f.Place(h.name, h.pool, jobqueue.Resources{CPUMilli: 4000, MemoryMB: 8000})
+	}
+	s.fleetOf.Store(f)
+	return f
+}
+
+func (s *sim) side(name string) *simSide {
+	return s.hosts[slices.IndexFunc(s.hosts, func(h *simSide) bool { return h.name == name })]
+}
+
+// crash has the worker of a host crash and come back at once, if it is there.
+func (s *sim) crash(f *fakes.Hosts, name string) {
+	h := s.side(name)
+	h.mu.Lock()
+	off := h.off
+	h.mu.Unlock()
+	if !off {
+		h.startWorker()
+		f.Put(name, h.incarnation())
+	}
+}
+
+func (s *sim) calmDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calm = true
+}
+
+func (s *sim) moveOf(host string) jobqueue.Move {
+	var v jobqueue.Move
+	s.replica.ReadState(func(m *state.Machine) {
+		if found, ok := m.CallerJobs().MoveOf(host); ok {
+			v = jobqueue.Move{HostMove: &apiv1.HostMove{State: found.State, Pool: found.Pool, Worker: found.Worker, Requested: found.Requested}}
+		}
+	})
+	return v
+}
+
+// await waits in steps of 100 ms until a condition holds, at most for a while.
+func (s *sim) await(d time.Duration, condition func() bool) bool {
+	for ; d > 0 && !condition(); d -= 100 * time.Millisecond {
+		s.sleep(100 * time.Millisecond)
+	}
+	return condition()
+}
+
+func (s *sim) askMove(host, pool string) {
+	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_RequestMove{RequestMove: &apiv1.RequestMove{Host: host, Pool: pool}}})
+}
+
+// heldOrder is who gave an order that moves a host, and when.
+type heldOrder struct {
+	host  string
+	token uint64
+	term  uint64
+	at    time.Time
+}
+
+// holderPause is how long the platform has one holder give orders about a host before
+// another one does.
+const holderPause = 3 * time.Second
+
+func (s *sim) noteHolder(host string, token uint64) {
+	term, _ := s.log.Leading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = append(s.held, heldOrder{host, token, term, time.Now()})
+}
+
+// judgeHolders checks that no token was used by two leaders, and that they did not give
+// orders about a host by turns.
+func (s *sim) judgeHolders(seed uint64) {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := map[string]heldOrder{}
+	for _, o := range s.held {
+		before, known := last[o.host]
+		if known && before.term != o.term && (before.token >= o.token || o.at.Sub(before.at) < holderPause) {
+			s.t.Errorf("seed %d: leaders order by turns: %+v, %+v", seed, before, o)
+		}
+		last[o.host] = o
+	}
+}
+
+// judgeOrders checks that no token stands for two orders or holders, that a host's
+// tokens never fall, that few hosts were away at once and that the platform's rates were
+// kept.
+func (s *sim) judgeOrders(seed uint64, f *fakes.Hosts) {
+	s.t.Helper()
+	type key struct {
+		host  string
+		token uint64
+	}
+	meant := map[key]fakes.HostOrder{}
+	newest := map[string]uint64{}
+	for _, o := range f.Orders() {
+		k := key{o.Host, o.Token}
+		if before, known := meant[k]; known && before != o {
+			s.t.Errorf("seed %d: two orders under one token: %+v, %+v", seed, before, o)
+		}
+		if o.Token < newest[o.Host] {
+			s.t.Errorf("seed %d: an order under a lower token: %+v", seed, o)
+		}
+		meant[k], newest[o.Host] = o, o.Token
+	}
+	s.judgeHolders(seed)
+	if n := f.MostAway(); n > jobqueue.MaxMovesAtOnce {
+		s.t.Errorf("seed %d: %d hosts were away at once", seed, n)
+	}
+	if all, refused := f.Calls(); refused > 0 {
+		s.t.Errorf("seed %d: %d of %d calls came too fast", seed, refused, all)
+	}
+}
+
+// crowd is a job whose tasks fill a worker each and take a while.
+func crowd(id string, tasks uint32) *apiv1.JobSpec {
+	return &apiv1.JobSpec{Id: id, Host: simHost, Path: "/o/" + id, Steps: []*apiv1.JobStep{{
+		Count: tasks, CpuMilli: 4000, MemoryMb: 500, LongRunning: true,
+	}}}
+}
+
+func (s *sim) runsOf(job string) int {
+	n := 0
+	s.replica.ReadState(func(m *state.Machine) {
+		for _, t := range m.CallerJobs().Job(job).Occurrences[0].Steps[0].Tasks {
+			n += len(t.Runs)
+		}
+	})
+	return n
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -9,10 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -401,20 +399,10 @@
 // Cause: any fault in leases, fencing, numbers of runs, ends or their order.
 func TestJobsUnderTrouble(t *testing.T) {
 	// The library's goroutine for meters would else belong to the first test's time.
-	metrics.NewMeter().Stop()
-	const seeds = 60
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { underTrouble(t, seed) })
-		})
-	}
+	playSeeds(t, 60, 4, underTrouble)
 }
 
-func underTrouble(t *testing.T, seed uint64) {
-	ctx, stop := context.WithCancel(t.Context())
-	s := newSim(ctx, t, seed, 4)
-	defer s.loops.Wait()
-	defer stop()
+func underTrouble(t *testing.T, s *sim, seed uint64) {
 	s.sleep(3 * time.Second)
 	for i := range 12 {
 		s.submit(i)
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/fakes"
@@ -109,20 +105,10 @@
 // Cause: an order that is forgotten with its leader or counted wrongly, or a host
 // that goes down before its tasks are elsewhere.
 func TestWavesUnderTrouble(t *testing.T) {
-	metrics.NewMeter().Stop()
-	const seeds = 30
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { waveUnderTrouble(t, seed) })
-		})
-	}
+	playSeeds(t, 30, 5, waveUnderTrouble)
 }
 
-func waveUnderTrouble(t *testing.T, seed uint64) {
-	ctx, stop := context.WithCancel(t.Context())
-	s := newSim(ctx, t, seed, 5)
-	defer s.loops.Wait()
-	defer stop()
+func waveUnderTrouble(t *testing.T, s *sim, seed uint64) {
 	s.lasting = "serving"
 	fleet := s.fleet()
 	s.fleetOf.Store(fleet)
