Newcomer's reading: a sequence told once, a bare number in an answer

quorum/node: the two tests of a voter that comes back share comeBackOnce and isReplaced; the checks are the same. jobapi: the answer to a move too soon no longer repeats a figure that jobqueue holds; no test or page had it. Looked at and left: fakes/judge_test.go, settings/settings_test.go and internal/slopes/rows.go are tables of cases; jobqueue/moves_test.go and route/route_test.go share imports only. Measured: go test ./quorum/node (spares and replacements), ./jobapi and ./cli ok.

--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -324,7 +324,7 @@
 // outcomeMessages explain what an outcome's name does not.
 var outcomeMessages = map[apiv1.JobOutcome]string{
 	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:  "the configuration in force has no such pool",
-	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT: "the host is in a maintenance wave or on another move, or was moved within the last 30 s",
+	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT: "the host is in a maintenance wave or on another move, or was moved a moment ago",
 	apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS: "this deployment has no interface to its hosts",
 }
 
--- a/quorum/node/spare_test.go
+++ b/quorum/node/spare_test.go
@@ -60,42 +60,45 @@
 // Cause: nobody sends to a replica that was removed, and it does not ask.
 func TestReplacedVoterComesBackAsSpare(t *testing.T) {
 	forSeeds(t, 20, three, func(g *nodetest.Group) {
-		g.MustStart()
-		g.Propose("1")
-		down := g.Followers()[0]
-		g.Kill(down)
-		g.AddSpare("new")
-		g.Wait("the new host to vote in its place", func() bool {
-			voters := g.Voters()
-			return slices.Contains(voters, "new") && !slices.Contains(voters, down)
-		})
-		g.Propose("2")
-		g.MustStart(down)
-		g.Wait("2 on the host that was down", func() bool { return g.Has(down, "2") })
-		if voters := g.Voters(); len(voters) != 3 || slices.Contains(voters, down) {
-			t.Fatalf("seed %d: voters are %v", g.Seed, voters)
+		down := comeBackOnce(g, "the new host to vote in its place", isReplaced)
+		if !isReplaced(g, down) {
+			g.T.Fatalf("seed %d: voters are %v", g.Seed, g.Voters())
 		}
 	})
 }
 
+// comeBackOnce has a follower down while a spare joins, until a condition holds; then it
+// comes back with its disk, and has the log.
+func comeBackOnce(g *nodetest.Group, what string, condition func(g *nodetest.Group, down string) bool) (down string) {
+	g.T.Helper()
+	g.MustStart()
+	g.Propose("1")
+	down = g.Followers()[0]
+	g.Kill(down)
+	g.AddSpare("new")
+	g.Wait(what, func() bool { return condition(g, down) })
+	g.Propose("2")
+	g.MustStart(down)
+	g.Wait("2 on the host that was down", func() bool { return g.Has(down, "2") })
+	return down
+}
+
+// isReplaced reports whether three hosts vote, the new one among them and not the one
+// that was down.
+func isReplaced(g *nodetest.Group, down string) bool {
+	voters := g.Voters()
+	return len(voters) == 3 && slices.Contains(voters, "new") && !slices.Contains(voters, down)
+}
+
 // Symptom: a group keeps an even number of voters, or two votes for one place.
 // Sequence: a voter comes back at the moment when its successor has got the vote.
 // Cause: the replacement stops halfway, as the voter is no longer silent.
 func TestReplacedVoterComesBackDuringItsReplacement(t *testing.T) {
 	forSeeds(t, 20, three, func(g *nodetest.Group) {
-		g.MustStart()
-		g.Propose("1")
-		down := g.Followers()[0]
-		g.Kill(down)
-		g.AddSpare("new")
-		g.Wait("the new host to vote", func() bool { return slices.Contains(g.Voters(), "new") })
-		g.Propose("2")
-		g.MustStart(down)
-		g.Wait("2 on the host that was down", func() bool { return g.Has(down, "2") })
-		g.Wait("three voters without it", func() bool {
-			voters := g.Voters()
-			return len(voters) == 3 && !slices.Contains(voters, down)
+		down := comeBackOnce(g, "the new host to vote", func(g *nodetest.Group, _ string) bool {
+			return slices.Contains(g.Voters(), "new")
 		})
+		g.Wait("three voters without it", func() bool { return isReplaced(g, down) })
 	})
 }
 
