agent: the timeout of heartbeats grows until an entry answers, and follows the answers

Entries on hosts short of processors handled each heartbeat and answered later, so the agent had no entry, got no configuration and refused requests for as long as that lasted ("ready: agent: waited 30s"). Test: an entry that answers after 600 ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -106,7 +106,13 @@
 	limits.StalenessBound = o.Settings.StalenessBound.Duration
 	a.gate = gate.New(a.incarnation, limits)
 	rng := rand.New(rand.NewSource(seed(o.Settings.Name, a.incarnation)))
-	a.selector = home.New(len(o.Settings.Entries), o.Settings.HeartbeatInterval.Duration, rng)
+	interval := o.Settings.HeartbeatInterval.Duration
+	timeouts := home.TimeoutBounds{
+		Min: max(interval, minBeatTimeout),
+		// What an answer confirms counts from when its heartbeat was sent: a later one confirms nothing.
+		Max: o.Settings.StalenessBound.Duration,
+	}
+	a.selector = home.New(len(o.Settings.Entries), interval, timeouts, rng)
 	a.entries = entryClients(o.Settings.Entries)
 	if o.Worker != nil {
 		a.worker = newWorkerDriver(a, o.Worker, a.log)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -290,3 +290,15 @@
 		return strings.Contains(shape, "-W-")
 	})
 }
+
+// Symptom: an agent reports itself unready for as long as its entries are slow, and callers
+// are refused although its targets are fine.
+// Sequence: the only entry takes 600 ms for each answer, as on a host short of processors.
+// Cause: a timeout of a quarter of a second for every heartbeat, however many have failed.
+func TestEntryThatAnswersLate(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, &entry{delay: 600 * time.Millisecond}, nil, nil)
+	r.eventually("the configuration that a late answer brings is in force", func() bool {
+		return r.entry.heard(func(b *apiv1.HeartbeatRequest) bool { return b.ConfigurationVersion == 1 })
+	})
+}
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -18,6 +18,8 @@
 const (
 	// minBeatSpacing bounds the rate of heartbeats when much changes at once.
 	minBeatSpacing = 20 * time.Millisecond
+	// minBeatTimeout is well above the time that an entry takes between distant
+	// availability zones, and short beside the time without news after which a target is left out.
 	minBeatTimeout = 250 * time.Millisecond
 )
 
@@ -89,8 +91,7 @@
 	sent := a.now()
 	entry := a.selector.Pick(sent)
 	req := a.heartbeatRequest(sent, entry)
-	timeout := max(a.settings.HeartbeatInterval.Duration, minBeatTimeout)
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, a.selector.Timeout())
 	defer cancel()
 	resp, err := a.entries[entry].Heartbeat(callCtx, req)
 	if err != nil {
@@ -102,7 +103,8 @@
 		return wait, errors.Wrap(err, "heartbeat")
 	}
 	a.metrics.heartbeats.Inc(1)
-	a.selector.Succeeded(a.now(), entry)
+	answered := a.now()
+	a.selector.Succeeded(answered, entry, answered.Sub(sent))
 	a.beat.entry, a.beat.revision = entry, req.Revision
 	if req.Agent.GetLeaving() {
 		a.leaveOnce.Do(func() { close(a.leaveAcknowledged) })
--- a/agent/home/home.go
+++ b/agent/home/home.go
@@ -12,6 +12,9 @@
 	// returnAfter is how long an agent stays with another entry before it tries the
 	// preferred one again. A shorter time would make agents swing with an entry that flaps.
 	returnAfter = 15 * time.Second
+	// timeoutFactor is how many times as long as its last answer took an entry may take
+	// for the next one.
+	timeoutFactor = 4
 )
 
 // Selector is the choice. Entries are numbered in order of preference from 0.
@@ -23,15 +26,33 @@
 	current  int
 	next     int
 	failures int
+	timeouts TimeoutBounds
+	timeout  time.Duration
 	// returnAt is when entry 0 is tried again; zero while it is the current one.
 	returnAt time.Time
 }
 
+// TimeoutBounds bound how long an agent waits for the answer to a heartbeat. An answer
+// that takes longer than Max is of no use to the caller.
+type TimeoutBounds struct {
+	Min, Max time.Duration
+}
+
+func (b TimeoutBounds) clamp(d time.Duration) time.Duration { return max(b.Min, min(d, b.Max)) }
+
 // New returns a selector over a number of entries. rng spreads the agents' retries.
-func New(entries int, maxBackoff time.Duration, rng *rand.Rand) *Selector {
-	return &Selector{entries: entries, maxBackoff: maxBackoff, rng: rng}
+func New(entries int, maxBackoff time.Duration, timeouts TimeoutBounds, rng *rand.Rand) *Selector {
+	return &Selector{entries: entries, maxBackoff: maxBackoff, timeouts: timeouts, timeout: timeouts.Min, rng: rng}
 }
 
+// Timeout is how long to wait for the answer to the next heartbeat. It doubles with each
+// whole round of failures and follows the time that the last answer took.
+//
+// With a fixed timeout, entries that all answer late, as on a host short of processors,
+// would count as down for as long as they are late: an agent that no entry knows gets no
+// configuration and no requests, although each of its heartbeats was handled.
+func (s *Selector) Timeout() time.Duration { return s.timeout }
+
 // Pick returns the entry for the next heartbeat.
 func (s *Selector) Pick(now time.Time) int {
 	if s.failures == 0 && s.current != 0 && !now.Before(s.returnAt) {
@@ -40,9 +61,11 @@
 	return s.next
 }
 
-// Succeeded notes that an entry answered: it is the home entry from now on.
-func (s *Selector) Succeeded(now time.Time, entry int) {
+// Succeeded notes that an entry answered, and how long it took: it is the home entry
+// from now on.
+func (s *Selector) Succeeded(now time.Time, entry int, took time.Duration) {
 	s.failures = 0
+	s.timeout = s.timeouts.clamp(timeoutFactor * took)
 	s.next = entry
 	if entry != s.current || s.returnAt.IsZero() {
 		s.returnAt = now.Add(returnAfter)
@@ -62,6 +85,9 @@
 	}
 	s.failures++
 	s.next = (entry + 1) % s.entries
+	if s.failures%s.entries == 0 {
+		s.timeout = s.timeouts.clamp(2 * s.timeout)
+	}
 	rounds := s.failures / s.entries
 	if rounds == 0 {
 		return 0
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -25,12 +25,14 @@
 	apiv1.Control
 	dead          []settings.Peer // Entries before this one that do not answer.
 	shutdownBound time.Duration   // Of the agent, 10 s when zero.
+	delay         time.Duration   // Of each answer.
 	answer        func(*apiv1.HeartbeatRequest) *apiv1.HeartbeatResponse
 	mu            sync.Mutex
 	beats         []*apiv1.HeartbeatRequest
 }
 
 func (e *entry) Heartbeat(_ context.Context, req *apiv1.HeartbeatRequest) (*apiv1.HeartbeatResponse, error) {
+	time.Sleep(e.delay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.beats = append(e.beats, req)
