entry: a claim that lost sight of a running request is unknown; the shutdown bound holds for background work

(1) A resend that had seen another request hold its key, and then found no leader, was answered "not run", although the first may have run. It is told "unknown" now, with the time to come back. (2) The wait for outcomes still being stored had no bound of its own. Ruled out for (1): "unknown" for every claim that fails; a first send that never reached a target is truly not run, and its caller may go elsewhere.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -50,10 +50,14 @@
 	ctx, cancel := context.WithDeadline(ctx, r.workDeadline(e.now()))
 	defer cancel()
 	poll := claimPollFirst
+	held := false
 	for {
 		asked := e.now()
 		res, err := e.proposeClaim(ctx, r)
-		if err != nil {
+		switch {
+		case err != nil && held:
+			return e.claimLostSight(r, err)
+		case err != nil:
 			return e.claimFailed(r, err)
 		}
 		c := res.GetClaim()
@@ -61,6 +65,7 @@
 			r.claimed = true
 			return pipeline.Status{}
 		}
+		held = held || c.GetStanding() != nil
 		st, again := e.standing(ctx, r, standingClaim{c, asked}, poll < claimPollMax)
 		if !again {
 			return st
@@ -119,13 +124,25 @@
 // "not run" is true even if the claim turns out to be committed: a resend then
 // finds it, and the named agent proves that the attempt never ran.
 func (e *Entry) claimFailed(r *request, err error) pipeline.Status {
-	retryAfter := defaultRetryAfter
+	r.answer = notRun(apiv1.Reason_REASON_NO_QUORUM, "the idempotency key can't be recorded now", claimRetryAfter(err))
+	return pipeline.Rejected("no quorum")
+}
+
+// claimLostSight words a claim that could not be looked at again after another request was
+// seen to hold the key. That one may have run, so "not run" would be false: a caller who
+// believed it and sent the request under a new key would have it run twice.
+func (e *Entry) claimLostSight(r *request, err error) pipeline.Status {
+	r.answer = unknown(apiv1.Reason_REASON_KEY_IN_PROGRESS,
+		"a request with this key was running, and what became of it can't be learnt now", claimRetryAfter(err))
+	return pipeline.Rejected("key in progress, no quorum")
+}
+
+func claimRetryAfter(err error) time.Duration {
 	var unavailable *control.UnavailableError
 	if errors.As(err, &unavailable) && unavailable.RetryAfter > 0 {
-		retryAfter = unavailable.RetryAfter
+		return unavailable.RetryAfter
 	}
-	r.answer = notRun(apiv1.Reason_REASON_NO_QUORUM, "the idempotency key can't be recorded now", retryAfter)
-	return pipeline.Rejected("no quorum")
+	return defaultRetryAfter
 }
 
 // standing answers from a claim that another request with the same key holds.
--- a/entry/claim_test.go
+++ b/entry/claim_test.go
@@ -240,6 +240,52 @@
 	}
 }
 
+// fadingGroup answers the first claim and is a silent group from then on.
+type fadingGroup struct {
+	silentGroup
+	claims int
+}
+
+func (f *fadingGroup) Propose(ctx context.Context, cmd *apiv1.Command) (*apiv1.Result, error) {
+	if cmd.GetClaim() != nil {
+		f.claims++
+		if f.claims == 1 {
+			return f.Service.Propose(ctx, cmd)
+		}
+	}
+	return f.silentGroup.Propose(ctx, cmd)
+}
+
+// Symptom: a trader is told that a charge has not run, books it again under a new key, and
+// is charged twice. Sequence: the answer to the charge is lost while it still runs; the
+// caller resends it with its key; the entry sees the first one hold the key, and the
+// control group loses its leader before the entry looks again. Cause: every claim that
+// failed was answered "not run", also after another request was seen to hold the key.
+func TestClaimSeenInProgressIsNeverNotRun(t *testing.T) {
+	group := &fadingGroup{}
+	g := newRigOver(t, 1, func(c control.Service) control.Service {
+		group.Service = c
+		return group
+	})
+	g.startAgent()
+	first := &apiv1.Claim{
+		Service: "bookings", Key: "k", RequestId: "first", Entry: g.entries[0].settings.Name, Agent: "host-1",
+		Attempt: 1, WindowMs: 3600_000,
+		RequestDigest: digestOf(&apiv1.HttpRequest{Method: "POST", Uri: "/bookings/pay", Body: []byte("5")}),
+	}
+	res, err := g.replica.Propose(g.ctx, &apiv1.Command{TimeMs: time.Now().UnixMilli(), Body: &apiv1.Command_Claim{Claim: first}})
+	if err != nil || !res.GetClaim().GetGranted() {
+		t.Fatal(res, err)
+	}
+	w := g.call(g.entries[0], http.MethodPost, "/bookings/pay", "5", keyed("charge", "k"))
+	if got := w.Header().Get(HeaderOutcome); got != "unknown" || w.Header().Get("Retry-After") == "" {
+		t.Errorf("the resend got %s, Retry-After %q: %s", got, w.Header().Get("Retry-After"), w.Body)
+	}
+	if group.claims != 2 {
+		t.Errorf("%d claims were made, want 2", group.claims)
+	}
+}
+
 // lateGroup grants a claim, and lets the caller's deadline pass before it says so.
 type lateGroup struct {
 	control.Service
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -27,7 +27,9 @@
 		e.countCutOff()
 		_ = callers.http.Close()
 	}
-	e.background.Wait()
+	if !e.background.WaitUntil(ctx) {
+		e.log.Warn("shutdown bound reached; outcomes not stored")
+	}
 	e.stopNode(ctx)
 	_ = internal.http.Shutdown(ctx)
 	closeAll(internal, admin)
--- a/failstop/failstop.go
+++ b/failstop/failstop.go
@@ -9,6 +9,7 @@
 package failstop
 
 import (
+	"context"
 	"net/http"
 	"runtime"
 
@@ -49,6 +50,22 @@
 // Wait returns when all goroutines have ended.
 func (g *Group) Wait() { g.wg.Wait() }
 
+// WaitUntil waits until the goroutines have ended or ctx has; false when ctx ended first.
+// Those left then run on until the process ends.
+func (g *Group) WaitUntil(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		g.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Handler fails the group when a handler panics over a broken invariant. A
 // run-time error ends only its request: it is most likely caused by what the
 // request holds, and must not let one caller stop every host in turn.
--- a/failstop/failstop_test.go
+++ b/failstop/failstop_test.go
@@ -1,6 +1,7 @@
 package failstop
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,3 +45,20 @@
 	h := g.Handler("api", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { f() }))
 	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
 }
+
+// Symptom: a process that was asked to stop never ends. Sequence: one of its goroutines
+// waits for something that never comes. Cause: a wait for the group without a bound.
+func TestWaitUntil(t *testing.T) {
+	g := New()
+	release := make(chan struct{})
+	g.Go("stuck", func() { <-release })
+	ended, end := context.WithCancel(context.Background())
+	end()
+	if g.WaitUntil(ended) {
+		t.Error("a group with a stuck goroutine was said to have ended")
+	}
+	close(release)
+	if !g.WaitUntil(context.Background()) {
+		t.Error("a group that has ended was said to be stuck")
+	}
+}
