quorum: a leader with a slow disk hands over to a much faster voter

Cause: the leader's event loop stores its own entries before it takes the others' acknowledgements, so each commit lasts at least as long as a sync of its own, although a majority of the disks is fast. Ruled out: counting the others' acknowledgements during the own sync (a second goroutine for the log, and every order of saves and messages to be proved anew); handing over at the first slow save, which an election would cost more than. Test: three replicas, the leader's syncs take 60 ms. Leadership stays when all disks are slow, or one only for a moment.

--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -92,6 +92,7 @@
 	LeadershipChanged      = declare(Quorum, Rare, "Leadership changed.", "leading", NameTerm)
 	MembershipChanges      = declare(Quorum, Rare, "Membership changes.", "change")
 	MembershipWaits        = declare(Quorum, Debug, "Membership change has to wait.", "change", "error")
+	DiskSlow               = declare(Quorum, Warning, "Disk is slow, leadership goes to a faster one.", "id")
 	HandoverImpossible     = declare(Quorum, Rare, "Leadership can't be handed over.", "error")
 	MessagesLost           = declare(Quorum, Debug, "Messages are lost.", "address", "error")
 	MessageRefused         = declare(Quorum, Debug, "Message is refused.", "error")
--- a/quorum/membership.go
+++ b/quorum/membership.go
@@ -212,7 +212,7 @@
 // second loss in that time would stop the group.
 func (r *Raft) checkCaughtUp(id uint64) error {
 	p := r.progress[id]
-	if r.hears(id) && p.state == replicating && p.match+uint64(r.cfg.MaxEntriesPerMessage) >= r.log.lastIndex() {
+	if r.hears(id) && r.almostCaughtUp(p) {
 		return nil
 	}
 	return errors.Wrapf(ErrNotCaughtUp, "replica %d holds %d of %d entries", id, p.match, r.log.lastIndex())
--- a/quorum/node/loop.go
+++ b/quorum/node/loop.go
@@ -80,9 +80,24 @@
 	if n.reconciling >= reconcileTicks {
 		n.reconciling = 0
 		n.reconcile()
+		n.leaveToFaster()
 	}
 }
 
+// leaveToFaster hands leadership to a voter with a much faster disk, if there is one.
+func (n *Node) leaveToFaster() {
+	to, found := n.raft.FasterVoter()
+	if !found || !n.leadership.Leading || n.leaving.Load() {
+		return
+	}
+	if err := n.raft.TransferLeadership(to); err != nil {
+		event.HandoverImpossible.Write(n.logger, event.Err(err))
+		return
+	}
+	n.meters.slowHandovers.Inc(1)
+	event.DiskSlow.Write(n.logger, event.ReplicaID(to))
+}
+
 func (n *Node) step(m *apiv1.QuorumMessage) error {
 	err := n.raft.Step(m)
 	switch {
@@ -179,7 +194,9 @@
 		return err
 	}
 	if len(rd.Entries) > 0 {
-		n.meters.save.Update(time.Since(started).Microseconds())
+		took := time.Since(started)
+		n.raft.ReportSave(took)
+		n.meters.save.Update(took.Microseconds())
 		n.meters.batch.Update(int64(len(rd.Entries)))
 	}
 	return nil
--- a/quorum/node/metrics.go
+++ b/quorum/node/metrics.go
@@ -34,6 +34,8 @@
 	// voter is behind, in entries.
 	elections metrics.Counter
 	lag       metrics.Gauge
+	// slowHandovers counts how often this replica left the leadership to a faster disk.
+	slowHandovers metrics.Counter
 	// save is the time that a synced write of entries takes, in microseconds.
 	save metrics.Histogram
 	// batch is the number of entries in such a write.
@@ -68,6 +70,7 @@
 		votersHeard:     metrics.GetOrRegisterGauge("quorum.voters_heard", r),
 		votersLost:      metrics.GetOrRegisterGauge("quorum.voters_lost", r),
 		votersSilent:    metrics.GetOrRegisterGauge("quorum.voters_silent", r),
+		slowHandovers:   metrics.GetOrRegisterCounter("quorum.slow_disk_handovers", r),
 		elections:       metrics.GetOrRegisterCounter("quorum.elections", r),
 		lag:             metrics.GetOrRegisterGauge("quorum.lag_entries", r),
 		save:            histogram("quorum.save_microseconds", r),
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // progressState is how a leader sends entries to one follower.
 type progressState int
@@ -39,6 +42,8 @@
 	// long ago it was sent.
 	restoreIndex uint64
 	restoreTicks int
+	// save is how long the replica says that its saves take at most, 0 while unknown.
+	save time.Duration
 }
 
 func (p *progress) become(state progressState) {
--- a/quorum/raft.go
+++ b/quorum/raft.go
@@ -95,6 +95,7 @@
 	// unsent: there may be something to send to a follower.
 	unsent bool
 	ready  readyState
+	saves  saveTimes
 	// compactionTail is the constant of that name, but in tests.
 	compactionTail int
 }
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -112,7 +112,7 @@
 	if err := checkEntries(m); err != nil {
 		return err
 	}
-	answer := &apiv1.QuorumMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_APPEND_RESPONSE, To: m.GetFrom()}
+	answer := &apiv1.QuorumMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_APPEND_RESPONSE, To: m.GetFrom(), SaveMicros: r.saveMicros()}
 	switch {
 	case m.GetIndex() < r.log.commit:
 		// What is committed is in the leader's log too: they match up to there.
@@ -163,6 +163,7 @@
 		return
 	}
 	p.silentTicks = 0
+	p.noteSave(m)
 	if m.GetReject() {
 		hint, _ := r.log.lastNotAfter(m.GetRejectHint(), m.GetLogTerm())
 		if p.rejected(m.GetIndex(), hint) {
--- a/quorum/wal/waltest/disk.go
+++ b/quorum/wal/waltest/disk.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cairnlift/cairnlift/quorum/wal"
 )
@@ -43,6 +44,7 @@
 	fault   Fault
 	dead    bool
 	full    bool
+	slow    time.Duration
 	stored  map[string]*file
 	content map[string]*file
 	locked  map[string]bool
@@ -133,6 +135,21 @@
 	return slices.Sorted(maps.Keys(d.content))
 }
 
+// Slow makes each sync of a file take a time; 0 ends it.
+func (d *Disk) Slow(sync time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = sync
+}
+
+// wait lasts as long as a sync does.
+func (d *Disk) wait() {
+	d.mu.Lock()
+	slow := d.slow
+	d.mu.Unlock()
+	time.Sleep(slow)
+}
+
 // FreeSpace ends a NoSpace fault.
 func (d *Disk) FreeSpace() {
 	d.mu.Lock()
--- a/quorum/wal/waltest/file.go
+++ b/quorum/wal/waltest/file.go
@@ -45,6 +45,7 @@
 
 // Sync implements wal.File.
 func (h *handle) Sync() error {
+	h.d.wait()
 	h.d.mu.Lock()
 	defer h.d.mu.Unlock()
 	fault, failed, err := h.d.step()
