agent/runs: a run that is over without an end is given back

Trace from its log: the worker refused a start (its ticket had run out); the agent had the run stopped, and was restarted before it could report; the agent after it got the order again and the answer that the run is over, took that for a run whose end is listed, and waited for an end that never comes while it renewed the lease. Test: fails before (no refusal in 7 reports), passes after.

--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -286,6 +286,33 @@
 	})
 }
 
+// Symptom: a job shows as running for good, and nothing of it runs.
+// Sequence: a worker refuses a start; its agent has it confirm that the run is stopped,
+// and is restarted before it tells the leader; the new agent gets the order once more,
+// and the worker answers that the run is over.
+// Cause: the new agent takes the answer for a run whose end is listed. The run never
+// began, so no end comes, and the leader waits under a lease that is renewed.
+func TestRunThatIsOverWithoutAnEndIsGivenBack(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		id := jobqueue.RunID{Task: first, Number: 1}
+		answer, err := w.RunWorker.Stop(t.Context(), runs.Order{Incarnation: "w1", Term: term}, id)
+		if err != nil || answer != runs.AnswerDone {
+			t.Fatalf("%v, %v", answer, err)
+		}
+		l.set(func() { l.orders = starts(2, 1) })
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, r := range l.reports {
+			if len(r.Refusals) > 0 {
+				return
+			}
+		}
+		t.Errorf("the run is not given back in %d reports, after %d starts", len(l.reports), w.startCalls.Load())
+	})
+}
+
 // Symptom: a task waits until its worker has left.
 // Sequence: its start is ordered while the worker drains, and was never made.
 // Cause: the agent neither makes the start nor gives it back.
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -22,7 +22,8 @@
 	// asked is set once the worker may have got the start.
 	asked    bool
 	starting bool
-	// stop and stopped: the run has to end; the worker has confirmed the stop.
+	// stop: the run has to end. stoppedAt is when the worker confirmed that it has stopped
+	// it, or said that it is over.
 	stop      bool
 	stopping  bool
 	stoppedAt time.Time
@@ -200,10 +201,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch answer {
-	case AnswerDone, AnswerOver:
+	case AnswerDone:
 		s.d.meters.starts.Inc(1)
 		o.begun = true
 		return true
+	case AnswerOver:
+		// Its end is listed until it is recorded. Without one the run never began: an agent
+		// before this one had it stopped, and did not get to say so.
+		o.begun = true
+		o.stoppedAt = s.d.opts.Now()
+		return true
 	case AnswerLate, AnswerFenced:
 		// The next try carries a later deadline, or the term of the newer leader, which
 		// gives its own orders too.
