schedule: a step's workers are judged once, and again only those that got a task

Cause: each task of a step was compared with all workers anew, and a step that found no room once more to count why: a step of 39 tasks on 160 workers cost 6,240 judgements. Ruled out: a bound on the tasks looked at in a round (other decisions).

--- a/schedule/round.go
+++ b/schedule/round.go
@@ -242,13 +242,19 @@
 }
 
 func (r *round) startTasks(c *candidate) {
+	ranked := r.rank(c)
 	for i, index := range c.tasks {
-		s := r.best(c)
-		if s == nil && r.starving(c) {
+		s := ranked.best()
+		if s != nil {
+			r.start(c, index, s, c.step.NextRun(index))
+			ranked.judgeBest()
+			continue
+		}
+		if r.starving(c) {
 			s = r.anyFeasible(c)
 		}
 		if s == nil {
-			r.wait(c, len(c.tasks)-i)
+			r.wait(c, len(c.tasks)-i, ranked)
 			return
 		}
 		r.start(c, index, s, c.step.NextRun(index))
@@ -260,10 +266,11 @@
 	run := c.step.NextRun(0)
 	before := len(r.decision.Starts)
 	var taken []*slot
+	ranked := r.rank(c)
 	for _, index := range c.tasks {
-		s := r.best(c)
+		s := ranked.best()
 		if s == nil {
-			r.wait(c, len(c.tasks))
+			r.wait(c, len(c.tasks), ranked)
 			r.decision.Starts = r.decision.Starts[:before]
 			for _, s := range taken {
 				s.give(c, -1)
@@ -273,6 +280,7 @@
 		}
 		taken = append(taken, s)
 		r.start(c, index, s, run)
+		ranked.judgeBest()
 	}
 }
 
@@ -316,10 +324,7 @@
 	var best *slot
 	var bestScore float64
 	for _, s := range r.slots {
-		if r.feasible(c, s) != ReasonNone {
-			continue
-		}
-		score, reason := r.score(c, s)
+		score, reason := r.judge(c, s)
 		if reason == ReasonNone && (best == nil || score > bestScore) {
 			best, bestScore = s, score
 		}
@@ -359,15 +364,7 @@
 }
 
 // wait notes that a candidate found no worker, and why.
-func (r *round) wait(c *candidate, tasks int) {
-	w := Wait{Step: c.key(), Tasks: tasks}
-	for _, s := range r.slots {
-		reason := r.feasible(c, s)
-		if reason == ReasonNone {
-			_, reason = r.score(c, s)
-		}
-		w.Workers[reason]++
-	}
-	r.decision.Waits = append(r.decision.Waits, w)
+func (r *round) wait(c *candidate, tasks int, ranked *ranking) {
+	r.decision.Waits = append(r.decision.Waits, Wait{Step: c.key(), Tasks: tasks, Workers: ranked.refused})
 	r.ask(c)
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -80,7 +80,7 @@
 // Plan decides at the steady time now and the wall time wallMs (Unix
 // milliseconds), by which occurrences are due.
 func (p *Planner) Plan(m *jobqueue.Machine, fleet Fleet, now time.Time, wallMs int64) Decision {
-	r := &round{planner: p, machine: m, fleet: fleet, now: now, wallMs: wallMs, stopped: map[jobqueue.RunID]bool{}}
+	r := p.newRound(m, fleet, now, wallMs)
 	r.lookAtWorkers()
 	r.stopStuck()
 	r.startWaiting()
@@ -90,6 +90,10 @@
 	return r.decision
 }
 
+func (p *Planner) newRound(m *jobqueue.Machine, fleet Fleet, now time.Time, wallMs int64) *round {
+	return &round{planner: p, machine: m, fleet: fleet, now: now, wallMs: wallMs, stopped: map[jobqueue.RunID]bool{}}
+}
+
 // RunEnded teaches the planner how a run ended.
 func (p *Planner) RunEnded(e Ended) {
 	p.health.ended(e)
