--- a/schedule/move.go
+++ b/schedule/move.go
@@ -29,6 +29,9 @@
 	seen := map[jobqueue.RunID]time.Time{}
 	moves := 0
 	for _, s := range r.slots {
+		if c := r.planner.pacers[s.worker.Spec.Id]; c == nil || !c.low {
+			continue
+		}
 		for _, run := range s.worker.RunsThat(r.heldBackNow) {
 			id := run.ID
 			since, known := r.planner.heldBack[id]
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -52,6 +52,10 @@
 	// tails are the smoothed tails of the serving runs, as shares of their objectives.
 	tails map[jobqueue.RunID]float64
 	paces map[jobqueue.RunID]uint32
+	// revision grows with each change of the paces; low is set while one is so low that
+	// its run may be moved.
+	revision uint64
+	low      bool
 	// reports are the last reports of the serving runs.
 	reports map[jobqueue.RunID]report
 	// overSince says since when the tail of a serving run has been over its objective.
@@ -304,7 +308,7 @@
 // set replaces the paces and reports whether one changed. A run that was never
 // slowed down needs no order.
 func (c *pacer) set(paces map[jobqueue.RunID]uint32) bool {
-	changed := false
+	changed, low := false, false
 	next := map[jobqueue.RunID]uint32{}
 	for id, percent := range paces {
 		before, set := c.paces[id]
@@ -312,10 +316,12 @@
 			continue
 		}
 		next[id] = percent
+		low = low || percent <= lowPace
 		if !set || before != percent {
 			changed = true
 		}
 	}
-	c.paces = next
+	c.paces, c.low = next, low
+	c.revision++
 	return changed
 }
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -22,60 +22,6 @@
 	decision Decision
 }
 
-// slot is a worker with what this round has given it.
-type slot struct {
-	worker *jobqueue.Worker
-	free   jobqueue.Resources
-	// backfill is the processor demand of the backfilling runs, others what the rest
-	// is expected to use of its reservation, in thousandths of a core.
-	backfill int64
-	others   float64
-	// serving counts the serving tasks by image; slack is how much headroom backfilling
-	// ones may still take of them, nil until it is asked for.
-	serving  map[string]int
-	slack    *slack
-	usable   bool
-	leaving  bool
-	avoided  bool
-	doubtful bool
-	// given counts this round's starts by step of an occurrence.
-	given map[jobqueue.StepID]int
-	// started are this round's starts of backfilling tasks.
-	started []seenRun
-}
-
-func (r *round) lookAtWorkers() {
-	for _, w := range r.machine.Workers() {
-		s := &slot{
-			worker:   w,
-			free:     w.Free(),
-			usable:   !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
-			leaving:  r.machine.Leaving(w.Spec.Id),
-			avoided:  r.planner.health.avoided(w.Spec.Id, r.now),
-			doubtful: r.planner.health.doubtful(w.Spec.Id),
-			serving:  map[string]int{},
-			given:    map[jobqueue.StepID]int{},
-		}
-		for _, run := range w.Runs {
-			s.count(run.Step, 1)
-			if run.Step.Backfill {
-				s.backfill -= r.heldBack(run)
-			}
-		}
-		r.slots = append(r.slots, s)
-	}
-	r.planner.forgetGone(r.machine, r.now)
-}
-
-// heldBack is the processor demand that a run's pace takes from it.
-func (r *round) heldBack(run *jobqueue.Run) int64 {
-	percent, set := r.planner.Pace(run.Worker, run.ID)
-	if !set {
-		return 0
-	}
-	return run.Step.CpuMilli * (fullPace - int64(percent)) / fullPace
-}
-
 // slackOf returns what the present backfilling runs of a worker leave of its slack.
 func (r *round) slackOf(s *slot) slack {
 	if s.slack != nil {
@@ -302,19 +248,6 @@
 	}
 }
 
-// give takes n tasks' room from the slot; -1 gives it back.
-func (s *slot) give(c *candidate, n int) {
-	for range max(n, -n) {
-		if n > 0 {
-			s.free = s.free.Sub(jobqueue.Reserved(c.step.Spec))
-		} else {
-			s.free = s.free.Add(jobqueue.Reserved(c.step.Spec))
-		}
-	}
-	s.count(c.step.Spec, n)
-	s.given[c.key()] += n
-}
-
 func (c *candidate) key() jobqueue.StepID {
 	return jobqueue.StepID{Job: c.job.ID(), Occurrence: uint32(c.occurrence), Step: uint32(c.number)}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -64,6 +64,10 @@
 	waiting map[jobqueue.StepID]time.Time
 	// heldBack says since when a run's pace has been so low that it hardly works.
 	heldBack map[jobqueue.RunID]time.Time
+	// used is what the runs of each worker were last found to use.
+	used map[*jobqueue.Worker]usedAt
+	// forgotAt is when what is gone was last dropped.
+	forgotAt time.Time
 	// leavingSince says since when a worker has been emptied.
 	leavingSince map[string]time.Time
 }
@@ -73,7 +77,7 @@
 	return &Planner{
 		health: newHealthTable(), images: newImageTable(), interference: newInterference(),
 		approvals: newApprovals(), pacers: map[string]*pacer{},
-		waiting: map[jobqueue.StepID]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{}, leavingSince: map[string]time.Time{},
+		waiting: map[jobqueue.StepID]time.Time{}, used: map[*jobqueue.Worker]usedAt{}, heldBack: map[jobqueue.RunID]time.Time{}, leavingSince: map[string]time.Time{},
 	}
 }
 
@@ -112,10 +116,18 @@
 	Resumed bool
 }
 
+// forgetInterval is the time between two looks for what is gone: it only bounds the memory.
+const forgetInterval = time.Second
+
 // forgetGone drops what was learnt of workers that have left.
 func (p *Planner) forgetGone(m *jobqueue.Machine, now time.Time) {
+	if now.Sub(p.forgotAt) < forgetInterval {
+		return
+	}
+	p.forgotAt = now
 	gone := func(worker string) bool { return m.Worker(worker) == nil }
 	maps.DeleteFunc(p.pacers, func(worker string, _ *pacer) bool { return gone(worker) })
+	maps.DeleteFunc(p.used, func(w *jobqueue.Worker, _ usedAt) bool { return m.Worker(w.Spec.Id) != w })
 	maps.DeleteFunc(p.health.byWorker, func(worker string, _ *health) bool { return gone(worker) })
 	over := func(step jobqueue.StepID) bool {
 		j := m.Job(step.Job)
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -31,21 +31,6 @@
 	sameImageBonus = 0.5
 )
 
-// count adds n tasks of a step to what the worker is expected to use.
-func (s *slot) count(spec *apiv1.JobStep, n int) {
-	switch {
-	case spec.Backfill:
-		s.backfill += int64(n) * spec.CpuMilli
-	case spec.LongRunning:
-		s.others += float64(n) * servingLoad * float64(spec.CpuMilli)
-		if spec.TailObjectiveMs > 0 {
-			s.serving[spec.Image] += n
-		}
-	default:
-		s.others += float64(n) * float64(spec.CpuMilli)
-	}
-}
-
 // score is higher for better workers; a reason rules the worker out for now.
 func (r *round) score(c *candidate, s *slot) (float64, Reason) {
 	spec := c.step.Spec
--- /dev/null
+++ b/schedule/slot_test.go
@@ -0,0 +1,42 @@
+package schedule
+
+import (
+	"maps"
+	"math/rand"
+	"testing"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// Symptom: tasks are placed on workers that are full, or not on those that became free.
+// Sequence: tasks start, end, are slowed down and let up again, round after round; what
+// the planner kept of each worker is compared with a count of its runs.
+// Cause: a change of a worker's runs or paces that the planner does not notice.
+func TestKeptUseIsThatOfTheRuns(t *testing.T) {
+	for seed := range int64(60) {
+		random := rand.New(rand.NewSource(seed))
+		r := crowdedRig(t, random)
+		for range 12 {
+			for _, w := range r.machine.Workers() {
+				switch runs := w.SortedRuns(); {
+				case random.Intn(3) == 0:
+					r.observeAll(w.Spec.Id, func(int) int64 { return int64(random.Intn(150)) })
+				case len(runs) > 0 && random.Intn(2) == 0:
+					id := runs[random.Intn(len(runs))]
+					if w.Runs[id].Step.Backfill {
+						r.end(id, apiv1.RunEndKind_RUN_END_KIND_DONE)
+					}
+				}
+			}
+			r.plan()
+			r.pass(paceInterval)
+			round := r.openRound()
+			for _, s := range round.slots {
+				kept, counted := s.use, round.countUse(s.worker)
+				if kept.backfill != counted.backfill || kept.others != counted.others || !maps.Equal(kept.serving, counted.serving) {
+					t.Fatalf("seed %d: %s keeps %+v, its runs use %+v", seed, s.worker.Spec.Id, kept, counted)
+				}
+			}
+		}
+	}
+}
