--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -121,7 +121,7 @@
 		return 0, outcome
 	}
 	count := 0
-	for _, j := range m.active {
+	for _, j := range m.active.values {
 		same := strings.EqualFold(j.Queue.Host, q.Host) && j.Queue.PathPrefix == q.PathPrefix
 		if same && j.Open() && !j.Started {
 			count++
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -6,7 +6,6 @@
 package jobqueue
 
 import (
-	"maps"
 	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -28,10 +27,10 @@
 	configuration *apiv1.QueueConfiguration
 	jobs          map[string]*Job
 	// active lists the jobs that are neither finished nor without runs.
-	active map[string]*Job
+	active ordered[*Job]
 	// finished lists the ids of finished jobs, oldest first.
 	finished []string
-	workers  map[string]*Worker
+	workers  ordered[*Worker]
 	// current is the incarnation of each host's worker.
 	current map[string]string
 	// departed lists the incarnations that are gone, oldest first: a late report of one
@@ -53,8 +52,8 @@
 	return &Machine{
 		configuration: &apiv1.QueueConfiguration{},
 		jobs:          map[string]*Job{},
-		active:        map[string]*Job{},
-		workers:       map[string]*Worker{},
+		active:        newOrdered[*Job](),
+		workers:       newOrdered[*Worker](),
 		current:       map[string]string{},
 		waves:         map[uint64]*Wave{},
 		moves:         map[string]*apiv1.HostMove{},
@@ -91,8 +90,8 @@
 
 // forgetOld drops jobs that finished long ago and workers that left long ago.
 func (m *Machine) forgetOld() {
-	for len(m.departed) > 0 && m.workers[m.departed[0]].DepartedMs+retentionMs <= m.nowMs {
-		delete(m.workers, m.departed[0])
+	for len(m.departed) > 0 && m.workers.get(m.departed[0]).DepartedMs+retentionMs <= m.nowMs {
+		m.workers.remove(m.departed[0])
 		m.departed = m.departed[1:]
 	}
 	for len(m.finished) > 0 {
@@ -116,18 +115,14 @@
 
 // Active returns the jobs that have tasks to run or runs to stop, ordered by id.
 func (m *Machine) Active() []*Job {
-	jobs := make([]*Job, 0, len(m.active))
-	for _, id := range slices.Sorted(maps.Keys(m.active)) {
-		jobs = append(jobs, m.active[id])
-	}
-	return jobs
+	return slices.Clone(m.active.values)
 }
 
 // Workers returns the workers that have not left, ordered by id.
 func (m *Machine) Workers() []*Worker {
-	workers := make([]*Worker, 0, len(m.workers))
-	for _, id := range slices.Sorted(maps.Keys(m.workers)) {
-		if w := m.workers[id]; !w.Departed {
+	workers := make([]*Worker, 0, len(m.workers.values))
+	for _, w := range m.workers.values {
+		if !w.Departed {
 			workers = append(workers, w)
 		}
 	}
@@ -136,7 +131,7 @@
 
 // Worker returns an incarnation, nil when it is unknown or has left.
 func (m *Machine) Worker(id string) *Worker {
-	if w := m.workers[id]; w != nil && !w.Departed {
+	if w := m.workers.get(id); w != nil && !w.Departed {
 		return w
 	}
 	return nil
--- a/jobqueue/moves.go
+++ b/jobqueue/moves.go
@@ -58,7 +58,7 @@
 // HasLeft reports whether an incarnation is known to be gone for good. A list of hosts
 // that names it is older than the log.
 func (m *Machine) HasLeft(worker string) bool {
-	w := m.workers[worker]
+	w := m.workers.get(worker)
 	return w != nil && w.Departed
 }
 
@@ -221,7 +221,7 @@
 // is on its way comes back, gets work, and the late order ends it.
 func (m *Machine) followMove(w *Worker) {
 	for _, v := range m.moves {
-		before := m.workers[v.Worker]
+		before := m.workers.get(v.Worker)
 		if before == nil || before.Spec.Host != w.Spec.Host {
 			continue
 		}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -12,7 +12,7 @@
 	if spec.GetId() == "" || spec.GetHost() == "" {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 	}
-	if known := m.workers[spec.Id]; known != nil && known.Departed {
+	if known := m.workers.get(spec.Id); known != nil && known.Departed {
 		// A message of an earlier incarnation that was delayed on its way.
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
 	} else if known == nil && r.Departed {
@@ -42,18 +42,18 @@
 // join takes a worker in or its description over. An incarnation that appears on
 // a host ends the one before it: the two can't be there together.
 func (m *Machine) join(spec *apiv1.JobWorker) *Worker {
-	if w := m.workers[spec.Id]; w != nil {
+	if w := m.workers.get(spec.Id); w != nil {
 		// A drain is never taken back within an incarnation.
 		draining := w.Spec.Draining || spec.Draining
 		w.Spec = spec
 		w.Spec.Draining = draining
 		return w
 	}
-	if before := m.workers[m.current[spec.Host]]; before != nil {
+	if before := m.workers.get(m.current[spec.Host]); before != nil {
 		m.depart(before)
 	}
 	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
-	m.workers[spec.Id] = w
+	m.workers.put(spec.Id, w)
 	m.current[spec.Host] = spec.Id
 	m.followMove(w)
 	return w
@@ -66,7 +66,7 @@
 // and start elsewhere as well.
 func (m *Machine) noteGone(spec *apiv1.JobWorker) {
 	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
-	m.workers[spec.Id] = w
+	m.workers.put(spec.Id, w)
 	m.depart(w)
 }
 
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -17,8 +17,7 @@
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		out.Jobs = append(out.Jobs, m.jobs[id].Record())
 	}
-	for _, id := range slices.Sorted(maps.Keys(m.workers)) {
-		w := m.workers[id]
+	for _, w := range m.workers.values {
 		out.Workers = append(out.Workers, &apiv1.JobWorkerRecord{
 			Worker: w.Spec, Acknowledged: w.Acknowledged, Departed: w.Departed, DepartedMs: w.DepartedMs,
 			Epoch: w.Epoch,
@@ -82,7 +81,7 @@
 	m.hostOrders = s.GetHostOrders()
 	m.noteLeaving()
 	slices.SortStableFunc(m.departed, func(a, b string) int {
-		return cmp.Compare(m.workers[a].DepartedMs, m.workers[b].DepartedMs)
+		return cmp.Compare(m.workers.get(a).DepartedMs, m.workers.get(b).DepartedMs)
 	})
 	for _, r := range s.GetJobs() {
 		if err := m.restoreJob(r); err != nil {
@@ -101,7 +100,7 @@
 		Epoch: r.Epoch,
 		Runs:  map[RunID]*Run{},
 	}
-	m.workers[w.Spec.GetId()] = w
+	m.workers.put(w.Spec.GetId(), w)
 	if w.Departed {
 		m.departed = append(m.departed, w.Spec.GetId())
 		return
@@ -131,7 +130,7 @@
 		m.finished = append(m.finished, j.ID())
 	}
 	if j.Open() || j.liveRuns > 0 {
-		m.active[j.ID()] = j
+		m.active.put(j.ID(), j)
 	}
 	return nil
 }
@@ -146,7 +145,7 @@
 			s.done++
 		}
 		for _, rr := range tr.Runs {
-			w := m.workers[rr.Worker]
+			w := m.workers.get(rr.Worker)
 			if w == nil {
 				return errors.Newf("job %s runs on the unknown worker %s", j.ID(), rr.Worker)
 			}
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -65,7 +65,7 @@
 	}
 	j := newJob(spec, q, m.nowMs)
 	m.jobs[spec.Id] = j
-	m.active[spec.Id] = j
+	m.active.put(spec.Id, j)
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
@@ -127,7 +127,7 @@
 	if j.Open() || j.liveRuns > 0 {
 		return
 	}
-	delete(m.active, j.ID())
+	m.active.remove(j.ID())
 	j.Occurrences = nil
 }
 
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -36,6 +36,8 @@
 	others   float64
 	// serving counts the serving tasks by image.
 	serving map[string]int
+	// mayStick is set if one of the tasks is of a kind that is watched for standing still.
+	mayStick bool
 }
 
 // add adds n tasks of a step.
@@ -49,6 +51,7 @@
 			u.serving[spec.Image] += n
 		}
 	default:
+		u.mayStick = u.mayStick || !spec.Gang
 		u.others += float64(n) * float64(spec.CpuMilli)
 	}
 }
--- a/schedule/stuck.go
+++ b/schedule/stuck.go
@@ -16,7 +16,7 @@
 // lists no end, and its jobs wait for as long as it hangs.
 func (r *round) stopStuck() {
 	for _, s := range r.slots {
-		if !s.usable {
+		if !s.usable || !s.mayStick {
 			continue
 		}
 		for _, run := range s.worker.RunsThat(r.stuck) {
