--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -101,13 +101,16 @@
 	r := &Run{
 		ID: RunID{id, start.Run}, Worker: start.Worker, Checkpoint: start.Checkpoint, Ticket: start.Ticket, Step: s.Spec, job: j,
 	}
-	m.bind(r, t, w)
+	m.bind(r, s, t, w)
 	return r
 }
 
-func (m *Machine) bind(r *Run, t *Task, w *Worker) {
+func (m *Machine) bind(r *Run, s *Step, t *Task, w *Worker) {
 	r.worker = w
 	w.Revision++
+	if !t.Done && len(t.Runs) == 0 {
+		s.covered++
+	}
 	t.Runs = append(t.Runs, r)
 	w.Runs[r.ID] = r
 	w.Used = w.Used.Add(Reserved(r.Step))
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -204,6 +204,9 @@
 		return
 	}
 	t.Done = true
+	if len(t.Runs) > 0 {
+		s.covered--
+	}
 	t.Checkpoint = ""
 	s.done++
 	stopAll(t)
@@ -261,8 +264,11 @@
 	delete(w.Runs, r.ID)
 	w.Revision++
 	w.Used = w.Used.Sub(Reserved(r.Step))
-	if t, _ := m.task(r.ID.Task); t != nil {
+	if t, s := m.task(r.ID.Task); t != nil {
 		t.Runs = slices.DeleteFunc(t.Runs, func(other *Run) bool { return other == r })
+		if !t.Done && len(t.Runs) == 0 {
+			s.covered--
+		}
 	}
 	r.job.liveRuns--
 	m.settle(r.job)
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -154,7 +154,7 @@
 				ID: RunID{id, rr.Run}, Worker: rr.Worker, Stopping: rr.Stopping, Checkpoint: rr.Checkpoint,
 				Ticket: rr.Ticket, Step: s.Spec, job: j,
 			}
-			m.bind(run, t, w)
+			m.bind(run, s, t, w)
 		}
 	}
 	if !s.Ended() {
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -136,8 +136,8 @@
 type Step struct {
 	Spec  *apiv1.JobStep
 	Tasks []*Task
-	// done counts the tasks that ended well.
-	done int
+	// done counts the tasks that ended well, and covered the others that have a run.
+	done, covered int
 	// failedRun is the gang's newest run whose failure is counted.
 	failedRun uint64
 }
@@ -145,6 +145,9 @@
 // Ended reports whether all tasks ended well.
 func (s *Step) Ended() bool { return s.done == len(s.Tasks) }
 
+// Covered reports whether each task ended well or has a run, so that none waits for one.
+func (s *Step) Covered() bool { return s.done+s.covered == len(s.Tasks) }
+
 // NextRun is the number of the next run of a task; the members of a gang share it.
 func (s *Step) NextRun(index int) uint64 {
 	if !s.Spec.Gang {
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -92,7 +92,7 @@
 				continue
 			}
 			for i, s := range o.Steps {
-				if s.Ended() || !o.Ready(i) {
+				if s.Covered() && !s.Spec.AllowDuplicates || s.Ended() || !o.Ready(i) {
 					continue
 				}
 				if tasks := r.waitingTasks(s); len(tasks) > 0 {
--- a/schedule/slot_test.go
+++ b/schedule/slot_test.go
@@ -10,7 +10,8 @@
 
 // Symptom: tasks are placed on workers that are full, or not on those that became free.
 // Sequence: tasks start, end, are slowed down and let up again, round after round; what
-// the planner kept of each worker is compared with a count of its runs.
+// the planner keeps of each worker is compared with a count of its runs, and what is kept
+// of each step with its tasks.
 // Cause: a change of a worker's runs or paces that the planner does not notice.
 func TestKeptUseIsThatOfTheRuns(t *testing.T) {
 	for seed := range int64(60) {
@@ -29,6 +30,7 @@
 				}
 			}
 			r.plan()
+			r.checkCovered()
 			r.pass(paceInterval)
 			round := r.openRound()
 			for _, s := range round.slots {
@@ -40,3 +42,21 @@
 		}
 	}
 }
+
+// checkCovered compares what the queue machine keeps of each step with its tasks.
+func (r *rig) checkCovered() {
+	r.t.Helper()
+	for _, j := range r.machine.Active() {
+		for _, s := range j.Occurrences[0].Steps {
+			waiting := 0
+			for _, t := range s.Tasks {
+				if !t.Done && len(t.Runs) == 0 {
+					waiting++
+				}
+			}
+			if s.Covered() != (waiting == 0) {
+				r.t.Fatalf("job %s: covered %v, %d tasks wait", j.ID(), s.Covered(), waiting)
+			}
+		}
+	}
+}
