--- a/schedule/interference.go
+++ b/schedule/interference.go
@@ -58,7 +58,6 @@
 // pressures the error is 0.64.
 type interference struct {
 	loads  map[jobqueue.StepID]*load
-	record modelRecord
 	images map[string]*servingImage
 }
 
@@ -99,30 +98,29 @@
 	serving := f.servingImage(s.image, now)
 	l := f.loads[s.step]
 	if l == nil {
-		l = newLoad(serving.usual, &f.record, now)
+		l = newLoad(serving.usual, now)
 		f.loads[s.step] = l
 	}
 	l.advance(now)
 	beside := serving.advancePressures(s.parts, now)
 	observed := min(maxHeadroom, s.headroom)
-	level, variance := l.now()
-	taken, spread := 0.0, noise*noise+relativeNoise*relativeNoise*observed*observed
+	expected := l.level
+	variance := noise*noise + relativeNoise*relativeNoise*observed*observed + l.variance()
 	for image, p := range beside {
-		taken += p.mean * s.parts[image]
-		spread += p.variance * s.parts[image] * s.parts[image]
+		expected -= p.mean * s.parts[image]
+		variance += p.variance * s.parts[image] * s.parts[image]
 	}
-	expected := level - taken
 	if observed < saturatedHeadroom && expected < observed {
 		return
 	}
+	off := observed - expected
 	if observed >= saturatedHeadroom {
-		l.correct(observed+taken, spread, observed == maxHeadroom)
+		l.correct(off, variance)
 	}
 	for image, p := range beside {
-		p.correct(observed-expected, spread+variance, s.parts[image])
+		p.correct(off, variance, s.parts[image])
 	}
-	level, _ = l.now()
-	serving.usual += usualWeight * (level - serving.usual)
+	serving.usual += usualWeight * (l.level - serving.usual)
 }
 
 func (f *interference) servingImage(name string, now time.Time) *servingImage {
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -20,45 +20,45 @@
 	usualWeight = 0.01
 )
 
-// trend is a model of a step's headroom by itself that knows no period: a level and its
-// change a second, with their covariances.
-type trend struct {
+// load is a step's headroom by itself: a level and its change a second, with their
+// covariances.
+type load struct {
 	at                             time.Time
 	level, slope                   float64
 	levelVar, covariance, slopeVar float64
 }
 
-func newTrend(level float64, now time.Time) *trend {
-	return &trend{at: now, level: level, levelVar: priorLevel * priorLevel, slopeVar: priorSlope * priorSlope}
+func newLoad(level float64, now time.Time) *load {
+	return &load{at: now, level: level, levelVar: priorLevel * priorLevel, slopeVar: priorSlope * priorSlope}
 }
 
 // advance carries the estimate on to now.
-func (t *trend) advance(now time.Time) {
-	passed := now.Sub(t.at).Seconds()
+func (l *load) advance(now time.Time) {
+	passed := now.Sub(l.at).Seconds()
 	kept := math.Pow(slopeKept, passed)
-	t.level = t.forecast(now)
-	t.at = now
-	t.slope *= kept
-	t.levelVar += 2*passed*t.covariance + passed*passed*t.slopeVar
-	t.covariance = (t.covariance + passed*t.slopeVar) * kept
-	t.slopeVar = t.slopeVar*kept*kept + slopeDrift*slopeDrift*passed
+	l.level = l.forecast(now)
+	l.at = now
+	l.slope *= kept
+	l.levelVar += 2*passed*l.covariance + passed*passed*l.slopeVar
+	l.covariance = (l.covariance + passed*l.slopeVar) * kept
+	l.slopeVar = l.slopeVar*kept*kept + slopeDrift*slopeDrift*passed
 }
 
-func (t *trend) now() (level, variance float64) { return t.level, t.levelVar }
+func (l *load) variance() float64 { return l.levelVar }
 
-func (t *trend) correct(off, variance float64) {
-	gain, slopeGain := t.levelVar/variance, t.covariance/variance
-	t.level = bounded(t.level + gain*off)
-	t.slope += slopeGain * off
-	t.slopeVar -= slopeGain * t.covariance
-	t.covariance -= gain * t.covariance
-	t.levelVar -= gain * t.levelVar
+func (l *load) correct(off, variance float64) {
+	gain, slopeGain := l.levelVar/variance, l.covariance/variance
+	l.level = bounded(l.level + gain*off)
+	l.slope += slopeGain * off
+	l.slopeVar -= slopeGain * l.covariance
+	l.covariance -= gain * l.covariance
+	l.levelVar -= gain * l.levelVar
 }
 
 // forecast carries the level on along its slope, which fades.
-func (t *trend) forecast(at time.Time) float64 {
-	passed := at.Sub(t.at).Seconds()
-	return bounded(t.level + t.slope*(1-math.Pow(slopeKept, passed))/-math.Log(slopeKept))
+func (l *load) forecast(at time.Time) float64 {
+	passed := at.Sub(l.at).Seconds()
+	return bounded(l.level + l.slope*(1-math.Pow(slopeKept, passed))/-math.Log(slopeKept))
 }
 
 // bounded keeps a level where headrooms lie: a step that alone is over its objective
