--- a/quorum/node/loop.go
+++ b/quorum/node/loop.go
@@ -80,12 +80,13 @@
 	if n.reconciling >= reconcileTicks {
 		n.reconciling = 0
 		n.reconcile()
-		n.leaveToFaster()
+		n.handOverIfSlow()
 	}
 }
 
-// leaveToFaster hands leadership to a voter with a much faster disk, if there is one.
-func (n *Node) leaveToFaster() {
+// handOverIfSlow hands leadership to a voter with a much faster disk, if the own one is slow
+// and there is one.
+func (n *Node) handOverIfSlow() {
 	to, found := n.raft.FasterVoter()
 	if !found || !n.leadership.Leading || n.leaving.Load() {
 		return
--- a/schedule/ranking.go
+++ b/schedule/ranking.go
@@ -11,7 +11,8 @@
 type ranking struct {
 	r *round
 	c *candidate
-	// ranked is a heap; reasons says what speaks against the others.
+	// ranked is a heap of those that may get a task; refused counts the others by the
+	// reason against them.
 	ranked  []rankedSlot
 	refused [reasons]int
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -77,7 +77,8 @@
 	return &Planner{
 		health: newHealthTable(), images: newImageTable(), interference: newInterference(),
 		approvals: newApprovals(), pacers: map[string]*pacer{},
-		waiting: map[jobqueue.StepID]time.Time{}, used: map[*jobqueue.Worker]usedAt{}, heldBack: map[jobqueue.RunID]time.Time{}, leavingSince: map[string]time.Time{},
+		waiting: map[jobqueue.StepID]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{},
+		used: map[*jobqueue.Worker]usedAt{}, leavingSince: map[string]time.Time{},
 	}
 }
 
