--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -126,6 +127,8 @@
 	pool   string
 	// off: the host is switched off, so its worker announces nothing.
 	off bool
+	// reported is the last report of what the worker said.
+	reported *apiv1.JobsReportRequest
 }
 
 var errCut = errors.New("cut off")
@@ -136,6 +139,11 @@
 		<-ctx.Done()
 		return nil, errCut
 	}
+	if !r.Lapsed {
+		h.mu.Lock()
+		h.reported = proto.CloneOf(r)
+		h.mu.Unlock()
+	}
 	resp, err := h.s.dispatcher.Report(ctx, r)
 	if err != nil || resp.NotLeader || h.isCut() {
 		return nil, errCut
