--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -103,6 +104,9 @@
 	slots       chan struct{}
 	// calls are the calls of the worker that are under way; they are begun with mu held.
 	calls conc.WaitGroup
+	// number tells the session from others of the same worker, and reports counts what
+	// was sent to the leader; only watch sends.
+	number, reports uint64
 
 	mu        sync.Mutex
 	announced Announcement
@@ -204,7 +208,7 @@
 func (d *Driver) newSession(a Announcement) *session {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &session{
-		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, announced: a,
+		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, announced: a, number: rand.Uint64(),
 		slots:  make(chan struct{}, startsAtOnce),
 		orders: map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{},
 	}
@@ -353,7 +357,7 @@
 	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(replaced))
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-		_, err := s.d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{Worker: a.Worker, Departed: true})
+		_, err := s.send(ctx, &apiv1.JobsReportRequest{Worker: a.Worker, Departed: true})
 		cancel()
 		if err == nil {
 			return
@@ -376,7 +380,7 @@
 	if a.Worker.Draining && status.ClockMs > 0 {
 		r.LeaseBoundMs = s.boundLease(status.ClockMs)
 	}
-	resp, err := s.d.opts.Leader.Report(ctx, r)
+	resp, err := s.send(ctx, r)
 	if err != nil {
 		s.d.meters.reportsLost.Inc(1)
 		event.ReportLost.Write(s.d.logger, event.Worker(s.incarnation), event.EndCount(len(r.Ends)),
@@ -392,6 +396,15 @@
 	return true
 }
 
+// send numbers a report and sends it to the leader. What goes wrong without the number: the
+// network delivers a report that was given up seconds ago, and the leader believes what it
+// says of a worker that has gone silent since, or gives up runs that began since.
+func (s *session) send(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	s.reports++
+	r.Session, r.Sequence = s.number, s.reports
+	return s.d.opts.Leader.Report(ctx, r)
+}
+
 // granted takes a lease over. It counts from the sending of the report and is
 // turned into a reading of the worker's clock: that clock showed clockMs no later
 // than at received, and may run slower than ours by the bound on its rate error. Without
--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -313,6 +313,35 @@
 	})
 }
 
+// Symptom: the leader takes an old report for a new one. Sequence: an agent reports, and is
+// restarted. Cause: reports without a number, or numbers that a new session goes on from.
+func TestReportsAreNumberedInTheirSession(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		restarted := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { restarted.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		announce(t, restarted, runs.Announcement{Worker: spec("w1"), Sequence: 2})
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		next := map[uint64]uint64{}
+		for _, r := range l.reports {
+			next[r.Session]++
+			if r.Session == 0 || r.Sequence != next[r.Session] {
+				t.Fatalf("report %d of session %x has the number %d", next[r.Session], r.Session, r.Sequence)
+			}
+		}
+		if len(next) != 2 {
+			t.Errorf("%d sessions of two agents", len(next))
+		}
+	})
+}
+
 // Symptom: a task waits until its worker has left.
 // Sequence: its start is ordered while the worker drains, and was never made.
 // Cause: the agent neither makes the start nor gives it back.
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -70,7 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
-	_, err := s.d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{Worker: s.announcement().Worker, Lapsed: true})
+	_, err := s.send(ctx, &apiv1.JobsReportRequest{Worker: s.announcement().Worker, Lapsed: true})
 	event.WorkersLeaseRanOut.Write(s.d.logger, event.Worker(s.incarnation), event.Err(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -26,6 +26,8 @@
 	readyToStart *hdrmetric.Histogram
 	workLost     metrics.Counter
 	paceOrders   metrics.Counter
+	// reportsOutdated counts the reports that came after newer ones of their worker.
+	reportsOutdated metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -42,6 +44,8 @@
 		readyToStart: hdrmetric.GetOrRegister("dispatch.ready_to_start_us", r),
 		workLost:     metrics.GetOrRegisterCounter("dispatch.work_lost_core_ms", r),
 		paceOrders:   metrics.GetOrRegisterCounter("dispatch.pace_orders", r),
+
+		reportsOutdated: metrics.GetOrRegisterCounter("dispatch.reports_outdated", r),
 	}
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -18,22 +18,25 @@
 // Report implements apiv1.Jobs: it records what an agent learnt of its worker and
 // renews the worker's lease.
 func (d *Dispatcher) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	term, command, granted := d.take(r)
-	if term == 0 {
+	t := d.take(r)
+	switch {
+	case t.term == 0:
 		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
+	case t.outdated:
+		return &apiv1.JobsReportResponse{Term: t.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE}, nil
 	}
-	outcome, err := d.commitReport(ctx, command)
+	outcome, err := d.commitReport(ctx, t.command)
 	now, leads := d.opts.Replica.Leading()
-	if err != nil || !leads || now != term {
+	if err != nil || !leads || now != t.term {
 		event.ReportUnproved.Write(d.logger, event.Worker(r.Worker.GetId()), event.Err(err))
 		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
 	}
-	resp := &apiv1.JobsReportResponse{Term: term, Outcome: outcome}
+	resp := &apiv1.JobsReportResponse{Term: t.term, Outcome: outcome}
 	if r.Lapsed {
-		d.noteLapse(term, r.Worker.GetId())
+		d.noteLapse(t.term, r.Worker.GetId())
 	}
 	if outcome == apiv1.JobOutcome_JOB_OUTCOME_OK && !r.Departed {
-		resp.LeaseMs = granted.Milliseconds()
+		resp.LeaseMs = t.granted.Milliseconds()
 	}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if w := m.CallerJobs().Worker(r.Worker.GetId()); w != nil {
@@ -43,19 +46,37 @@
 	return resp, nil
 }
 
-// take notes what the report says and returns the command that records it, nil
-// when there is nothing new, and the lease to grant. The lease is renewed here, before
-// the commit or the barrier that confirms that this replica still leads.
-func (d *Dispatcher) take(r *apiv1.JobsReportRequest) (term uint64, command *apiv1.ReportWorker, granted time.Duration) {
+// taken is what a report comes to.
+type taken struct {
+	term uint64
+	// command records the report, nil when there is nothing new.
+	command *apiv1.ReportWorker
+	// granted is the lease to grant.
+	granted time.Duration
+	// outdated: a newer report was taken in before, and nothing of this one was.
+	outdated bool
+}
+
+// take notes what the report says; a term of 0 says that this replica doesn't lead. The
+// lease is renewed here, before the commit or the barrier that confirms that this replica
+// still leads.
+func (d *Dispatcher) take(r *apiv1.JobsReportRequest) taken {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.ready()
 	if l == nil {
-		return 0, nil, 0
+		return taken{}
+	}
+	// A worker that has left has left, whatever was said after.
+	if !r.Departed && l.reports.outdated(r) {
+		d.meters.reportsOutdated.Inc(1)
+		event.ReportOutdated.Write(d.logger, event.Term(l.term), event.Worker(r.Worker.GetId()))
+		return taken{term: l.term, outdated: true}
 	}
+	t := taken{term: l.term}
 	now := d.opts.Now()
 	if !r.Lapsed {
-		granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
+		t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
 	}
 	for _, o := range r.Running {
 		l.observe(o, now)
@@ -65,12 +86,12 @@
 		d.learn(l, jobs, r, now)
 		d.noteReportedLosses(l, jobs, r, now)
 		d.countMisses(jobs, r.Running)
-		command = l.reportCommand(jobs, r)
+		t.command = l.reportCommand(jobs, r)
 		if l.adjustPaces(jobs.Worker(r.Worker.GetId()), now) {
 			d.meters.paceOrders.Inc(1)
 		}
 	})
-	return l.term, command, granted
+	return t
 }
 
 // noteLapse takes in that a worker's runs were given up because its agent gets no
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -136,6 +136,9 @@
 // Report implements runs.Leader.
 func (h *simSide) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	if h.isCut() {
+		if h.s.intN(4) == 0 {
+			h.holdUp(proto.CloneOf(r))
+		}
 		<-ctx.Done()
 		return nil, errCut
 	}
@@ -151,6 +154,21 @@
 	return resp, nil
 }
 
+// holdUp delivers a report once the cut is over, as a network does with what it was sent
+// before; its sender has given it up by then.
+func (h *simSide) holdUp(r *apiv1.JobsReportRequest) {
+	late := time.Duration(h.s.intN(1500)) * time.Millisecond
+	h.s.loops.Go(func() {
+		for h.isCut() && h.s.ctx.Err() == nil {
+			h.s.sleep(50 * time.Millisecond)
+		}
+		h.s.sleep(late)
+		if h.s.ctx.Err() == nil {
+			_, _ = h.s.dispatcher.Report(h.s.ctx, r)
+		}
+	})
+}
+
 // Orders implements runs.Leader.
 func (h *simSide) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
 	if h.isCut() {
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -50,6 +50,7 @@
 	MoveOrder        = declare(Dispatch, Rare, "host move ordered", NameTerm, "host", "pool", "order", "answer", "error")
 	HostFenced       = declare(Dispatch, Warning, "another holder gave an order about the host", NameTerm, "host")
 	HostsUnlisted    = declare(Dispatch, Warning, "hosts can't be listed", NameTerm, "error")
+	ReportOutdated   = declare(Dispatch, Warning, "report is outdated", NameTerm, NameWorker)
 	ReportUnproved   = declare(Dispatch, Rare, "report is not confirmed", NameWorker, "error")
 )
 
