--- a/agent/home/home.go
+++ b/agent/home/home.go
@@ -33,7 +33,7 @@
 }
 
 // TimeoutBounds bound how long an agent waits for the answer to a heartbeat. An answer
-// that takes longer than Max is of no use to the caller.
+// that takes longer than Max is of no use to it.
 type TimeoutBounds struct {
 	Min, Max time.Duration
 }
--- a/dispatch/delayedreport_test.go
+++ b/dispatch/delayedreport_test.go
@@ -16,9 +16,7 @@
 // one: the worker counts as in reach, is empty, and gets all that waits.
 func TestReportDelayedByACutDoesNotBringAWorkerBack(t *testing.T) {
 	playSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.mu.Lock()
-		s.calm = true
-		s.mu.Unlock()
+		s.beCalm()
 		s.sleep(3 * time.Second)
 		h := s.hosts[0]
 		h.mu.Lock()
@@ -33,8 +31,7 @@
 		spec := &apiv1.JobSpec{Id: "j", Host: simHost, Path: "/q/j", Steps: []*apiv1.JobStep{
 			{Count: 4, CpuMilli: 500, MemoryMb: 100, EstimatedMs: 500},
 		}}
-		s.watch.Submitted(spec)
-		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+		s.submitJob(spec)
 		s.sleep(200 * time.Millisecond)
 		s.replica.ReadState(func(m *state.Machine) {
 			if w := m.CallerJobs().Worker(silent); w != nil && len(w.Runs) > 0 {
--- a/dispatch/kinds_test.go
+++ b/dispatch/kinds_test.go
@@ -96,9 +96,8 @@
 	s.sleep(3 * time.Second)
 	for i := range 12 {
 		spec := jobOfKind(i)
-		s.watch.Submitted(spec)
 		s.submitted = append(s.submitted, spec)
-		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+		s.submitJob(spec)
 		switch s.intN(4) {
 		case 0:
 			s.trouble()
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -15,16 +15,13 @@
 // back, twice as long as the worker runs on by itself.
 func TestHostThatLeftIsNotWaitedFor(t *testing.T) {
 	playSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.mu.Lock()
-		s.calm = true
-		s.mu.Unlock()
+		s.beCalm()
 		s.lasting = "serving"
 		s.sleep(3 * time.Second)
 		job := &apiv1.JobSpec{Id: "serving", Host: simHost, Path: "/q/serving", Steps: []*apiv1.JobStep{
 			{Count: 1, CpuMilli: 1000, MemoryMb: 500, LongRunning: true},
 		}}
-		s.watch.Submitted(job)
-		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: job}}})
+		s.submitJob(job)
 		s.sleep(2 * time.Second)
 		worker := s.placeOf("serving")
 		h := s.hosts[0]
--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -195,6 +195,5 @@
 }
 
 func (s *sim) submitSpec(spec *apiv1.JobSpec) {
-	s.watch.Submitted(spec)
-	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+	s.submitJob(spec)
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -370,15 +370,28 @@
 	s.t.Fatal("nobody ever leads")
 }
 
+// beCalm ends what goes wrong with calls of workers.
+func (s *sim) beCalm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calm = true
+}
+
+// submitJob hands a job in; the judge of runs is told of it first.
+func (s *sim) submitJob(spec *apiv1.JobSpec) {
+	s.t.Helper()
+	s.watch.Submitted(spec)
+	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+}
+
 func (s *sim) submit(number int) {
 	steps := []*apiv1.JobStep{
 		{Count: 1 + uint32(s.intN(6)), CpuMilli: 500 + int64(s.intN(1500)), MemoryMb: 500, EstimatedMs: 500, Checkpointing: true},
 		{Count: 1 + uint32(s.intN(4)), CpuMilli: 500 + int64(s.intN(1500)), MemoryMb: 500, EstimatedMs: 500, After: []uint32{0}},
 	}
 	spec := &apiv1.JobSpec{Id: fmt.Sprintf("job%d", number), Host: simHost, Path: fmt.Sprintf("/q/job%d", number), Steps: steps}
-	s.watch.Submitted(spec)
 	s.submitted = append(s.submitted, spec)
-	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+	s.submitJob(spec)
 }
 
 // trouble does one thing that goes wrong.
@@ -444,9 +457,7 @@
 func (s *sim) endTrouble(seed uint64) {
 	s.t.Helper()
 	t := s.t
-	s.mu.Lock()
-	s.calm = true
-	s.mu.Unlock()
+	s.beCalm()
 	for i := 0; i < 600 && !s.finished(); i++ {
 		s.sleep(100 * time.Millisecond)
 	}
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -114,8 +114,7 @@
 	s.fleetOf.Store(fleet)
 	s.sleep(3 * time.Second)
 	job := servingJob()
-	s.watch.Submitted(job)
-	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: job}}})
+	s.submitJob(job)
 	s.sleep(time.Second)
 	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{Wave: &apiv1.MaintenanceWave{
 		Number: waveNumber, Hosts: []string{"host0", "host1", "host2", "host3", "host4", "nosuch"}, DurationMs: 60_000, Cap: waveCap,
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -56,7 +56,7 @@
 		res, err := e.proposeClaim(ctx, r)
 		switch {
 		case err != nil && held:
-			return e.claimLostSight(r, err)
+			return e.claimInDoubt(r, err)
 		case err != nil:
 			return e.claimFailed(r, err)
 		}
@@ -128,10 +128,10 @@
 	return pipeline.Rejected("no quorum")
 }
 
-// claimLostSight words a claim that could not be looked at again after another request was
+// claimInDoubt words a claim that could not be looked at again after another request was
 // seen to hold the key. That one may have run, so "not run" would be false: a caller who
 // believed it and sent the request under a new key would have it run twice.
-func (e *Entry) claimLostSight(r *request, err error) pipeline.Status {
+func (e *Entry) claimInDoubt(r *request, err error) pipeline.Status {
 	r.answer = unknown(apiv1.Reason_REASON_KEY_IN_PROGRESS,
 		"a request with this key was running, and what became of it can't be learnt now", claimRetryAfter(err))
 	return pipeline.Rejected("key in progress, no quorum")
--- a/jobqueue/waves_test.go
+++ b/jobqueue/waves_test.go
@@ -35,10 +35,6 @@
 		done    = apiv1.MaintenanceState_MAINTENANCE_STATE_DONE
 		gone    = apiv1.MaintenanceState_MAINTENANCE_STATE_GONE
 	)
-	const (
-		ok    = apiv1.JobOutcome_JOB_OUTCOME_OK
-		stale = apiv1.JobOutcome_JOB_OUTCOME_STALE
-	)
 	m := New()
 	for _, x := range []struct {
 		command *apiv1.JobsCommand
@@ -46,24 +42,24 @@
 	}{
 		{wave(0, "a"), apiv1.JobOutcome_JOB_OUTCOME_INVALID},
 		{wave(1, "a", "a"), apiv1.JobOutcome_JOB_OUTCOME_INVALID},
-		{wave(1, "a", "b", "c"), ok},
-		{wave(9, "z"), ok},
-		{maintainHost(waveTerm-1, "a", leaving), stale},
-		{maintainHost(waveTerm, "z", leaving), stale},
-		{maintainHost(waveTerm, "a", ordered), stale},
-		{maintainHost(waveTerm, "a", leaving), ok},
-		{maintainHost(waveTerm, "b", leaving), ok},
-		{maintainHost(waveTerm, "a", begun), stale},
-		{maintainHost(waveTerm, "a", ordered), ok},
-		{maintainHost(waveTerm, "b", ordered), stale},
-		{maintainHost(waveTerm, "a", leaving), stale},
-		{maintainHost(waveTerm, "a", begun), ok},
-		{maintainHost(waveTerm, "b", ordered), stale},
-		{maintainHost(waveTerm, "a", done), ok},
-		{maintainHost(waveTerm, "a", gone), stale},
-		{maintainHost(waveTerm, "b", ordered), ok},
-		{maintainHost(waveTerm, "c", gone), ok},
-		{maintainHost(waveTerm, "b", waiting), stale},
+		{wave(1, "a", "b", "c"), outcomeOK},
+		{wave(9, "z"), outcomeOK},
+		{maintainHost(waveTerm-1, "a", leaving), outcomeStale},
+		{maintainHost(waveTerm, "z", leaving), outcomeStale},
+		{maintainHost(waveTerm, "a", ordered), outcomeStale},
+		{maintainHost(waveTerm, "a", leaving), outcomeOK},
+		{maintainHost(waveTerm, "b", leaving), outcomeOK},
+		{maintainHost(waveTerm, "a", begun), outcomeStale},
+		{maintainHost(waveTerm, "a", ordered), outcomeOK},
+		{maintainHost(waveTerm, "b", ordered), outcomeStale},
+		{maintainHost(waveTerm, "a", leaving), outcomeStale},
+		{maintainHost(waveTerm, "a", begun), outcomeOK},
+		{maintainHost(waveTerm, "b", ordered), outcomeStale},
+		{maintainHost(waveTerm, "a", done), outcomeOK},
+		{maintainHost(waveTerm, "a", gone), outcomeStale},
+		{maintainHost(waveTerm, "b", ordered), outcomeOK},
+		{maintainHost(waveTerm, "c", gone), outcomeOK},
+		{maintainHost(waveTerm, "b", waiting), outcomeStale},
 	} {
 		if got := m.Apply(x.command, 1, waveTerm); got != x.want {
 			t.Errorf("%v: %v, want %v", x.command, got, x.want)
--- a/route/queue.go
+++ b/route/queue.go
@@ -19,7 +19,7 @@
 }
 
 type class struct {
-	flows  flowHeap
+	flows  itemHeap[*flow]
 	byName map[string]*flow
 	// clock is the tag that a caller joins with. It rises with each start by as
 	// much as an even share is, so that neither new callers nor one that sends a
@@ -32,7 +32,7 @@
 type flow struct {
 	caller   string
 	tag      float64
-	requests requestHeap
+	requests itemHeap[*Request]
 	index    int
 }
 
@@ -160,59 +160,23 @@
 	return late
 }
 
-// flowHeap orders callers by tag, then by the shortest slack of their requests.
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].tag != h[j].tag {
-		return h[i].tag < h[j].tag
+// before orders callers by tag, then by the shortest slack of their requests.
+func (f *flow) before(other *flow) bool {
+	if f.tag != other.tag {
+		return f.tag < other.tag
 	}
-	return before(h[i].requests[0], h[j].requests[0])
-}
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-func (h *flowHeap) Pop() any {
-	last := len(*h) - 1
-	f := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return f
+	return f.requests[0].before(other.requests[0])
 }
 
-// requestHeap orders one caller's requests by slack.
-type requestHeap []*Request
+func (f *flow) place() *int { return &f.index }
 
-func (h requestHeap) Len() int           { return len(h) }
-func (h requestHeap) Less(i, j int) bool { return before(h[i], h[j]) }
-func (h requestHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *requestHeap) Push(x any) {
-	r := x.(*Request)
-	r.index = len(*h)
-	*h = append(*h, r)
-}
-func (h *requestHeap) Pop() any {
-	last := len(*h) - 1
-	r := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return r
-}
-
-// before breaks ties by id, so that a run does not depend on the heap's layout.
-func before(a, b *Request) bool {
-	if !a.Deadline.Equal(b.Deadline) {
-		return a.Deadline.Before(b.Deadline)
+// before orders one caller's requests by slack. It breaks ties by id, so that a run does not
+// depend on the heap's layout.
+func (r *Request) before(other *Request) bool {
+	if !r.Deadline.Equal(other.Deadline) {
+		return r.Deadline.Before(other.Deadline)
 	}
-	return a.ID < b.ID
+	return r.ID < other.ID
 }
+
+func (r *Request) place() *int { return &r.index }
