agent/runs: a line tells that a worker's clock went back

The record of the incident falls silent once the worker answers again: calls with an answer have no line, so it can't tell that another process answers under the worker's name, nor up to which end its predecessor's were acknowledged. Found by the test before the change: told 0 times, now once.

--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -23,6 +23,12 @@
 func (s *session) heard(status Status, received time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if before := s.clock.ms; status.ClockMs < before {
+		// The clock of a worker never goes back, so another process answers under its name,
+		// and numbers its ends anew.
+		event.WorkerClockWentBack.Write(s.d.logger, event.Worker(s.incarnation), event.ClockMs(status.ClockMs),
+			event.ClockBeforeMs(before), event.Acknowledged(s.acknowledged))
+	}
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
 	s.lapseReported = false
--- a/agent/runs/lines_test.go
+++ b/agent/runs/lines_test.go
@@ -44,3 +44,46 @@
 		running.Wait()
 	})
 }
+
+// Symptom: after a worker came back under its name, no log says so.
+// Sequence: the worker ends and another one answers at its address, whose clock begins anew.
+// Cause: only calls without an answer have lines, and these are answered.
+func TestAClockThatGoesBackIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zapcore.InfoLevel)
+		w := &replaceableWorker{}
+		w.replace(fakes.NewRunWorker(spec("w1"), fakes.NewRunWatch()))
+		d := runs.New(runs.Options{Worker: w, Leader: &leader{epoch: 1, orders: starts(0, 1)}, Logger: zap.New(core)})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
+		time.Sleep(3 * time.Second)
+		w.replace(fakes.NewRunWorker(spec("w1"), fakes.NewRunWatch()))
+		time.Sleep(3 * time.Second)
+		if n := lines.FilterMessage("worker's clock went back").Len(); n != 1 {
+			t.Errorf("told %d times", n)
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// replaceableWorker calls whichever worker is there.
+type replaceableWorker struct {
+	runs.Worker
+	mu sync.Mutex
+}
+
+func (w *replaceableWorker) replace(by runs.Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Worker = by
+}
+
+func (w *replaceableWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	w.mu.Lock()
+	worker := w.Worker
+	w.mu.Unlock()
+	return worker.Renew(ctx, o, r)
+}
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -151,6 +151,15 @@
 // Before is the incarnation that was served before.
 func Before(worker string) Field { return text("before", worker) }
 
+// ClockMs is what a worker's clock shows, in milliseconds.
+func ClockMs(ms int64) Field { return Field{zap.Int64("clock_ms", ms)} }
+
+// ClockBeforeMs is what it showed before.
+func ClockBeforeMs(ms int64) Field { return Field{zap.Int64("clock_before_ms", ms)} }
+
+// Acknowledged is the number up to which a worker's ends are acknowledged.
+func Acknowledged(n uint64) Field { return number64("acknowledged", n) }
+
 // Replaced says that another incarnation answers in a worker's place.
 func Replaced(yes bool) Field { return Field{zap.Bool("replaced", yes)} }
 
