--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -123,7 +123,7 @@
 				return fakes.OrderFault{}
 			}
 			f.SetBusy("host0", true)
-			s.loops.Go(func() { s.log.lose(200 * time.Millisecond) })
+			s.loops.Go(func() { s.log.Lose(200 * time.Millisecond) })
 			time.AfterFunc(moverSettles+2*time.Second, func() { f.SetBusy("host0", false) })
 			return fakes.OrderFault{Late: moverSettles + 3*time.Second}
 		}
--- a/dispatch/movesim_test.go
+++ b/dispatch/movesim_test.go
@@ -37,7 +37,7 @@
 			s.submit(4*i + k)
 			switch s.intN(4) {
 			case 0:
-				s.loops.Go(func() { s.log.lose(time.Duration(s.intN(1500)) * time.Millisecond) })
+				s.loops.Go(func() { s.log.Lose(time.Duration(s.intN(1500)) * time.Millisecond) })
 			case 1:
 				s.crash(f, host)
 			}
@@ -83,7 +83,7 @@
 	s.submitSpec(crowd("crowd", 3))
 	for range 5 {
 		if s.intN(3) == 0 {
-			s.loops.Go(func() { s.log.lose(time.Duration(s.intN(1500)) * time.Millisecond) })
+			s.loops.Go(func() { s.log.Lose(time.Duration(s.intN(1500)) * time.Millisecond) })
 		}
 		s.sleep(time.Duration(s.intN(4000)) * time.Millisecond)
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -18,6 +18,7 @@
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/control/controltest"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/fakes"
 	"github.com/cairnlift/cairnlift/jobqueue"
@@ -27,68 +28,14 @@
 const (
 	simHost = "queues.example"
 	simPool = "pool"
-	// commitDelay is what a commit or a confirmation of leadership takes.
-	commitDelay = 5 * time.Millisecond
 )
 
-// simLog is a log of one replica whose leadership changes on demand.
-type simLog struct {
-	mu      sync.Mutex
-	machine *control.Replica
-	index   uint64
-	term    uint64
-	leading bool
-}
-
-func (l *simLog) Propose(ctx context.Context, command []byte) ([]byte, uint64, error) {
-	before, _ := l.Leading()
-	time.Sleep(commitDelay)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.leading || l.term != before {
-		return nil, 0, &control.UnknownError{Cause: "leadership changed"}
-	}
-	l.index++
-	return l.machine.Apply(l.index, command), l.index, nil
-}
-
-func (l *simLog) ReadBarrier(ctx context.Context) (uint64, error) {
-	before, _ := l.Leading()
-	time.Sleep(commitDelay)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.leading || l.term != before {
-		return 0, errors.New("leadership changed")
-	}
-	return l.index, nil
-}
-
-func (l *simLog) Leading() (uint64, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.term, l.leading
-}
-
-func (l *simLog) LeaderAddress() string { return "" }
-
-// lose ends the leadership; after a while another term begins.
-func (l *simLog) lose(without time.Duration) {
-	l.mu.Lock()
-	l.leading = false
-	l.mu.Unlock()
-	time.Sleep(without)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.term++
-	l.leading = true
-}
-
 // sim is a control host, workers and their agents in virtual time.
 type sim struct {
 	t       *testing.T
 	rand    *rand.Rand
 	ctx     context.Context
-	log     *simLog
+	log     *controltest.Log
 	replica *control.Replica
 	// dispatcher is replaced when another leader follows.
 	dispatcher *dispatch.Dispatcher
@@ -309,8 +256,7 @@
 			s.dispatcher.Applied()
 		}
 	}})
-	s.log = &simLog{machine: s.replica, term: 1, leading: true}
-	s.replica.Attach(s.log)
+	s.log = controltest.NewLog(s.replica)
 	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, LeaseDuration: simLease(seed), Logger: s.logger, Advisor: s.advisor,
 		Hosts: simHosts{s}})
 	s.loops.Go(func() { s.dispatcher.Run(s.ctx) })
@@ -414,7 +360,7 @@
 		h.mu.Unlock()
 		h.startAgent()
 	case 3:
-		s.loops.Go(func() { s.log.lose(span / 4) })
+		s.loops.Go(func() { s.log.Lose(span / 4) })
 	}
 }
 
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -122,7 +122,7 @@
 	for i := range 8 {
 		s.submit(i)
 		if s.intN(3) == 0 {
-			s.loops.Go(func() { s.log.lose(time.Duration(s.intN(1500)) * time.Millisecond) })
+			s.loops.Go(func() { s.log.Lose(time.Duration(s.intN(1500)) * time.Millisecond) })
 		}
 		s.sleep(time.Duration(500+s.intN(1500)) * time.Millisecond)
 	}
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -31,6 +32,8 @@
 	Spec *apiv1.JobWorker
 	// ClockRatePPM is how much slower than true time its clock runs.
 	ClockRatePPM int64
+	// ClockStartMs is what its clock shows at its start; a million when 0.
+	ClockStartMs int64
 	// Fault is asked for each call; nil means that nothing goes wrong.
 	Fault func(call string) OrderFault
 	// Duration is how long a task works; 0 means until it is stopped.
@@ -69,7 +72,7 @@
 }
 
 const (
-	// clockBaseMs is what the clock of a new worker shows.
+	// clockBaseMs is what the clock of a new worker shows by default.
 	clockBaseMs = 1_000_000
 	// maxLeaseMs is the longest lease that it grants.
 	maxLeaseMs    = 6000
@@ -113,6 +116,9 @@
 	return spec
 }
 
+// ClockMs is what the worker's clock shows.
+func (w *RunWorker) ClockMs() int64 { return w.clockMs(time.Now()) }
+
 // Running returns the tasks that are at work.
 func (w *RunWorker) Running() []jobqueue.TaskID {
 	w.mu.Lock()
@@ -128,12 +134,14 @@
 
 func (w *RunWorker) clockMs(at time.Time) int64 {
 	elapsed := at.Sub(w.began).Milliseconds()
-	return clockBaseMs + elapsed*(partsPerMill-w.ClockRatePPM)/partsPerMill
+	return w.clockStart() + elapsed*(partsPerMill-w.ClockRatePPM)/partsPerMill
 }
 
+func (w *RunWorker) clockStart() int64 { return cmp.Or(w.ClockStartMs, clockBaseMs) }
+
 // lapseAt is when the lease runs out.
 func (w *RunWorker) lapseAt() time.Time {
-	left := (w.deadlineMs - clockBaseMs) * partsPerMill / (partsPerMill - w.ClockRatePPM)
+	left := (w.deadlineMs - w.clockStart()) * partsPerMill / (partsPerMill - w.ClockRatePPM)
 	return w.began.Add(time.Duration(left) * time.Millisecond)
 }
 
--- a/redial/redial.go
+++ b/redial/redial.go
@@ -9,13 +9,19 @@
 package redial
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 )
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options set up a Transport.
 type Options struct {
+	// Dial opens its connections; it dials by itself when unset, within DialTimeout.
+	Dial        Dial
 	DialTimeout time.Duration
 	// MaxIdlePerHost is the number of idle connections kept to one host.
 	MaxIdlePerHost int
@@ -28,9 +34,11 @@
 
 // New returns a transport.
 func New(o Options) Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	return Transport{&http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout,
+		DialContext: o.Dial, MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout,
 		DisableCompression: true,
 	}}
 }
