A worker's life is named by its id and its start

Cause: everything that is kept of a worker was kept by its id, and a worker may now start again under it. Its ends were acknowledged by the numbers that the life before had reached, and runs of that life counted as running.

The leader turns down reports of an earlier life of a worker; lists of hosts and placement advice, which name ids, are translated. What runs on an incarnation that the log does not know is stopped before the leader hears of it: the agent before told no start.

Ruled out: comparing clocks or sequences to notice another life (both may begin anywhere); a start beside the id in the log (old replicas would not compare it, and decide otherwise).

--- /dev/null
+++ b/agent/runs/admission.go
@@ -0,0 +1,63 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// admissible reports whether the leader may be told of the worker: it knows the
+// incarnation, or nothing runs there.
+//
+// What goes wrong without it: the log knows the worker by another name, as the agent before
+// this one gave it, which told no start. The first report under the new name ends the old
+// one, and what runs on is started elsewhere as well. So all that runs on an incarnation
+// that the log does not know is stopped first.
+func (s *session) admissible(status Status) bool {
+	if s.admitted {
+		return true
+	}
+	if len(status.Running) == 0 && !status.Partial {
+		s.admitted = true
+		return true
+	}
+	known, err := s.knownToLeader()
+	if err != nil {
+		return false
+	}
+	if !known {
+		s.stopUnknown(status.Running)
+		return false
+	}
+	s.admitted = true
+	return true
+}
+
+// knownToLeader asks whether the log knows the incarnation; one that it knows has an epoch.
+func (s *session) knownToLeader() (bool, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	resp, err := s.d.opts.Leader.Orders(ctx, &apiv1.JobsOrdersRequest{Worker: s.incarnation})
+	if err != nil {
+		return false, err
+	}
+	return resp.Epoch != 0, nil
+}
+
+// stopUnknown has the worker stop runs that the log does not hold there. It is called again
+// until none of them is listed.
+func (s *session) stopUnknown(running []*apiv1.RunObservation) {
+	event.UnknownRunsStopped.Write(s.d.logger, event.Worker(s.incarnation), event.RunningCount(len(running)))
+	for _, r := range running {
+		if _, err := s.callStop(jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}); err != nil {
+			s.pause(firstRetryPause)
+		}
+	}
+}
+
+// admissionPause is the time between two looks at a worker that is not admissible: a stop
+// takes up to some hundred milliseconds.
+const admissionPause = 100 * time.Millisecond
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -107,6 +107,8 @@
 	// number tells the session from others of the same worker, and reports counts what
 	// was sent to the leader; only watch sends.
 	number, reports uint64
+	// admitted: the leader may be told of the worker; only watch uses it.
+	admitted bool
 
 	mu        sync.Mutex
 	announced Announcement
@@ -168,14 +170,27 @@
 	return s == nil || s.incarnation == incarnation || d.answers(incarnation)
 }
 
-// Depart takes in that an incarnation says that it ends.
-func (d *Driver) Depart(incarnation string) {
+// Depart takes in that an incarnation says that it ends. An error means that it does not
+// say which life of the worker it is; nothing is changed then. What goes wrong without
+// that: late words of an earlier life end the session with the present one, whose tasks run
+// on and start elsewhere as well.
+func (d *Driver) Depart(incarnation string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.session; s != nil && s.incarnation == incarnation {
+	s := d.session
+	switch {
+	case s != nil && s.incarnation == incarnation:
 		s.noteDeparture()
+	case s != nil && s.isUndated(incarnation):
+		return errors.Newf("worker %.60q ends, and does not say which life of it", incarnation)
 	}
 	d.noteLeft(incarnation)
+	return nil
+}
+
+// isUndated reports whether a name is that of the session's worker without its start.
+func (s *session) isUndated(incarnation string) bool {
+	return incarnation == jobqueue.ParseIncarnation(s.incarnation).WorkerID
 }
 
 // maxLeft bounds the incarnations that are remembered as gone. One that is forgotten
@@ -313,8 +328,9 @@
 			s.depart(answer == AnswerOther)
 			return
 		case err == nil && answer == AnswerFenced:
-			// A restarted agent does not know the term yet; the leader tells it.
-			s.report(Status{}, received)
+			// A restarted agent does not know the term yet; the leader tells it with the
+			// orders. Nothing is reported until the worker has confirmed which life it is: a
+			// report of an earlier one would end the present one.
 			s.pause(retryPause)
 			continue
 		case err != nil || answer != AnswerDone:
@@ -324,6 +340,11 @@
 			continue
 		}
 		s.heard(status, received)
+		if !s.admissible(status) {
+			wait = 0
+			s.pause(admissionPause)
+			continue
+		}
 		s.settleStops(status, asked)
 		reported := s.report(status, received)
 		wait = renewalWait
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -108,7 +108,7 @@
 	term     uint64
 	planner  *schedule.Planner
 	leases   *leaseTable
-	reports  reportOrder
+	reports  *reportOrder
 	observed map[jobqueue.RunID]schedule.Observation
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
@@ -245,7 +245,7 @@
 		planner:       planner,
 		keptAt:        now,
 		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		reports:       reportOrder{},
+		reports:       newReportOrder(),
 		observed:      map[jobqueue.RunID]schedule.Observation{},
 		paceRevisions: map[string]uint64{},
 		waitsLogged:   map[jobqueue.StepID]waitLogged{},
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -67,8 +67,12 @@
 	if l == nil {
 		return taken{}
 	}
-	// A worker that has left has left, whatever was said after.
-	if !r.Departed && l.reports.outdated(r) {
+	var outdated bool
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		// A worker that has left has left, whatever was said after.
+		outdated = !r.Departed && l.reports.outdated(m.CallerJobs(), r)
+	})
+	if outdated {
 		d.meters.reportsOutdated.Inc(1)
 		event.ReportOutdated.Write(d.logger, event.Term(l.term), event.Worker(r.Worker.GetId()))
 		return taken{term: l.term, outdated: true}
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -1,18 +1,29 @@
 package dispatch
 
-import apiv1 "github.com/cairnlift/cairnlift/api/v1"
+import (
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
 
 // maxFormerSessions bounds the sessions of a worker that are remembered as over: an agent
 // has a new one after each restart.
 const maxFormerSessions = 64
 
-// reportOrder tells reports that the network held up from new ones, by worker.
+// reportOrder tells reports that the network held up from new ones.
 //
 // A cut holds what was sent before it for as long as it lasts, and delivers it after its
 // sender has given it up. What goes wrong without a look at the order: an agent says that
 // its worker's lease ran out, then its report of seconds ago arrives; the worker counts as
 // in reach and empty, and all tasks that wait are ordered to a worker that never answers.
-type reportOrder map[string]*reportsSeen
+type reportOrder struct {
+	byWorker map[string]*reportsSeen
+	// lives are the newest incarnations that were heard of, by their host.
+	lives map[string]jobqueue.Incarnation
+}
+
+func newReportOrder() *reportOrder {
+	return &reportOrder{byWorker: map[string]*reportsSeen{}, lives: map[string]jobqueue.Incarnation{}}
+}
 
 // reportsSeen is the newest report of a worker, and the sessions before its own.
 type reportsSeen struct {
@@ -22,14 +33,17 @@
 
 // outdated reports whether a newer report of the worker was taken in before this one, and
 // notes it otherwise. The same report may come twice, through two control hosts.
-func (o reportOrder) outdated(r *apiv1.JobsReportRequest) bool {
+func (o *reportOrder) outdated(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
+	if o.earlierLife(m, r.Worker) {
+		return true
+	}
 	if r.Session == 0 {
 		return false
 	}
-	seen := o[r.Worker.GetId()]
+	seen := o.byWorker[r.Worker.GetId()]
 	if seen == nil {
 		seen = &reportsSeen{session: r.Session, former: map[uint64]bool{}}
-		o[r.Worker.GetId()] = seen
+		o.byWorker[r.Worker.GetId()] = seen
 	}
 	if seen.session != r.Session {
 		if seen.former[r.Session] {
@@ -44,6 +58,22 @@
 	return false
 }
 
+// earlierLife reports whether a later life of the worker is known on its host. What goes
+// wrong without it: a life that ended soon is heard of for the first time when its successor
+// is at work, and ends that one in the log; the successor's tasks run on and start elsewhere
+// as well, and it gets no work any more.
+func (o *reportOrder) earlierLife(m *jobqueue.Machine, w *apiv1.JobWorker) bool {
+	life := jobqueue.ParseIncarnation(w.GetId())
+	if known := m.WorkerOf(w.GetHost()); known != nil && life.Precedes(jobqueue.ParseIncarnation(known.Spec.Id)) {
+		return true
+	}
+	if life.Precedes(o.lives[w.GetHost()]) {
+		return true
+	}
+	o.lives[w.GetHost()] = life
+	return false
+}
+
 // begin notes that another session has followed.
 func (s *reportsSeen) begin(session uint64) {
 	if len(s.former) >= maxFormerSessions {
--- a/dispatch/reportorder_test.go
+++ b/dispatch/reportorder_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // Symptom: what an agent said seconds ago is believed, or an agent that was restarted is
@@ -11,7 +12,7 @@
 // has been restarted and from the one before it, and from one that numbers none. Cause: an
 // order that knows one session only, or takes a repeated report for an old one.
 func TestReportOrder(t *testing.T) {
-	order := reportOrder{}
+	order, m := newReportOrder(), jobqueue.New()
 	for i, step := range []struct {
 		worker            string
 		session, sequence uint64
@@ -30,7 +31,7 @@
 		{"w2", 9, 2, false},
 	} {
 		r := &apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{Id: step.worker}, Session: step.session, Sequence: step.sequence}
-		if got := order.outdated(r); got != step.outdated {
+		if got := order.outdated(m, r); got != step.outdated {
 			t.Errorf("step %d: outdated %v, want %v", i, got, step.outdated)
 		}
 	}
@@ -39,11 +40,11 @@
 // Symptom: the leader's memory grows with each restart of an agent. Cause: sessions that
 // are remembered for good.
 func TestFormerSessionsAreBounded(t *testing.T) {
-	order := reportOrder{}
+	order, m := newReportOrder(), jobqueue.New()
 	for session := range uint64(10 * maxFormerSessions) {
-		order.outdated(&apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{Id: "w1"}, Session: session + 1, Sequence: 1})
+		order.outdated(m, &apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{Id: "w1"}, Session: session + 1, Sequence: 1})
 	}
-	if n := len(order["w1"].former); n > maxFormerSessions {
+	if n := len(order.byWorker["w1"].former); n > maxFormerSessions {
 		t.Errorf("%d former sessions are remembered, at most %d", n, maxFormerSessions)
 	}
 }
--- /dev/null
+++ b/jobqueue/incarnation.go
@@ -0,0 +1,70 @@
+package jobqueue
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Incarnation is one life of a worker. A worker that ended may start again under its id: it
+// knows nothing of before, and its counters and its clock begin anew. So the id alone names
+// no life; id and start do, and everything that is kept of a worker is kept by its
+// incarnation's name (JobWorker.id).
+//
+// What goes wrong without the start: ends of the new life are acknowledged by the numbers
+// that the old one had reached, and runs of the old one count as running for good. One
+// notices it as tasks that run again after they ended well, and long-running ones that run
+// nowhere.
+type Incarnation struct {
+	WorkerID string
+	// StartedMs is when it started, by the worker's own clock of the day (Unix
+	// milliseconds); 0 where that is not told. Then the id alone has to name the life.
+	StartedMs int64
+}
+
+// startMark stands between id and start in a name.
+const startMark = "@"
+
+// Name returns the name of the incarnation: the id, and the start where it is known.
+func (i Incarnation) Name() string {
+	if i.StartedMs == 0 && !strings.Contains(i.WorkerID, startMark) {
+		return i.WorkerID
+	}
+	return i.WorkerID + startMark + strconv.FormatInt(i.StartedMs, 10)
+}
+
+// ParseIncarnation reads a name. One without a start is that of an incarnation whose start
+// is not known, as in all that was written before starts were told.
+func ParseIncarnation(name string) Incarnation {
+	at := strings.LastIndex(name, startMark)
+	if at < 0 {
+		return Incarnation{WorkerID: name}
+	}
+	started, err := strconv.ParseInt(name[at+len(startMark):], 10, 64)
+	if err != nil || started < 0 {
+		return Incarnation{WorkerID: name}
+	}
+	return Incarnation{WorkerID: name[:at], StartedMs: started}
+}
+
+// Precedes reports whether i is an earlier life of the same worker. One whose start is not
+// known precedes those whose start is.
+func (i Incarnation) Precedes(other Incarnation) bool {
+	return i.WorkerID == other.WorkerID && i.StartedMs < other.StartedMs
+}
+
+// NewestLives returns the name of the newest incarnation that the log knows of each worker,
+// by the worker's id. Who names workers by their ids alone is understood by it.
+func (m *Machine) NewestLives() map[string]string {
+	newest := map[string]Incarnation{}
+	for _, w := range m.workers.values {
+		i := ParseIncarnation(w.Spec.Id)
+		if known, ok := newest[i.WorkerID]; !ok || known.Precedes(i) {
+			newest[i.WorkerID] = i
+		}
+	}
+	names := make(map[string]string, len(newest))
+	for id, i := range newest {
+		names[id] = i.Name()
+	}
+	return names
+}
--- /dev/null
+++ b/jobqueue/incarnation_test.go
@@ -0,0 +1,53 @@
+package jobqueue
+
+import (
+	"testing"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// TestIncarnationNames reads names back, those of before starts were told included.
+func TestIncarnationNames(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		want Incarnation
+	}{
+		{"w1", Incarnation{"w1", 0}},
+		{"w1@1700000000000", Incarnation{"w1", 1_700_000_000_000}},
+		{"a@b", Incarnation{"a@b", 0}},
+		{"a@b@7", Incarnation{"a@b", 7}},
+		{"a@-7", Incarnation{"a@-7", 0}},
+		{"a@99999999999999999999", Incarnation{"a@99999999999999999999", 0}},
+		{"", Incarnation{}},
+	} {
+		if got := ParseIncarnation(c.name); got != c.want {
+			t.Errorf("%q is read as %v", c.name, got)
+		}
+	}
+	for _, i := range []Incarnation{{"w1", 0}, {"w1", 7}, {"a@b", 0}, {"a@7", 0}, {"a@7", 8}, {"@", 0}} {
+		if got := ParseIncarnation(i.Name()); got != i {
+			t.Errorf("%v comes back as %v", i, got)
+		}
+	}
+}
+
+func TestLivesAreOrderedWithinAWorkerOnly(t *testing.T) {
+	first, second, other := Incarnation{"w1", 5}, Incarnation{"w1", 6}, Incarnation{"w2", 7}
+	if !first.Precedes(second) || second.Precedes(first) || first.Precedes(first) || first.Precedes(other) {
+		t.Error("the order of lives is wrong")
+	}
+	if !(Incarnation{WorkerID: "w1"}).Precedes(first) {
+		t.Error("a life of unknown start does not precede one of a known start")
+	}
+}
+
+func TestNewestLives(t *testing.T) {
+	m := New()
+	for _, id := range []string{"w1@5", "w1@7", "w2", "w1@6"} {
+		m.join(&apiv1.JobWorker{Id: id, Host: "h"})
+	}
+	got := m.NewestLives()
+	if len(got) != 2 || got["w1"] != "w1@7" || got["w2"] != "w2" {
+		t.Errorf("newest lives %v", got)
+	}
+}
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -58,6 +58,7 @@
 var (
 	WorkerFound         = declare(Runs, Rare, "worker found", NameWorker, "before")
 	WorkerLeft          = declare(Runs, Rare, "worker left", NameWorker, "replaced")
+	UnknownRunsStopped  = declare(Runs, Warning, "runs that the leader does not know are stopped", NameWorker, "running")
 	WorkerClockWentBack = declare(Runs, Warning, "worker's clock went back", NameWorker, "clock_ms", "clock_before_ms", "acknowledged")
 	AnnouncementFalse   = declare(Runs, Rare, "announcement of an incarnation that does not answer", NameWorker)
 	WorkerTakenForOther = declare(Runs, Warning, "leader takes the worker for one that left", NameWorker)
