--- a/dispatch/reportorder_test.go
+++ b/dispatch/reportorder_test.go
@@ -48,3 +48,31 @@
 		t.Errorf("%d former sessions are remembered, at most %d", n, maxFormerSessions)
 	}
 }
+
+// Symptom: a worker that is well gets no work any more, and its agent is told without end
+// that the worker left.
+// Sequence: an agent is cut off, so that no report of its session arrives; it is restarted,
+// and the new session is heard; then the network delivers a report of the old one.
+// Cause: a session that is heard of for the first time counts as newer than the one before.
+func TestSessionThatIsHeardOfLateIsTheOlderOne(t *testing.T) {
+	order, m := newReportOrder(), jobqueue.New()
+	for i, step := range []struct {
+		session, began, sequence uint64
+		outdated                 bool
+	}{
+		{8, 2000, 1, false},
+		{7, 1000, 1, true}, // Held up by the cut.
+		{8, 2000, 2, false},
+		{7, 1000, 2, true},
+		{9, 3000, 1, false}, // The agent was restarted once more.
+		{8, 2000, 3, true},
+		{9, 3000, 2, false},
+	} {
+		r := &apiv1.JobsReportRequest{
+			Worker: &apiv1.JobWorker{Id: "w1"}, Session: step.session, Sequence: step.sequence, SessionBeganMs: int64(step.began),
+		}
+		if got := order.outdated(m, r); got != step.outdated {
+			t.Errorf("step %d: outdated %v, want %v", i, got, step.outdated)
+		}
+	}
+}
