dispatch: sessions of an agent are ordered by their beginning on the worker's clock

Cause: a session number is drawn at random, so one that was never heard of counted as the newer one whenever its report came. A worker's clock never goes back, and is the same for each agent that calls it: its reading at the session's first answer orders the sessions. Ruled out: an agent that draws a new number when it is told that it is outdated (the late report would still be believed once, and what it lists as running).

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -107,6 +107,8 @@
 	// number tells the session from others of the same worker, and reports counts what
 	// was sent to the leader; only watch sends.
 	number, reports uint64
+	// beganMs is what the worker's clock showed at its first answer in the session.
+	beganMs int64
 	// admitted: the leader may be told of the worker; only watch uses it.
 	admitted bool
 
@@ -340,6 +342,7 @@
 			continue
 		}
 		s.heard(status, received)
+		s.beganMs = cmp.Or(s.beganMs, status.ClockMs)
 		if !s.admissible(status) {
 			wait = 0
 			s.pause(admissionPause)
@@ -422,7 +425,7 @@
 // says of a worker that has gone silent since, or gives up runs that began since.
 func (s *session) send(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	s.reports++
-	r.Session, r.Sequence = s.number, s.reports
+	r.Session, r.Sequence, r.SessionBeganMs = s.number, s.reports, s.beganMs
 	return s.d.opts.Leader.Report(ctx, r)
 }
 
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -15,6 +15,8 @@
 // sender has given it up. What goes wrong without a look at the order: an agent says that
 // its worker's lease ran out, then its report of seconds ago arrives; the worker counts as
 // in reach and empty, and all tasks that wait are ordered to a worker that never answers.
+// A session of which nothing was heard while it lasted is told from a new one by its
+// beginning: else its late report would end the new session, whose worker gets no work then.
 type reportOrder struct {
 	byWorker map[string]*reportsSeen
 	// lives are the newest incarnations that were heard of, by their host.
@@ -28,7 +30,9 @@
 // reportsSeen is the newest report of a worker, and the sessions before its own.
 type reportsSeen struct {
 	session, sequence uint64
-	former            map[uint64]bool
+	// beganMs is when the session began, by the worker's clock; 0 when it did not say.
+	beganMs int64
+	former  map[uint64]bool
 }
 
 // outdated reports whether a newer report of the worker was taken in before this one, and
@@ -42,14 +46,14 @@
 	}
 	seen := o.byWorker[r.Worker.GetId()]
 	if seen == nil {
-		seen = &reportsSeen{session: r.Session, former: map[uint64]bool{}}
+		seen = &reportsSeen{session: r.Session, beganMs: r.SessionBeganMs, former: map[uint64]bool{}}
 		o.byWorker[r.Worker.GetId()] = seen
 	}
 	if seen.session != r.Session {
-		if seen.former[r.Session] {
+		if seen.former[r.Session] || r.SessionBeganMs != 0 && r.SessionBeganMs < seen.beganMs {
 			return true
 		}
-		seen.begin(r.Session)
+		seen.begin(r)
 	}
 	if r.Sequence < seen.sequence {
 		return true
@@ -75,10 +79,10 @@
 }
 
 // begin notes that another session has followed.
-func (s *reportsSeen) begin(session uint64) {
+func (s *reportsSeen) begin(r *apiv1.JobsReportRequest) {
 	if len(s.former) >= maxFormerSessions {
 		clear(s.former)
 	}
 	s.former[s.session] = true
-	s.session, s.sequence = session, 0
+	s.session, s.beganMs, s.sequence = r.Session, r.SessionBeganMs, 0
 }
