--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -306,7 +306,7 @@
 		status, news = w.status(), w.endedNews
 	}
 	if !w.call(ctx, "renew", renew) {
-		return status, 0, ctx.Err()
+		return runs.Status{}, 0, ctx.Err()
 	}
 	if answer != runs.AnswerDone || len(status.Ended) > 0 || r.Wait == 0 {
 		return status, answer, nil
