--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -518,3 +518,75 @@
 		}
 	})
 }
+
+// fencedFirst is a worker that refuses a call under an old term before it looks whom the call
+// is for.
+type fencedFirst struct{ *countingWorker }
+
+func (w fencedFirst) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	if o.Term < term {
+		return runs.Status{}, runs.AnswerFenced, nil
+	}
+	return w.countingWorker.Renew(ctx, o, r)
+}
+
+// Symptom: a worker that is well gets no work any more until it is restarted.
+// Sequence: an agent is restarted and does not know the term yet; it hears of its worker,
+// then, late, of an earlier life of it.
+// Cause: the worker refuses the question which life it is, for the old term, and the refusal
+// counts as a yes. The present life counts as gone from then on.
+func TestFencedAnswerConfirmsNoLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}, away: true}
+		w := fencedFirst{&countingWorker{RunWorker: fakes.NewRunWorker(spec("w1@2"), fakes.NewRunWatch())}}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		announce(t, d, runs.Announcement{Worker: spec("w1@2"), Sequence: 1})
+		announce(t, d, runs.Announcement{Worker: spec("w1@1"), Sequence: 9})
+		l.set(func() { l.away = false })
+		time.Sleep(time.Second)
+		announce(t, d, runs.Announcement{Worker: spec("w1@2"), Sequence: 2})
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.reports) == 0 {
+			t.Fatal("nothing is reported")
+		}
+		for _, r := range l.reports {
+			if r.Worker.Id != "w1@2" {
+				t.Fatalf("reported %v", r)
+			}
+		}
+	})
+}
+
+// Symptom: a task that runs starts elsewhere as well.
+// Sequence: an agent that was restarted hears, late, of an earlier life of its worker first.
+// Its worker refuses its calls, since the agent does not know the term yet.
+// Cause: the agent asks the leader for the term with a report about that life, and the
+// leader takes it for the one that is there now.
+func TestFencedAgentReportsNoUnconfirmedLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+		w := fencedFirst{&countingWorker{RunWorker: fakes.NewRunWorker(spec("w1@2"), fakes.NewRunWatch())}}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		announce(t, d, runs.Announcement{Worker: spec("w1@1"), Sequence: 9})
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, r := range l.reports {
+			if !r.Departed {
+				t.Fatalf("reported as present: %v", r)
+			}
+		}
+	})
+}
