agent/runs: only a plain yes confirms which life a worker is

Cause: the question carried no term, and a refusal for an old term counted as a yes. TestFencedAnswerConfirmsNoLife failed before and passes; both simulations pass under the race detector.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -169,7 +169,7 @@
 // one is never taken again. No lock is held while it is asked.
 func (d *Driver) confirm(incarnation string) bool {
 	s := d.current()
-	return s == nil || s.incarnation == incarnation || d.answers(incarnation)
+	return s == nil || s.incarnation == incarnation || d.answers(incarnation, s.knownTerm())
 }
 
 // Depart takes in that an incarnation says that it ends. An error means that it does not
@@ -214,12 +214,13 @@
 	return s.incarnation
 }
 
-// answers asks the worker whether it is the named incarnation.
-func (d *Driver) answers(incarnation string) bool {
+// answers asks the worker whether it is the named incarnation. A refusal for an old term is
+// no yes: a worker may refuse before it looks whom a call is for.
+func (d *Driver) answers(incarnation string, term uint64) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_, answer, err := d.opts.Worker.Renew(ctx, Order{Incarnation: incarnation}, Renewal{})
-	return err == nil && answer != AnswerOther
+	_, answer, err := d.opts.Worker.Renew(ctx, Order{Incarnation: incarnation, Term: term}, Renewal{})
+	return err == nil && answer == AnswerDone
 }
 
 func (d *Driver) newSession(a Announcement) *session {
@@ -310,6 +311,12 @@
 	s.announced.Departed = true
 }
 
+func (s *session) knownTerm() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
 func (s *session) announcement() Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
