--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,6 +69,9 @@
 	meters meters
 	news   chan struct{}
 	worker *dependency.Watch
+	// term is the newest that a leader told. It holds for all sessions: a worker that was
+	// asked under it refuses calls under an older one.
+	term atomic.Uint64
 
 	mu      sync.Mutex
 	session *session
@@ -169,7 +173,7 @@
 // one is never taken again. No lock is held while it is asked.
 func (d *Driver) confirm(incarnation string) bool {
 	s := d.current()
-	return s == nil || s.incarnation == incarnation || d.answers(incarnation, s.knownTerm())
+	return s == nil || s.incarnation == incarnation || d.answers(incarnation)
 }
 
 // Depart takes in that an incarnation says that it ends. An error means that it does not
@@ -216,17 +220,23 @@
 
 // answers asks the worker whether it is the named incarnation. A refusal for an old term is
 // no yes: a worker may refuse before it looks whom a call is for.
-func (d *Driver) answers(incarnation string, term uint64) bool {
+func (d *Driver) answers(incarnation string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_, answer, err := d.opts.Worker.Renew(ctx, Order{Incarnation: incarnation, Term: term}, Renewal{})
+	_, answer, err := d.opts.Worker.Renew(ctx, Order{Incarnation: incarnation, Term: d.term.Load()}, Renewal{})
 	return err == nil && answer == AnswerDone
 }
 
+// noteTerm takes in what a leader told of its term.
+func (d *Driver) noteTerm(term uint64) {
+	for known := d.term.Load(); term > known && !d.term.CompareAndSwap(known, term); known = d.term.Load() {
+	}
+}
+
 func (d *Driver) newSession(a Announcement) *session {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &session{
-		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, announced: a, number: rand.Uint64(),
+		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, announced: a, number: rand.Uint64(), term: d.term.Load(),
 		slots:  make(chan struct{}, startsAtOnce),
 		orders: map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{},
 	}
@@ -311,10 +321,10 @@
 	s.announced.Departed = true
 }
 
-func (s *session) knownTerm() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.term
+// noteTerm takes in what a leader told of its term; s.mu is held.
+func (s *session) noteTerm(term uint64) {
+	s.term = max(s.term, term)
+	s.d.noteTerm(term)
 }
 
 func (s *session) announcement() Announcement {
@@ -443,7 +453,7 @@
 func (s *session) granted(resp *apiv1.JobsReportResponse, clockMs int64, received, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.term = max(s.term, resp.Term)
+	s.noteTerm(resp.Term)
 	s.acknowledged = max(s.acknowledged, resp.Acknowledged)
 	if resp.LeaseMs == 0 || clockMs == 0 {
 		return
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -63,7 +63,7 @@
 func (s *session) take(resp *apiv1.JobsOrdersResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.term = max(s.term, resp.Term)
+	s.noteTerm(resp.Term)
 	open := map[jobqueue.RunID]bool{}
 	for _, o := range resp.Starts {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
