Lists of hosts that name workers by their ids: a worker that came back is told from its former life

Cause: the move was noted with the bare id, since the list showed the worker before its first report; and a host that is switched off in standby was taken for an old list, as its last life had left. Names are looked up when they are used, and a host in standby has no life.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -131,10 +131,15 @@
 func nameLives(hosts map[string]schedule.HostView, m *jobqueue.Machine) {
 	lives := m.NewestLives()
 	for name, view := range hosts {
-		if life, known := lives[view.Worker]; known {
-			view.Worker = life
-			hosts[name] = view
+		life, known := lives[view.Worker]
+		if !known {
+			continue
 		}
+		if m.HasLeft(life) && m.Pool(view.Pool).GetStandby() {
+			life = ""
+		}
+		view.Worker = life
+		hosts[name] = view
 	}
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -28,6 +28,8 @@
 const (
 	simHost = "queues.example"
 	simPool = "pool"
+	// livesPerID is how many lives of a worker have one id.
+	livesPerID = 3
 )
 
 // sim is a control host, workers and their agents in virtual time.
@@ -155,8 +157,10 @@
 		h.worker.Crash()
 	}
 	h.lives++
+	// Most lives have the id of the one before.
+	life := jobqueue.Incarnation{WorkerID: fmt.Sprintf("%s-%d", h.name, h.lives/livesPerID), StartedMs: int64(h.lives)}
 	h.worker = fakes.NewRunWorker(&apiv1.JobWorker{
-		Id: fmt.Sprintf("%s-%d", h.name, h.lives), Host: h.name, Pool: h.pool, CpuMilli: 4000, MemoryMb: 8000,
+		Id: life.Name(), Host: h.name, Pool: h.pool, CpuMilli: 4000, MemoryMb: 8000,
 		Labels: h.labels,
 	}, h.s.watch)
 	h.worker.ClockRatePPM = h.rate
--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -10,6 +10,7 @@
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/schedule"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -29,10 +30,17 @@
 
 // List implements dispatch.Hosts.
 func (h simHosts) List(ctx context.Context) (map[string]schedule.HostView, error) {
-	if f := h.s.fleetOf.Load(); f != nil {
-		return f.List(ctx)
+	f := h.s.fleetOf.Load()
+	if f == nil {
+		return nil, errNoFleet
+	}
+	hosts, err := f.List(ctx)
+	for name, view := range hosts {
+		// The platform names workers by their ids alone.
+		view.Worker = jobqueue.ParseIncarnation(view.Worker).WorkerID
+		hosts[name] = view
 	}
-	return nil, errNoFleet
+	return hosts, err
 }
 
 // Maintain implements dispatch.Hosts.
--- a/jobqueue/incarnation.go
+++ b/jobqueue/incarnation.go
@@ -68,3 +68,19 @@
 	}
 	return names
 }
+
+// NewestLife returns the name of the newest incarnation that the log knows of a worker that
+// is named by its id alone; a name with a start, and one that nothing is known of, stay as
+// they are.
+func (m *Machine) NewestLife(name string) string {
+	newest := ParseIncarnation(name)
+	if newest.StartedMs != 0 {
+		return name
+	}
+	for _, w := range m.workers.values {
+		if i := ParseIncarnation(w.Spec.Id); newest.Precedes(i) {
+			newest = i
+		}
+	}
+	return newest.Name()
+}
--- a/jobqueue/incarnation_test.go
+++ b/jobqueue/incarnation_test.go
@@ -50,4 +50,9 @@
 	if len(got) != 2 || got["w1"] != "w1@7" || got["w2"] != "w2" {
 		t.Errorf("newest lives %v", got)
 	}
+	for name, want := range map[string]string{"w1": "w1@7", "w1@5": "w1@5", "w2": "w2", "w3": "w3", "": ""} {
+		if got := m.NewestLife(name); got != want {
+			t.Errorf("the newest life of %q is %q", name, got)
+		}
+	}
 }
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -134,7 +134,10 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(m.Moves(), func(v jobqueue.Move) bool { return p.returning(m, v, v.Worker, now) != nil })
+	return slices.ContainsFunc(m.Moves(), func(v jobqueue.Move) bool {
+		// The list may have named the worker before its first report told its start.
+		return p.returning(m, v, m.NewestLife(v.Worker), now) != nil
+	})
 }
 
 // short reports whether a pool has lacked hosts for long enough.
