--- /dev/null
+++ b/agent/runs/incarnation_test.go
@@ -0,0 +1,132 @@
+package runs_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
+)
+
+// Symptom: a worker that is well gets nothing any more until it is restarted.
+// Sequence: an agent that has not reached the leader yet gets an announcement of an
+// incarnation that another program made up, then one of the worker.
+// Cause: the made-up one ends the session with the worker, which counts as gone for good.
+func TestMadeUpIncarnationDoesNotEndTheWorker(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}, away: true}
+	with(t, l, func(d *runs.Driver, _ *countingWorker) {
+		time.Sleep(time.Second)
+		announce(t, d, runs.Announcement{Worker: spec("w9"), Sequence: 1})
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 2})
+		time.Sleep(time.Second)
+		l.set(func() { l.away = false })
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.reports) == 0 {
+			t.Fatal("nothing is reported")
+		}
+		for _, r := range l.reports {
+			if r.Worker.Id != "w1" || r.Departed {
+				t.Fatalf("reported %v", r)
+			}
+		}
+	})
+}
+
+// Symptom: a worker that is well is not used any more.
+// Sequence: an announcement under its name tells of another pool.
+// Cause: an announcement is believed as a whole, though an incarnation stays in its pool.
+func TestIncarnationStaysInItsPool(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}}
+	with(t, l, func(d *runs.Driver, _ *countingWorker) {
+		time.Sleep(time.Second)
+		other := spec("w1")
+		other.Pool, other.Draining = "elsewhere", true
+		if err := d.Announce(runs.Announcement{Worker: other, Sequence: 9}); err == nil {
+			t.Error("another pool is taken over")
+		}
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if w := l.reports[len(l.reports)-1].Worker; w.Pool != "p" || w.Draining {
+			t.Errorf("reported %v", w)
+		}
+	})
+}
+
+// fencedFirst is a worker that refuses a call under an old term before it looks whom the call
+// is for.
+type fencedFirst struct{ *countingWorker }
+
+func (w fencedFirst) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	if o.Term < term {
+		return runs.Status{}, runs.AnswerFenced, nil
+	}
+	return w.countingWorker.Renew(ctx, o, r)
+}
+
+// withFencedFirst runs a driver on such a worker, the second life of w1, in virtual time.
+func withFencedFirst(t *testing.T, l *leader, f func(*runs.Driver)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := fencedFirst{&countingWorker{RunWorker: fakes.NewRunWorker(spec("w1@2"), fakes.NewRunWatch())}}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		f(d)
+	})
+}
+
+// Symptom: a worker that is well gets no work any more until it is restarted.
+// Sequence: an agent is restarted and does not know the term yet; it hears of its worker,
+// then, late, of an earlier life of it.
+// Cause: the worker refuses the question which life it is, for the old term, and the refusal
+// counts as a yes. The present life counts as gone from then on.
+func TestFencedAnswerConfirmsNoLife(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}, away: true}
+	withFencedFirst(t, l, func(d *runs.Driver) {
+		announce(t, d, runs.Announcement{Worker: spec("w1@2"), Sequence: 1})
+		announce(t, d, runs.Announcement{Worker: spec("w1@1"), Sequence: 9})
+		l.set(func() { l.away = false })
+		time.Sleep(time.Second)
+		announce(t, d, runs.Announcement{Worker: spec("w1@2"), Sequence: 2})
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.reports) == 0 {
+			t.Fatal("nothing is reported")
+		}
+		for _, r := range l.reports {
+			if r.Worker.Id != "w1@2" {
+				t.Fatalf("reported %v", r)
+			}
+		}
+	})
+}
+
+// Symptom: a task that runs starts elsewhere as well.
+// Sequence: an agent that was restarted hears, late, of an earlier life of its worker first.
+// Its worker refuses its calls, since the agent does not know the term yet.
+// Cause: the agent asks the leader for the term with a report about that life, and the
+// leader takes it for the one that is there now.
+func TestFencedAgentReportsNoUnconfirmedLife(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	withFencedFirst(t, l, func(d *runs.Driver) {
+		announce(t, d, runs.Announcement{Worker: spec("w1@1"), Sequence: 9})
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, r := range l.reports {
+			if !r.Departed {
+				t.Fatalf("reported as present: %v", r)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/agent/runs/report.go
@@ -0,0 +1,102 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// depart tells the leader that the incarnation is gone.
+func (s *session) depart(replaced bool) {
+	s.d.mu.Lock()
+	s.d.noteLeft(s.incarnation)
+	s.d.mu.Unlock()
+	a := s.announcement()
+	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(replaced))
+	for s.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+		_, err := s.send(ctx, &apiv1.JobsReportRequest{Worker: a.Worker, Departed: true})
+		cancel()
+		if err == nil {
+			return
+		}
+		s.pause(retryPause)
+	}
+}
+
+// report sends what the worker said to the leader and takes the lease from the
+// answer. It returns false when no leader took it.
+func (s *session) report(status Status, received time.Time) bool {
+	a := s.announcement()
+	r := &apiv1.JobsReportRequest{
+		Worker: a.Worker, Ends: status.Ended, Running: status.Running,
+		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.openRefusals(),
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	sent := s.d.opts.Now()
+	if a.Worker.Draining && status.ClockMs > 0 {
+		r.LeaseBoundMs = s.boundLease(status.ClockMs)
+	}
+	resp, err := s.send(ctx, r)
+	if err != nil {
+		s.d.meters.reportsLost.Inc(1)
+		event.ReportLost.Write(s.d.logger, event.Worker(s.incarnation), event.EndCount(len(r.Ends)),
+			event.RunningCount(len(r.Running)), event.Err(err))
+		return false
+	}
+	if resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE {
+		event.WorkerTakenForOther.Write(s.d.logger, event.Worker(s.incarnation))
+		return false
+	}
+	s.granted(resp, status.ClockMs, received, sent)
+	s.dropRefusals(r.Refusals)
+	return true
+}
+
+// send numbers a report and sends it to the leader. What goes wrong without the number: the
+// network delivers a report that was given up seconds ago, and the leader believes what it
+// says of a worker that has gone silent since, or gives up runs that began since.
+func (s *session) send(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	s.reports++
+	r.Session, r.Sequence, r.SessionBeganMs = s.number, s.reports, s.beganMs
+	return s.d.opts.Leader.Report(ctx, r)
+}
+
+// granted takes a lease over. It counts from the sending of the report and is
+// turned into a reading of the worker's clock: that clock showed clockMs no later
+// than at received, and may run slower than ours by the bound on its rate error. Without
+// a reading, 0, there is no lease to count: the next report brings one.
+func (s *session) granted(resp *apiv1.JobsReportResponse, clockMs int64, received, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteTerm(resp.Term)
+	s.acknowledged = max(s.acknowledged, resp.Acknowledged)
+	if resp.LeaseMs == 0 || clockMs == 0 {
+		return
+	}
+	left := sent.Sub(received).Milliseconds() + resp.LeaseMs
+	s.deadlineMs = max(s.deadlineMs, clockMs+left*(ppm-clockRateErrorPPM)/ppm)
+	s.epoch = max(s.epoch, resp.Epoch)
+}
+
+func (s *session) openRefusals() []*apiv1.RunRefusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*apiv1.RunRefusal
+	for id, reason := range s.refusals {
+		list = append(list, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number, Reason: reason})
+	}
+	return list
+}
+
+func (s *session) dropRefusals(list []*apiv1.RunRefusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range list {
+		delete(s.refusals, jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run})
+	}
+}
--- a/control/controltest/log.go
+++ b/control/controltest/log.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"sync"
+	"testing"
 	"time"
 
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
 )
 
@@ -77,3 +79,30 @@
 	l.term++
 	l.leading = true
 }
+
+const (
+	// proposeTries and proposePause bound the time without a leader that Propose bears: longer
+	// than any simulation goes without one.
+	proposeTries = 10_000
+	proposePause = 10 * time.Millisecond
+)
+
+// Propose commits a command about submitted jobs, whoever leads by then. One that is not
+// taken ends the test.
+func Propose(ctx context.Context, t testing.TB, replica *control.Replica, c *apiv1.JobsCommand) {
+	t.Helper()
+	for range proposeTries {
+		res, err := replica.ProposeLocal(ctx, &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: c}})
+		if err == nil {
+			if res.Job != apiv1.JobOutcome_JOB_OUTCOME_OK {
+				t.Fatalf("%v: %v", c, res.Job)
+			}
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(proposePause):
+		}
+	}
+	t.Fatal("nobody ever leads")
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -307,17 +307,7 @@
 // propose commits a command, whoever leads by then.
 func (s *sim) propose(c *apiv1.JobsCommand) {
 	s.t.Helper()
-	for range 10_000 {
-		res, err := s.replica.ProposeLocal(s.ctx, &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: c}})
-		if err == nil {
-			if res.Job != apiv1.JobOutcome_JOB_OUTCOME_OK {
-				s.t.Fatalf("%v: %v", c, res.Job)
-			}
-			return
-		}
-		s.sleep(10 * time.Millisecond)
-	}
-	s.t.Fatal("nobody ever leads")
+	controltest.Propose(s.ctx, s.t, s.replica, c)
 }
 
 // beCalm ends what goes wrong with calls of workers.
