agent/runs: a fenced agent that knows no leader waits for good; two tests fail

The agent reports nothing before its worker has confirmed its life, and only a report looks for the leader; calls for orders go to the one that is known. The stand-ins gave orders to whoever asked, which hid it.

--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -30,7 +30,10 @@
 	awayAfter int
 	// noOrders fails the calls for orders only.
 	noOrders bool
-	reports  []*apiv1.JobsReportRequest
+	// lookedFor: calls for orders fail until a report or a question has found the leader, as
+	// from a process that knows none.
+	lookedFor, found bool
+	reports          []*apiv1.JobsReportRequest
 }
 
 var errAway = errors.New("no leader")
@@ -41,6 +44,7 @@
 	if l.away {
 		return nil, errAway
 	}
+	l.found = true
 	l.reports = append(l.reports, r)
 	if l.awayAfter > 0 {
 		l.awayAfter--
@@ -55,7 +59,7 @@
 
 func (l *leader) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
 	l.mu.Lock()
-	orders, away := l.orders, l.away || l.noOrders
+	orders, away := l.orders, l.away || l.noOrders || l.lookedFor && !l.found
 	l.mu.Unlock()
 	if away {
 		return nil, errAway
@@ -70,6 +74,17 @@
 	return orders, nil
 }
 
+// CurrentOrders finds the leader.
+func (l *leader) CurrentOrders(context.Context, string) (*apiv1.JobsOrdersResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return nil, errAway
+	}
+	l.found = true
+	return l.orders, nil
+}
+
 func (l *leader) set(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/agent/runs/incarnation_test.go
+++ b/agent/runs/incarnation_test.go
@@ -10,6 +10,7 @@
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // Symptom: a worker that is well gets nothing any more until it is restarted.
@@ -130,3 +131,51 @@
 		}
 	})
 }
+
+// Symptom: after a power cut of all hosts nothing runs any more, though every process is
+// there.
+// Sequence: all agents are restarted, while their workers run on; another leader is elected.
+// Cause: the workers refuse the agents' calls, for the old term; each agent waits for orders
+// to tell it the term, and nobody looks for the leader that gives orders.
+func TestFencedAgentFindsTheLeader(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}, lookedFor: true}
+	withFencedFirst(t, l, func(d *runs.Driver) {
+		announce(t, d, runs.Announcement{Worker: spec("w1@2"), Sequence: 1})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.reports) == 0 {
+			t.Fatal("nothing is reported")
+		}
+	})
+}
+
+// Symptom: the same, after an upgrade of the agents. Sequence: a restarted agent finds its
+// worker at work, and knows no leader. Cause: it asks whether the leader knows the worker,
+// and does not look for the leader.
+func TestAgentOfAWorkerAtWorkFindsTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}, lookedFor: true}
+		watch := fakes.NewRunWatch()
+		watch.Submitted(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := fakes.NewRunWorker(spec("w1"), watch)
+		id := jobqueue.RunID{Task: first, Number: 1}
+		answer, err := w.Start(t.Context(), runs.Order{Incarnation: "w1"}, runs.Start{Run: id, DeadlineMs: 1_000_000 + leaseMs})
+		if err != nil || answer != runs.AnswerDone {
+			t.Fatal(answer, err)
+		}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.reports) == 0 {
+			t.Fatal("nothing is reported")
+		}
+	})
+}
