agent/runs: an agent that is not admitted looks for the leader itself

Before a worker has confirmed its life nothing is reported, and only a report looked for the leader; calls for orders go to the one that is known. The agent asks for the current orders now, wherever the leader is, when its worker refuses it for an old term and when it finds its worker at work. Ruled out: orders that look for the leader on each call (all agents would search twice in each election).

Both tests failed before, and pass.

--- a/agent/runs/admission.go
+++ b/agent/runs/admission.go
@@ -38,13 +38,24 @@
 
 // knownToLeader asks whether the log knows the incarnation; one that it knows has an epoch.
 func (s *session) knownToLeader() (bool, error) {
+	resp, err := s.askLeader()
+	return err == nil && resp.Epoch != 0, err
+}
+
+// askLeader looks for the leader and learns its term. Nothing else may look for it: a
+// session that is not admitted reports nothing, and waits for orders only where the leader
+// is known.
+func (s *session) askLeader() (*apiv1.JobsOrdersResponse, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
-	resp, err := s.d.opts.Leader.Orders(ctx, &apiv1.JobsOrdersRequest{Worker: s.incarnation})
+	resp, err := s.d.opts.Leader.CurrentOrders(ctx, s.incarnation)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	return resp.Epoch != 0, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteTerm(resp.Term)
+	return resp, nil
 }
 
 // stopUnknown has the worker stop runs that the log does not hold there. It is called again
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -339,9 +339,10 @@
 			s.depart(answer == AnswerOther)
 			return
 		case err == nil && answer == AnswerFenced:
-			// A restarted agent does not know the term yet; the leader tells it with the
-			// orders. Nothing is reported until the worker has confirmed which life it is: a
-			// report of an earlier one would end the present one.
+			// A restarted agent does not know the term yet; the leader tells it. Nothing is
+			// reported until the worker has confirmed which life it is: a report of an earlier
+			// one would end the present one.
+			_, _ = s.askLeader() // Without an answer, the next refusal asks again.
 			s.pause(retryPause)
 			continue
 		case err != nil || answer != AnswerDone:
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -97,7 +97,11 @@
 // Leader is where reports go and orders come from; *jobclient.Client implements it.
 type Leader interface {
 	Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error)
+	// Orders waits for orders, at the leader that the last report or question found.
 	Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error)
+	// CurrentOrders looks for the leader and returns what it has for a worker now: its
+	// term, and an epoch if it knows the worker.
+	CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error)
 }
 
 // Announcement is what a worker says of itself of its own accord.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -70,6 +70,8 @@
 	driver *runs.Driver
 	stop   context.CancelFunc
 	cut    bool
+	// found: the agent has found the leader; calls for orders don't look for it.
+	found  bool
 	lives  int
 	rate   int64
 	labels []string
@@ -100,6 +102,20 @@
 	if err != nil || resp.NotLeader || h.isCut() {
 		return nil, errCut
 	}
+	h.setFound(true)
+	return resp, nil
+}
+
+// CurrentOrders implements runs.Leader.
+func (h *simSide) CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error) {
+	if h.isCut() {
+		return nil, errCut
+	}
+	resp, err := h.s.dispatcher.Orders(ctx, &apiv1.JobsOrdersRequest{Worker: worker})
+	if err != nil || resp.NotLeader || h.isCut() {
+		return nil, errCut
+	}
+	h.setFound(true)
 	return resp, nil
 }
 
@@ -120,12 +136,13 @@
 
 // Orders implements runs.Leader.
 func (h *simSide) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
-	if h.isCut() {
+	if h.isCut() || !h.hasFound() {
 		return nil, errCut
 	}
 	r.WaitMs = 500
 	resp, err := h.s.dispatcher.Orders(ctx, r)
 	if err != nil || resp.NotLeader || h.isCut() {
+		h.setFound(false)
 		return nil, errCut
 	}
 	return resp, nil
@@ -137,6 +154,18 @@
 	return h.cut
 }
 
+func (h *simSide) hasFound() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.found
+}
+
+func (h *simSide) setFound(found bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.found = found
+}
+
 func (h *simSide) setCut(cut bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -176,7 +205,7 @@
 	ctx, cancel := context.WithCancel(h.s.ctx)
 	driver := runs.New(runs.Options{Worker: workerOf{h}, Leader: h, Logger: h.s.logger})
 	h.mu.Lock()
-	h.driver, h.stop = driver, cancel
+	h.driver, h.stop, h.found = driver, cancel, false
 	h.mu.Unlock()
 	h.s.loops.Go(func() { driver.Run(ctx) })
 }
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -281,6 +281,32 @@
 	return found, nil
 }
 
+// CurrentOrders looks for the leader and returns its orders for a worker, without waiting
+// for any. Errors: ErrNoLeader.
+func (c *Client) CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error) {
+	var found *apiv1.JobsOrdersResponse
+	cause := ErrNoLeader
+	c.forwarder.Ask(ctx, true, func(ctx context.Context, address string) (string, bool) {
+		resp, err := c.jobs(address).Orders(ctx, &apiv1.JobsOrdersRequest{Worker: worker})
+		if err != nil {
+			cause = errors.Mark(errors.Wrapf(err, "orders of %s", address), ErrNoLeader)
+			return "", false
+		}
+		if resp.NotLeader {
+			cause = errors.Mark(errors.Newf("%s does not lead", address), ErrNoLeader)
+			return resp.LeaderAddress, false
+		}
+		found = resp
+		return "", true
+	})
+	if found == nil {
+		c.noteLeader(ctx, cause)
+		return nil, cause
+	}
+	c.noteLeader(ctx, nil)
+	return found, nil
+}
+
 // Orders waits for orders to a worker, at the leader as last known. Errors:
 // ErrNoLeader, or that of the call.
 func (c *Client) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
--- a/jobclient/directory_test.go
+++ b/jobclient/directory_test.go
@@ -183,7 +183,46 @@
 	if _, err := c.Report(briefly(t), &apiv1.JobsReportRequest{}); !errors.Is(err, ErrNoLeader) {
 		t.Errorf("report: %v", err)
 	}
+	if _, err := c.CurrentOrders(briefly(t), "w1"); !errors.Is(err, ErrNoLeader) {
+		t.Errorf("orders: %v", err)
+	}
 	if c.forwarder.LeaderAddress() != "" {
 		t.Error("a host without a replica is taken for the leader")
 	}
 }
+
+// leadingMember gives orders if it leads.
+type leadingMember struct {
+	member
+	leads bool
+}
+
+func (m *leadingMember) Orders(_ context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
+	if !m.leads {
+		return &apiv1.JobsOrdersResponse{NotLeader: true}, nil
+	}
+	return &apiv1.JobsOrdersResponse{Term: 7, Epoch: uint64(len(r.Worker))}, nil
+}
+
+// Symptom: an agent that was restarted never learns the term. Sequence: it knows no leader,
+// and asks for its worker's orders. Cause: calls for orders go to the known leader only.
+func TestCurrentOrdersLookForTheLeader(t *testing.T) {
+	serve := func(leads bool) *host {
+		return startHost(t, func(string) (apiv1.Jobs, apiv1.Control) {
+			m := &leadingMember{leads: leads}
+			return m, m
+		})
+	}
+	follower, leader := serve(false), serve(true)
+	c := New([]string{follower.address, leader.address}, zap.NewNop())
+	if _, err := c.Orders(t.Context(), &apiv1.JobsOrdersRequest{Worker: "w1"}); !errors.Is(err, ErrNoLeader) {
+		t.Fatalf("a leader is known: %v", err)
+	}
+	resp, err := c.CurrentOrders(t.Context(), "w1")
+	if err != nil || resp.Term != 7 || resp.Epoch != 2 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if resp, err := c.Orders(t.Context(), &apiv1.JobsOrdersRequest{Worker: "w1"}); err != nil || resp.Term != 7 {
+		t.Errorf("the leader is not known now: %v, %v", resp, err)
+	}
+}
