jobqueue: a worker that a move or wave names by its id alone gets no work

Cause: the list of hosts shows a life before its first report, so the step is noted with the bare id; the life reports, gets work under its whole name, and the order, of which a call was in doubt, is carried out and ends it. The planner looks both names up now.

--- a/jobqueue/waves.go
+++ b/jobqueue/waves.go
@@ -195,8 +195,13 @@
 	}
 }
 
-// Leaving reports whether a worker is emptied for its host's maintenance or move.
-func (m *Machine) Leaving(worker string) bool { return m.leaving[worker] }
+// Leaving reports whether a worker is emptied for its host's maintenance or move. An order
+// may name it by its id alone, where the list of hosts showed it before its first report.
+// What goes wrong without that: it gets work, and the order, carried out late, ends it. The
+// log itself compares whole names, as it did before starts were told.
+func (m *Machine) Leaving(worker string) bool {
+	return m.leaving[worker] || m.leaving[ParseIncarnation(worker).WorkerID]
+}
 
 // Waves returns the waves by number.
 func (m *Machine) Waves() []*Wave {
