--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -120,16 +120,16 @@
 	hosts, err := d.opts.Hosts.List(ctx)
 	d.hosts.Note(err)
 	d.countCall("dispatch.host_lists", err)
-	d.opts.Replica.ReadState(func(m *state.Machine) { nameLives(hosts, m.CallerJobs()) })
+	d.opts.Replica.ReadState(func(m *state.Machine) { nameIncarnations(hosts, m.CallerJobs()) })
 	return hosts, err
 }
 
-// nameLives gives the workers of a list, which names them by their ids, the names of their
+// nameIncarnations gives the workers of a list, which names them by their ids, the names of their
 // newest lives in the log. What goes wrong without it: a worker that is back from its host's
 // maintenance under its id counts as the one before, and the wave never ends; and a worker
 // that is to leave gets work, since the log knows it by another name.
-func nameLives(hosts map[string]schedule.HostView, m *jobqueue.Machine) {
-	lives := m.NewestLives()
+func nameIncarnations(hosts map[string]schedule.HostView, m *jobqueue.Machine) {
+	lives := m.NewestIncarnations()
 	for name, view := range hosts {
 		life, known := lives[view.Worker]
 		if !known {
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -38,7 +38,7 @@
 // outdated reports whether a newer report of the worker was taken in before this one, and
 // notes it otherwise. The same report may come twice, through two control hosts.
 func (o *reportOrder) outdated(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
-	if o.earlierLife(m, r.Worker) {
+	if o.earlierIncarnation(m, r.Worker) {
 		return true
 	}
 	if r.Session == 0 {
@@ -62,11 +62,11 @@
 	return false
 }
 
-// earlierLife reports whether a later life of the worker is known on its host. What goes
+// earlierIncarnation reports whether a later life of the worker is known on its host. What goes
 // wrong without it: a life that ended soon is heard of for the first time when its successor
 // is at work, and ends that one in the log; the successor's tasks run on and start elsewhere
 // as well, and it gets no work any more.
-func (o *reportOrder) earlierLife(m *jobqueue.Machine, w *apiv1.JobWorker) bool {
+func (o *reportOrder) earlierIncarnation(m *jobqueue.Machine, w *apiv1.JobWorker) bool {
 	life := jobqueue.ParseIncarnation(w.GetId())
 	if known := m.WorkerOf(w.GetHost()); known != nil && life.Precedes(jobqueue.ParseIncarnation(known.Spec.Id)) {
 		return true
--- a/jobqueue/incarnation.go
+++ b/jobqueue/incarnation.go
@@ -52,9 +52,9 @@
 	return i.WorkerID == other.WorkerID && i.StartedMs < other.StartedMs
 }
 
-// NewestLives returns the name of the newest incarnation that the log knows of each worker,
+// NewestIncarnations returns the name of the newest incarnation that the log knows of each worker,
 // by the worker's id. Who names workers by their ids alone is understood by it.
-func (m *Machine) NewestLives() map[string]string {
+func (m *Machine) NewestIncarnations() map[string]string {
 	newest := map[string]Incarnation{}
 	for _, w := range m.workers.values {
 		i := ParseIncarnation(w.Spec.Id)
@@ -69,10 +69,10 @@
 	return names
 }
 
-// NewestLife returns the name of the newest incarnation that the log knows of a worker that
+// NewestIncarnation returns the name of the newest incarnation that the log knows of a worker that
 // is named by its id alone; a name with a start, and one that nothing is known of, stay as
 // they are.
-func (m *Machine) NewestLife(name string) string {
+func (m *Machine) NewestIncarnation(name string) string {
 	newest := ParseIncarnation(name)
 	if newest.StartedMs != 0 {
 		return name
--- a/jobqueue/incarnation_test.go
+++ b/jobqueue/incarnation_test.go
@@ -41,17 +41,17 @@
 	}
 }
 
-func TestNewestLives(t *testing.T) {
+func TestNewestIncarnations(t *testing.T) {
 	m := New()
 	for _, id := range []string{"w1@5", "w1@7", "w2", "w1@6"} {
 		m.join(&apiv1.JobWorker{Id: id, Host: "h"})
 	}
-	got := m.NewestLives()
+	got := m.NewestIncarnations()
 	if len(got) != 2 || got["w1"] != "w1@7" || got["w2"] != "w2" {
 		t.Errorf("newest lives %v", got)
 	}
 	for name, want := range map[string]string{"w1": "w1@7", "w1@5": "w1@5", "w2": "w2", "w3": "w3", "": ""} {
-		if got := m.NewestLife(name); got != want {
+		if got := m.NewestIncarnation(name); got != want {
 			t.Errorf("the newest life of %q is %q", name, got)
 		}
 	}
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -136,7 +136,7 @@
 	}
 	return slices.ContainsFunc(m.Moves(), func(v jobqueue.Move) bool {
 		// The list may have named the worker before its first report told its start.
-		return p.returning(m, v, m.NewestLife(v.Worker), now) != nil
+		return p.returning(m, v, m.NewestIncarnation(v.Worker), now) != nil
 	})
 }
 
