--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// run has a driver serve its worker until the returned function is called. A test that fails
+// must end its driver too: virtual time would go on for ever.
+func run(d *runs.Driver) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { d.Run(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // with runs a driver on a stand-in worker in virtual time.
 func with(t *testing.T, l *leader, f func(d *runs.Driver, w *countingWorker)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -162,12 +174,7 @@
 		w := &countingWorker{RunWorker: fakes.NewRunWorker(spec("w1"), watch)}
 		w.Fault = w.fault
 		d := runs.New(runs.Options{Worker: w, Leader: l})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { d.Run(ctx) })
-		// A test that fails must end its driver too: virtual time would go on for ever.
-		defer running.Wait()
-		defer cancel()
+		defer run(d)()
 		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
 		f(d, w)
 	})
@@ -335,11 +342,7 @@
 	with(t, l, func(_ *runs.Driver, w *countingWorker) {
 		time.Sleep(2 * time.Second)
 		restarted := runs.New(runs.Options{Worker: w, Leader: l})
-		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		running.Go(func() { restarted.Run(ctx) })
-		defer running.Wait()
-		defer cancel()
+		defer run(restarted)()
 		announce(t, restarted, runs.Announcement{Worker: spec("w1"), Sequence: 2})
 		time.Sleep(2 * time.Second)
 		l.mu.Lock()
@@ -427,11 +430,7 @@
 		watch.Submitted(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
 		w := &partialWorker{countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(spec("w1"), watch)}}
 		d := runs.New(runs.Options{Worker: w, Leader: l})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { d.Run(ctx) })
-		defer running.Wait()
-		defer cancel()
+		defer run(d)()
 		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
 		time.Sleep(2 * time.Second)
 		if w.startCalls.Load() == 0 {
--- a/agent/runs/incarnation_test.go
+++ b/agent/runs/incarnation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,11 +75,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := fencedFirst{&countingWorker{RunWorker: fakes.NewRunWorker(spec("w1@2"), fakes.NewRunWatch())}}
 		d := runs.New(runs.Options{Worker: w, Leader: l})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { d.Run(ctx) })
-		defer running.Wait()
-		defer cancel()
+		defer run(d)()
 		f(d)
 	})
 }
@@ -165,11 +160,7 @@
 			t.Fatal(answer, err)
 		}
 		d := runs.New(runs.Options{Worker: w, Leader: l})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { d.Run(ctx) })
-		defer running.Wait()
-		defer cancel()
+		defer run(d)()
 		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
 		time.Sleep(3 * time.Second)
 		l.mu.Lock()
