quorum: a group that restarts whole elects at once; a new group is known to its members before it elects

Hypothesis: after a power cut the election is the longest part of the outage that is ours. Each replica waited a whole timeout, drawn between 0.5 and 1 s, for a leader that can't be there.

Found by it: TestNewAddressBesideASilentOldOne failed in 3 of 20 runs, since a group that is being founded elected before its third member knew it, and a lost disk then left no majority. Founding waits as before (0 of 100 runs). The same window was there before, smaller: 5 of 800 foundings had a leader before all members knew the group; now the members ask four times as often, 0 of 1,200. Ruled out: early looks deposing a leader that is there (TestRestartedFollowersLeaveTheLeader).

--- /dev/null
+++ b/quorum/early.go
@@ -0,0 +1,73 @@
+package quorum
+
+// A replica that starts knows its group from its disk, but not whether the group has a
+// leader. Where one leads, its heartbeat comes within a tick or two. Where all replicas
+// start together, as after a power cut, none comes, and to wait a whole election timeout for
+// it keeps every caller waiting for that long. So a replica that has just started and heard
+// nothing asks for a pre-vote after a few ticks already. That is harmless where a leader is
+// there: a pre-vote changes nothing, and replicas that hear the leader refuse it.
+const (
+	// firstLookTicks is the time until the first voter of the membership looks for votes,
+	// and lookStepTicks what each further one waits longer: were all to ask at once, they
+	// would share the votes out between them.
+	firstLookTicks = 2
+	lookStepTicks  = 2
+	// foundingIndex is where the log of a new group ends.
+	foundingIndex = 1
+)
+
+// beginStart opens the time of early looks. It ends with the first leader that is heard of,
+// and after two election timeouts: a replica that is cut off need not ask ten times a second.
+//
+// A group that is being founded waits as usual. What goes wrong otherwise: the first two of
+// three members commit before the third knows that it is one, and if a disk is lost then, no
+// majority is left that knows the group.
+func (r *Raft) beginStart() {
+	if r.log.lastIndex() > foundingIndex {
+		r.startTicks = 2 * r.cfg.ElectionTicks
+	}
+}
+
+func (r *Raft) tickStart() {
+	r.startTicks = max(0, r.startTicks-1)
+	r.voteTicks = max(0, r.voteTicks-1)
+}
+
+func (r *Raft) starting() bool { return r.startTicks > 0 }
+
+// timeout returns the time without a leader after which this replica looks for votes.
+func (r *Raft) timeout() int {
+	if r.starting() {
+		return min(r.electionTimeout, firstLookTicks+lookStepTicks*r.voterRank())
+	}
+	return r.electionTimeout
+}
+
+// voterRank is the number of voters before this replica in the membership.
+func (r *Raft) voterRank() int {
+	rank := 0
+	for _, replica := range r.membership.current().GetReplicas() {
+		if replica.GetId() == r.id {
+			break
+		}
+		if !replica.GetLearner() {
+			rank++
+		}
+	}
+	return rank
+}
+
+// noteVote notes that this replica gave its vote just now: it looks no more by itself until a
+// whole election timeout has passed.
+func (r *Raft) noteVote() {
+	r.voteTicks = r.cfg.ElectionTicks / 2
+	r.startTicks = 0
+}
+
+// expectsWinner reports whether a candidate other than from got this replica's vote a moment
+// ago and has not been heard of since. What goes wrong without it: the winner's disk is slow
+// to store its vote, so its first heartbeat comes after the early look of a replica that has
+// just started, and that one wins an election that nobody needs.
+func (r *Raft) expectsWinner(from uint64) bool {
+	return r.leader == 0 && r.voteTicks > 0 && r.vote != from
+}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -14,6 +14,7 @@
 	} else {
 		r.reset(Candidate, term)
 		r.vote = r.id
+		r.noteVote()
 	}
 	r.setLeader(0)
 	r.votes = map[uint64]bool{}
@@ -43,10 +44,13 @@
 func (r *Raft) handleVoteRequest(m *apiv1.QuorumMessage) {
 	preVote := m.GetKind() == apiv1.MessageKind_MESSAGE_KIND_PRE_VOTE
 	free := r.vote == m.GetFrom() || r.vote == 0 && r.leader == 0 || preVote && m.GetTerm() > r.term
-	grant := free && r.log.upToDate(m.GetIndex(), m.GetLogTerm())
+	grant := free && r.log.upToDate(m.GetIndex(), m.GetLogTerm()) && !(preVote && r.expectsWinner(m.GetFrom()))
 	r.answerVote(m, grant)
 	if grant && !preVote {
 		r.vote = m.GetFrom()
+		r.noteVote()
+	}
+	if grant && (!preVote || r.starting()) {
 		r.electionElapsed = 0
 	}
 }
--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -54,6 +54,10 @@
 
 const (
 	askTimeout = time.Second
+	// formingShare of an election timeout is the pause between two rounds of questions of a
+	// replica without a group: each member of a new group is to know it before two of them
+	// can have elected a leader.
+	formingShare = 4
 	// firstIndex and firstTerm are where every group's log begins.
 	firstIndex = 1
 	firstTerm  = 1
@@ -104,7 +108,7 @@
 			n.setGroup(membership)
 			return true, nil
 		}
-		n.pause(n.opts.electionTimeout())
+		n.pause(n.opts.electionTimeout() / formingShare)
 	}
 	return false, nil
 }
--- a/quorum/node/restart_test.go
+++ b/quorum/node/restart_test.go
@@ -79,3 +79,21 @@
 		}
 	})
 }
+
+// Symptom: a new group stops for good after its first acknowledgement, though only one disk
+// was lost.
+// Sequence: three hosts found a group; the first two to know it elect a leader and commit;
+// one of them loses its disk before the third has learnt that it is a member. Cause: the third
+// takes the membership from the founder only, which has forgotten it, and the one that is
+// left has no majority.
+func TestNewGroupElectsOnlyOnceItIsKnown(t *testing.T) {
+	forSeeds(t, 40, three, func(g *nodetest.Group) {
+		g.MustStart()
+		g.Leader()
+		for _, name := range g.Names() {
+			if g.Node(name).Status().Membership == nil {
+				g.T.Errorf("seed %d: there is a leader, and %s does not know the group", g.Seed, name)
+			}
+		}
+	})
+}
--- a/quorum/raft.go
+++ b/quorum/raft.go
@@ -89,6 +89,12 @@
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
+	// startTicks are the ticks left in which a replica that has just started may look
+	// for a leader early; see early.go.
+	startTicks int
+	// voteTicks are the ticks left in which the candidate that got this replica's vote is
+	// expected to win; see early.go.
+	voteTicks int
 
 	messages   []*apiv1.QuorumMessage
 	readStates []ReadState
@@ -111,6 +117,7 @@
 	if err := r.load(stored); err != nil {
 		return nil, err
 	}
+	r.beginStart()
 	r.becomeFollower(r.term, 0)
 	r.ready.saved = r.hardState()
 	r.ready.role, r.ready.term, r.ready.leader = r.role, r.term, r.leader
@@ -171,13 +178,14 @@
 // Tick tells the replica that one more tick has passed.
 func (r *Raft) Tick() {
 	r.electionElapsed++
+	r.tickStart()
 	r.expireForwardedReads()
 	if r.role == Leader {
 		r.tickLeader()
 		return
 	}
 	switch {
-	case r.electionElapsed < r.electionTimeout:
+	case r.electionElapsed < r.timeout():
 	case r.isVoter(r.id):
 		r.campaign(PreCandidate, false)
 	case r.leader != 0:
@@ -278,6 +286,9 @@
 	}
 	r.rejectReads()
 	r.leader = leader
+	if leader != 0 {
+		r.startTicks = 0
+	}
 }
 
 func (r *Raft) send(m *apiv1.QuorumMessage) {
