schedule: a serving task counts from its placement, not from its first report

Hypothesis: after a power cut all that ran starts in one round; the slack of a worker knew neither the serving tasks that the round gave it nor those that had not reported, so batch tasks started beside them at full speed, and tails of up to 22 times the objective took two seconds to fall back. Change: both count, and a worker has paces from its first starts on.

--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -65,11 +66,7 @@
 // Observe learns from a report of a worker and sets the paces of its backfilling
 // runs. It returns whether a pace changed.
 func (p *Planner) Observe(w *jobqueue.Worker, fleet Fleet, now time.Time) bool {
-	c := p.pacers[w.Spec.Id]
-	if c == nil {
-		c = &pacer{trust: 1, paces: map[jobqueue.RunID]uint32{}}
-		p.pacers[w.Spec.Id] = c
-	}
+	c := p.pacerOf(w.Spec.Id)
 	if now.Sub(c.at) < paceInterval {
 		return false
 	}
@@ -82,6 +79,16 @@
 	return p.setPaces(c, v, now)
 }
 
+// pacerOf returns a worker's pacer, a new one where there is none.
+func (p *Planner) pacerOf(worker string) *pacer {
+	c := p.pacers[worker]
+	if c == nil {
+		c = &pacer{trust: 1, paces: map[jobqueue.RunID]uint32{}}
+		p.pacers[worker] = c
+	}
+	return c
+}
+
 // setPaces sets the paces of a worker's backfilling runs and returns whether one
 // changed.
 func (p *Planner) setPaces(c *pacer, v workerView, now time.Time) bool {
@@ -98,13 +105,13 @@
 func (r *round) paceStarts() {
 	for _, s := range r.slots {
 		id := s.worker.Spec.Id
-		c := r.planner.pacers[id]
-		if len(s.started) == 0 || c == nil {
+		if len(s.started) == 0 && s.servingGiven == nil {
 			continue
 		}
 		v := viewOf(s.worker, r.fleet)
+		maps.Copy(v.steps, s.servingGiven)
 		v.backfill = append(v.backfill, s.started...)
-		if r.planner.setPaces(c, v, r.now) {
+		if r.planner.setPaces(r.planner.pacerOf(id), v, r.now) {
 			r.decision.Paced = append(r.decision.Paced, id)
 		}
 	}
@@ -131,7 +138,10 @@
 // workerView is what was last seen of a worker's runs.
 type workerView struct {
 	capacity int64
+	// serving are the serving runs at work; steps are those of all serving runs, with their
+	// images.
 	serving  []seenRun
+	steps    map[jobqueue.StepID]string
 	backfill []seenRun
 }
 
@@ -144,7 +154,7 @@
 func (s seenRun) share() float64 { return float64(s.Figure) / float64(s.run.Step.TailObjectiveMs) }
 
 func viewOf(w *jobqueue.Worker, fleet Fleet) workerView {
-	v := workerView{capacity: w.Spec.CpuMilli}
+	v := workerView{capacity: w.Spec.CpuMilli, steps: servingOn(w)}
 	for _, id := range w.SortedRuns() {
 		r := w.Runs[id]
 		o, seen := fleet.Observed(id)
@@ -158,16 +168,6 @@
 	return v
 }
 
-// servingSteps returns the steps of the serving runs that are at work, with their
-// images.
-func (v workerView) servingSteps() map[jobqueue.StepID]string {
-	steps := map[jobqueue.StepID]string{}
-	for _, s := range v.serving {
-		steps[s.run.ID.Task.StepID()] = s.run.Step.Image
-	}
-	return steps
-}
-
 // parts sums the processor time in use by image, in parts of the worker.
 func (v workerView) parts() map[string]float64 {
 	parts := map[string]float64{}
@@ -284,7 +284,7 @@
 // the most work there.
 func (p *Planner) paces(v workerView, trust float64, now time.Time) map[jobqueue.RunID]uint32 {
 	paces := map[jobqueue.RunID]uint32{}
-	left := p.interference.slackAt(now.Add(paceAhead), v.servingSteps(), trust, now)
+	left := p.interference.slackAt(now.Add(paceAhead), v.steps, trust, now)
 	costs := map[string]float64{}
 	for _, b := range v.backfill {
 		costs[b.run.Step.Image] = left.cost(b.run.Step, v.capacity) / float64(max(1, b.run.Step.CpuMilli))
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,12 +30,17 @@
 	}
 	spec := s.worker.Spec
 	then := r.now.Add(placeAhead)
-	left := r.planner.interference.slackAt(then, servingOn(s.worker), r.planner.trust(spec.Id), r.now)
+	serving := servingOn(s.worker)
+	maps.Copy(serving, s.servingGiven)
+	left := r.planner.interference.slackAt(then, serving, r.planner.trust(spec.Id), r.now)
 	for _, run := range s.worker.Runs {
 		if run.Step.Backfill {
 			left.take(run.Step, spec.CpuMilli, 1)
 		}
 	}
+	for _, started := range s.started {
+		left.take(started.run.Step, spec.CpuMilli, 1)
+	}
 	s.slack = &left
 	return left
 }
@@ -224,6 +230,9 @@
 	}
 	r.decision.Starts = append(r.decision.Starts, start)
 	s.give(c, 1)
+	if c.step.Spec.TailObjectiveMs > 0 {
+		s.noteServing(c)
+	}
 	if c.step.Spec.Backfill {
 		r.slackOf(s).take(c.step.Spec, s.worker.Spec.CpuMilli, 1)
 		s.started = append(s.started, seenRun{run: &jobqueue.Run{ID: jobqueue.RunID{Task: id, Number: run}, Step: c.step.Spec}})
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -17,11 +17,14 @@
 	ownServing bool
 	// slack is how much headroom backfilling tasks may still take of the serving ones, nil
 	// until it is asked for.
-	slack    *slack
-	usable   bool
-	leaving  bool
-	avoided  bool
-	doubtful bool
+	slack *slack
+	// servingGiven are the serving steps that this round has given it tasks of, with their
+	// images.
+	servingGiven map[jobqueue.StepID]string
+	usable       bool
+	leaving      bool
+	avoided      bool
+	doubtful     bool
 	// given counts this round's starts by step of an occurrence, nil before the first.
 	given map[jobqueue.StepID]int
 	// started are this round's starts of backfilling tasks.
@@ -143,3 +146,13 @@
 	}
 	s.given[c.key()] += n
 }
+
+// noteServing notes that the worker got a task of a serving step: what is left of its slack
+// is to be counted anew.
+func (s *slot) noteServing(c *candidate) {
+	if s.servingGiven == nil {
+		s.servingGiven = map[jobqueue.StepID]string{}
+	}
+	s.servingGiven[c.key()] = c.step.Spec.Image
+	s.slack = nil
+}
