--- a/record/history.go
+++ b/record/history.go
@@ -122,8 +122,7 @@
 	away []span
 	// refused counts the submissions that were refused, by path.
 	refused map[string]int
-	// waitsAt and stopsAt are single events, for the table by time.
-	events []moment
+	events  []moment
 }
 
 // moment is something that happened, for the table by time.
@@ -150,9 +149,38 @@
 	}
 	h.away = leads.away()
 	h.sortRuns()
+	h.dateLosses()
 	return h
 }
 
+// lossToldWithin is the time after a new leader is ready in which it tells of what was lost
+// before.
+const lossToldWithin = time.Second
+
+// dateLosses puts losses that a new leader tells of to the end of the leader before: where
+// both went with the same power cut, nobody saw the runs end.
+func (h *history) dateLosses() {
+	for _, j := range h.jobs {
+		for _, s := range j.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					r.dateLoss(h.away)
+				}
+			}
+		}
+	}
+}
+
+func (r *run) dateLoss(away []span) {
+	for _, a := range away {
+		told := r.end.Sub(a.to)
+		if r.why == HostGone && r.start.Before(a.from) && told >= 0 && told <= lossToldWithin {
+			r.end = a.from
+			return
+		}
+	}
+}
+
 // zonesOf returns the availability zone of each process that named one at its start.
 func zonesOf(lines []trace.Line) map[string]string {
 	zones := map[string]string{}
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// A power cut takes the leader and a worker together; the next leader tells of the loss when
+// the worker is back. The task was away since the cut, not since the line.
+func TestLossThatANewLeaderTellsOf(t *testing.T) {
+	lines := logOf(t, "entry-1", entryStarted, request(0, "POST", "l1", 200))
+	lines = append(lines, logOf(t, "control-1",
+		`0 "part":"dispatch","msg":"leader is ready","term":1`,
+		`10 "part":"dispatch","msg":"runs","term":1,"lasting":{"w1":["l1/0/0/0 1 10"]}`,
+		`1000 "part":"group","msg":"state","term":1,"leads":true`,
+	)...)
+	lines = append(lines, logOf(t, "control-2",
+		`3000 "part":"dispatch","msg":"leader is ready","term":2`,
+		`3200 "part":"dispatch","msg":"runs are lost","term":2,"reason":"worker was replaced","lost":{"w1":["l1/0/0/0 1 0"]}`,
+		`3300 "part":"dispatch","msg":"runs","term":2,"lasting":{"w2":["l1/0/0/0 2 0"]}`,
+		`4000 "part":"group","msg":"state","term":2,"leads":true`,
+	)...)
+	r := record.Of(trace.Order(lines).Lines, record.Options{})
+	wantSeconds(t, r.Lasting[0].Costs, record.LeaderAway, 2)
+	wantSeconds(t, r.Lasting[0].Costs, record.HostGone, 0.3)
+}
+
 // Lines that another program wrote, or that lack fields, are passed over.
 func TestForeignLines(t *testing.T) {
 	lines := logOf(t, "control-1",
