--- a/schedule/move.go
+++ b/schedule/move.go
@@ -11,9 +11,7 @@
 	// run it at the usual speed or more, and lowPaceTime how long it must have been
 	// that low: two reports, so that a tail that is only long for a moment moves
 	// nothing. A move costs the work since the last report and a start, some tenths of
-	// a second, and a step ends with its slowest task: moving at 40 after 1 s rather than at
-	// 20 after 2 s brought calm days from 0.648 to 0.672 and from 0.714 to 0.723 of
-	// worth (four days a site).
+	// a second, and a step ends with its slowest task.
 	lowPace     = 40
 	lowPaceTime = time.Second
 	// movesPerRound bounds the runs that are moved at once.
@@ -23,8 +21,7 @@
 // moveHeldBack stops backfilling runs that are slowed down for good beside the
 // serving tasks they disturb, if another worker would bear them; they go on there
 // from their checkpoint. What goes wrong without it: they hold memory and make no
-// progress while the processors of other workers are idle: backfilling tasks got
-// 0.20 of the processors of a pool of which 0.50 was free, 0.22 being held back.
+// progress while the processors of other workers are idle.
 func (r *round) moveHeldBack() {
 	seen := map[jobqueue.RunID]time.Time{}
 	moves := 0
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -23,9 +23,8 @@
 	calmShare  = 0.7
 	// cutFactor and restoreStep change a worker's budget, minTrust is the least share
 	// of it: the estimates follow a disturbance within a report, and a budget that is
-	// cut deeper idles the worker for seconds (0.05 instead of 0.5: 0.441 and 0.366 of
-	// worth over fifteen troubled days instead of 0.464 and 0.382). What lasts longer
-	// than silenceAfter ends in a standstill.
+	// cut deeper idles the worker for seconds. What lasts longer than silenceAfter ends in
+	// a standstill.
 	cutFactor   = 0.5
 	restoreStep = 0.25
 	minTrust    = 0.5
--- a/schedule/slack.go
+++ b/schedule/slack.go
@@ -10,9 +10,8 @@
 
 const (
 	// keptHeadroom is what backfilling tasks have to leave of a serving task's
-	// headroom: forecasts are off by 0.46. Between 1.2 and 1.4 the worth of thirty
-	// troubled days stays the same; at 1.4 serving tasks are over their objectives or
-	// paced down for 129 s a day, at 1.2 for 152 s.
+	// headroom: at 1 the tail is at its objective, and forecasts are off by about as much as
+	// is kept beyond it.
 	keptHeadroom = 1.4
 	// minSlack stands for a slack that is used up: an image that adds next to nothing
 	// may still come.
@@ -21,9 +20,7 @@
 	// the time for which the paces that follow from it hold.
 	paceAhead = 600 * time.Millisecond
 	// placeAhead is the same for a task that is placed, of which most work for some
-	// seconds. Placing by the load of that moment instead of an image's average brought
-	// thirty troubled days from 0.517 to 0.562 of worth at Wrekinford, and changed
-	// nothing at the auction house (0.510 and 0.508).
+	// seconds.
 	placeAhead = time.Second
 )
 
