--- /dev/null
+++ b/agent/runs/session.go
@@ -0,0 +1,191 @@
+package runs
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// session is the time with one incarnation of the worker.
+type session struct {
+	d           *Driver
+	incarnation string
+	ctx         context.Context
+	cancel      context.CancelFunc
+	slots       chan struct{}
+	// calls are the calls of the worker that are under way; they are begun with mu held.
+	calls conc.WaitGroup
+	// number tells the session from others of the same worker, and reports counts what
+	// was sent to the leader; only watch sends.
+	number, reports uint64
+	// beganMs is what the worker's clock showed at its first answer in the session.
+	beganMs int64
+	// admitted: the leader may be told of the worker; only watch uses it.
+	admitted bool
+
+	mu        sync.Mutex
+	announced Announcement
+	// over is set at the end; no call is begun after that.
+	over bool
+	term uint64
+	// epoch is that of the lease; see order.epoch.
+	epoch uint64
+	// deadlineMs is the end of the leader's lease, a reading of the worker's clock.
+	deadlineMs int64
+	// status is what the worker last said of itself.
+	status Status
+	// clock is what the worker's clock last showed; sentMs the latest deadline that
+	// the worker may have got, answered or not.
+	clock        clockReading
+	sentMs       int64
+	acknowledged uint64
+	// lapseReported: the leader knows that the worker's lease ran out.
+	lapseReported bool
+	orders        map[jobqueue.RunID]*order
+	refusals      map[jobqueue.RunID]string
+}
+
+// isUndated reports whether a name is that of the session's worker without its start.
+func (s *session) isUndated(incarnation string) bool {
+	return incarnation == jobqueue.ParseIncarnation(s.incarnation).WorkerID
+}
+
+func incarnationOf(s *session) string {
+	if s == nil {
+		return ""
+	}
+	return s.incarnation
+}
+
+func (d *Driver) newSession(a Announcement) *session {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &session{
+		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, announced: a, number: rand.Uint64(), term: d.term.Load(),
+		slots:  make(chan struct{}, startsAtOnce),
+		orders: map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{},
+	}
+}
+
+// run serves one incarnation until it is gone.
+func (s *session) run() {
+	var loops conc.WaitGroup
+	loops.Go(s.watch)
+	loops.Go(s.follow)
+	loops.Wait()
+	s.cancel()
+	s.mu.Lock()
+	s.over = true
+	s.mu.Unlock()
+	s.calls.Wait()
+}
+
+// announce takes in a further announcement of the incarnation, unless it names another
+// pool: an incarnation stays in one. What goes wrong without that: an announcement that
+// another program wrote takes a worker that is well out of use.
+func (s *session) announce(a Announcement) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pool := s.announced.Worker.Pool; a.Worker.Pool != pool {
+		return errors.Newf("worker %.60q is of pool %.40q, not %.40q", s.incarnation, pool, a.Worker.Pool)
+	}
+	departed := s.announced.Departed
+	draining := s.announced.Worker.Draining || a.Worker.Draining
+	if a.Sequence >= s.announced.Sequence {
+		s.announced = a
+	}
+	s.announced.Departed = departed
+	s.announced.Worker.Draining = draining
+	return nil
+}
+
+func (s *session) noteDeparture() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced.Departed = true
+}
+
+// noteTerm takes in what a leader told of its term; s.mu is held.
+func (s *session) noteTerm(term uint64) {
+	s.term = max(s.term, term)
+	s.d.term.Note(term)
+}
+
+func (s *session) announcement() Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced
+}
+
+// watch holds the worker's lease and reports, until the incarnation is gone.
+func (s *session) watch() {
+	defer s.cancel()
+	wait := time.Duration(0)
+	for s.ctx.Err() == nil {
+		asked := s.d.opts.Now()
+		status, answer, err := s.renew(wait)
+		received := s.d.opts.Now()
+		gone := s.announcement().Departed || answer == AnswerOther
+		switch {
+		case gone:
+			s.depart(answer == AnswerOther)
+			return
+		case err == nil && answer == AnswerFenced:
+			// A restarted agent does not know the term yet; the leader tells it. Nothing is
+			// reported until the worker has confirmed which life it is: a report of an earlier
+			// one would end the present one.
+			_, _ = s.askLeader() // Without an answer, the next refusal asks again.
+			s.pause(retryPause)
+			continue
+		case err != nil || answer != AnswerDone:
+			event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
+			s.reportLapse()
+			s.pause(retryPause)
+			continue
+		}
+		s.heard(status, received)
+		s.beganMs = cmp.Or(s.beganMs, status.ClockMs)
+		if !s.admissible(status) {
+			wait = 0
+			s.pause(admissionPause)
+			continue
+		}
+		s.settleStops(status, asked)
+		reported := s.report(status, received)
+		wait = renewalWait
+		if !reported || status.Partial {
+			// An end that can't be read is never acknowledged, so the worker would answer
+			// each call at once.
+			s.pause(retryPause)
+		}
+	}
+}
+
+func (s *session) renew(wait time.Duration) (Status, Answer, error) {
+	s.mu.Lock()
+	o := Order{Incarnation: s.incarnation, Term: s.term}
+	r := Renewal{DeadlineMs: s.nextDeadline(), Acknowledged: s.acknowledged, Wait: wait}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
+	defer cancel()
+	status, answer, err := s.d.opts.Worker.Renew(ctx, o, r)
+	s.d.worker.Note(err)
+	s.d.countCall("renew", answer, err)
+	return status, answer, err
+}
+
+func (s *session) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/dispatch/leadership.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+	"github.com/cairnlift/cairnlift/schedule"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+// leadership is what the leader of a term knows beside the log.
+type leadership struct {
+	term     uint64
+	planner  *schedule.Planner
+	leases   *leaseTable
+	reports  *reportOrder
+	observed map[jobqueue.RunID]schedule.Observation
+	// paceRevisions grow with each change of a worker's paces.
+	paceRevisions map[string]uint64
+	// waits are the steps that found no worker in the last round.
+	waits       []schedule.Wait
+	waitsLogged map[jobqueue.StepID]waitLogged
+	runLog      *runLog
+	// saved are the runs' last checkpoints; lostTold is the epoch of each worker in which
+	// the loss of its runs was told.
+	saved    map[jobqueue.RunID]saved
+	lostTold map[string]uint64
+	// overTold are the jobs whose end was told.
+	overTold map[string]bool
+	moves    *movesLed
+	// keptAt is when a plan last carried what the planner has learnt, and reported is
+	// set once a worker reported since.
+	keptAt   time.Time
+	reported bool
+}
+
+// lead makes this replica ready to lead when it was elected.
+func (d *Dispatcher) lead(ctx context.Context) bool {
+	term, ok := d.opts.Replica.Leading()
+	d.mu.Lock()
+	current := d.leading
+	if current != nil && (!ok || current.term != term) {
+		d.resign()
+	}
+	d.mu.Unlock()
+	if !ok {
+		return false
+	}
+	if current != nil && current.term == term {
+		return true
+	}
+	return d.takeOver(ctx, term)
+}
+
+// resign forgets what the leader of a term knows; d.mu is held.
+func (d *Dispatcher) resign() {
+	d.leading.runLog.write(d.leading.term, d.opts.Now())
+	d.leading = nil
+}
+
+// takeOver commits that this replica leads: once that is applied, everything of
+// earlier terms is, and nothing that an earlier leader decided is accepted any
+// more. Each worker's lease counts as renewed at that moment, since the earlier
+// leader may have renewed it until then.
+func (d *Dispatcher) takeOver(ctx context.Context, term uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	res, err := d.opts.Replica.ProposeLocal(ctx, &apiv1.Command{
+		Body: &apiv1.Command_Lead{Lead: &apiv1.Lead{Term: term}},
+	})
+	if err != nil || res.Verdict != apiv1.Verdict_VERDICT_ACCEPTED {
+		event.LeaderNotReady.Write(d.logger, event.Term(term), event.Err(err))
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Now()
+	planner := schedule.New()
+	d.opts.Replica.ReadState(func(m *state.Machine) { planner.Resume(m.CallerJobs().Learnt(), now) })
+	d.leading = &leadership{
+		term:          term,
+		planner:       planner,
+		keptAt:        now,
+		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
+		reports:       newReportOrder(),
+		observed:      map[jobqueue.RunID]schedule.Observation{},
+		paceRevisions: map[string]uint64{},
+		waitsLogged:   map[jobqueue.StepID]waitLogged{},
+		runLog:        newRunLog(d.logger),
+		saved:         map[jobqueue.RunID]saved{},
+		lostTold:      map[string]uint64{},
+		overTold:      map[string]bool{},
+		moves:         newMovesLed(now),
+	}
+	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
+	return true
+}
+
+// ready returns what the leader of the current term knows, nil when this replica
+// is not ready to lead. d.mu is held.
+func (d *Dispatcher) ready() *leadership {
+	term, ok := d.opts.Replica.Leading()
+	if !ok || d.leading == nil || d.leading.term != term {
+		return nil
+	}
+	return d.leading
+}
+
+// learntToKeep returns what the planner has learnt, if it is time to keep it for the
+// next leader.
+func (l *leadership) learntToKeep(now time.Time) *apiv1.Learnt {
+	if !l.reported || now.Sub(l.keptAt) < keepInterval {
+		return nil
+	}
+	l.keptAt, l.reported = now, false
+	return l.planner.Learnt(now)
+}
+
+// endLapses lets the leases of lapsed workers be renewed again. A plan whose fate
+// is unknown may still be committed, and would give runs up under leases renewed
+// meanwhile: so this replica gets ready to lead anew, which ends after whatever
+// becomes of the plan.
+func (d *Dispatcher) endLapses(term uint64, workers []string, committed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leading == nil || d.leading.term != term {
+		return
+	}
+	if !committed {
+		d.resign()
+		return
+	}
+	for _, w := range workers {
+		d.leading.leases.endLapse(w)
+	}
+}
+
+func (l *leadership) fleet(now time.Time) schedule.Fleet { return fleetView{l, now} }
+
+// checkpoints returns the newest known checkpoints of a worker's runs.
+func (l *leadership) checkpoints(w *jobqueue.Worker) []*apiv1.RunCheckpoint {
+	if w == nil {
+		return nil
+	}
+	var list []*apiv1.RunCheckpoint
+	for _, id := range w.SortedRuns() {
+		if o := l.observed[id]; o.Checkpoint != "" {
+			list = append(list, &apiv1.RunCheckpoint{Task: id.Task.Ref(), Run: id.Number, Checkpoint: o.Checkpoint})
+		}
+	}
+	return list
+}
+
+// forgetRuns drops the observations of runs that are over.
+func (l *leadership) forgetRuns(m *jobqueue.Machine) {
+	for id := range l.observed {
+		if m.Run(id) == nil {
+			delete(l.observed, id)
+			delete(l.saved, id)
+		}
+	}
+	for id := range l.overTold {
+		if m.Job(id) == nil {
+			delete(l.overTold, id)
+		}
+	}
+}
+
+// fleetView implements schedule.Fleet.
+type fleetView struct {
+	l   *leadership
+	now time.Time
+}
+
+// Reachable implements schedule.Fleet.
+func (v fleetView) Reachable(worker string) bool { return v.l.leases.reachable(worker, v.now) }
+
+// Observed implements schedule.Fleet.
+func (v fleetView) Observed(id jobqueue.RunID) (schedule.Observation, bool) {
+	o, ok := v.l.observed[id]
+	return o, ok
+}
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -256,55 +256,52 @@
 // ErrNoLeader says that no leader answered.
 var ErrNoLeader = errors.New("no leader answered")
 
-// Report carries a worker's report to the leader. Errors: ErrNoLeader.
-func (c *Client) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	var found *apiv1.JobsReportResponse
+// fromLeader is an answer that only the leader gives in earnest.
+type fromLeader interface {
+	GetNotLeader() bool
+	GetLeaderAddress() string
+}
+
+// askLeader looks for the leader with a call that any control host answers, and returns the
+// leader's answer. Errors: ErrNoLeader.
+func askLeader[T fromLeader](ctx context.Context, c *Client, what string, call func(context.Context, apiv1.Jobs) (T, error)) (T, error) {
+	var found T
+	var answered bool
 	cause := ErrNoLeader
 	c.forwarder.Ask(ctx, true, func(ctx context.Context, address string) (string, bool) {
-		resp, err := c.jobs(address).Report(ctx, r)
+		resp, err := call(ctx, c.jobs(address))
 		if err != nil {
-			cause = errors.Mark(errors.Wrapf(err, "report to %s", address), ErrNoLeader)
+			cause = errors.Mark(errors.Wrapf(err, "%s %s", what, address), ErrNoLeader)
 			return "", false
 		}
-		if resp.NotLeader {
+		if resp.GetNotLeader() {
 			cause = errors.Mark(errors.Newf("%s does not lead", address), ErrNoLeader)
-			return resp.LeaderAddress, false
+			return resp.GetLeaderAddress(), false
 		}
-		found = resp
+		found, answered = resp, true
 		return "", true
 	})
-	if found == nil {
+	if !answered {
 		c.noteLeader(ctx, cause)
-		return nil, cause
+		return found, cause
 	}
 	c.noteLeader(ctx, nil)
 	return found, nil
 }
 
+// Report carries a worker's report to the leader. Errors: ErrNoLeader.
+func (c *Client) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	return askLeader(ctx, c, "report to", func(ctx context.Context, host apiv1.Jobs) (*apiv1.JobsReportResponse, error) {
+		return host.Report(ctx, r)
+	})
+}
+
 // CurrentOrders looks for the leader and returns its orders for a worker, without waiting
 // for any. Errors: ErrNoLeader.
 func (c *Client) CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error) {
-	var found *apiv1.JobsOrdersResponse
-	cause := ErrNoLeader
-	c.forwarder.Ask(ctx, true, func(ctx context.Context, address string) (string, bool) {
-		resp, err := c.jobs(address).Orders(ctx, &apiv1.JobsOrdersRequest{Worker: worker})
-		if err != nil {
-			cause = errors.Mark(errors.Wrapf(err, "orders of %s", address), ErrNoLeader)
-			return "", false
-		}
-		if resp.NotLeader {
-			cause = errors.Mark(errors.Newf("%s does not lead", address), ErrNoLeader)
-			return resp.LeaderAddress, false
-		}
-		found = resp
-		return "", true
+	return askLeader(ctx, c, "orders of", func(ctx context.Context, host apiv1.Jobs) (*apiv1.JobsOrdersResponse, error) {
+		return host.Orders(ctx, &apiv1.JobsOrdersRequest{Worker: worker})
 	})
-	if found == nil {
-		c.noteLeader(ctx, cause)
-		return nil, cause
-	}
-	c.noteLeader(ctx, nil)
-	return found, nil
 }
 
 // Orders waits for orders to a worker, at the leader as last known. Errors:
