--- a/quorum/early.go
+++ b/quorum/early.go
@@ -7,16 +7,16 @@
 // nothing asks for a pre-vote after a few ticks already. That is harmless where a leader is
 // there: a pre-vote changes nothing, and replicas that hear the leader refuse it.
 const (
-	// firstLookTicks is the time until the first voter of the membership looks for votes,
-	// and lookStepTicks what each further one waits longer: were all to ask at once, they
-	// would share the votes out between them.
-	firstLookTicks = 2
-	lookStepTicks  = 2
+	// firstPreVoteTicks is the time until the first voter of the membership asks, and
+	// preVoteStepTicks what each further one waits longer: were all to ask at once, they
+	// would split the votes.
+	firstPreVoteTicks = 2
+	preVoteStepTicks  = 2
 	// foundingIndex is where the log of a new group ends.
 	foundingIndex = 1
 )
 
-// beginStart opens the time of early looks. It ends with the first leader that is heard of,
+// beginStart opens the time of early pre-votes. It ends with the first leader that is heard of,
 // and after two election timeouts: a replica that is cut off need not ask ten times a second.
 //
 // A group that is being founded waits as usual. What goes wrong otherwise: the first two of
@@ -35,10 +35,10 @@
 
 func (r *Raft) starting() bool { return r.startTicks > 0 }
 
-// timeout returns the time without a leader after which this replica looks for votes.
+// timeout returns the ticks without a leader after which this replica asks for pre-votes.
 func (r *Raft) timeout() int {
 	if r.starting() {
-		return min(r.electionTimeout, firstLookTicks+lookStepTicks*r.voterRank())
+		return min(r.electionTimeout, firstPreVoteTicks+preVoteStepTicks*r.voterRank())
 	}
 	return r.electionTimeout
 }
@@ -57,8 +57,8 @@
 	return rank
 }
 
-// noteVote notes that this replica gave its vote just now: it looks no more by itself until a
-// whole election timeout has passed.
+// noteVote notes that this replica gave its vote just now: it does not campaign itself until
+// a whole election timeout has passed.
 func (r *Raft) noteVote() {
 	r.voteTicks = r.cfg.ElectionTicks / 2
 	r.startTicks = 0
@@ -66,7 +66,7 @@
 
 // expectsWinner reports whether a candidate other than from got this replica's vote a moment
 // ago and has not been heard of since. What goes wrong without it: the winner's disk is slow
-// to store its vote, so its first heartbeat comes after the early look of a replica that has
+// to store its vote, so its first heartbeat comes after the early pre-vote of a replica that has
 // just started, and that one wins an election that nobody needs.
 func (r *Raft) expectsWinner(from uint64) bool {
 	return r.leader == 0 && r.voteTicks > 0 && r.vote != from
--- a/quorum/raft.go
+++ b/quorum/raft.go
@@ -89,8 +89,8 @@
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
-	// startTicks are the ticks left in which a replica that has just started may look
-	// for a leader early; see early.go.
+	// startTicks are the ticks left in which a replica that has just started asks for
+	// pre-votes early; see early.go.
 	startTicks int
 	// voteTicks are the ticks left in which the candidate that got this replica's vote is
 	// expected to win; see early.go.
