--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -38,7 +38,7 @@
 	s.dispatcher = dispatch.New(o)
 	s.loops.Go(func() { s.dispatcher.Run(ctx) })
 	for i := range workers {
-		h := &simSide{s: s, name: fmt.Sprintf("host%d", i), pool: simPool}
+		h := newSimSide(s, fmt.Sprintf("host%d", i))
 		h.startWorker()
 		h.startAgent()
 		s.hosts = append(s.hosts, h)
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -13,9 +12,9 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/cairnlift/cairnlift/agent/runs"
+	"github.com/cairnlift/cairnlift/agent/runs/runstest"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
 	"github.com/cairnlift/cairnlift/control/controltest"
@@ -63,15 +62,13 @@
 
 // simSide is a worker's host: worker, agent and the link to the leader.
 type simSide struct {
+	*runstest.Link
 	s      *sim
 	name   string
 	mu     sync.Mutex
 	worker *fakes.RunWorker
 	driver *runs.Driver
 	stop   context.CancelFunc
-	cut    bool
-	// found: the agent has found the leader; calls for orders don't look for it.
-	found  bool
 	lives  int
 	rate   int64
 	labels []string
@@ -82,94 +79,26 @@
 	reported *apiv1.JobsReportRequest
 }
 
-var errCut = errors.New("cut off")
-
-// Report implements runs.Leader.
-func (h *simSide) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	if h.isCut() {
-		if h.s.intN(4) == 0 {
-			h.holdUp(proto.CloneOf(r))
-		}
-		<-ctx.Done()
-		return nil, errCut
-	}
-	if !r.Lapsed {
-		h.mu.Lock()
-		h.reported = proto.CloneOf(r)
-		h.mu.Unlock()
-	}
-	resp, err := h.s.dispatcher.Report(ctx, r)
-	if err != nil || resp.NotLeader || h.isCut() {
-		return nil, errCut
-	}
-	h.setFound(true)
-	return resp, nil
-}
-
-// CurrentOrders implements runs.Leader.
-func (h *simSide) CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error) {
-	if h.isCut() {
-		return nil, errCut
-	}
-	resp, err := h.s.dispatcher.Orders(ctx, &apiv1.JobsOrdersRequest{Worker: worker})
-	if err != nil || resp.NotLeader || h.isCut() {
-		return nil, errCut
-	}
-	h.setFound(true)
-	return resp, nil
-}
-
-// holdUp delivers a report once the cut is over, as a network does with what it was sent
-// before; its sender has given it up by then.
-func (h *simSide) holdUp(r *apiv1.JobsReportRequest) {
-	late := time.Duration(h.s.intN(1500)) * time.Millisecond
-	h.s.loops.Go(func() {
-		for h.isCut() && h.s.ctx.Err() == nil {
-			h.s.sleep(50 * time.Millisecond)
-		}
-		h.s.sleep(late)
-		if h.s.ctx.Err() == nil {
-			_, _ = h.s.dispatcher.Report(h.s.ctx, r)
-		}
-	})
-}
-
-// Orders implements runs.Leader.
-func (h *simSide) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
-	if h.isCut() || !h.hasFound() {
-		return nil, errCut
-	}
-	r.WaitMs = 500
-	resp, err := h.s.dispatcher.Orders(ctx, r)
-	if err != nil || resp.NotLeader || h.isCut() {
-		h.setFound(false)
-		return nil, errCut
+// newSimSide returns a host whose network holds some reports up when it is cut off.
+func newSimSide(s *sim, name string) *simSide {
+	h := &simSide{s: s, name: name, pool: simPool}
+	h.Link = &runstest.Link{
+		Leader:  func() runstest.Leader { return s.dispatcher },
+		Context: func() context.Context { return s.ctx },
+		Go:      func(f func()) { s.loops.Go(f) }, Sleep: s.sleep, OrdersWait: 500 * time.Millisecond,
+		HeldUp:   func(_ *apiv1.JobsReportRequest, cut bool) bool { return cut && s.intN(4) == 0 },
+		Late:     func() time.Duration { return time.Duration(s.intN(1500)) * time.Millisecond },
+		OnReport: h.noteReport,
 	}
-	return resp, nil
+	return h
 }
 
-func (h *simSide) isCut() bool {
+func (h *simSide) noteReport(r *apiv1.JobsReportRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.cut
-}
-
-func (h *simSide) hasFound() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.found
-}
-
-func (h *simSide) setFound(found bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.found = found
-}
-
-func (h *simSide) setCut(cut bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.cut = cut
+	if !r.Lapsed {
+		h.reported = r
+	}
 }
 
 func (h *simSide) setPool(pool string) {
@@ -205,8 +134,9 @@
 	ctx, cancel := context.WithCancel(h.s.ctx)
 	driver := runs.New(runs.Options{Worker: workerOf{h}, Leader: h, Logger: h.s.logger})
 	h.mu.Lock()
-	h.driver, h.stop, h.found = driver, cancel, false
+	h.driver, h.stop = driver, cancel
 	h.mu.Unlock()
+	h.Forget()
 	h.s.loops.Go(func() { driver.Run(ctx) })
 }
 
@@ -305,7 +235,8 @@
 		},
 	}}})
 	for i := range workers {
-		h := &simSide{s: s, name: fmt.Sprintf("host%d", i), rate: int64(i%3) * 10_000, pool: simPool}
+		h := newSimSide(s, fmt.Sprintf("host%d", i))
+		h.rate = int64(i%3) * 10_000
 		h.startWorker()
 		h.startAgent()
 		s.hosts = append(s.hosts, h)
@@ -369,8 +300,8 @@
 	span := time.Duration(500+s.intN(8000)) * time.Millisecond
 	switch s.intN(4) {
 	case 0:
-		h.setCut(true)
-		time.AfterFunc(span, func() { h.setCut(false) })
+		h.SetCut(true)
+		time.AfterFunc(span, func() { h.SetCut(false) })
 	case 1:
 		h.mu.Lock()
 		worker := h.worker
--- a/scenario/cluster.go
+++ b/scenario/cluster.go
@@ -96,6 +96,13 @@
 	hostTemplate = `name = "{{.Name}}"
 shutdown_bound = "10s"
 `
+	// peersHead and peersTail stand around the name of a list of peers.
+	peersHead = `{{range .Peers}}
+`
+	peersTail = `
+name = "{{.Name}}"
+address = "{{.Address}}"
+{{end}}`
 	placeTemplate = `
 [location]
 region = "local"
@@ -109,11 +116,7 @@
 admin_address = "{{.Admin}}"
 internal_address = "{{.Internal}}"
 drain_delay = "500ms"
-{{range .Peers}}
-[[peers]]
-name = "{{.Name}}"
-address = "{{.Address}}"
-{{end}}
+` + peersHead + `[[peers]]` + peersTail + `
 [control]
 data_folder = "{{.DataFolder}}"
 lease_duration = "2s"
@@ -123,11 +126,7 @@
 local_address = "{{.Local}}"
 worker = "{{.Worker}}"
 heartbeat_interval = "100ms"
-{{range .Peers}}
-[[entries]]
-name = "{{.Name}}"
-address = "{{.Address}}"
-{{end}}` + placeTemplate
+` + peersHead + `[[entries]]` + peersTail + placeTemplate
 )
 
 var settingsTemplates = template.Must(template.New("entry").Parse(entryTemplate))
--- a/schedule/headroom_test.go
+++ b/schedule/headroom_test.go
@@ -20,6 +20,15 @@
 	averages map[jobqueue.RunID]float64
 }
 
+// newServedLoad returns a model whose load swings every ten seconds, and in which an image
+// presses as given.
+func newServedLoad(image string, pressure float64) *servedLoad {
+	return &servedLoad{
+		serviceMs: 16, swing: 10 * time.Second, pressure: map[string]float64{image: pressure},
+		averages: map[jobqueue.RunID]float64{},
+	}
+}
+
 // utilization is the load of the serving tasks by themselves.
 func (l *servedLoad) utilization(now time.Time) float64 {
 	phase := 2 * math.Pi * float64(now.UnixMilli()%l.swing.Milliseconds()) / float64(l.swing.Milliseconds())
@@ -75,10 +84,7 @@
 	r.startAll("w1", "s1")
 	r.submit("batch", "b1", backfill(4, 3000, "some"))
 	r.startAll("w1", "b1")
-	model := &servedLoad{
-		serviceMs: 16, swing: 10 * time.Second, pressure: map[string]float64{"some": 0.04},
-		averages: map[jobqueue.RunID]float64{},
-	}
+	model := newServedLoad("some", 0.04)
 	const learning, watched = 20, 80
 	over, worked := 0, 0.0
 	for i := range learning + watched {
--- a/schedule/prior_test.go
+++ b/schedule/prior_test.go
@@ -1,11 +1,6 @@
 package schedule
 
-import (
-	"testing"
-	"time"
-
-	"github.com/cairnlift/cairnlift/jobqueue"
-)
+import "testing"
 
 // Symptom: whenever a batch image that is known to disturb comes to a worker whose serving
 // image it was not seen beside, the tails there are over their objectives for a second or two.
@@ -18,10 +13,7 @@
 	r.startAll("w1", "s1")
 	r.submit("batch", "b1", backfill(2, 3000, "heavy"))
 	r.startAll("w1", "b1")
-	model := &servedLoad{
-		serviceMs: 16, swing: 10 * time.Second, pressure: map[string]float64{"heavy": 0.09},
-		averages: map[jobqueue.RunID]float64{},
-	}
+	model := newServedLoad("heavy", 0.09)
 	for range 40 {
 		r.pass(paceInterval)
 		model.report(r, "w1")
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -312,9 +312,7 @@
 	r.startAll("w1", "b1")
 	r.worker("w2", 32_000, 64_000)
 	moved := time.Duration(0)
-	model := &servedLoad{
-		serviceMs: 16, swing: 10 * time.Second, pressure: map[string]float64{"some": 0.05}, averages: map[jobqueue.RunID]float64{},
-	}
+	model := newServedLoad("some", 0.05)
 	for moved < 6*time.Second && len(r.runsOn("w1")) > 1 {
 		r.pass(paceInterval)
 		moved += paceInterval
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -8,32 +8,11 @@
 	"time"
 
 	"github.com/cairnlift/cairnlift/trace"
+	"github.com/cairnlift/cairnlift/trace/tracetest"
 )
 
 const traced = "7d068002bf51c04d"
 
-// logOf reads the lines of a process whose clock is off; each is a time in
-// milliseconds and the rest of the object.
-func logOf(t *testing.T, process string, off time.Duration, lines ...string) []trace.Line {
-	t.Helper()
-	var text strings.Builder
-	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	for _, l := range lines {
-		ms, rest, found := strings.Cut(l, " ")
-		after, err := time.ParseDuration(ms + "ms")
-		if err != nil || !found {
-			t.Fatalf("line %q: %v", l, err)
-		}
-		at := began.Add(after + off).Format(time.RFC3339Nano)
-		fmt.Fprintf(&text, "12.5 %s {\"level\":\"info\",\"ts\":%q,\"process\":%q,%s}\n", process, at, process, rest)
-	}
-	read, err := trace.Read(strings.NewReader("no log line\n{broken\n"+text.String()), "file")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return read
-}
-
 // Symptom: a timeline made of several hosts' logs shows a task's end before its start.
 // Sequence: a leader starts a run, another follows and starts the next one; the
 // agent's clock is three seconds behind, the second leader's one second ahead.
@@ -43,22 +22,22 @@
 		return fmt.Sprintf(`"part":"dispatch","msg":%q,"task":"%s/0/0/1","run":%d%s`, event, traced, run, more)
 	}
 	var lines []trace.Line
-	lines = append(lines, logOf(t, "a/control", 0,
+	lines = append(lines, tracetest.Lines(t, "a/control", 0,
 		`0 "part":"dispatch","msg":"leader is ready","term":2`,
 		"100 "+task("start", 1, `,"term":2,"worker":"w1"`),
 		`150 "part":"dispatch","msg":"tasks wait","job":"another"`,
 		`2000 "part":"dispatch","msg":"lease ran out","term":2,"worker":"w1"`,
 		`2001 "part":"dispatch","msg":"lease ran out","term":2,"worker":"w9"`,
 	)...)
-	lines = append(lines, logOf(t, "b/control", time.Second,
+	lines = append(lines, tracetest.Lines(t, "b/control", time.Second,
 		`2500 "part":"dispatch","msg":"leader is ready","term":3`,
 		"2600 "+task("start", 2, `,"term":3,"worker":"w2"`),
 		"4000 "+task("run ended", 2, `,"worker":"w2","how":"done"`),
 	)...)
-	lines = append(lines, logOf(t, "w2/agent", -3*time.Second,
+	lines = append(lines, tracetest.Lines(t, "w2/agent", -3*time.Second,
 		"2610 "+task("start answered", 2, `,"answer":"done"`),
 	)...)
-	lines = append(lines, logOf(t, "c/entry", 0,
+	lines = append(lines, tracetest.Lines(t, "c/entry", 0,
 		`90 "part":"frontend","msg":"request","method":"POST","path":"/q/`+traced+`","status":200`,
 	)...)
 	got := trace.Order(trace.Select(lines, traced))
@@ -85,14 +64,14 @@
 // Sequence: the leader gathers the starts and ends of a second into one line, which it
 // writes after the line of the stop. Cause: the place in the log taken for the order.
 func TestGatheredRunsHaveTheirOwnTimes(t *testing.T) {
-	lines := logOf(t, "a/control", 0,
+	lines := tracetest.Lines(t, "a/control", 0,
 		`400 "part":"dispatch","msg":"stop","term":2,"task":"`+traced+`/0/0/1","run":1`,
 		`500 "process":"b/control","part":"dispatch","msg":"leader is not ready","term":1`,
 		`1000 "part":"dispatch","msg":"runs","term":2,"started":{"w1":["`+traced+`/0/0/1 1 900","broken"],"w2":["other/0/0/1 1 5"]},`+
 			`"ended":{"w1":["`+traced+`/0/0/2 3 10"]}`,
 		`1001 "part":"dispatch","msg":"tasks wait","term":2,"waits":{"processors 3":["`+traced+`/0/1 4 700 300","other/0/0 1 0 0"]}`,
 	)
-	lines = append(lines, logOf(t, "w1/agent", 0,
+	lines = append(lines, tracetest.Lines(t, "w1/agent", 0,
 		`110 "part":"runs","msg":"start answered","task":"`+traced+`/0/0/1","run":1,"answer":"done"`)...)
 	got := trace.Order(trace.Select(lines, traced))
 	var events []string
@@ -115,8 +94,8 @@
 	line := func(event string) string {
 		return fmt.Sprintf(`"part":"dispatch","msg":%q,"task":"%s/0/0/1","run":1`, event, traced)
 	}
-	lines := logOf(t, "a", 0, "0 "+line("start"), "10 "+line("run ended"))
-	lines = append(lines, logOf(t, "b", 0, "5 "+line("run ended"), "6 "+line("start"), "7 "+line("start answered"))...)
+	lines := tracetest.Lines(t, "a", 0, "0 "+line("start"), "10 "+line("run ended"))
+	lines = append(lines, tracetest.Lines(t, "b", 0, "5 "+line("run ended"), "6 "+line("start"), "7 "+line("start answered"))...)
 	if got := trace.Order(trace.Select(lines, traced)); len(got.Lines) != len(lines) {
 		t.Errorf("%d of %d lines are left", len(got.Lines), len(lines))
 	}
