Newcomer's reading: long-running by its name, ends by a table, stories of tuning out of comments

Names: 'lasting' was the users' word; lines, record and trace say long-running (the field of the line 'runs' is long_running). Depth: the record took each unknown end of a run for a lost host; it goes by a table of ends now, and what is no end ends nothing. Bare numbers: the percentages of noteTails have names.

--- a/cli/record.go
+++ b/cli/record.go
@@ -41,7 +41,7 @@
 func (a *App) printRecord(r *record.Record) {
 	a.printf("%s of lines; without a leader %s\n", seconds(r.Last.Sub(r.First)), seconds(r.LeaderAway))
 	a.printQueues(r)
-	a.printLasting(r)
+	a.printLongRunning(r)
 	a.printIntervals(r)
 }
 
@@ -59,10 +59,10 @@
 	a.printTable(row("QUEUE", "ZONE", "IN TIME", "LATE", "TOO LATE", "FAILED", "OPEN", "CANCELED", "REFUSED", "SECONDS OF THE LATE ONES, BY CAUSE"), rows)
 }
 
-// printLasting prints what long-running jobs lost.
-func (a *App) printLasting(r *record.Record) {
+// printLongRunning prints what long-running jobs lost.
+func (a *App) printLongRunning(r *record.Record) {
 	var rows []string
-	for _, l := range r.Lasting {
+	for _, l := range r.LongRunning {
 		var lost []string
 		for _, c := range record.Causes() {
 			if l.LostBy[c] > 0 {
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -13,14 +13,18 @@
 func (l *leadership) logStart(m *jobqueue.Machine, s *apiv1.StartRun, now time.Time) {
 	id := jobqueue.RunID{Task: jobqueue.TaskIDOf(s.Task), Number: s.Run}
 	if step := m.StepOf(id.Task); step != nil && step.LongRunning {
-		l.runLog.startLasting(l.term, s.Worker, id, now)
+		l.runLog.startLongRunning(l.term, s.Worker, id, now)
 		return
 	}
 	l.runLog.start(l.term, s.Worker, id, now)
 }
 
-// atWork is the progress, in percent, of a long-running run that has started up.
-const atWork = 100
+const (
+	// atWork is the progress, in percent, of a long-running run that has started up.
+	atWork = 100
+	// percentOfObjective is a tail that is just as long as it may be.
+	percentOfObjective = 100
+)
 
 // noteTails gathers for the log the serving runs of a report that are at work with tails over
 // their objectives.
@@ -33,8 +37,7 @@
 		if run == nil || run.Step.TailObjectiveMs <= 0 || o.Percent < atWork || o.Figure <= run.Step.TailObjectiveMs {
 			continue
 		}
-		const full = 100
-		l.runLog.tailOver(l.term, w.Spec.Id, run.ID, full*o.Figure/run.Step.TailObjectiveMs, now)
+		l.runLog.tailOver(l.term, w.Spec.Id, run.ID, percentOfObjective*o.Figure/run.Step.TailObjectiveMs, now)
 	}
 }
 
@@ -46,7 +49,7 @@
 }
 
 // openJobs returns the open jobs of the given ends. It is asked before the ends are
-// committed: a job that has ended holds its steps no more.
+// committed, since a job that has ended no longer holds its steps.
 func (l *leadership) openJobs(m *jobqueue.Machine, ends []*apiv1.RunEnd) map[string]openJob {
 	open := map[string]openJob{}
 	for _, e := range ends {
--- a/dispatch/runlog.go
+++ b/dispatch/runlog.go
@@ -22,20 +22,19 @@
 // runLog gathers what routinely happens into lines of an interval: starts, and ends
 // without a failure, by worker; steps that wait by what rules the workers out.
 //
-// What goes wrong without it: a busy leader starts and ends 60 runs a second, and two
-// lines for each were 94 of 100 bytes that it wrote, 13 kB a second. Whoever has only
-// the last 95 kB of a process then sees seconds of starts, and not the line that says
-// when leadership, a worker or the configuration changed.
+// What goes wrong without it: a busy leader writes little but two lines for each run.
+// Whoever has only the end of its log then sees seconds of starts, and not the line that
+// says when leadership, a worker or the configuration changed.
 type runLog struct {
 	logger  *zap.Logger
 	began   time.Time
 	count   int
 	started map[string][]gatheredRun
-	// lasting are the started runs of long-running steps.
-	lasting map[string][]gatheredRun
-	ended   map[string][]gatheredRun
-	waits   map[string][]gatheredWait
-	tails   map[string][]gatheredTail
+	// longRunning are the started runs of long-running steps.
+	longRunning map[string][]gatheredRun
+	ended       map[string][]gatheredRun
+	waits       map[string][]gatheredWait
+	tails       map[string][]gatheredTail
 	// over are the jobs that came to an end, by the path of their queue.
 	over map[string][]gatheredJob
 }
@@ -70,7 +69,7 @@
 
 func newRunLog(logger *zap.Logger) *runLog {
 	return &runLog{
-		logger: logger, started: map[string][]gatheredRun{}, lasting: map[string][]gatheredRun{},
+		logger: logger, started: map[string][]gatheredRun{}, longRunning: map[string][]gatheredRun{},
 		ended: map[string][]gatheredRun{}, waits: map[string][]gatheredWait{},
 		tails: map[string][]gatheredTail{}, over: map[string][]gatheredJob{},
 	}
@@ -81,8 +80,8 @@
 	g.gathered(term, now)
 }
 
-func (g *runLog) startLasting(term uint64, worker string, id jobqueue.RunID, now time.Time) {
-	g.lasting[worker] = append(g.lasting[worker], gatheredRun{id, now})
+func (g *runLog) startLongRunning(term uint64, worker string, id jobqueue.RunID, now time.Time) {
+	g.longRunning[worker] = append(g.longRunning[worker], gatheredRun{id, now})
 	g.gathered(term, now)
 }
 
@@ -129,9 +128,9 @@
 	if g.count == 0 {
 		return
 	}
-	if len(g.started)+len(g.lasting)+len(g.ended) > 0 {
+	if len(g.started)+len(g.longRunning)+len(g.ended) > 0 {
 		event.RunsRoutine.Write(g.logger, event.Term(term), event.Started(named(g.started, now)),
-			event.Lasting(named(g.lasting, now)), event.Ended(named(g.ended, now)))
+			event.LongRunning(named(g.longRunning, now)), event.Ended(named(g.ended, now)))
 	}
 	if len(g.waits) > 0 {
 		event.TasksWait.Write(g.logger, event.Term(term), event.Waits(namedWaits(g.waits, now)))
@@ -143,7 +142,7 @@
 		event.JobsOver.Write(g.logger, event.Term(term), event.Jobs(namedJobs(g.over, now)))
 	}
 	clear(g.started)
-	clear(g.lasting)
+	clear(g.longRunning)
 	clear(g.ended)
 	clear(g.waits)
 	clear(g.tails)
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -35,7 +35,7 @@
 	LeaderReady      = declare(Dispatch, Rare, "leader is ready", NameTerm, "index")
 	LeaderNotReady   = declare(Dispatch, Warning, "leader is not ready", NameTerm, "error")
 	PlanUncommitted  = declare(Dispatch, Warning, "plan is not committed", NameTerm, "error")
-	RunsRoutine      = declare(Dispatch, Routine, "runs", NameTerm, NameStarted, NameLasting, NameEnded)
+	RunsRoutine      = declare(Dispatch, Routine, "runs", NameTerm, NameStarted, NameLongRunning, NameEnded)
 	TailsOver        = declare(Dispatch, Routine, "tails are over their objectives", NameTerm, NameTails)
 	JobsOver         = declare(Dispatch, Routine, "jobs are over", NameTerm, NameJobs)
 	RunStop          = declare(Dispatch, Routine, "stop", NameTerm, NameTask, NameRun, "reason")
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -12,32 +12,32 @@
 
 // Names of the fields that tie the lines of several processes together.
 const (
-	NameJob     = "job"
-	NameTask    = "task"
-	NameStep    = "step"
-	NameRun     = "run"
-	NameWorker  = "worker"
-	NameTerm    = "term"
-	NameVersion = "version"
-	NamePath    = "path"
-	NameStarted = "started"
-	NameEnded   = "ended"
-	NameHow     = "how"
-	NameLost    = "lost"
-	NameReason  = "reason"
-	NameWaits   = "waits"
-	NameTasks   = "tasks"
-	NameWorkers = "workers"
-	NameWaited  = "waited"
-	NameLasting = "lasting"
-	NameTails   = "tails"
-	NameJobs    = "jobs"
-	NameTook    = "took"
-	NameAllowed = "allowed"
-	NamePercent = "percent"
-	NameZone    = "availability_zone"
-	NameStatus  = "status"
-	NameMethod  = "method"
+	NameJob         = "job"
+	NameTask        = "task"
+	NameStep        = "step"
+	NameRun         = "run"
+	NameWorker      = "worker"
+	NameTerm        = "term"
+	NameVersion     = "version"
+	NamePath        = "path"
+	NameStarted     = "started"
+	NameEnded       = "ended"
+	NameHow         = "how"
+	NameLost        = "lost"
+	NameReason      = "reason"
+	NameWaits       = "waits"
+	NameTasks       = "tasks"
+	NameWorkers     = "workers"
+	NameWaited      = "waited"
+	NameLongRunning = "long_running"
+	NameTails       = "tails"
+	NameJobs        = "jobs"
+	NameTook        = "took"
+	NameAllowed     = "allowed"
+	NamePercent     = "percent"
+	NameZone        = "availability_zone"
+	NameStatus      = "status"
+	NameMethod      = "method"
 )
 
 // Ids, spelled the same in all parts.
@@ -128,8 +128,8 @@
 // Ended lists the runs that ended done, like Started.
 func Ended(byWorker map[string][]string) Field { return byName(NameEnded, byWorker) }
 
-// Lasting lists the runs of long-running steps that were started, like Started.
-func Lasting(byWorker map[string][]string) Field { return byName(NameLasting, byWorker) }
+// LongRunning lists the runs of long-running steps that were started, like Started.
+func LongRunning(byWorker map[string][]string) Field { return byName(NameLongRunning, byWorker) }
 
 // Tails lists the serving runs whose tails are over their objectives, by worker; each is
 // "TASK RUN PERCENT AGE", the tail in percent of the objective and the age in milliseconds.
--- a/record/account.go
+++ b/record/account.go
@@ -210,7 +210,8 @@
 	return worst
 }
 
-// reportInterval is the time that one report of a tail stands for.
+// reportInterval is the time that one report of a tail stands for: agents report a worker on
+// which nothing ends twice a second.
 const reportInterval = 500 * time.Millisecond
 
 // windows returns the windows of a long-running job, from the first start of one of its
@@ -221,7 +222,7 @@
 	for _, name := range slices.Sorted(maps.Keys(j.steps)) {
 		for _, id := range slices.Sorted(maps.Keys(j.steps[name].tasks)) {
 			t := j.steps[name].tasks[id]
-			if !t.lasting || len(t.runs) == 0 {
+			if !t.longRunning || len(t.runs) == 0 {
 				continue
 			}
 			tasks = append(tasks, t)
@@ -241,15 +242,15 @@
 	for from := first; !from.Add(length).After(last); from = from.Add(length) {
 		w := Window{Job: j.id, Path: j.path, Zone: j.zone, From: from, Tasks: length * time.Duration(len(tasks))}
 		for _, t := range tasks {
-			w.Costs.add(h.lastingCosts(t, span{from, from.Add(length)}))
+			w.Costs.add(h.longRunningCosts(t, span{from, from.Add(length)}))
 		}
 		windows = append(windows, w)
 	}
 	return windows
 }
 
-// lastingCosts accounts for a long-running task's time within a span.
-func (h *history) lastingCosts(t *task, within span) Costs {
+// longRunningCosts accounts for a long-running task's time within a span.
+func (h *history) longRunningCosts(t *task, within span) Costs {
 	var costs Costs
 	at, why := within.from, WaitsUnexplained
 	for _, r := range t.runs {
@@ -295,7 +296,7 @@
 // String returns the outcome's name in tables.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// tooLateFactor times the allowed time is the latest that is of any use.
+// tooLateFactor times the allowed time is when callers have made do without the job.
 const tooLateFactor = 3
 
 func (j *job) outcome() Outcome {
@@ -312,10 +313,10 @@
 	return InTime
 }
 
-func (j *job) lasts() bool {
+func (j *job) isLongRunning() bool {
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			if t.lasting {
+			if t.longRunning {
 				return true
 			}
 		}
--- a/record/history.go
+++ b/record/history.go
@@ -53,8 +53,8 @@
 // task is a task with its runs, in their order.
 type task struct {
 	runs []*run
-	// lasting: its step is long-running.
-	lasting bool
+	// longRunning: its step is long-running.
+	longRunning bool
 	// over are the times of the reports that showed its tail over its objective.
 	over []time.Time
 }
@@ -122,7 +122,8 @@
 	away []span
 	// refused counts the submissions that were refused, by path.
 	refused map[string]int
-	events  []moment
+	// events are what the table by time counts.
+	events []moment
 }
 
 // moment is something that happened, for the table by time.
@@ -273,6 +274,12 @@
 	h.events = append(h.events, moment{l.At, cause})
 }
 
+// endCauses is why a run ended, by how its line says that it did. A member of a gang that is
+// broken, or that waited alone for the others, went with a failure of another one.
+var endCauses = map[string]Cause{
+	"done": Working, "failed": Failed, "broken": Failed, "alone": Failed, "stopped": Moved, "lapsed": HostGone,
+}
+
 func (h *history) takeRun(l *trace.Line) {
 	name := l.Text(event.NameTask)
 	cut := strings.LastIndexByte(name, '/')
@@ -290,16 +297,15 @@
 	switch l.Event {
 	case lineStart:
 		r.start = l.At
-		t.lasting = t.lasting || l.Fields[event.NameLasting] == true
+		t.longRunning = t.longRunning || l.Fields[event.NameLongRunning] == true
 	case lineEnded:
-		how := l.Text(event.NameHow)
-		if how == "done" {
-			r.finish(l.At, Working)
-		} else if how == "failed" {
-			r.finish(l.At, Failed)
+		cause, known := endCauses[l.Text(event.NameHow)]
+		if !known {
+			return // Another program's line: it ends nothing.
+		}
+		r.finish(l.At, cause)
+		if cause == Failed {
 			h.events = append(h.events, moment{l.At, Failed})
-		} else if r.end.IsZero() {
-			r.finish(l.At, HostGone)
 		}
 	case lineLost:
 		r.finish(l.At, HostGone)
--- a/record/picture.go
+++ b/record/picture.go
@@ -49,8 +49,8 @@
 	width := pictureWidth * barShare / vg.Length(len(r.Intervals)+1)
 	var below *plotter.BarChart
 	for c := Working + 1; c < causes; c++ {
-		values, any := r.series(c)
-		if !any {
+		values, occurs := r.series(c)
+		if !occurs {
 			continue
 		}
 		bars, err := plotter.NewBarChart(values, width)
@@ -75,12 +75,12 @@
 // series counts a cause by interval, and reports whether it occurs.
 func (r *Record) series(c Cause) (plotter.Values, bool) {
 	values := make(plotter.Values, len(r.Intervals))
-	any := false
+	occurs := false
 	for i := range r.Intervals {
 		values[i] = float64(r.Intervals[i].Events[c] + r.Intervals[i].LostWindows[c])
-		any = any || values[i] > 0
+		occurs = occurs || values[i] > 0
 	}
-	return values, any
+	return values, occurs
 }
 
 // tickSeconds is the time between two labels of the time's axis.
--- a/record/record.go
+++ b/record/record.go
@@ -16,10 +16,10 @@
 type Record struct {
 	First, Last time.Time
 	// LeaderAway is the time without a leader.
-	LeaderAway time.Duration
-	Queues     []Queue
-	Lasting    []Lasting
-	Intervals  []Interval
+	LeaderAway  time.Duration
+	Queues      []Queue
+	LongRunning []LongRunning
+	Intervals   []Interval
 }
 
 // Queue is what became of the jobs of a queue that were handed in in an availability zone.
@@ -33,8 +33,8 @@
 	Late Costs
 }
 
-// Lasting is what the long-running jobs of a queue lost in an availability zone.
-type Lasting struct {
+// LongRunning is what the long-running jobs of a queue lost in an availability zone.
+type LongRunning struct {
 	Path, Zone string
 	Windows    int
 	// LostBy counts the windows of which half or more was lost, by the cause that took most.
@@ -49,7 +49,7 @@
 	Ended    [outcomes]int
 	// Events counts lines by cause: waiting steps, ends, tails over their objectives.
 	Events [causes]int
-	// LostWindows counts the windows of long-running jobs, as Lasting does.
+	// LostWindows counts the windows of long-running jobs, as LongRunning does.
 	LostWindows [causes]int
 }
 
@@ -69,7 +69,7 @@
 	for _, away := range h.away {
 		r.LeaderAway += away.length()
 	}
-	b := builder{r: r, h: h, o: o, queues: map[place]*Queue{}, lasting: map[place]*Lasting{}}
+	b := builder{r: r, h: h, o: o, queues: map[place]*Queue{}, longRunning: map[place]*LongRunning{}}
 	for _, j := range h.sortedJobs() {
 		b.addJob(j)
 	}
@@ -90,11 +90,11 @@
 }
 
 type builder struct {
-	r       *Record
-	h       *history
-	o       Options
-	queues  map[place]*Queue
-	lasting map[place]*Lasting
+	r           *Record
+	h           *history
+	o           Options
+	queues      map[place]*Queue
+	longRunning map[place]*LongRunning
 }
 
 // interval returns the interval of a moment.
@@ -117,8 +117,8 @@
 	if i := b.interval(j.handedIn); i != nil {
 		i.HandedIn++
 	}
-	if j.lasts() {
-		b.addLasting(j)
+	if j.isLongRunning() {
+		b.addLongRunning(j)
 		return
 	}
 	at := place{j.path, j.zone}
@@ -141,12 +141,12 @@
 	}
 }
 
-func (b *builder) addLasting(j *job) {
+func (b *builder) addLongRunning(j *job) {
 	at := place{j.path, j.zone}
-	l := b.lasting[at]
+	l := b.longRunning[at]
 	if l == nil {
-		l = &Lasting{Path: j.path, Zone: j.zone}
-		b.lasting[at] = l
+		l = &LongRunning{Path: j.path, Zone: j.zone}
+		b.longRunning[at] = l
 	}
 	for _, w := range b.h.windows(j, b.o.Window) {
 		l.Windows++
@@ -168,7 +168,7 @@
 		q.Refused = b.h.refused[q.Path]
 		b.r.Queues = append(b.r.Queues, *q)
 	}
-	for _, at := range slices.SortedFunc(maps.Keys(b.lasting), comparePlaces) {
-		b.r.Lasting = append(b.r.Lasting, *b.lasting[at])
+	for _, at := range slices.SortedFunc(maps.Keys(b.longRunning), comparePlaces) {
+		b.r.LongRunning = append(b.r.LongRunning, *b.longRunning[at])
 	}
 }
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -8,29 +8,9 @@
 
 	"github.com/cairnlift/cairnlift/record"
 	"github.com/cairnlift/cairnlift/trace"
+	"github.com/cairnlift/cairnlift/trace/tracetest"
 )
 
-// logOf reads the lines of a process; each is a time in milliseconds and the rest of the
-// object.
-func logOf(t *testing.T, process string, lines ...string) []trace.Line {
-	t.Helper()
-	var text strings.Builder
-	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	for _, l := range lines {
-		ms, rest, found := strings.Cut(l, " ")
-		after, err := time.ParseDuration(ms + "ms")
-		if err != nil || !found {
-			t.Fatalf("line %q: %v", l, err)
-		}
-		fmt.Fprintf(&text, "{\"level\":\"info\",\"ts\":%q,\"process\":%q,%s}\n", began.Add(after).Format(time.RFC3339Nano), process, rest)
-	}
-	read, err := trace.Read(strings.NewReader(text.String()), "file")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return read
-}
-
 func request(ms int, method, job string, status int) string {
 	return fmt.Sprintf(`%d "part":"frontend","msg":"request","method":%q,"path":"/q/%s","job":%q,"status":%d`, ms, method, job, job, status)
 }
@@ -61,8 +41,8 @@
 // disturb, is moved, and loses its worker; its fast sibling costs nothing. The second step
 // goes at half of its pace for a second.
 func TestTimeOfALateJobByCause(t *testing.T) {
-	lines := logOf(t, "entry-1", entryStarted, request(1000, "POST", "j1", 200), request(1100, "POST", "j2", 503))
-	lines = append(lines, logOf(t, "control-1",
+	lines := tracetest.Lines(t, "entry-1", 0, entryStarted, request(1000, "POST", "j1", 200), request(1100, "POST", "j2", 503))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
 		`500 "part":"dispatch","msg":"leader is ready","term":1`,
 		waits(1000, "disturbs 8, memory 2", "j1/0/0 1 0 0"),
 		started(2000, "j1/0/0/1 1 1000"),
@@ -77,7 +57,7 @@
 		`9000 "part":"dispatch","msg":"runs","term":1,"ended":{"w1":["j1/0/1/0 1 0"]}`,
 		over(9000, "j1 succeeded 8000 5000 0"),
 	)...)
-	lines = append(lines, logOf(t, "agent-1",
+	lines = append(lines, tracetest.Lines(t, "agent-1", 0,
 		`7500 "part":"runs","msg":"pace answered","task":"j1/0/1/0","run":1,"percent":50,"answer":"done"`,
 		`8500 "part":"runs","msg":"pace answered","task":"j1/0/1/0","run":1,"percent":100,"answer":"done"`,
 	)...)
@@ -100,23 +80,23 @@
 // A long-running job of two tasks: both are lost with their hosts while there is no leader,
 // start anew two seconds later, and one is over its objective after that.
 func TestWindowsOfLongRunningJobs(t *testing.T) {
-	lines := logOf(t, "entry-1", entryStarted, request(0, "POST", "l1", 200), request(9000, "DELETE", "l1", 200))
-	lines = append(lines, logOf(t, "control-1",
+	lines := tracetest.Lines(t, "entry-1", 0, entryStarted, request(0, "POST", "l1", 200), request(9000, "DELETE", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
 		`0 "part":"dispatch","msg":"leader is ready","term":1`,
-		`10 "part":"dispatch","msg":"runs","term":1,"lasting":{"w1":["l1/0/0/0 1 10"],"w2":["l1/0/0/1 1 10"]}`,
+		`10 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 1 10"],"w2":["l1/0/0/1 1 10"]}`,
 		`2000 "part":"dispatch","msg":"runs are lost","term":1,"reason":"worker was replaced","lost":{"w1":["l1/0/0/0 1 0"],"w2":["l1/0/0/1 1 0"]}`,
 	)...)
-	lines = append(lines, logOf(t, "control-2",
+	lines = append(lines, tracetest.Lines(t, "control-2", 0,
 		`3500 "part":"dispatch","msg":"leader is ready","term":2`,
-		`4000 "part":"dispatch","msg":"runs","term":2,"lasting":{"w1":["l1/0/0/0 2 0"],"w2":["l1/0/0/1 2 0"]}`,
+		`4000 "part":"dispatch","msg":"runs","term":2,"long_running":{"w1":["l1/0/0/0 2 0"],"w2":["l1/0/0/1 2 0"]}`,
 		`5000 "part":"dispatch","msg":"tails are over their objectives","term":2,"tails":{"w1":["l1/0/0/0 2 130 500","l1/0/0/0 2 110 0"]}`,
 		`9500 "part":"group","msg":"state","term":2,"leads":true`,
 	)...)
 	r := record.Of(trace.Order(lines).Lines, record.Options{})
-	if len(r.Lasting) != 1 || len(r.Queues) != 0 {
+	if len(r.LongRunning) != 1 || len(r.Queues) != 0 {
 		t.Fatalf("record %+v", r)
 	}
-	l := r.Lasting[0]
+	l := r.LongRunning[0]
 	if l.Windows != 4 || l.LostBy[record.LeaderAway] != 1 {
 		t.Errorf("%d windows, lost %v", l.Windows, l.LostBy)
 	}
@@ -131,26 +111,26 @@
 // A power cut takes the leader and a worker together; the next leader tells of the loss when
 // the worker is back. The task was away since the cut, not since the line.
 func TestLossThatANewLeaderTellsOf(t *testing.T) {
-	lines := logOf(t, "entry-1", entryStarted, request(0, "POST", "l1", 200))
-	lines = append(lines, logOf(t, "control-1",
+	lines := tracetest.Lines(t, "entry-1", 0, entryStarted, request(0, "POST", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
 		`0 "part":"dispatch","msg":"leader is ready","term":1`,
-		`10 "part":"dispatch","msg":"runs","term":1,"lasting":{"w1":["l1/0/0/0 1 10"]}`,
+		`10 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 1 10"]}`,
 		`1000 "part":"group","msg":"state","term":1,"leads":true`,
 	)...)
-	lines = append(lines, logOf(t, "control-2",
+	lines = append(lines, tracetest.Lines(t, "control-2", 0,
 		`3000 "part":"dispatch","msg":"leader is ready","term":2`,
 		`3200 "part":"dispatch","msg":"runs are lost","term":2,"reason":"worker was replaced","lost":{"w1":["l1/0/0/0 1 0"]}`,
-		`3300 "part":"dispatch","msg":"runs","term":2,"lasting":{"w2":["l1/0/0/0 2 0"]}`,
+		`3300 "part":"dispatch","msg":"runs","term":2,"long_running":{"w2":["l1/0/0/0 2 0"]}`,
 		`4000 "part":"group","msg":"state","term":2,"leads":true`,
 	)...)
 	r := record.Of(trace.Order(lines).Lines, record.Options{})
-	wantSeconds(t, r.Lasting[0].Costs, record.LeaderAway, 2)
-	wantSeconds(t, r.Lasting[0].Costs, record.HostGone, 0.3)
+	wantSeconds(t, r.LongRunning[0].Costs, record.LeaderAway, 2)
+	wantSeconds(t, r.LongRunning[0].Costs, record.HostGone, 0.3)
 }
 
 // Lines that another program wrote, or that lack fields, are passed over.
 func TestForeignLines(t *testing.T) {
-	lines := logOf(t, "control-1",
+	lines := tracetest.Lines(t, "control-1", 0,
 		`0 "part":"dispatch","msg":"tasks wait","waits":{"none":["x"],"disturbs":[7]}`,
 		`0 "part":"dispatch","msg":"jobs are over","jobs":{"/q/":["j1 succeeded"]}`,
 		`0 "part":"dispatch","msg":"tails are over their objectives","tails":["x"]`,
@@ -158,7 +138,7 @@
 		`0 "part":"frontend","msg":"request","job":5,"status":"200"`,
 	)
 	r := record.Of(lines, record.Options{})
-	if len(r.Queues)+len(r.Lasting) != 0 {
+	if len(r.Queues)+len(r.LongRunning) != 0 {
 		t.Errorf("record %+v", r)
 	}
 	if err := r.Draw(t.TempDir() + "/empty.svg"); err == nil {
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -8,9 +8,8 @@
 
 const (
 	// failuresInRow is how many runs of a worker must fail without one that ends
-	// well between them before it is avoided. Callers' tasks fail by themselves in
-	// about one run of twenty, so two in a row are chance in one of four hundred
-	// pairs, while a broken worker is found after two tasks.
+	// well between them before it is avoided: tasks fail by themselves now and then,
+	// seldom twice in a row, and a broken worker is found after two.
 	failuresInRow = 2
 	// firstAvoidance is how long a worker is avoided at first; each further failure
 	// doubles it, up to maxAvoidance.
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -15,7 +15,7 @@
 	// are of the last half second.
 	paceInterval = 500 * time.Millisecond
 	// tailWeight is the weight of the newest report in a task's smoothed tail: single
-	// reports are off by a third of the objective.
+	// reports are noisy.
 	tailWeight = 0.7
 	// alarmShare of the objective, smoothed, is where the budget is cut, calmShare
 	// where it is given back: between them it stays, so that paces don't swing.
@@ -33,9 +33,8 @@
 	// half of that, and a disturbance has to end within four.
 	silenceAfter = 1400 * time.Millisecond
 	fullPace     = 100
-	// averagingTime is the time constant of the average that workers report, as fitted
-	// to tails that fall back after a disturbance; a report after more than
-	// maxReportGap holds nothing of the one before.
+	// averagingTime is the time constant of the moving average that workers report; a
+	// report after more than maxReportGap holds nothing of the one before.
 	averagingTime = 300 * time.Millisecond
 	maxReportGap  = 1200 * time.Millisecond
 	// paceStep is the granularity of a pace, so that small changes of the figures
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -19,7 +19,7 @@
 	// given to another pool: longer than the gaps between jobs of a busy queue.
 	spareAfter = 15 * time.Second
 	// returnAfter is how long the worker of a host from standby has nothing to run
-	// before the host goes back: a start costs as much as some ten seconds in a pool.
+	// before the host goes back: a start costs more than to stay for a while.
 	returnAfter = time.Minute
 	// moverSettle is how long a leader leads before it has hosts moved: it knows by then
 	// which workers are in reach and what waits, and the last orders of the leader before
--- a/trace/gathered.go
+++ b/trace/gathered.go
@@ -18,7 +18,7 @@
 	var gathered []Line
 	switch l.Event {
 	case event.RunsRoutine.Name:
-		gathered = slices.Concat(gatheredOf(l, event.NameStarted, eventStart), lastingOf(l), gatheredOf(l, event.NameEnded, eventEnded))
+		gathered = slices.Concat(gatheredOf(l, event.NameStarted, eventStart), longRunningOf(l), gatheredOf(l, event.NameEnded, eventEnded))
 	case event.TasksWait.Name:
 		gathered = waitsOf(l)
 	case event.RunsLost.Name:
@@ -78,11 +78,11 @@
 	return lines
 }
 
-// lastingOf returns a line for each run of a long-running step that was started.
-func lastingOf(l Line) []Line {
-	lines := gatheredOf(l, event.NameLasting, eventStart)
+// longRunningOf returns a line for each run of a long-running step that was started.
+func longRunningOf(l Line) []Line {
+	lines := gatheredOf(l, event.NameLongRunning, eventStart)
 	for i := range lines {
-		lines[i].Fields[event.NameLasting] = true
+		lines[i].Fields[event.NameLongRunning] = true
 	}
 	return lines
 }
