dispatch, agent/runs: lines and metrics on long-running tasks that are away

The users' record of long-running tasks without a run could not tell its hypotheses apart: nothing said how the leader took the last run to have ended, whether the death was unknown, the task waited for a worker and for which reason, an order stood, or the planner did not see the task.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -183,10 +183,7 @@
 	for ctx.Err() == nil {
 		s := d.current()
 		if s == nil {
-			select {
-			case <-ctx.Done():
-			case <-d.news:
-			}
+			d.awaitWorker(ctx)
 			continue
 		}
 		stop := context.AfterFunc(ctx, s.cancel)
@@ -196,6 +193,27 @@
 	}
 }
 
+// absenceTold is the time between two lines on a worker that is not known: two intervals
+// of heartbeats.
+const absenceTold = 3 * time.Second
+
+// awaitWorker returns once a worker was announced, or when ctx ends.
+func (d *Driver) awaitWorker(ctx context.Context) {
+	since := d.opts.Now()
+	look := time.NewTicker(absenceTold)
+	defer look.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.news:
+			return
+		case <-look.C:
+			event.WorkerAbsent.Write(d.logger, event.Silent(d.opts.Now().Sub(since)))
+		}
+	}
+}
+
 func (d *Driver) current() *session {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -178,6 +178,7 @@
 			d.meters.paceOrders.Inc(1)
 		}
 		plan.Learnt = l.learntToKeep(now)
+		d.lookAtLongRunning(l, jobs, decision.Waits, now)
 		d.logDecision(jobs, l, plan, now)
 		d.noteWaits(l, decision.Waits, now)
 		d.putQuestions(l, decision.Questions, now)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -31,6 +31,7 @@
 	// overTold are the jobs whose end was told.
 	overTold map[string]bool
 	moves    *movesLed
+	outages  *outages
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
@@ -94,6 +95,7 @@
 		lostTold:      map[string]uint64{},
 		overTold:      map[string]bool{},
 		moves:         newMovesLed(now),
+		outages:       newOutages(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -59,6 +59,7 @@
 	for _, id := range w.SortedRuns() {
 		if !ended[id] {
 			lost = append(lost, gatheredRun{id, now})
+			l.outages.noteEnd(w.Runs[id], why, now)
 			work += l.unsavedWork(w.Runs[id], now)
 		}
 	}
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -28,6 +28,10 @@
 	paceOrders   metrics.Counter
 	// reportsOutdated counts the reports that came after newer ones of their worker.
 	reportsOutdated metrics.Counter
+	// longRunningAway counts the long-running tasks that are not known to run, and
+	// longRunningOutage is how long each was away.
+	longRunningAway   metrics.Gauge
+	longRunningOutage *hdrmetric.Histogram
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -46,6 +50,9 @@
 		paceOrders:   metrics.GetOrRegisterCounter("dispatch.pace_orders", r),
 
 		reportsOutdated: metrics.GetOrRegisterCounter("dispatch.reports_outdated", r),
+
+		longRunningAway:   metrics.GetOrRegisterGauge("dispatch.long_running_away", r),
+		longRunningOutage: hdrmetric.GetOrRegister("dispatch.long_running_outage_us", r),
 	}
 }
 
--- /dev/null
+++ b/dispatch/outages.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+	"github.com/cairnlift/cairnlift/schedule"
+)
+
+const (
+	// outageLook is the time between two looks at all long-running tasks.
+	outageLook = 500 * time.Millisecond
+	// outageTold is how long a long-running task has been away when the first line says
+	// so, and the time between two such lines: most are back sooner.
+	outageTold = 2 * time.Second
+)
+
+// Why a long-running task is away, beside the reasons against the workers.
+const (
+	awayOrdered   = "ordered, not begun"
+	awaySilent    = "no report of its worker"
+	awayUnlisted  = "not listed by its worker"
+	awayUnplanned = "no candidate"
+)
+
+// outage is the time that a long-running task is not known to run.
+type outage struct {
+	since time.Time
+	// run is the last that the task had, worker where, and how says what ended it; empty
+	// while it has not ended.
+	run    uint64
+	worker string
+	how    string
+	toldAt time.Time
+}
+
+// outages are those of the long-running tasks.
+type outages struct {
+	lookedAt time.Time
+	byTask   map[jobqueue.TaskID]*outage
+	// ended is how the last run of a task ended, until the task runs again.
+	ended map[jobqueue.TaskID]outage
+}
+
+func newOutages() *outages {
+	return &outages{byTask: map[jobqueue.TaskID]*outage{}, ended: map[jobqueue.TaskID]outage{}}
+}
+
+// noteEnd notes how a run ended, or that it is given up.
+func (o *outages) noteEnd(r *jobqueue.Run, how string, now time.Time) {
+	if r.Step.LongRunning && r.Job().Open() {
+		o.ended[r.ID.Task] = outage{since: now, run: r.ID.Number, worker: r.Worker, how: how}
+	}
+}
+
+// longRunningTask is one that should be running.
+type longRunningTask struct {
+	id   jobqueue.TaskID
+	task *jobqueue.Task
+}
+
+// longRunningTasks returns the tasks of open jobs that should be running by now.
+func longRunningTasks(m *jobqueue.Machine, wallMs int64) []longRunningTask {
+	var tasks []longRunningTask
+	for _, j := range m.Active() {
+		if !j.Open() {
+			continue
+		}
+		for k, o := range j.Occurrences {
+			for i, s := range o.Steps {
+				if !s.Spec.LongRunning || j.DueMs(k) > wallMs || !o.Ready(i) {
+					continue
+				}
+				step := jobqueue.TaskID{Job: j.ID(), Occurrence: uint32(k), Step: uint32(i)}
+				for n, t := range s.Tasks {
+					step.Index = uint32(n)
+					tasks = append(tasks, longRunningTask{step, t})
+				}
+			}
+		}
+	}
+	return tasks
+}
+
+// lookAtLongRunning notes which long-running tasks are not known to run, and tells of those
+// that have been away for long and of those that are back.
+func (d *Dispatcher) lookAtLongRunning(l *leadership, m *jobqueue.Machine, waits []schedule.Wait, now time.Time) {
+	o := l.outages
+	if now.Sub(o.lookedAt) < outageLook {
+		return
+	}
+	o.lookedAt = now
+	whyByStep := map[jobqueue.StepID]string{}
+	for _, w := range waits {
+		whyByStep[w.Step] = w.Why()
+	}
+	present := map[jobqueue.TaskID]bool{}
+	away := map[string][]string{}
+	back := map[string][]string{}
+	for _, t := range longRunningTasks(m, now.UnixMilli()) {
+		present[t.id] = true
+		why, since := l.whyAway(t, whyByStep, now)
+		if why == "" {
+			d.endOutage(o, t, back, now)
+			continue
+		}
+		out := o.begin(t, since)
+		if now.Sub(out.since) >= outageTold && now.Sub(out.toldAt) >= outageTold {
+			out.toldAt = now
+			away[why] = append(away[why], out.describe(t.id, now))
+		}
+	}
+	o.forget(present)
+	d.meters.longRunningAway.Update(int64(len(o.byTask)))
+	if len(away) > 0 {
+		event.LongRunningAway.Write(d.logger, event.Term(l.term), event.TasksAway(away))
+	}
+	if len(back) > 0 {
+		event.LongRunningBack.Write(d.logger, event.Term(l.term), event.TasksBack(back))
+	}
+}
+
+// whyAway says why a long-running task is not known to run, and since when; empty if it is
+// known to run.
+func (l *leadership) whyAway(t longRunningTask, whyByStep map[jobqueue.StepID]string, now time.Time) (string, time.Time) {
+	if len(t.task.Runs) == 0 {
+		since := now
+		if ended, known := l.outages.ended[t.id]; known {
+			since = ended.since
+		}
+		if why := whyByStep[t.id.StepID()]; why != "" {
+			return why, since
+		}
+		return awayUnplanned, since
+	}
+	run := t.task.Runs[len(t.task.Runs)-1]
+	seen, known := l.observed[run.ID]
+	silent := now.Sub(l.leases.of(run.Worker).renewed)
+	switch {
+	case silent >= outageTold:
+		return awaySilent, now.Add(-silent)
+	case !known:
+		return awayOrdered, now
+	case seen.At.Before(now.Add(-outageTold)):
+		return awayUnlisted, seen.At
+	}
+	return "", now
+}
+
+// begin returns the outage of a task, which began at a given time if it is not known yet.
+func (o *outages) begin(t longRunningTask, since time.Time) *outage {
+	out := o.byTask[t.id]
+	if out == nil {
+		out = &outage{since: since, run: t.task.LastRun}
+		o.byTask[t.id] = out
+	}
+	if ended, known := o.ended[t.id]; known {
+		out.run, out.worker, out.how = ended.run, ended.worker, ended.how
+		out.since = earlier(out.since, ended.since)
+	}
+	if len(t.task.Runs) > 0 {
+		run := t.task.Runs[len(t.task.Runs)-1]
+		out.run, out.worker = run.ID.Number, run.Worker
+	}
+	return out
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// endOutage ends the outage of a task that runs, if there was one.
+func (d *Dispatcher) endOutage(o *outages, t longRunningTask, back map[string][]string, now time.Time) {
+	delete(o.ended, t.id)
+	out := o.byTask[t.id]
+	if out == nil {
+		return
+	}
+	delete(o.byTask, t.id)
+	d.meters.longRunningOutage.Observe(now.Sub(out.since))
+	if !out.toldAt.IsZero() {
+		run := t.task.Runs[len(t.task.Runs)-1]
+		back[run.Worker] = append(back[run.Worker], fmt.Sprintf("%s %d %d", t.id, run.ID.Number, now.Sub(out.since).Milliseconds()))
+	}
+}
+
+// forget drops the tasks that no longer have to run.
+func (o *outages) forget(present map[jobqueue.TaskID]bool) {
+	for id := range o.byTask {
+		if !present[id] {
+			delete(o.byTask, id)
+		}
+	}
+	for id := range o.ended {
+		if !present[id] {
+			delete(o.ended, id)
+		}
+	}
+}
+
+// describe writes "TASK RUN WORKER AWAY HOW", the time away in milliseconds.
+func (out *outage) describe(id jobqueue.TaskID, now time.Time) string {
+	text := fmt.Sprintf("%s %d %s %d", id, out.run, out.worker, now.Sub(out.since).Milliseconds())
+	if out.how != "" {
+		text += " " + out.how
+	}
+	return text
+}
+
+// noteEnds notes how the runs of a report ended that the log still holds.
+func (o *outages) noteEnds(w *jobqueue.Worker, ends []*apiv1.RunEnd, refusals []*apiv1.RunRefusal, now time.Time) {
+	for _, e := range ends {
+		if run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}]; run != nil {
+			o.noteEnd(run, endName(e.Kind), now)
+		}
+	}
+	for _, refusal := range refusals {
+		if run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}]; run != nil {
+			o.noteEnd(run, "refused: "+refusal.Reason, now)
+		}
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -139,6 +139,7 @@
 	if w == nil {
 		return
 	}
+	l.outages.noteEnds(w, r.Ends, r.Refusals, now)
 	for _, refusal := range r.Refusals {
 		d.meters.refused.Inc(1)
 		d.count("dispatch.starts_refused", refusal.Reason)
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -44,6 +44,8 @@
 	TasksWait        = declare(Dispatch, Routine, "tasks wait", NameTerm, NameWaits)
 	LeaseRanOut      = declare(Dispatch, Warning, "lease ran out", NameTerm, NameWorker, "runs", "silent", "lease")
 	RunsLost         = declare(Dispatch, Warning, "runs are lost", NameTerm, "reason", "core_seconds", NameLost)
+	LongRunningAway  = declare(Dispatch, Warning, "long-running tasks are away", NameTerm, NameTasksAway)
+	LongRunningBack  = declare(Dispatch, Rare, "long-running tasks are back", NameTerm, NameTasksBack)
 	WorkerSilent     = declare(Dispatch, Warning, "worker gives no answer", NameTerm, NameWorker)
 	PlacementAdvice  = declare(Dispatch, Routine, "placement advice", NameTerm, NameStep, "asked", "approved", "took", "error")
 	Maintenance      = declare(Dispatch, Rare, "host maintenance", NameTerm, "wave", "host", NameWorker, "state", "taken", "error")
@@ -59,6 +61,7 @@
 // Lines of agents.
 var (
 	WorkerFound         = declare(Runs, Rare, "worker found", NameWorker, "before")
+	WorkerAbsent        = declare(Runs, Rare, "no worker is known", "silent")
 	WorkerLeft          = declare(Runs, Rare, "worker left", NameWorker, "replaced")
 	UnknownRunsStopped  = declare(Runs, Warning, "runs that the leader does not know are stopped", NameWorker, "running")
 	WorkerClockWentBack = declare(Runs, Warning, "worker's clock went back", NameWorker, "clock_ms", "clock_before_ms", "acknowledged")
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -31,6 +31,8 @@
 	NameWaited      = "waited"
 	NameLongRunning = "long_running"
 	NameTails       = "tails"
+	NameTasksAway   = "tasks_away"
+	NameTasksBack   = "tasks_back"
 	NameJobs        = "jobs"
 	NameTook        = "took"
 	NameAllowed     = "allowed"
@@ -145,6 +147,15 @@
 // Lost lists the runs that are lost, like Started.
 func Lost(byWorker map[string][]string) Field { return byName(NameLost, byWorker) }
 
+// TasksAway lists the long-running tasks that are not known to run, by why; each is
+// "TASK RUN WORKER AWAY HOW", of its last run and how that ended, the time away in
+// milliseconds.
+func TasksAway(byReasons map[string][]string) Field { return byName(NameTasksAway, byReasons) }
+
+// TasksBack lists the long-running tasks that run again, by worker; each is
+// "TASK RUN AWAY", the time away in milliseconds.
+func TasksBack(byWorker map[string][]string) Field { return byName(NameTasksBack, byWorker) }
+
 // Waits lists the steps that wait, by how many workers each reason rules out; each is
 // "STEP TASKS WAITED AGE", both times in milliseconds.
 func Waits(byReasons map[string][]string) Field { return byName(NameWaits, byReasons) }
--- a/trace/gathered.go
+++ b/trace/gathered.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cairnlift/cairnlift/logging/event"
@@ -27,6 +29,10 @@
 		gathered = tailsOf(l)
 	case event.JobsOver.Name:
 		gathered = jobsOf(l)
+	case event.LongRunningAway.Name:
+		gathered = awayOf(l)
+	case event.LongRunningBack.Name:
+		gathered = backOf(l)
 	default:
 		return append(lines, l)
 	}
@@ -162,3 +168,46 @@
 	})
 	return lines
 }
+
+// awayOf returns a line for each long-running task that a gathered line lists as away, by
+// why, as "TASK RUN WORKER AWAY HOW" with the time in milliseconds.
+func awayOf(l Line) []Line {
+	var lines []Line
+	entriesOf(l, event.NameTasksAway, func(why, entry string) {
+		fields := strings.SplitN(entry, " ", 5)
+		if len(fields) < 4 {
+			return
+		}
+		away, err := strconv.ParseInt(fields[3], 10, 64)
+		if err != nil {
+			return
+		}
+		g := before(l, 0, map[string]any{
+			fieldTask: fields[0], fieldRun: fields[1], fieldWorker: fields[2], event.NameReason: why,
+			event.NameWaited: time.Duration(away) * time.Millisecond,
+		})
+		if len(fields) > 4 {
+			g.Fields[event.NameHow] = fields[4]
+		}
+		lines = append(lines, g)
+	})
+	return lines
+}
+
+// backOf returns a line for each long-running task that a gathered line lists as back, by
+// worker, as "TASK RUN AWAY" with the time in milliseconds.
+func backOf(l Line) []Line {
+	var lines []Line
+	entriesOf(l, event.NameTasksBack, func(worker, entry string) {
+		var task string
+		var run float64
+		var away int64
+		if _, err := fmt.Sscan(entry, &task, &run, &away); err != nil {
+			return
+		}
+		lines = append(lines, before(l, 0, map[string]any{
+			fieldTask: task, fieldRun: run, fieldWorker: worker, event.NameWaited: time.Duration(away) * time.Millisecond,
+		}))
+	})
+	return lines
+}
