A host's agent tells the leader that all its runs have ended, whichever life of the worker they ran on

What callers saw: long-running tasks without a run for 12 s and more after the worker of their last run had died; 9 s are allowed.

Cause: only the agent's session with a life of the worker could say that the life's lease had run out, and only after an answer of that life. A heartbeat of the next life, a start that the next life answered, or a restart of the agent ended the session without a word; and the next life had nothing to say before its first answer. The runs then stood in the log until the leader's own lease ended, 12.2 s. What a session alone knows is gone with it.

Change: until when something may run on the host belongs to the host. It begins with the agent (the one before may have granted the longest lease until then) and grows with each deadline sent, to whichever life. Once it has passed and nobody answers, the agent asks the leader which lease it holds for the host and names it: one that was renewed since, or is another leader's, is not given up, so a lapse that the network held up harms nothing. The leader gives the runs up as it does with a lease that ran out, and grants none meanwhile. A life that another has followed is told of at once by the session that follows, also where an answer to a start or a stop shows it. The line 'runs are lost' no longer speaks of runs that stand (departure of a life that the log does not know).

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -44,8 +44,10 @@
 
 // Options set up a Driver.
 type Options struct {
-	Worker  Worker
-	Leader  Leader
+	Worker Worker
+	Leader Leader
+	// Host is the name of this host, as the worker's announcements have it.
+	Host    string
 	Logger  *zap.Logger
 	Metrics metrics.Registry
 	// MaxLease is the longest that the worker runs on after a call that renews its
@@ -66,7 +68,8 @@
 	worker *dependency.Watch
 	// term is the newest that a leader told. It holds for all sessions: a worker that was
 	// asked under it refuses calls under an older one.
-	term highest.Number
+	term  highest.Number
+	lease hostLease
 
 	mu      sync.Mutex
 	session *session
@@ -87,11 +90,14 @@
 		o.Now = time.Now
 	}
 	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
-	return &Driver{
+	d := &Driver{
 		opts: o, logger: event.Runs.Named(o.Logger), meters: newMeters(o.Metrics),
 		worker: dependency.New("worker", o.Logger, o.Now),
 		news:   make(chan struct{}, 1), left: map[string]bool{},
 	}
+	// The agent before this one may have renewed the worker's lease until now.
+	d.lease.extend(o.Now().Add(longestGrant(o.MaxLease)))
+	return d
 }
 
 // Announce takes in what the worker says of itself. It may take callTimeout. An error
@@ -111,12 +117,13 @@
 	case s != nil && s.incarnation == id:
 		return s.announce(a)
 	default:
+		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
+		d.session = d.newSession(a)
 		if s != nil {
 			d.noteLeft(s.incarnation)
 			s.cancel()
+			d.session.former = s.announcement().Worker
 		}
-		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
-		d.session = d.newSession(a)
 	}
 	d.wake()
 	return nil
@@ -193,25 +200,47 @@
 	}
 }
 
-// absenceTold is the time between two lines on a worker that is not known: two intervals
-// of heartbeats.
-const absenceTold = 3 * time.Second
+const (
+	// absenceTold is how long no worker is known when the first line says so; each further
+	// line comes after twice the time.
+	absenceTold = 3 * time.Second
+	// lapseRetry is the time between two tries to tell the leader of a lapse.
+	lapseRetry = 100 * time.Millisecond
+)
 
 // awaitWorker returns once a worker was announced, or when ctx ends.
 func (d *Driver) awaitWorker(ctx context.Context) {
 	since := d.opts.Now()
-	look := time.NewTicker(absenceTold)
-	defer look.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.news:
+	tellAbsence := absenceTold
+	for ctx.Err() == nil {
+		now := d.opts.Now()
+		absent := now.Sub(since)
+		if absent >= tellAbsence {
+			event.WorkerAbsent.Write(d.logger, event.Silent(absent))
+			tellAbsence *= 2
+		}
+		wait := tellAbsence - absent
+		if left, due := d.lease.untilDue(now); due {
+			wait = min(wait, max(left, lapseRetry))
+		}
+		if d.awaitNews(ctx, wait) {
 			return
-		case <-look.C:
-			event.WorkerAbsent.Write(d.logger, event.Silent(d.opts.Now().Sub(since)))
 		}
+		d.tellLapse(ctx)
+	}
+}
+
+// awaitNews reports whether a worker was announced within a time.
+func (d *Driver) awaitNews(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-d.news:
+		return true
+	case <-t.C:
 	}
+	return false
 }
 
 func (d *Driver) current() *session {
--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -85,6 +85,16 @@
 	return l.orders, nil
 }
 
+// HostLease tells of the one worker.
+func (l *leader) HostLease(context.Context, string) (*apiv1.JobsOrdersResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return nil, errAway
+	}
+	return &apiv1.JobsOrdersResponse{Term: term, LeaseWorker: "w1", LeaseNumber: uint64(len(l.reports))}, nil
+}
+
 func (l *leader) set(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -1,10 +1,8 @@
 package runs
 
 import (
-	"context"
 	"time"
 
-	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/logging/event"
 )
 
@@ -14,9 +12,10 @@
 	received time.Time
 }
 
-// earliest is the earliest that it may show: it may run slower by the bound.
-func (c clockReading) earliest(at time.Time) int64 {
-	return c.ms + at.Sub(c.received).Milliseconds()*(ppm-clockRateErrorPPM)/ppm
+// latest is when the clock shows a reading at the latest: it may run slower by the bound.
+func (c clockReading) latest(ms int64) time.Time {
+	left := time.Duration(ms-c.ms) * time.Millisecond
+	return c.received.Add(left * ppm / (ppm - clockRateErrorPPM))
 }
 
 // heard notes an answer of the worker.
@@ -31,7 +30,7 @@
 	}
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
-	s.lapseReported = false
+	s.d.lease.heard()
 }
 
 // nextDeadline is the deadline for the next call: the end of the leader's lease, but
@@ -45,7 +44,7 @@
 	}
 	longest := s.clock.ms + s.d.opts.MaxLease.Milliseconds()
 	deadline := min(s.deadlineMs, longest)
-	s.sentMs = max(s.sentMs, deadline)
+	s.d.lease.extend(s.clock.latest(deadline))
 	return deadline
 }
 
@@ -61,24 +60,3 @@
 	s.deadlineMs = min(s.deadlineMs, clockMs+longest)
 	return longest * ppm / (ppm - clockRateErrorPPM)
 }
-
-// reportLapse tells the leader, once, that a worker without an answer has surely
-// stopped all that ran on it: the latest deadline that it may have got has passed.
-// What goes wrong without it: the leader waits for the end of its own, longer lease,
-// and the work of a worker that is gone starts elsewhere that much later.
-func (s *session) reportLapse() {
-	s.mu.Lock()
-	passed := s.sentMs > 0 && s.clock.earliest(s.d.opts.Now()) > s.sentMs
-	report := passed && !s.lapseReported
-	s.mu.Unlock()
-	if !report {
-		return
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-	defer cancel()
-	_, err := s.send(ctx, &apiv1.JobsReportRequest{Worker: s.announcement().Worker, Lapsed: true})
-	event.WorkersLeaseRanOut.Write(s.d.logger, event.Worker(s.incarnation), event.Err(err))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lapseReported = err == nil
-}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -104,7 +104,7 @@
 // session is over.
 func (s *session) advance(id jobqueue.RunID, o *order) {
 	switch {
-	case s.over || s.ctx.Err() != nil:
+	case s.over || s.alive.Err() != nil:
 	case o.stop && !o.stopping && o.stoppedAt.IsZero():
 		o.stopping = true
 		s.calls.Go(func() { s.carryOutStop(id, o) })
@@ -126,7 +126,7 @@
 // the same run starts once, however often it is ordered.
 func (s *session) carryOutStart(id jobqueue.RunID, o *order) {
 	retry := newBackoff()
-	for s.ctx.Err() == nil {
+	for s.alive.Err() == nil {
 		call, ok := s.nextStart(id, o)
 		if !ok {
 			break
@@ -151,7 +151,7 @@
 // nextStart returns the call to make, once the worker's lease allows it; false
 // when the run is not to be started any more.
 func (s *session) nextStart(id jobqueue.RunID, o *order) (startCall, bool) {
-	for s.ctx.Err() == nil {
+	for s.alive.Err() == nil {
 		s.mu.Lock()
 		stop, leased := o.stop || o.epoch < s.epoch, s.deadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 		if s.announced.Worker.Draining && !o.asked && leased && !stop {
@@ -183,7 +183,7 @@
 func (s *session) callStart(c startCall) (Answer, error) {
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(s.alive, callTimeout)
 	defer cancel()
 	answer, err := s.d.opts.Worker.Start(ctx, c.order, c.start)
 	s.d.countCall("start", answer, err)
@@ -216,7 +216,7 @@
 		// gives its own orders too.
 		return false
 	case AnswerOther:
-		s.cancel()
+		s.noteOther()
 		return true
 	}
 	s.refuse(id, o, answer.String())
@@ -247,7 +247,7 @@
 // carryOutStop has the worker stop a run, until it confirms.
 func (s *session) carryOutStop(id jobqueue.RunID, o *order) {
 	retry := newBackoff()
-	for s.ctx.Err() == nil {
+	for s.alive.Err() == nil {
 		answer, err := s.callStop(id)
 		if err != nil {
 			s.d.meters.unanswered.Inc(1)
@@ -256,7 +256,7 @@
 		}
 		event.StopAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Answer(answer))
 		if answer == AnswerOther {
-			s.cancel()
+			s.noteOther()
 		}
 		s.mu.Lock()
 		o.stopping = false
@@ -272,7 +272,7 @@
 	s.mu.Lock()
 	o := Order{Incarnation: s.incarnation, Term: s.term}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(s.alive, callTimeout)
 	defer cancel()
 	answer, err := s.d.opts.Worker.Stop(ctx, o, id)
 	s.d.countCall("stop", answer, err)
@@ -285,7 +285,7 @@
 	percent := o.pace
 	call := Order{Incarnation: s.incarnation, Term: s.term}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(s.alive, callTimeout)
 	answer, err := s.d.opts.Worker.Pace(ctx, call, id, percent)
 	cancel()
 	s.d.countCall("pace", answer, err)
@@ -308,7 +308,7 @@
 func (s *session) repeat(id jobqueue.RunID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o := s.orders[id]; o != nil && s.ctx.Err() == nil {
+	if o := s.orders[id]; o != nil && s.alive.Err() == nil {
 		s.advance(id, o)
 	}
 }
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -27,6 +27,19 @@
 	}
 }
 
+// tellOfFormer tells the leader that the life before this one has ended. The first report of
+// this one would say so too, but it may end before that.
+func (s *session) tellOfFormer() {
+	if s.former == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	if _, err := s.send(ctx, &apiv1.JobsReportRequest{Worker: s.former, Departed: true}); err == nil {
+		s.former = nil
+	}
+}
+
 // report sends what the worker said to the leader and takes the lease from the
 // answer. It returns false when no leader took it.
 func (s *session) report(status Status, received time.Time) bool {
--- a/agent/runs/runstest/link.go
+++ b/agent/runs/runstest/link.go
@@ -142,6 +142,14 @@
 	return resp, err
 }
 
+// HostLease implements runs.Leader.
+func (l *Link) HostLease(ctx context.Context, host string) (*apiv1.JobsOrdersResponse, error) {
+	if l.ordersCut() {
+		return nil, ErrCut
+	}
+	return l.askForOrders(ctx, &apiv1.JobsOrdersRequest{Host: host})
+}
+
 // Orders implements runs.Leader.
 func (l *Link) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
 	if l.ordersCut() || !l.hasFound() {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
 )
@@ -20,7 +21,10 @@
 	incarnation string
 	ctx         context.Context
 	cancel      context.CancelFunc
-	slots       chan struct{}
+	// alive ends when another life of the worker has answered in place of this one.
+	alive     context.Context
+	noteOther context.CancelFunc
+	slots     chan struct{}
 	// calls are the calls of the worker that are under way; they are begun with mu held.
 	calls conc.WaitGroup
 	// number tells the session from others of the same worker, and reports counts what
@@ -30,6 +34,9 @@
 	beganMs int64
 	// admitted: the leader may be told of the worker; only watch uses it.
 	admitted bool
+	// former is the life before this one, until the leader was told that it has ended; nil
+	// when there is none to tell of.
+	former *apiv1.JobWorker
 
 	mu        sync.Mutex
 	announced Announcement
@@ -42,15 +49,11 @@
 	deadlineMs int64
 	// status is what the worker last said of itself.
 	status Status
-	// clock is what the worker's clock last showed; sentMs the latest deadline that
-	// the worker may have got, answered or not.
+	// clock is what the worker's clock last showed.
 	clock        clockReading
-	sentMs       int64
 	acknowledged uint64
-	// lapseReported: the leader knows that the worker's lease ran out.
-	lapseReported bool
-	orders        map[jobqueue.RunID]*order
-	refusals      map[jobqueue.RunID]string
+	orders       map[jobqueue.RunID]*order
+	refusals     map[jobqueue.RunID]string
 }
 
 // isUndated reports whether a name is that of the session's worker without its start.
@@ -67,8 +70,9 @@
 
 func (d *Driver) newSession(a Announcement) *session {
 	ctx, cancel := context.WithCancel(context.Background())
+	alive, noteOther := context.WithCancel(ctx)
 	return &session{
-		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, announced: a, number: rand.Uint64(), term: d.term.Load(),
+		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, alive: alive, noteOther: noteOther, announced: a, number: rand.Uint64(), term: d.term.Load(),
 		slots:  make(chan struct{}, startsAtOnce),
 		orders: map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{},
 	}
@@ -129,13 +133,17 @@
 	defer s.cancel()
 	wait := time.Duration(0)
 	for s.ctx.Err() == nil {
+		s.tellOfFormer()
 		asked := s.d.opts.Now()
 		status, answer, err := s.renew(wait)
 		received := s.d.opts.Now()
-		gone := s.announcement().Departed || answer == AnswerOther
+		if answer == AnswerOther {
+			s.noteOther()
+		}
+		replaced := s.alive.Err() != nil
 		switch {
-		case gone:
-			s.depart(answer == AnswerOther)
+		case replaced || s.announcement().Departed:
+			s.depart(replaced)
 			return
 		case err == nil && answer == AnswerFenced:
 			// A restarted agent does not know the term yet; the leader tells it. Nothing is
@@ -146,7 +154,7 @@
 			continue
 		case err != nil || answer != AnswerDone:
 			event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
-			s.reportLapse()
+			s.d.tellLapse(s.ctx)
 			s.pause(retryPause)
 			continue
 		}
@@ -173,7 +181,7 @@
 	o := Order{Incarnation: s.incarnation, Term: s.term}
 	r := Renewal{DeadlineMs: s.nextDeadline(), Acknowledged: s.acknowledged, Wait: wait}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(s.alive, wait+callTimeout)
 	defer cancel()
 	status, answer, err := s.d.opts.Worker.Renew(ctx, o, r)
 	s.d.worker.Note(err)
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -102,6 +102,9 @@
 	// CurrentOrders looks for the leader and returns what it has for a worker now: its
 	// term, and an epoch if it knows the worker.
 	CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error)
+	// HostLease looks for the leader and returns which worker it holds on a host, and the
+	// number of that worker's lease.
+	HostLease(ctx context.Context, host string) (*apiv1.JobsOrdersResponse, error)
 }
 
 // Announcement is what a worker says of itself of its own accord.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -141,6 +141,14 @@
 	if plan == nil {
 		return
 	}
+	committed := d.commitPlan(ctx, plan)
+	if len(lapsed) > 0 {
+		d.endLapses(plan.Term, lapsed, committed)
+	}
+}
+
+// commitPlan reports whether a plan is surely committed and in force.
+func (d *Dispatcher) commitPlan(ctx context.Context, plan *apiv1.PlanRuns) bool {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
 	res, err := d.opts.Replica.ProposeLocal(ctx, jobsCommand(&apiv1.JobsCommand{
@@ -149,9 +157,7 @@
 	if err != nil {
 		event.PlanUncommitted.Write(d.logger, event.Term(plan.Term), event.Err(err))
 	}
-	if len(lapsed) > 0 {
-		d.endLapses(plan.Term, lapsed, err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK)
-	}
+	return err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
 // decide returns the plan to commit, nil when there is nothing to do.
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -23,6 +23,8 @@
 
 type lease struct {
 	renewed time.Time
+	// number grows with each renewal.
+	number uint64
 	// heard is set by the first report; without one, nothing is known of the worker.
 	heard bool
 	// lapsing: a plan that gives the worker's runs up is on its way into the log.
@@ -60,6 +62,7 @@
 		l.duration = min(t.duration, bound)
 	}
 	l.renewed = now
+	l.number++
 	l.heard = true
 	l.lapsed = false
 	return l.duration, true
@@ -80,6 +83,16 @@
 	return expired
 }
 
+// beginLapse begins to give up the runs of a worker; false if that has begun already.
+func (t *leaseTable) beginLapse(worker string) bool {
+	l := t.of(worker)
+	if l.lapsing {
+		return false
+	}
+	l.lapsing = true
+	return true
+}
+
 // endLapse ends an expiry that is committed.
 func (t *leaseTable) endLapse(worker string) {
 	l := t.of(worker)
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -32,6 +32,9 @@
 // noteReportedLosses tells of the runs that a report ends without an end of their own.
 func (d *Dispatcher) noteReportedLosses(l *leadership, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	worker := m.Worker(r.Worker.GetId())
+	if worker == nil && r.Departed {
+		return // A life that the log does not know ends no other one.
+	}
 	if before := m.WorkerOf(r.Worker.GetHost()); before != nil && (worker == nil || before != worker && !worker.Departed) {
 		d.noteLost(l, before, lostByReplacement, nil, now)
 	}
@@ -39,8 +42,6 @@
 	case worker == nil || worker.Departed:
 	case r.Departed:
 		d.noteLost(l, worker, lostByDeparture, r.Ends, now)
-	case r.Lapsed:
-		d.noteLost(l, worker, lostBySilence, r.Ends, now)
 	}
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -18,7 +18,7 @@
 	defer timer.Stop()
 	for {
 		changed := d.changed.wait()
-		resp := d.orders(r.Worker)
+		resp := d.orders(r)
 		news := resp.NotLeader || resp.Term != r.Term || resp.Sequence != r.Sequence
 		if news {
 			return resp, nil
@@ -33,8 +33,8 @@
 	}
 }
 
-// orders returns the open orders of a worker.
-func (d *Dispatcher) orders(worker string) *apiv1.JobsOrdersResponse {
+// orders returns the open orders of a worker, and what is held of a host that is asked of.
+func (d *Dispatcher) orders(r *apiv1.JobsOrdersRequest) *apiv1.JobsOrdersResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.ready()
@@ -43,12 +43,15 @@
 	}
 	resp := &apiv1.JobsOrdersResponse{Term: l.term}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
-		w := m.CallerJobs().Worker(worker)
+		if held := m.CallerJobs().WorkerOf(r.Host); held != nil {
+			resp.LeaseWorker, resp.LeaseNumber = held.Spec.Id, l.leases.of(held.Spec.Id).number
+		}
+		w := m.CallerJobs().Worker(r.Worker)
 		if w == nil {
 			return
 		}
 		resp.Epoch = w.Epoch
-		resp.Sequence = w.Revision + l.paceRevisions[worker]
+		resp.Sequence = w.Revision + l.paceRevisions[r.Worker]
 		for _, id := range w.SortedRuns() {
 			l.addOrder(resp, w.Runs[id])
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -18,10 +18,13 @@
 // Report implements apiv1.Jobs: it records what an agent learnt of its worker and
 // renews the worker's lease.
 func (d *Dispatcher) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	if r.Lapsed {
+		return d.reportLapse(ctx, r)
+	}
 	t := d.take(r)
 	switch {
 	case t.term == 0:
-		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
+		return d.refer(), nil
 	case t.outdated:
 		return &apiv1.JobsReportResponse{Term: t.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE}, nil
 	}
@@ -29,12 +32,9 @@
 	now, leads := d.opts.Replica.Leading()
 	if err != nil || !leads || now != t.term {
 		event.ReportUnproved.Write(d.logger, event.Worker(r.Worker.GetId()), event.Err(err))
-		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
+		return d.refer(), nil
 	}
 	resp := &apiv1.JobsReportResponse{Term: t.term, Outcome: outcome}
-	if r.Lapsed {
-		d.noteLapse(t.term, r.Worker.GetId())
-	}
 	if outcome == apiv1.JobOutcome_JOB_OUTCOME_OK && !r.Departed {
 		resp.LeaseMs = t.granted.Milliseconds()
 	}
@@ -82,9 +82,7 @@
 	}
 	t := taken{term: l.term}
 	now := d.opts.Now()
-	if !r.Lapsed {
-		t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
-	}
+	t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
 	for _, o := range r.Running {
 		l.observe(o, now)
 	}
@@ -103,17 +101,6 @@
 	return t
 }
 
-// noteLapse takes in that a worker's runs were given up because its agent gets no
-// answer from it: it gets no work until the agent reports again.
-func (d *Dispatcher) noteLapse(term uint64, worker string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.leading != nil && d.leading.term == term {
-		d.leading.leases.endLapse(worker)
-	}
-	event.WorkerSilent.Write(d.logger, event.Term(term), event.Worker(worker))
-}
-
 // observe notes the state of a run.
 func (l *leadership) observe(o *apiv1.RunObservation, now time.Time) {
 	id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
@@ -177,7 +164,7 @@
 // reportCommand returns what of a report the log does not hold yet.
 func (l *leadership) reportCommand(m *jobqueue.Machine, r *apiv1.JobsReportRequest) *apiv1.ReportWorker {
 	w := m.Worker(r.Worker.GetId())
-	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed, Lapsed: r.Lapsed}
+	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed}
 	if w == nil {
 		command.Ends = r.Ends
 		command.Checkpoints = l.checkpoints(m.WorkerOf(r.Worker.GetHost()))
@@ -191,14 +178,11 @@
 	command.Refusals = slices.DeleteFunc(slices.Clone(r.Refusals), func(refusal *apiv1.RunRefusal) bool {
 		return w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}] == nil
 	})
-	if r.Departed || r.Lapsed {
+	if r.Departed {
 		command.Checkpoints = l.checkpoints(w)
 	}
 	same := proto.Equal(w.Spec, r.Worker)
-	if r.Lapsed && len(w.Runs) == 0 {
-		command.Lapsed = false
-	}
-	if same && !r.Departed && !command.Lapsed && len(command.Ends)+len(command.Refusals) == 0 {
+	if same && !r.Departed && len(command.Ends)+len(command.Refusals) == 0 {
 		return nil
 	}
 	return command
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -132,7 +132,7 @@
 
 func (h *simSide) startAgent() {
 	ctx, cancel := context.WithCancel(h.s.ctx)
-	driver := runs.New(runs.Options{Worker: workerOf{h}, Leader: h, Logger: h.s.logger})
+	driver := runs.New(runs.Options{Host: h.name, Worker: workerOf{h}, Leader: h, Logger: h.s.logger})
 	h.mu.Lock()
 	h.driver, h.stop = driver, cancel
 	h.mu.Unlock()
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -304,6 +304,14 @@
 	})
 }
 
+// HostLease looks for the leader and returns which worker it holds on a host, and the number
+// of that worker's lease. Errors: ErrNoLeader.
+func (c *Client) HostLease(ctx context.Context, host string) (*apiv1.JobsOrdersResponse, error) {
+	return askLeader(ctx, c, "lease of", func(ctx context.Context, control apiv1.Jobs) (*apiv1.JobsOrdersResponse, error) {
+		return control.Orders(ctx, &apiv1.JobsOrdersRequest{Host: host})
+	})
+}
+
 // Orders waits for orders to a worker, at the leader as last known. Errors:
 // ErrNoLeader, or that of the call.
 func (c *Client) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
