dispatch: the planner learns each end of a run once

What callers saw: after one failed run a task had no run for 2.5, 5.5 or 11.5 s, though its worker was sound and had room.

Cause: an agent sends its report again until it is acknowledged. Until the first copy is committed, Worker.Acknowledged does not cover its ends, and each copy taught the planner the same failures again: they counted as failures in a row, and the worker was avoided for 3, 6, then 12 s.

Why this works: the leadership notes the highest sequence number of each worker's ends that it has taught, and skips what is not above it. The note goes with the worker. The line "run ended" is written once as well.

--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -18,6 +18,8 @@
 	leases   *leaseTable
 	reports  *reportOrder
 	observed map[jobqueue.RunID]schedule.Observation
+	// endsLearnt is the highest sequence number of each worker's ends that the planner knows.
+	endsLearnt map[string]uint64
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
 	// waits are the steps that found no worker in the last round.
@@ -88,6 +90,7 @@
 		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
 		reports:       newReportOrder(),
 		observed:      map[jobqueue.RunID]schedule.Observation{},
+		endsLearnt:    map[string]uint64{},
 		paceRevisions: map[string]uint64{},
 		waitsLogged:   map[jobqueue.StepID]waitLogged{},
 		runLog:        newRunLog(d.logger),
@@ -164,6 +167,11 @@
 			delete(l.saved, id)
 		}
 	}
+	for worker := range l.endsLearnt {
+		if m.Worker(worker) == nil {
+			delete(l.endsLearnt, worker)
+		}
+	}
 	for id := range l.overTold {
 		if m.Job(id) == nil {
 			delete(l.overTold, id)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -133,7 +133,8 @@
 	l.observed[id] = seen
 }
 
-// learn tells the planner of ends that are new.
+// learn tells the planner of ends that are new. A report is sent again until it is committed:
+// what goes wrong without a note of what was learnt is that one failed run counts as several.
 func (d *Dispatcher) learn(l *leadership, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	w := m.Worker(r.Worker.GetId())
 	if w == nil {
@@ -147,11 +148,13 @@
 		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason),
 			event.Task(jobqueue.TaskIDOf(refusal.Task)), event.Run(refusal.Run))
 	}
+	known := max(w.Acknowledged, l.endsLearnt[w.Spec.Id])
 	for _, e := range r.Ends {
 		run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}]
-		if e.Sequence <= w.Acknowledged || run == nil {
+		if e.Sequence <= known || run == nil {
 			continue
 		}
+		l.endsLearnt[w.Spec.Id] = max(l.endsLearnt[w.Spec.Id], e.Sequence)
 		d.meters.ends.Inc(1)
 		ended := schedule.Ended{
 			Worker: w.Spec.Id, Kind: e.Kind, Step: run.Step, At: now, Resumed: run.Checkpoint != "",
