schedule: one incident lengthens a worker's avoidance once, and failures far apart are not in a row

What callers saw: a set of four tasks that failed together on their only worker waited 12 s, and a task that fails each ten minutes waited 3, 6, then 12 s each time.

Cause: each failure doubled the avoidance, also those of one report; and only a run that ended well ended a row of failures, which a long-running task never does.

Evidence: TestRunsThatFailTogetherDoNotLengthenEachOthersWait (12 s before, at most 3 s asked for) and TestRunThatFailsEachTenMinutesStartsAgainAtOnce (3, 6, 12, 12 s before after failures 2 to 5, at most 1.5 s asked for). Both failed before and pass now.

Why this works: failures within a second lengthen the avoidance once (incidentSpan), so a worker that breaks is still found after two. A failure after 15 s without one, not counting the time in which the worker was avoided and got nothing, begins a new row (failuresApart). A worker whose last run failed still comes after the others, as before.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -15,6 +15,13 @@
 	// doubles it, up to maxAvoidance.
 	firstAvoidance = 3 * time.Second
 	maxAvoidance   = 12 * time.Second
+	// incidentSpan is the time within which failures of a worker lengthen its avoidance
+	// once: what ends many of its runs at a time says no more than what ends one.
+	incidentSpan = time.Second
+	// failuresApart is the time without a failure, on a worker that gets work, after which
+	// the next one is not in a row with those before it. A long-running task never ends
+	// well, so nothing else would ever end the row.
+	failuresApart = 15 * time.Second
 )
 
 // healthTable tells which workers fail what they are given.
@@ -24,8 +31,11 @@
 
 type health struct {
 	failures     int
+	failedAt     time.Time
 	avoidedUntil time.Time
 	avoidance    time.Duration
+	// lengthenedAt is when a failure last lengthened the avoidance.
+	lengthenedAt time.Time
 }
 
 func newHealthTable() healthTable { return healthTable{byWorker: map[string]*health{}} }
@@ -45,10 +55,15 @@
 }
 
 func (h *health) fail(at time.Time) {
+	if at.Sub(h.failedAt) > failuresApart && at.Sub(h.avoidedUntil) > failuresApart {
+		*h = health{}
+	}
 	h.failures++
-	if h.failures < failuresInRow {
+	h.failedAt = at
+	if h.failures < failuresInRow || at.Sub(h.lengthenedAt) < incidentSpan {
 		return
 	}
+	h.lengthenedAt = at
 	h.avoidance = min(max(2*h.avoidance, firstAvoidance), maxAvoidance)
 	h.avoidedUntil = at.Add(h.avoidance)
 }
@@ -61,6 +76,7 @@
 		t.byWorker[worker] = h
 	}
 	h.failures = max(h.failures, failuresInRow)
+	h.failedAt = at
 	h.avoidance = max(h.avoidance, firstAvoidance)
 	h.avoidedUntil = at.Add(h.avoidance)
 }
