schedule: avoidance is no reason against the last worker

Cause: an avoided worker was ruled out for all kinds of work, also where all workers were avoided, and also for a starving job. A job that fails wherever it runs makes all workers avoided.

Why this works: a long-running task that finds no other worker, and a starving job, take an avoided worker once its last failure is 1 s old (tryAgainAfter). A worker that fails all it gets is so tried once a second and no more, and another avoided one comes before it as long as its own failure is fresh. A starving job that found no worker tries again in the next round, in place of 1.5 s later. Gangs starve like other jobs.

--- a/schedule/avoided_test.go
+++ b/schedule/avoided_test.go
@@ -1,12 +1,75 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
+// Guards against a long-running task that waits until workers are avoided no longer, where all are.
+func TestLongRunningTaskStartsThoughAllWorkersAreAvoided(t *testing.T) {
+	for failures := failuresInRow; failures <= 4; failures++ {
+		t.Run(fmt.Sprintf("%d failures each", failures), func(t *testing.T) {
+			r := newRig(t)
+			workers := []string{"w1", "w2", "w3"}
+			for _, w := range workers {
+				r.worker(w, 8000, 8000)
+			}
+			r.failBatch(workers, failures)
+			r.submit("urgent", "set", lasting(1))
+			if took := r.untilRunning("set"); took > starvingAfter {
+				t.Errorf("started after %v beside three empty workers", took)
+			}
+		})
+	}
+}
+
+// Guards against a job that waits, with nothing running, until workers are avoided no longer, where all are.
+func TestStarvingJobStartsThoughAllWorkersAreAvoided(t *testing.T) {
+	for name, step := range map[string]*apiv1.JobStep{
+		"batch":    {Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 300},
+		"gang":     {Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 300, Gang: true},
+		"backfill": {Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 300, Backfill: true, Image: "fills"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			workers := []string{"w1", "w2", "w3"}
+			for _, w := range workers {
+				r.worker(w, 8000, 8000)
+			}
+			r.failBatch(workers, failuresInRow+2)
+			r.submit("batch", "job", step)
+			began := r.now
+			for r.now.Sub(began) < time.Minute && !r.machine.Job("job").Running() {
+				r.pass(simStep)
+				r.plan()
+			}
+			if took := r.now.Sub(began); took > longestWait {
+				t.Errorf("started after %v beside three empty workers", took)
+			}
+		})
+	}
+}
+
+// Guards against a broken worker, the only one, that is given long-running tasks without a pause.
+func TestWorkerThatFailsAllItGetsIsTriedOnceASecond(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 8000, 8000)
+	r.submit("urgent", "set", lasting(1))
+	const span = 20 * time.Second
+	tries := 0
+	for began := r.now; r.now.Sub(began) < span; r.pass(simStep) {
+		tries += len(r.plan().Starts)
+		r.failAll("w1")
+	}
+	if most := int(span/tryAgainAfter) + failuresInRow; tries > most {
+		t.Errorf("%d starts in %v, %d at most", tries, span, most)
+	}
+}
+
 // Guards against failures that are minutes apart and count as failures in a row.
 func TestRunThatFailsEachTenMinutesStartsAgainAtOnce(t *testing.T) {
 	r := newRig(t)
@@ -34,6 +97,37 @@
 	}
 }
 
+// Guards against a set without a worker once a run more has failed on each of its workers.
+func TestOneMoreFailureOnEachWorkerLeavesATaskAWorker(t *testing.T) {
+	for before := 1; before <= 3; before++ {
+		t.Run(fmt.Sprintf("%d failures before", before), func(t *testing.T) {
+			r := newRig(t)
+			workers := []string{"w1", "w2", "w3"}
+			step := lasting(1)
+			step.RequiredLabel = "ssd"
+			for i, w := range workers {
+				r.worker(w, 8000, 8000, "ssd")
+				r.submit("urgent", fmt.Sprint("set", i), step)
+			}
+			r.failBatch(workers, before)
+			r.pass(maxAvoidance)
+			for i, w := range workers {
+				r.startAll(w, fmt.Sprint("set", i))
+			}
+			for i := range workers {
+				r.pass(1300 * time.Millisecond)
+				r.end(jobqueue.RunID{Task: jobqueue.TaskID{Job: fmt.Sprint("set", i)}, Number: 1}, apiv1.RunEndKind_RUN_END_KIND_FAILED)
+				r.plan()
+			}
+			for i := range workers {
+				if took := r.untilRunning(fmt.Sprint("set", i)); took > starvingAfter {
+					t.Errorf("set%d started after %v", i, took)
+				}
+			}
+		})
+	}
+}
+
 // failAll has all runs of a worker fail.
 func (r *rig) failAll(worker string) {
 	r.t.Helper()
@@ -41,3 +135,28 @@
 		r.end(id, apiv1.RunEndKind_RUN_END_KIND_FAILED)
 	}
 }
+
+// failBatch has tasks of batch jobs fail on each worker, one after the other.
+func (r *rig) failBatch(workers []string, times int) {
+	r.t.Helper()
+	for i := range times {
+		if i > 0 {
+			r.pass(incidentSpan)
+		}
+		for _, w := range workers {
+			r.failBatchOn(w)
+		}
+	}
+}
+
+func (r *rig) failBatchOn(worker string) {
+	r.t.Helper()
+	job := fmt.Sprintf("fails%d-%s", r.nextEnd[worker], worker)
+	r.submit("batch", job, &apiv1.JobStep{Count: 1, CpuMilli: 100, MemoryMb: 1, EstimatedMs: 100})
+	r.startAll(worker, job)
+	id := jobqueue.RunID{Task: jobqueue.TaskID{Job: job}, Number: 1}
+	r.end(id, apiv1.RunEndKind_RUN_END_KIND_FAILED)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Cancel{Cancel: &apiv1.CancelJob{
+		Id: job, Host: testHost, Path: "/batch/" + job,
+	}}})
+}
--- /dev/null
+++ b/schedule/fleetsim_test.go
@@ -0,0 +1,359 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	simStep        = 100 * time.Millisecond
+	simReportEvery = 5
+	simSpan        = 60 * time.Second
+
+	simStepsPerSecond = int(time.Second / simStep)
+)
+
+// fleetFaults says what a simulated fleet has to bear beside workers that die.
+type fleetFaults struct {
+	// failing is how many runs of a thousand fail in a second; broken has workers fail all they
+	// get for a while.
+	failing int
+	broken  bool
+	// quiet has workers out of reach for a while, leaving has them drain or be emptied.
+	quiet, leaving bool
+	// advised has long-running sets in a queue with an advisor, fills has sets that reserve
+	// no processors, refusing has workers that refuse each start for a while.
+	advised, fills, refusing bool
+	// noBatch leaves the fleet to long-running sets; uncommitted has decisions come to nothing.
+	noBatch, uncommitted bool
+}
+
+// fleetSim is a random fleet in virtual time, whose runs end as the workers have it.
+type fleetSim struct {
+	*rig
+	faults  fleetFaults
+	random  *rand.Rand
+	hosts   []*fleetHost
+	answers []fleetAnswer
+	began   map[jobqueue.RunID]time.Time
+	stopAt  map[jobqueue.RunID]time.Time
+	jobs    int
+	waves   uint64
+	steps   int
+}
+
+type fleetHost struct {
+	name, pool, worker string
+	labels             []string
+	cpuMilli, memoryMB int64
+	lives              int
+	backAt             time.Time
+	departAt           time.Time
+	quietUntil         time.Time
+	brokenUntil        time.Time
+	refusesUntil       time.Time
+	wave               uint64
+}
+
+// fleetAnswer is an advisor's answer on its way.
+type fleetAnswer struct {
+	question Question
+	askedAt  time.Time
+	at       time.Time
+}
+
+var fleetQueues = []string{"urgent", "steady", "filling", "advised", "far"}
+
+func newFleetSim(t *testing.T, seed int64, faults fleetFaults) *fleetSim {
+	s := &fleetSim{
+		rig: newRig(t), faults: faults, random: rand.New(rand.NewSource(seed)),
+		began: map[jobqueue.RunID]time.Time{}, stopAt: map[jobqueue.RunID]time.Time{},
+	}
+	s.configure()
+	for i := range 4 + s.random.Intn(8) {
+		h := &fleetHost{
+			name: fmt.Sprintf("h%02d", i), pool: "near",
+			cpuMilli: 4000 + 1000*int64(s.random.Intn(12)), memoryMB: 8000 + 1000*int64(s.random.Intn(24)),
+		}
+		if i%4 == 3 {
+			h.pool = "far"
+		}
+		if i%2 == 0 {
+			h.labels = append(h.labels, "ssd")
+		}
+		s.hosts = append(s.hosts, h)
+		s.join(h)
+	}
+	for i := range 3 + s.random.Intn(5) {
+		s.submitSet(i)
+	}
+	return s
+}
+
+func (s *fleetSim) configure() {
+	c := &apiv1.QueueConfiguration{Version: 2, Pools: []*apiv1.WorkerPool{{Name: "near"}, {Name: "far"}}}
+	for i, name := range fleetQueues {
+		q := &apiv1.JobQueue{
+			Name: name, Host: testHost, PathPrefix: "/" + name + "/", Pool: "near", Priority: uint32(i % 3),
+			MaxAttempts: 4, Stretch: 2, AllowanceMs: 500, TimeoutMs: 1000, Advised: name == "advised",
+		}
+		if name == "far" {
+			q.Pool = "far"
+		}
+		c.Queues = append(c.Queues, q)
+	}
+	s.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{Configuration: c}}})
+}
+
+// submitSet hands a long-running set in.
+func (s *fleetSim) submitSet(number int) {
+	step := &apiv1.JobStep{
+		Count: 1 + uint32(s.random.Intn(4)), CpuMilli: 500 + 500*int64(s.random.Intn(4)), MemoryMb: 200 + 200*int64(s.random.Intn(6)),
+		EstimatedMs: 300, LongRunning: true, Image: fmt.Sprint("set", number), MaxPerWorker: uint32(s.random.Intn(3)),
+	}
+	if s.random.Intn(3) == 0 {
+		step.RequiredLabel = "ssd"
+	}
+	if s.random.Intn(2) == 0 {
+		step.TailObjectiveMs = 100
+	}
+	step.Backfill = s.faults.fills && s.random.Intn(3) == 0
+	queue := fleetQueues[s.random.Intn(3)]
+	switch {
+	case s.random.Intn(5) == 0:
+		queue = "far"
+	case s.faults.advised && s.random.Intn(2) == 0:
+		queue = "advised"
+	}
+	s.submit(queue, fmt.Sprintf("set%d", number), step)
+}
+
+// submitWork hands batch work in, as much as keeps the fleet busy.
+func (s *fleetSim) submitWork() {
+	if s.faults.noBatch || s.random.Intn(10) > 3 {
+		return
+	}
+	s.jobs++
+	step := &apiv1.JobStep{
+		Count: 1 + uint32(s.random.Intn(6)), CpuMilli: 500 + 500*int64(s.random.Intn(5)), MemoryMb: 200 + 200*int64(s.random.Intn(8)),
+		EstimatedMs: 500 + int64(s.random.Intn(3000)), Image: fmt.Sprint("batch", s.random.Intn(6)), Checkpointing: s.random.Intn(2) == 0,
+		Backfill: s.random.Intn(2) == 0, AllowDuplicates: s.random.Intn(5) == 0,
+	}
+	step.Gang = !step.Backfill && s.random.Intn(8) == 0
+	queues := fleetQueues
+	if !s.faults.advised {
+		queues = []string{"urgent", "steady", "filling", "far"}
+	}
+	s.submit(queues[s.random.Intn(len(queues))], fmt.Sprintf("b%d", s.jobs), step)
+}
+
+func (s *fleetSim) join(h *fleetHost) {
+	h.lives++
+	h.worker = fmt.Sprintf("%s-%d", h.name, h.lives)
+	h.backAt, h.departAt, h.quietUntil, h.wave = time.Time{}, time.Time{}, time.Time{}, 0
+	s.report(h, false, false)
+}
+
+func (s *fleetSim) report(h *fleetHost, draining, departed bool) {
+	s.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+		Worker: &apiv1.JobWorker{
+			Id: h.worker, Host: h.name, Pool: h.pool, CpuMilli: h.cpuMilli, MemoryMb: h.memoryMB, Labels: h.labels, Draining: draining,
+		},
+		Departed: departed,
+	}}})
+}
+
+// tick lets a step of virtual time pass and decides at its end.
+func (s *fleetSim) tick() Decision {
+	s.pass(simStep)
+	s.steps++
+	for _, h := range s.hosts {
+		s.troubleHost(h)
+		s.tendHost(h)
+	}
+	s.submitWork()
+	s.answerQuestions()
+	s.endRuns()
+	if s.steps%simReportEvery == 0 {
+		for _, h := range s.hosts {
+			if h.worker != "" && !s.silent[h.worker] {
+				s.observeAll(h.worker, func(int) int64 { return 20 + int64(s.random.Intn(70)) })
+			}
+		}
+	}
+	if s.faults.uncommitted && s.random.Intn(3) == 0 {
+		d := s.planner.Plan(s.machine, s, s.now, s.now.UnixMilli())
+		s.ask(d)
+		return Decision{}
+	}
+	d := s.plan()
+	s.refuseStarts(d)
+	s.ask(d)
+	return d
+}
+
+func (s *fleetSim) ask(d Decision) {
+	for _, q := range d.Questions {
+		wait := time.Duration(50+s.random.Intn(400)) * time.Millisecond
+		s.answers = append(s.answers, fleetAnswer{q, s.now, s.now.Add(wait)})
+	}
+}
+
+// troubleHost draws what goes wrong with a host next.
+func (s *fleetSim) troubleHost(h *fleetHost) {
+	if h.worker == "" || !h.departAt.IsZero() {
+		return
+	}
+	span := time.Duration(500+s.random.Intn(5000)) * time.Millisecond
+	switch p := s.random.Float64(); {
+	case p < 0.004:
+		// It dies; the leader learns of it later.
+		s.silent[h.worker] = true
+		h.departAt, h.backAt = s.now.Add(span), s.now.Add(2*span)
+	case p < 0.008 && s.faults.quiet:
+		s.silent[h.worker] = true
+		h.quietUntil = s.now.Add(span)
+	case p < 0.010 && s.faults.leaving:
+		s.report(h, true, false)
+		h.departAt, h.backAt = s.now.Add(span), s.now.Add(2*span)
+	case p < 0.012 && s.faults.leaving:
+		s.leave(h)
+		h.departAt, h.backAt = s.now.Add(span), s.now.Add(2*span)
+	case p < 0.014 && s.faults.broken:
+		h.brokenUntil = s.now.Add(span / 4)
+	case p < 0.030 && s.faults.refusing:
+		h.refusesUntil = s.now.Add(span)
+	}
+}
+
+// leave has a host's worker emptied for its maintenance.
+func (s *fleetSim) leave(h *fleetHost) {
+	s.waves++
+	h.wave = s.waves
+	s.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{
+		Wave: &apiv1.MaintenanceWave{Number: h.wave, Hosts: []string{h.name}, DurationMs: 1000, Cap: 1},
+	}}})
+	s.maintain(h, apiv1.MaintenanceState_MAINTENANCE_STATE_LEAVING)
+}
+
+func (s *fleetSim) maintain(h *fleetHost, state apiv1.MaintenanceState) {
+	s.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Maintain{Maintain: &apiv1.MaintainHost{
+		Term: testTerm, Wave: h.wave, Host: h.name, State: state, Worker: h.worker,
+	}}})
+}
+
+// tendHost does what was drawn for a host when its time has come.
+func (s *fleetSim) tendHost(h *fleetHost) {
+	if !h.departAt.IsZero() && !s.now.Before(h.departAt) {
+		if h.wave != 0 {
+			s.maintain(h, apiv1.MaintenanceState_MAINTENANCE_STATE_GONE)
+		}
+		s.report(h, false, true)
+		h.worker, h.departAt, h.quietUntil = "", time.Time{}, time.Time{}
+	}
+	if !h.quietUntil.IsZero() && h.departAt.IsZero() && !s.now.Before(h.quietUntil) {
+		delete(s.silent, h.worker)
+		h.quietUntil = time.Time{}
+	}
+	if h.worker == "" && !s.now.Before(h.backAt) {
+		s.join(h)
+	}
+}
+
+func (s *fleetSim) answerQuestions() {
+	var open []fleetAnswer
+	for _, a := range s.answers {
+		if s.now.Before(a.at) {
+			open = append(open, a)
+			continue
+		}
+		advice := Advice{Tickets: map[string]string{}, Valid: 2 * time.Second}
+		for _, w := range a.question.Workers {
+			if approves(a.question.Step, w) {
+				advice.Tickets[w] = "ticket"
+			}
+		}
+		s.planner.Advised(a.question, advice, a.askedAt)
+	}
+	s.answers = open
+}
+
+// approves is the advisor's policy, which doesn't change.
+func approves(step jobqueue.StepID, worker string) bool {
+	sum := 0
+	for _, c := range step.Job + worker {
+		sum = 31*sum + int(c)
+	}
+	return sum%3 != 0
+}
+
+// endRuns ends the runs whose time has come.
+func (s *fleetSim) endRuns() {
+	for _, h := range s.hosts {
+		if h.worker == "" || s.silent[h.worker] {
+			continue
+		}
+		w := s.machine.Worker(h.worker)
+		for _, id := range w.SortedRuns() {
+			if run := w.Runs[id]; run != nil {
+				s.endRun(h, run)
+			}
+		}
+	}
+}
+
+func (s *fleetSim) endRun(h *fleetHost, run *jobqueue.Run) {
+	id := run.ID
+	began, known := s.began[id]
+	if !known {
+		s.began[id] = s.now
+		return
+	}
+	if run.Stopping {
+		at, known := s.stopAt[id]
+		if !known {
+			s.stopAt[id] = s.now.Add(time.Duration(100+s.random.Intn(300)) * time.Millisecond)
+		} else if !s.now.Before(at) {
+			s.end(id, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+		}
+		return
+	}
+	fails := s.now.Before(h.brokenUntil) || s.random.Intn(1000*simStepsPerSecond) < s.faults.failing
+	over := !run.Step.LongRunning && s.now.Sub(began).Milliseconds() >= run.Step.EstimatedMs
+	switch {
+	case fails:
+		s.end(id, apiv1.RunEndKind_RUN_END_KIND_FAILED)
+	case over:
+		s.end(id, apiv1.RunEndKind_RUN_END_KIND_DONE)
+	}
+}
+
+// refuseStarts has workers that refuse give their new runs back.
+func (s *fleetSim) refuseStarts(d Decision) {
+	for _, start := range d.Starts {
+		for _, h := range s.hosts {
+			if h.worker != start.Worker || !s.now.Before(h.refusesUntil) {
+				continue
+			}
+			s.refuse(jobqueue.RunID{Task: jobqueue.TaskIDOf(start.Task), Number: start.Run}, h.worker)
+		}
+	}
+}
+
+// refuse has a worker refuse a start.
+func (r *rig) refuse(id jobqueue.RunID, worker string) {
+	r.t.Helper()
+	if r.machine.Run(id) == nil {
+		return
+	}
+	r.planner.StartRefused(id.Task.StepID(), worker)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+		Worker:   r.machine.Worker(worker).Spec,
+		Refusals: []*apiv1.RunRefusal{{Task: id.Task.Ref(), Run: id.Number, Reason: "full"}},
+	}}})
+}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -22,6 +22,9 @@
 	// the next one is not in a row with those before it. A long-running task never ends
 	// well, so nothing else would ever end the row.
 	failuresApart = 15 * time.Second
+	// tryAgainAfter is how long after its last failure an avoided worker gets a task that
+	// finds no other: one that fails all it gets is tried once in that time.
+	tryAgainAfter = time.Second
 )
 
 // healthTable tells which workers fail what they are given.
@@ -87,6 +90,12 @@
 	return h != nil && now.Before(h.avoidedUntil)
 }
 
+// mayTry reports whether an avoided worker may get a task that finds no other.
+func (t healthTable) mayTry(worker string, now time.Time) bool {
+	h := t.byWorker[worker]
+	return h == nil || now.Sub(h.failedAt) >= tryAgainAfter
+}
+
 // doubtful reports whether a worker failed its last run.
 func (t healthTable) doubtful(worker string) bool {
 	h := t.byWorker[worker]
--- a/schedule/longrunning_test.go
+++ b/schedule/longrunning_test.go
@@ -6,9 +6,6 @@
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
 
-// simStep is the virtual time between two decisions.
-const simStep = 100 * time.Millisecond
-
 // lasting is a long-running step that only reserves.
 func lasting(count uint32) *apiv1.JobStep {
 	return &apiv1.JobStep{Count: count, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 300, LongRunning: true, Image: "lasting"}
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -70,6 +70,8 @@
 	late bool
 	// neededSpeed is the share of their full speed at which its tasks start.
 	neededSpeed float64
+	// lastResort: it found no worker that is not avoided.
+	lastResort bool
 }
 
 // startWaiting gives each waiting task a worker while there is room, the most
@@ -178,6 +180,9 @@
 func (r *round) startTasks(c *candidate) {
 	ranked := r.rank(c)
 	for i, index := range c.tasks {
+		if ranked.best() == nil && c.step.Spec.LongRunning {
+			ranked = r.rankLastResort(c, ranked)
+		}
 		s := ranked.best()
 		if s != nil {
 			r.start(c, index, s, c.step.NextRun(index))
@@ -185,21 +190,32 @@
 			continue
 		}
 		if r.starving(c) {
-			s = r.anyFeasible(c)
+			s = r.startStarving(c, index)
 		}
 		if s == nil {
 			r.wait(c, len(c.tasks)-i, ranked)
 			return
 		}
-		r.start(c, index, s, c.step.NextRun(index))
 	}
 }
 
+// rankLastResort judges the workers again with those that are avoided, for a candidate that
+// found no other. What goes wrong without it: tasks that fail wherever they run have all
+// workers avoided for seconds, and a long-running task that lost its run has none meanwhile.
+func (r *round) rankLastResort(c *candidate, ranked *ranking) *ranking {
+	if c.lastResort || ranked.refused[ReasonAvoided] == 0 {
+		return ranked
+	}
+	c.lastResort = true
+	return r.rank(c)
+}
+
 // startGang starts all members or none.
 func (r *round) startGang(c *candidate) {
 	run := c.step.NextRun(0)
 	before := len(r.decision.Starts)
 	var taken []*slot
+	c.lastResort = r.starving(c)
 	ranked := r.rank(c)
 	for _, index := range c.tasks {
 		s := ranked.best()
@@ -268,7 +284,7 @@
 		return ReasonMaintenance
 	case !s.usable:
 		return ReasonUnreachable
-	case s.avoided:
+	case s.avoided && !(c.lastResort && s.mayTry):
 		return ReasonAvoided
 	case !s.worker.HasLabel(spec.RequiredLabel):
 		return ReasonLabel
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -24,7 +24,9 @@
 	usable       bool
 	leaving      bool
 	avoided      bool
-	doubtful     bool
+	// mayTry is set if a task that finds no other worker may start there though it is avoided.
+	mayTry   bool
+	doubtful bool
 	// given counts this round's starts by step of an occurrence, nil before the first.
 	given map[jobqueue.StepID]int
 	// started are this round's starts of backfilling tasks.
@@ -116,6 +118,7 @@
 			usable:   !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
 			leaving:  r.machine.Leaving(w.Spec.Id),
 			avoided:  r.planner.health.avoided(w.Spec.Id, r.now),
+			mayTry:   r.planner.health.mayTry(w.Spec.Id, r.now),
 			doubtful: r.planner.health.doubtful(w.Spec.Id),
 		})
 	}
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -37,12 +37,22 @@
 // ones on every worker are held back for good, and their jobs never end.
 func (r *round) starving(c *candidate) bool {
 	since, waits := r.planner.waiting[c.key()]
-	if !waits || r.now.Sub(since) < starvingAfter || r.crowded(c.queue.Pool) {
-		return false
+	return waits && r.now.Sub(since) >= starvingAfter && !r.crowded(c.queue.Pool)
+}
+
+// startStarving starts a task of a starving candidate wherever there is room, on avoided
+// workers too; it returns nil if there is none.
+func (r *round) startStarving(c *candidate, index int) *slot {
+	c.lastResort = true
+	s := r.anyFeasible(c)
+	if s == nil {
+		return nil
 	}
+	r.start(c, index, s, c.step.NextRun(index))
 	// One task at a time: the others follow where their speed allows.
 	delete(r.planner.waiting, c.key())
-	return true
+	c.lastResort = false
+	return s
 }
 
 func (r *round) crowded(pool string) bool {
--- a/schedule/stuck.go
+++ b/schedule/stuck.go
@@ -21,7 +21,7 @@
 		}
 		for _, run := range s.worker.RunsThat(r.stuck) {
 			r.planner.health.suspect(s.worker.Spec.Id, r.now)
-			s.avoided = true
+			s.avoided, s.mayTry = true, false
 			r.stop(run.ID, "no progress")
 		}
 	}
