schedule, dispatch: a worker that refused a start gets none for a second

What callers saw: a long-running task was ordered again and again to the worker that refused it, 30 times in 3 s, beside another one that would have taken it.

Cause: a refusal only dropped the ticket. The worker stayed the one with the best score.

Why this works: refusals that say that the worker can take no task for now ("no room", "unwilling") keep it from getting any for a second (refusalPause), as failures do. Others, as "stopped before it began" and "worker drains", say nothing of the worker and pause nothing. A worker in its pause is no last resort; the pause is over when the last resort would let it in. The planner learns each refusal once, though its report may come twice.

The tests call StartRefused with a Refusal in place of step and worker; what they check is unchanged.

--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -87,7 +87,10 @@
 
 // String returns the answer's name in logs.
 func (a Answer) String() string {
-	names := [...]string{"none", "done", "fenced", "over", "late", "no room", "unwilling", "invalid", "no ticket", "other incarnation"}
+	names := [...]string{
+		"none", "done", "fenced", "over", "late", jobqueue.RefusedForRoom, jobqueue.RefusedUnwilling, "invalid", "no ticket",
+		"other incarnation",
+	}
 	if a < 0 || int(a) >= len(names) {
 		return "unknown"
 	}
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -20,6 +20,8 @@
 	observed map[jobqueue.RunID]schedule.Observation
 	// endsLearnt is the highest sequence number of each worker's ends that the planner knows.
 	endsLearnt map[string]uint64
+	// refusalsLearnt are the refused runs that the planner knows of and the log still holds.
+	refusalsLearnt map[jobqueue.RunID]bool
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
 	// waits are the steps that found no worker in the last round.
@@ -84,21 +86,22 @@
 	planner := schedule.New()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.Resume(m.CallerJobs().Learnt(), now) })
 	d.leading = &leadership{
-		term:          term,
-		planner:       planner,
-		keptAt:        now,
-		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		reports:       newReportOrder(),
-		observed:      map[jobqueue.RunID]schedule.Observation{},
-		endsLearnt:    map[string]uint64{},
-		paceRevisions: map[string]uint64{},
-		waitsLogged:   map[jobqueue.StepID]waitLogged{},
-		runLog:        newRunLog(d.logger),
-		saved:         map[jobqueue.RunID]saved{},
-		lostTold:      map[string]uint64{},
-		overTold:      map[string]bool{},
-		moves:         newMovesLed(now),
-		outages:       newOutages(),
+		term:           term,
+		planner:        planner,
+		keptAt:         now,
+		leases:         newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
+		reports:        newReportOrder(),
+		observed:       map[jobqueue.RunID]schedule.Observation{},
+		endsLearnt:     map[string]uint64{},
+		refusalsLearnt: map[jobqueue.RunID]bool{},
+		paceRevisions:  map[string]uint64{},
+		waitsLogged:    map[jobqueue.StepID]waitLogged{},
+		runLog:         newRunLog(d.logger),
+		saved:          map[jobqueue.RunID]saved{},
+		lostTold:       map[string]uint64{},
+		overTold:       map[string]bool{},
+		moves:          newMovesLed(now),
+		outages:        newOutages(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -167,6 +170,11 @@
 			delete(l.saved, id)
 		}
 	}
+	for id := range l.refusalsLearnt {
+		if m.Run(id) == nil {
+			delete(l.refusalsLearnt, id)
+		}
+	}
 	for worker := range l.endsLearnt {
 		if m.Worker(worker) == nil {
 			delete(l.endsLearnt, worker)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -141,13 +141,7 @@
 		return
 	}
 	l.outages.noteEnds(w, r.Ends, r.Refusals, now)
-	for _, refusal := range r.Refusals {
-		d.meters.refused.Inc(1)
-		d.count("dispatch.starts_refused", refusal.Reason)
-		l.planner.StartRefused(jobqueue.TaskIDOf(refusal.Task).StepID(), w.Spec.Id)
-		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason),
-			event.Task(jobqueue.TaskIDOf(refusal.Task)), event.Run(refusal.Run))
-	}
+	d.learnRefusals(l, w, r.Refusals, now)
 	known := max(w.Acknowledged, l.endsLearnt[w.Spec.Id])
 	for _, e := range r.Ends {
 		run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}]
@@ -172,6 +166,29 @@
 	}
 }
 
+// learnRefusals tells the planner of starts that were refused, each once.
+func (d *Dispatcher) learnRefusals(l *leadership, w *jobqueue.Worker, refusals []*apiv1.RunRefusal, now time.Time) {
+	for _, refusal := range refusals {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}
+		if w.Runs[id] == nil || l.refusalsLearnt[id] {
+			continue
+		}
+		l.refusalsLearnt[id] = true
+		d.meters.refused.Inc(1)
+		d.count("dispatch.starts_refused", refusal.Reason)
+		l.planner.StartRefused(schedule.Refusal{
+			Step: id.Task.StepID(), Worker: w.Spec.Id, At: now, Unable: unable(refusal.Reason),
+		})
+		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason), event.Task(id.Task),
+			event.Run(id.Number))
+	}
+}
+
+// unable reports whether a refusal says that the worker can take no task for now.
+func unable(reason string) bool {
+	return reason == jobqueue.RefusedForRoom || reason == jobqueue.RefusedUnwilling
+}
+
 // endName is a kind of end in logs.
 func endName(k apiv1.RunEndKind) string {
 	return strings.ToLower(strings.TrimPrefix(k.String(), "RUN_END_KIND_"))
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -88,12 +88,6 @@
 	p.approvals.askAt[q.Step] = now.Add(askAgainAfter)
 }
 
-// StartRefused takes in that a worker refused to start a run of a step: a ticket for
-// it is not used again.
-func (p *Planner) StartRefused(step jobqueue.StepID, worker string) {
-	delete(p.approvals.bySteps[step], worker)
-}
-
 // ask notes a question about a step whose tasks wait, unless one is under way.
 func (r *round) ask(c *candidate) {
 	step := c.key()
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -55,7 +55,7 @@
 		t.Fatalf("after the ticket ran out: starts %v, questions %v", d.Starts, d.Questions)
 	}
 	r.planner.Advised(q, Advice{Tickets: map[string]string{"w1": "t2"}, Valid: 2 * time.Second}, r.now)
-	r.planner.StartRefused(q.Step, "w1")
+	r.planner.StartRefused(Refusal{Step: q.Step, Worker: "w1", At: r.now})
 	if d := r.plan(); len(d.Starts) > 0 || len(d.Questions) != 1 {
 		t.Fatal("a ticket that a worker refused is used again")
 	}
--- a/schedule/fleetproperty_test.go
+++ b/schedule/fleetproperty_test.go
@@ -51,6 +51,7 @@
 		{"a run fails in half a minute", fleetFaults{failing: 33}, fewFleets, nil},
 		{"a run fails in a hundred seconds, and none ends", fleetFaults{failing: 10, noBatch: true}, fewFleets, []int64{8}},
 		{"workers fail all they get for a while", fleetFaults{broken: true}, failedFleets, nil},
+		{"workers refuse starts", fleetFaults{refusing: true}, fewFleets, []int64{80, 136, 161}},
 		{"decisions come to nothing", fleetFaults{uncommitted: true}, fewFleets, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/schedule/fleetsim_test.go
+++ b/schedule/fleetsim_test.go
@@ -351,7 +351,7 @@
 	if r.machine.Run(id) == nil {
 		return
 	}
-	r.planner.StartRefused(id.Task.StepID(), worker)
+	r.planner.StartRefused(Refusal{Step: id.Task.StepID(), Worker: worker, At: r.now, Unable: true})
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
 		Worker:   r.machine.Worker(worker).Spec,
 		Refusals: []*apiv1.RunRefusal{{Task: id.Task.Ref(), Run: id.Number, Reason: "full"}},
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -25,6 +25,9 @@
 	// tryAgainAfter is how long after its last failure an avoided worker gets a task that
 	// finds no other: one that fails all it gets is tried once in that time.
 	tryAgainAfter = time.Second
+	// refusalPause is how long a worker that refused a start gets no other one: long enough
+	// for the task to go elsewhere, and most workers are full or unhealthy for a moment.
+	refusalPause = time.Second
 )
 
 // healthTable tells which workers fail what they are given.
@@ -39,27 +42,37 @@
 	avoidance    time.Duration
 	// lengthenedAt is when a failure last lengthened the avoidance.
 	lengthenedAt time.Time
+	// refusedUntil is when the pause after its last refusal is over.
+	refusedUntil time.Time
 }
 
 func newHealthTable() healthTable { return healthTable{byWorker: map[string]*health{}} }
 
-func (t healthTable) ended(e Ended) {
-	h := t.byWorker[e.Worker]
+func (t healthTable) of(worker string) *health {
+	h := t.byWorker[worker]
 	if h == nil {
 		h = &health{}
-		t.byWorker[e.Worker] = h
+		t.byWorker[worker] = h
 	}
+	return h
+}
+
+func (t healthTable) ended(e Ended) {
+	h := t.of(e.Worker)
 	switch e.Kind {
 	case apiv1.RunEndKind_RUN_END_KIND_DONE:
-		*h = health{}
+		h.forget()
 	case apiv1.RunEndKind_RUN_END_KIND_FAILED:
 		h.fail(e.At)
 	}
 }
 
+// forget ends the row of failures.
+func (h *health) forget() { *h = health{refusedUntil: h.refusedUntil} }
+
 func (h *health) fail(at time.Time) {
 	if at.Sub(h.failedAt) > failuresApart && at.Sub(h.avoidedUntil) > failuresApart {
-		*h = health{}
+		h.forget()
 	}
 	h.failures++
 	h.failedAt = at
@@ -73,27 +86,28 @@
 
 // suspect marks a worker on which tasks stand still.
 func (t healthTable) suspect(worker string, at time.Time) {
-	h := t.byWorker[worker]
-	if h == nil {
-		h = &health{}
-		t.byWorker[worker] = h
-	}
+	h := t.of(worker)
 	h.failures = max(h.failures, failuresInRow)
 	h.failedAt = at
 	h.avoidance = max(h.avoidance, firstAvoidance)
 	h.avoidedUntil = at.Add(h.avoidance)
 }
 
+// refused takes in that a worker can take no task for now.
+func (t healthTable) refused(worker string, at time.Time) {
+	t.of(worker).refusedUntil = at.Add(refusalPause)
+}
+
 // avoided reports whether a worker should get no work for now.
 func (t healthTable) avoided(worker string, now time.Time) bool {
 	h := t.byWorker[worker]
-	return h != nil && now.Before(h.avoidedUntil)
+	return h != nil && (now.Before(h.avoidedUntil) || now.Before(h.refusedUntil))
 }
 
 // mayTry reports whether an avoided worker may get a task that finds no other.
 func (t healthTable) mayTry(worker string, now time.Time) bool {
 	h := t.byWorker[worker]
-	return h == nil || now.Sub(h.failedAt) >= tryAgainAfter
+	return h == nil || now.Sub(h.failedAt) >= tryAgainAfter && !now.Before(h.refusedUntil)
 }
 
 // doubtful reports whether a worker failed its last run.
