schedule: each missing task of a long-running step starves on its own account

What callers saw: one task of a set that reserves no processors had no run for as long as another one of its job ran, and for as long as its pool was more than 60% in use.

Cause: only jobs with nothing running were noted as waiting, and nothing starved in a crowded pool. So a task that would run too slowly everywhere, or disturb, waited for good.

All its missing tasks start then; other jobs still start one task at a time.

--- a/schedule/fleetproperty_test.go
+++ b/schedule/fleetproperty_test.go
@@ -47,12 +47,16 @@
 		{"workers die", fleetFaults{}, fewFleets, nil},
 		{"workers are quiet or leave", fleetFaults{quiet: true, leaving: true}, fewFleets, nil},
 		{"queues are advised", fleetFaults{advised: true}, fewFleets, nil},
+		{"tasks fill", fleetFaults{fills: true}, failedFleets, nil},
 		{"a run fails in five minutes", fleetFaults{failing: 3}, fewFleets, nil},
 		{"a run fails in half a minute", fleetFaults{failing: 33}, fewFleets, nil},
 		{"a run fails in a hundred seconds, and none ends", fleetFaults{failing: 10, noBatch: true}, fewFleets, []int64{8}},
 		{"workers fail all they get for a while", fleetFaults{broken: true}, failedFleets, nil},
 		{"workers refuse starts", fleetFaults{refusing: true}, fewFleets, []int64{80, 136, 161}},
 		{"decisions come to nothing", fleetFaults{uncommitted: true}, fewFleets, nil},
+		{"all of these", fleetFaults{
+			quiet: true, leaving: true, advised: true, fills: true, failing: 33, broken: true, refusing: true, uncommitted: true,
+		}, failedFleets, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -16,11 +16,12 @@
 	crowdedShare = 0.6
 )
 
-// noteWaiting notes since when the jobs without runs have been waiting.
+// noteWaiting notes since when the steps have been waiting of which nothing runs; of
+// long-running ones each task that has no run is owed, whatever runs beside it.
 func (r *round) noteWaiting(candidates []*candidate) {
 	waiting := map[jobqueue.StepID]time.Time{}
 	for _, c := range candidates {
-		if c.job.Running() {
+		if c.job.Running() && !c.step.Spec.LongRunning {
 			continue
 		}
 		since, known := r.planner.waiting[c.key()]
@@ -32,12 +33,16 @@
 	r.planner.waiting = waiting
 }
 
-// starving reports whether a job has had nothing running for long though its pool
-// is mostly free. What goes wrong without it: tasks that would disturb the serving
-// ones on every worker are held back for good, and their jobs never end.
+// starving reports whether a job has had nothing running for long though its pool is mostly
+// free, or a long-running step has lacked a task for long, however full the pool is. What
+// goes wrong without it: tasks that would disturb the serving ones on every worker are held
+// back for good, and their jobs never end.
 func (r *round) starving(c *candidate) bool {
 	since, waits := r.planner.waiting[c.key()]
-	return waits && r.now.Sub(since) >= starvingAfter && !r.crowded(c.queue.Pool)
+	if !waits || r.now.Sub(since) < starvingAfter {
+		return false
+	}
+	return c.step.Spec.LongRunning || !r.crowded(c.queue.Pool)
 }
 
 // startStarving starts a task of a starving candidate wherever there is room, on avoided
@@ -49,9 +54,11 @@
 		return nil
 	}
 	r.start(c, index, s, c.step.NextRun(index))
-	// One task at a time: the others follow where their speed allows.
-	delete(r.planner.waiting, c.key())
-	c.lastResort = false
+	if !c.step.Spec.LongRunning {
+		// One task at a time: the others follow where their speed allows.
+		c.lastResort = false
+		delete(r.planner.waiting, c.key())
+	}
 	return s
 }
 
