jobqueue, schedule: a job without occurrences is due from its acceptance, whatever the clock says

What callers would see: after the leader's wall clock was set back by 10 s, or with a new leader whose clock is behind, a long-running task that lost its run gets no other one for up to 10 s.

Cause: the time of acceptance was compared with the leader's wall clock, and the job counted as not yet due.

Evidence: TestLostRunStartsAgainWhenTheClockWasSetBack, before: no start after the clock was set back by 10 s.

Why this works: Job.Due asks the clock only for jobs with occurrences; planner and the look at outages use it. Objectives still go by the clock: they order the candidates and forbid nothing.

--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -71,7 +71,7 @@
 		}
 		for k, o := range j.Occurrences {
 			for i, s := range o.Steps {
-				if !s.Spec.LongRunning || j.DueMs(k) > wallMs || !o.Ready(i) {
+				if !s.Spec.LongRunning || !j.Due(k, wallMs) || !o.Ready(i) {
 					continue
 				}
 				step := jobqueue.TaskID{Job: j.ID(), Occurrence: uint32(k), Step: uint32(i)}
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -109,7 +109,7 @@
 // Running reports whether a run of the job holds room.
 func (j *Job) Running() bool { return j.liveRuns > 0 }
 
-// DueMs is when an occurrence may start (Unix milliseconds).
+// DueMs is when an occurrence is due (Unix milliseconds).
 func (j *Job) DueMs(occurrence int) int64 {
 	if j.Spec.Occurrences == 0 {
 		return j.AcceptedMs
@@ -117,6 +117,13 @@
 	return j.Spec.StartAtMs + int64(occurrence)*j.Spec.IntervalMs
 }
 
+// Due reports whether an occurrence may start by a leader's wall clock (Unix milliseconds). A
+// job without occurrences may once it is accepted. What goes wrong if the clock is asked then:
+// it is set back or behind the earlier leader's, and a job that has run already is due later.
+func (j *Job) Due(occurrence int, wallMs int64) bool {
+	return j.Spec.Occurrences == 0 || j.DueMs(occurrence) <= wallMs
+}
+
 // Occurrence is one time that a job's steps run.
 type Occurrence struct {
 	Steps []*Step
--- a/schedule/longrunning_test.go
+++ b/schedule/longrunning_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"testing"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -25,3 +26,18 @@
 	}
 	return r.now.Sub(began)
 }
+
+// Guards against a lost run whose job counts as not yet due once the leader's clock was set back.
+func TestLostRunStartsAgainWhenTheClockWasSetBack(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 8000, 8000)
+	r.submit("urgent", "set", lasting(1))
+	r.plan()
+	r.pass(2 * time.Second)
+	r.end(r.runsOn("w1")[0], apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+	const setBack = 10 * time.Second
+	d := r.planner.Plan(r.machine, r, r.now, r.now.Add(-setBack).UnixMilli())
+	if len(d.Starts) == 0 {
+		t.Errorf("the task of a job that has run waits for up to %v", setBack)
+	}
+}
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		for k, o := range j.Occurrences {
-			if j.DueMs(k) > r.wallMs {
+			if !j.Due(k, r.wallMs) {
 				continue
 			}
 			for i, s := range o.Steps {
