schedule, dispatch, agent/runs: a long-running run that its worker does not list is stopped and starts again

What callers would see: a task without a run for good, though the log holds one: the order was never carried out, or the end of the run got lost on its worker.

Cause: nothing compared the runs of the log with those in the reports; only batch runs that are listed and stand still were stopped.

Evidence, before: TestLongRunningRunThatIsNeverSeenIsStopped and TestLongRunningRunThatItsWorkerNoLongerListsIsStopped: no stop in 30 s. TestLongRunningRunThatReportsLackIsGivenUp, both cases: 75 reports lacked the run, and it counted as running. All pass now.

Why this works: once a second the planner looks for long-running runs that no report has listed for 2.5 s, while whole reports of the worker came in all that time without a gap of the contact timeout; a run that was never listed counts from the first such look that finds it in the log, so no time of order has to be kept and a new leader begins anew. It stops them, and avoids the worker as one on which tasks stand still. The agent's stop makes the worker refuse the run for good, and the run is given back only after that, so a start that comes late does no harm.

What it leaves alone: runs that are being stopped; workers out of reach, with late reports or none for a while; reports of which a part could not be read, which the agent now says in them (JobsReportRequest.partial; reports of older agents don't say it). TestLongRunningRunIsKeptWhileItsWorkerCannotTell has these cases: 4 of 6 fail if partial reports count as whole, one if gaps don't count.

--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -447,11 +447,16 @@
 		time.Sleep(2 * time.Second)
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		partial := false
 		for _, r := range l.reports {
+			partial = partial || r.Partial
 			if len(r.Refusals) > 0 {
 				t.Fatalf("the run is given back: %v", r.Refusals)
 			}
 			if len(r.Ends) > 0 {
+				if !partial {
+					t.Error("the leader is not told that reports lack what can't be read")
+				}
 				return // the leader drops the order now
 			}
 		}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -34,6 +34,7 @@
 	r := &apiv1.JobsReportRequest{
 		Worker: a.Worker, Ends: status.Ended, Running: status.Running,
 		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.openRefusals(),
+		Partial: status.Partial,
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -18,6 +18,7 @@
 	leases   *leaseTable
 	reports  *reportOrder
 	observed map[jobqueue.RunID]schedule.Observation
+	contacts *contacts
 	// endsLearnt is the highest sequence number of each worker's ends that the planner knows.
 	endsLearnt map[string]uint64
 	// refusalsLearnt are the refused runs that the planner knows of and the log still holds.
@@ -92,6 +93,7 @@
 		leases:         newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
 		reports:        newReportOrder(),
 		observed:       map[jobqueue.RunID]schedule.Observation{},
+		contacts:       newContacts(d.opts.ContactTimeout),
 		endsLearnt:     map[string]uint64{},
 		refusalsLearnt: map[jobqueue.RunID]bool{},
 		paceRevisions:  map[string]uint64{},
@@ -170,6 +172,7 @@
 			delete(l.saved, id)
 		}
 	}
+	l.contacts.forget(m)
 	for id := range l.refusalsLearnt {
 		if m.Run(id) == nil {
 			delete(l.refusalsLearnt, id)
@@ -196,6 +199,11 @@
 // Reachable implements schedule.Fleet.
 func (v fleetView) Reachable(worker string) bool { return v.l.leases.reachable(worker, v.now) }
 
+// HeardSince implements schedule.Fleet.
+func (v fleetView) HeardSince(worker string) (time.Time, bool) {
+	return v.l.contacts.since(worker, v.now)
+}
+
 // Observed implements schedule.Fleet.
 func (v fleetView) Observed(id jobqueue.RunID) (schedule.Observation, bool) {
 	o, ok := v.l.observed[id]
--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -31,9 +31,9 @@
 	spec *apiv1.JobWorker
 	mu   sync.Mutex
 	ends []*apiv1.RunEnd
-	// silent has it report nothing, blind list no runs.
-	silent, blind atomic.Bool
-	sequence      uint64
+	// silent has it report nothing, blind list no runs; partial has it say that it can't list all.
+	silent, blind, partial atomic.Bool
+	sequence               uint64
 }
 
 func newToldWorker(s *sim, name string) *toldWorker {
@@ -54,7 +54,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
-	r := &apiv1.JobsReportRequest{Worker: w.spec, Session: 1, Sequence: w.sequence, Ends: w.ends}
+	r := &apiv1.JobsReportRequest{Worker: w.spec, Session: 1, Sequence: w.sequence, Ends: w.ends, Partial: w.partial.Load()}
 	if w.blind.Load() {
 		return r
 	}
@@ -183,3 +183,84 @@
 		})
 	}
 }
+
+// Guards against an order that stands for good though its worker, in reach, never lists the run.
+func TestLongRunningRunThatReportsLackIsGivenUp(t *testing.T) {
+	for name, seenFirst := range map[string]bool{"never listed": false, "listed at first": true} {
+		t.Run(name, func(t *testing.T) {
+			playSim(t, 1, 0, func(t *testing.T, s *sim) {
+				w := newToldWorker(s, "w1")
+				newToldWorker(s, "w2")
+				w.blind.Store(!seenFirst)
+				s.sleep(time.Second)
+				s.submitLasting("q", "set")
+				s.untilRun("set", 1)
+				if len(s.runsOn("w1")) == 0 {
+					t.Fatal("the run is on another worker")
+				}
+				s.sleep(2 * time.Second)
+				w.blind.Store(true)
+				for range 300 {
+					s.sleep(100 * time.Millisecond)
+					if s.stopsRun("set") {
+						return
+					}
+				}
+				t.Error("75 reports lacked the run, and it counts as running")
+			})
+		})
+	}
+}
+
+// Guards against a sound run that is stopped while what its worker reports does not show it.
+func TestLongRunningRunIsKeptWhileItsWorkerCannotTell(t *testing.T) {
+	for name, hide := range map[string]func(s *sim, w *toldWorker){
+		"reports are partial for 10 s": func(s *sim, w *toldWorker) {
+			w.partial.Store(true)
+			s.sleep(10 * time.Second)
+			w.partial.Store(false)
+		},
+		"every other report is partial": func(s *sim, w *toldWorker) {
+			for i := range 20 {
+				w.partial.Store(i%2 == 0)
+				s.sleep(toldEvery)
+			}
+			w.partial.Store(false)
+		},
+		"no report for 4 s, and the start is made 2 s later": func(s *sim, w *toldWorker) {
+			w.silent.Store(true)
+			s.sleep(4 * time.Second)
+			w.silent.Store(false)
+			s.sleep(2 * time.Second)
+		},
+	} {
+		for seen, first := range map[string]bool{"never listed": false, "listed at first": true} {
+			t.Run(name+", "+seen, func(t *testing.T) {
+				playSim(t, 1, 0, func(t *testing.T, s *sim) {
+					w := newToldWorker(s, "w1")
+					w.blind.Store(!first)
+					s.sleep(time.Second)
+					s.submitLasting("q", "set")
+					s.untilRun("set", 1)
+					s.sleep(time.Second)
+					w.blind.Store(true)
+					hide(s, w)
+					w.blind.Store(false)
+					s.sleep(5 * time.Second)
+					if s.stopsRun("set") {
+						t.Error("the run was stopped")
+					}
+				})
+			})
+		}
+	}
+}
+
+// stopsRun reports whether the first run of a job is over or being stopped.
+func (s *sim) stopsRun(job string) (stops bool) {
+	s.replica.ReadState(func(m *state.Machine) {
+		r := m.CallerJobs().Run(jobqueue.RunID{Task: jobqueue.TaskID{Job: job}, Number: 1})
+		stops = r == nil || r.Stopping
+	})
+	return stops
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,6 +85,7 @@
 	if !r.Lapsed {
 		t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
 	}
+	l.contacts.note(r, now)
 	for _, o := range r.Running {
 		l.observe(o, now)
 	}
--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -88,6 +88,9 @@
 
 // stop decides that a run is stopped.
 func (r *round) stop(id jobqueue.RunID, reason string) {
+	if r.stopped[id] {
+		return
+	}
 	r.stopped[id] = true
 	r.decision.Stops = append(r.decision.Stops, &apiv1.StopRun{Task: id.Task.Ref(), Run: id.Number, Reason: reason})
 }
--- a/schedule/longrunning_test.go
+++ b/schedule/longrunning_test.go
@@ -27,6 +27,40 @@
 	return r.now.Sub(began)
 }
 
+// Guards against a start order that stands for good though nothing is ever seen of its run.
+func TestLongRunningRunThatIsNeverSeenIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 8000, 8000)
+	r.worker("w2", 8000, 8000)
+	r.submit("urgent", "set", lasting(1))
+	r.plan()
+	for range 300 {
+		r.pass(simStep)
+		if d := r.plan(); len(d.Stops) > 0 {
+			return
+		}
+	}
+	t.Error("nothing was seen of the run for 30 s, its worker is in reach, and it is not stopped")
+}
+
+// Guards against a run that counts as running though its worker has ceased to list it.
+func TestLongRunningRunThatItsWorkerNoLongerListsIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1", 8000, 8000)
+	r.submit("urgent", "set", lasting(2))
+	r.plan()
+	r.observeAll("w1", func(int) int64 { return 10 })
+	kept := r.runsOn("w1")[0]
+	for range 300 {
+		r.pass(simStep)
+		r.observe(kept, fullPace, 1000)
+		if d := r.plan(); len(d.Stops) > 0 {
+			return
+		}
+	}
+	t.Error("a run was missing in the reports of its worker for 30 s, and it is not stopped")
+}
+
 // Guards against a lost run whose job counts as not yet due once the leader's clock was set back.
 func TestLostRunStartsAgainWhenTheClockWasSetBack(t *testing.T) {
 	r := newRig(t)
--- a/schedule/rig_test.go
+++ b/schedule/rig_test.go
@@ -17,7 +17,9 @@
 	now     time.Time
 	seen    map[jobqueue.RunID]Observation
 	silent  map[string]bool
-	nextEnd map[string]uint64
+	// silentAt is when a worker was last found silent.
+	silentAt map[string]time.Time
+	nextEnd  map[string]uint64
 }
 
 const (
@@ -31,7 +33,7 @@
 func newRigFor(t testing.TB) *rig {
 	r := &rig{
 		t: t, machine: jobqueue.New(), planner: New(), now: time.UnixMilli(1_000_000),
-		seen: map[jobqueue.RunID]Observation{}, silent: map[string]bool{}, nextEnd: map[string]uint64{},
+		seen: map[jobqueue.RunID]Observation{}, silent: map[string]bool{}, silentAt: map[string]time.Time{}, nextEnd: map[string]uint64{},
 	}
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{
 		Configuration: &apiv1.QueueConfiguration{
@@ -86,6 +88,14 @@
 // Reachable implements Fleet.
 func (r *rig) Reachable(worker string) bool { return !r.silent[worker] }
 
+// HeardSince implements Fleet.
+func (r *rig) HeardSince(worker string) (time.Time, bool) {
+	if r.silent[worker] {
+		r.silentAt[worker] = r.now
+	}
+	return r.silentAt[worker], !r.silent[worker]
+}
+
 // Observed implements Fleet.
 func (r *rig) Observed(id jobqueue.RunID) (Observation, bool) {
 	o, ok := r.seen[id]
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -34,6 +34,9 @@
 	Reachable(worker string) bool
 	// Observed returns the last observation of a run.
 	Observed(id jobqueue.RunID) (Observation, bool)
+	// HeardSince returns since when reports that list all that runs on a worker have come in
+	// without a gap; false while none come.
+	HeardSince(worker string) (time.Time, bool)
 }
 
 // Decision is what should be committed.
@@ -68,6 +71,10 @@
 	used map[*jobqueue.Worker]usedAt
 	// forgotAt is when what is gone was last dropped.
 	forgotAt time.Time
+	// unseenSince says since when a long-running run that no report has listed yet stands in
+	// the log, and unlistedLookAt when such runs were last looked for.
+	unseenSince    map[jobqueue.RunID]time.Time
+	unlistedLookAt time.Time
 	// leavingSince says since when a worker has been emptied.
 	leavingSince map[string]time.Time
 }
@@ -79,6 +86,7 @@
 		approvals: newApprovals(), pacers: map[string]*pacer{},
 		waiting: map[jobqueue.StepID]time.Time{}, heldBack: map[jobqueue.RunID]time.Time{},
 		used: map[*jobqueue.Worker]usedAt{}, leavingSince: map[string]time.Time{},
+		unseenSince: map[jobqueue.RunID]time.Time{},
 	}
 }
 
@@ -88,6 +96,7 @@
 	r := p.newRound(m, fleet, now, wallMs)
 	r.lookAtWorkers()
 	r.stopStuck()
+	r.stopUnlisted()
 	r.startWaiting()
 	r.evacuate()
 	r.moveHeldBack()
