agent/runs: a stop that was refused for an old term is repeated until it is answered otherwise

What callers would see: a run that is never stopped. Its room stays taken, and a long-running task that is to go on elsewhere never does.

Cause: a stop that the worker refused as one of an earlier term was left to the next orders. When the next leader's orders had come before that answer, there were none: they hold the same stop, and an agent that has them is told of news only.

Evidence: TestFencedStopIsRepeatedUnderTheNextTerm, next leader before the answer: 1 stop in 30 s before; the other order of events passed. Both pass now.

Why this works: the call is repeated with the pauses of one without an answer, and each try carries the newest term that the agent knows, which reports and orders tell it. A stop in the log is never taken back, so repeating it asks for nothing that another leader does not want.

--- /dev/null
+++ b/agent/runs/fencedstop_test.go
@@ -0,0 +1,79 @@
+package runs_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// fencingWorker answers the first stop late and as one of an earlier term.
+type fencingWorker struct {
+	*fakes.RunWorker
+	stops atomic.Int64
+}
+
+const fencedAfter = 200 * time.Millisecond
+
+func (w *fencingWorker) Stop(ctx context.Context, o runs.Order, id jobqueue.RunID) (runs.Answer, error) {
+	if w.stops.Add(1) == 1 {
+		time.Sleep(fencedAfter)
+		return runs.AnswerFenced, nil
+	}
+	return w.RunWorker.Stop(ctx, o, id)
+}
+
+// promptLeader answers calls for orders as soon as there are new ones.
+type promptLeader struct{ *leader }
+
+func (l promptLeader) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		orders := l.orders
+		l.mu.Unlock()
+		if r.Term != orders.Term || r.Sequence != orders.Sequence {
+			return orders, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, ctx.Err()
+}
+
+// Guards against a run that is never stopped since the worker's refusal of the stop came after the next leader's orders.
+func TestFencedStopIsRepeatedUnderTheNextTerm(t *testing.T) {
+	for name, nextLeaderAfter := range map[string]time.Duration{
+		"next leader before the answer": fencedAfter / 2, "next leader after the answer": 2 * fencedAfter,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				orders := func(term, sequence uint64) *apiv1.JobsOrdersResponse {
+					return &apiv1.JobsOrdersResponse{
+						Term: term, Sequence: sequence, Epoch: 1, Stops: []*apiv1.StopOrder{{Task: first.Ref(), Run: 1}},
+					}
+				}
+				l := &leader{epoch: 1, orders: orders(term, 1)}
+				watch := fakes.NewRunWatch()
+				watch.Submitted(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+				w := &fencingWorker{RunWorker: fakes.NewRunWorker(spec("w1"), watch)}
+				d := runs.New(runs.Options{Worker: w, Leader: promptLeader{l}})
+				defer run(d)()
+				announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
+				for w.stops.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(nextLeaderAfter)
+				l.set(func() { l.orders = orders(term+1, 1) })
+				time.Sleep(30 * time.Second)
+				if n := w.stops.Load(); n < 2 {
+					t.Errorf("%d stop in 30 s, and the worker refused it", n)
+				}
+			})
+		})
+	}
+}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -244,7 +244,8 @@
 	o.stop = true
 }
 
-// carryOutStop has the worker stop a run, until it confirms.
+// carryOutStop has the worker stop a run, until it confirms. A stop that is refused for an old
+// term is repeated.
 func (s *session) carryOutStop(id jobqueue.RunID, o *order) {
 	retry := newBackoff()
 	for s.ctx.Err() == nil {
@@ -258,11 +259,15 @@
 		if answer == AnswerOther {
 			s.cancel()
 		}
+		if answer == AnswerFenced {
+			// The next try carries the term of the newer leader, which may have given its
+			// orders already and does not repeat them.
+			s.pause(retry.next())
+			continue
+		}
 		s.mu.Lock()
 		o.stopping = false
-		if answer != AnswerFenced {
-			o.stoppedAt = s.d.opts.Now()
-		}
+		o.stoppedAt = s.d.opts.Now()
 		s.mu.Unlock()
 		return
 	}
