--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -18,6 +18,11 @@
 	leases   *leaseTable
 	reports  *reportOrder
 	observed map[jobqueue.RunID]schedule.Observation
+	contacts *contacts
+	// endsLearnt is the highest sequence number of each worker's ends that the planner knows.
+	endsLearnt map[string]uint64
+	// refusalsLearnt are the refused runs that the planner knows of and the log still holds.
+	refusalsLearnt map[jobqueue.RunID]bool
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
 	// waits are the steps that found no worker in the last round.
@@ -82,20 +87,23 @@
 	planner := schedule.New()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.Resume(m.CallerJobs().Learnt(), now) })
 	d.leading = &leadership{
-		term:          term,
-		planner:       planner,
-		keptAt:        now,
-		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		reports:       newReportOrder(),
-		observed:      map[jobqueue.RunID]schedule.Observation{},
-		paceRevisions: map[string]uint64{},
-		waitsLogged:   map[jobqueue.StepID]waitLogged{},
-		runLog:        newRunLog(d.logger),
-		saved:         map[jobqueue.RunID]saved{},
-		lostTold:      map[string]uint64{},
-		overTold:      map[string]bool{},
-		moves:         newMovesLed(now),
-		outages:       newOutages(),
+		term:           term,
+		planner:        planner,
+		keptAt:         now,
+		leases:         newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
+		reports:        newReportOrder(),
+		observed:       map[jobqueue.RunID]schedule.Observation{},
+		contacts:       newContacts(d.opts.ContactTimeout),
+		endsLearnt:     map[string]uint64{},
+		refusalsLearnt: map[jobqueue.RunID]bool{},
+		paceRevisions:  map[string]uint64{},
+		waitsLogged:    map[jobqueue.StepID]waitLogged{},
+		runLog:         newRunLog(d.logger),
+		saved:          map[jobqueue.RunID]saved{},
+		lostTold:       map[string]uint64{},
+		overTold:       map[string]bool{},
+		moves:          newMovesLed(now),
+		outages:        newOutages(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -164,6 +172,17 @@
 			delete(l.saved, id)
 		}
 	}
+	l.contacts.forget(m)
+	for id := range l.refusalsLearnt {
+		if m.Run(id) == nil {
+			delete(l.refusalsLearnt, id)
+		}
+	}
+	for worker := range l.endsLearnt {
+		if m.Worker(worker) == nil {
+			delete(l.endsLearnt, worker)
+		}
+	}
 	for id := range l.overTold {
 		if m.Job(id) == nil {
 			delete(l.overTold, id)
@@ -180,6 +199,11 @@
 // Reachable implements schedule.Fleet.
 func (v fleetView) Reachable(worker string) bool { return v.l.leases.reachable(worker, v.now) }
 
+// HeardSince implements schedule.Fleet.
+func (v fleetView) HeardSince(worker string) (time.Time, bool) {
+	return v.l.contacts.since(worker, v.now)
+}
+
 // Observed implements schedule.Fleet.
 func (v fleetView) Observed(id jobqueue.RunID) (schedule.Observation, bool) {
 	o, ok := v.l.observed[id]
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -83,6 +83,7 @@
 	t := taken{term: l.term}
 	now := d.opts.Now()
 	t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
+	l.contacts.note(r, now)
 	for _, o := range r.Running {
 		l.observe(o, now)
 	}
@@ -120,25 +121,22 @@
 	l.observed[id] = seen
 }
 
-// learn tells the planner of ends that are new.
+// learn tells the planner of ends that are new. A report is sent again until it is committed:
+// what goes wrong without a note of what was learnt is that one failed run counts as several.
 func (d *Dispatcher) learn(l *leadership, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	w := m.Worker(r.Worker.GetId())
 	if w == nil {
 		return
 	}
 	l.outages.noteEnds(w, r.Ends, r.Refusals, now)
-	for _, refusal := range r.Refusals {
-		d.meters.refused.Inc(1)
-		d.count("dispatch.starts_refused", refusal.Reason)
-		l.planner.StartRefused(jobqueue.TaskIDOf(refusal.Task).StepID(), w.Spec.Id)
-		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason),
-			event.Task(jobqueue.TaskIDOf(refusal.Task)), event.Run(refusal.Run))
-	}
+	d.learnRefusals(l, w, r.Refusals, now)
+	known := max(w.Acknowledged, l.endsLearnt[w.Spec.Id])
 	for _, e := range r.Ends {
 		run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}]
-		if e.Sequence <= w.Acknowledged || run == nil {
+		if e.Sequence <= known || run == nil {
 			continue
 		}
+		l.endsLearnt[w.Spec.Id] = max(l.endsLearnt[w.Spec.Id], e.Sequence)
 		d.meters.ends.Inc(1)
 		ended := schedule.Ended{
 			Worker: w.Spec.Id, Kind: e.Kind, Step: run.Step, At: now, Resumed: run.Checkpoint != "",
@@ -156,6 +154,29 @@
 	}
 }
 
+// learnRefusals tells the planner of starts that were refused, each once.
+func (d *Dispatcher) learnRefusals(l *leadership, w *jobqueue.Worker, refusals []*apiv1.RunRefusal, now time.Time) {
+	for _, refusal := range refusals {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}
+		if w.Runs[id] == nil || l.refusalsLearnt[id] {
+			continue
+		}
+		l.refusalsLearnt[id] = true
+		d.meters.refused.Inc(1)
+		d.count("dispatch.starts_refused", refusal.Reason)
+		l.planner.StartRefused(schedule.Refusal{
+			Step: id.Task.StepID(), Worker: w.Spec.Id, At: now, Unable: unable(refusal.Reason),
+		})
+		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason), event.Task(id.Task),
+			event.Run(id.Number))
+	}
+}
+
+// unable reports whether a refusal says that the worker can take no task for now.
+func unable(reason string) bool {
+	return reason == jobqueue.RefusedForRoom || reason == jobqueue.RefusedUnwilling
+}
+
 // endName is a kind of end in logs.
 func endName(k apiv1.RunEndKind) string {
 	return strings.ToLower(strings.TrimPrefix(k.String(), "RUN_END_KIND_"))
