dispatch: a plan in doubt does not put off the ends of all leases

What callers saw: nothing yet; a silent worker's long-running tasks would have had no run for two leases and more.

Cause: when the plan that gives a silent worker's runs up was not committed, the leader gave its whole knowledge up and began to lead anew under the same term, with all leases counted from that moment.

Why it works: nobody else renews a lease in a leader's own term, so its table stays true. It confirms that it leads, which comes after whatever became of the plan, and reads from the worker's epoch whether its runs were given up.

--- a/dispatch/lapse.go
+++ b/dispatch/lapse.go
@@ -49,7 +49,7 @@
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
 		w := jobs.Worker(id)
-		if w == nil || l.otherLease(jobs, r) || !l.leases.beginLapse(id) {
+		if w == nil || l.otherLease(jobs, r) || !l.leases.beginLapse(w) {
 			return
 		}
 		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w)}
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -13,7 +13,10 @@
 
 // leadership is what the leader of a term knows beside the log.
 type leadership struct {
-	term     uint64
+	term uint64
+	// inDoubt: a plan that gives runs up may still be committed. Nothing is decided until its
+	// fate is known.
+	inDoubt  bool
 	planner  *schedule.Planner
 	leases   *leaseTable
 	reports  *reportOrder
@@ -55,12 +58,18 @@
 	if !ok {
 		return false
 	}
-	if current != nil && current.term == term {
+	if current != nil && current.term == term && !d.isInDoubt(current) {
 		return true
 	}
 	return d.takeOver(ctx, term)
 }
 
+func (d *Dispatcher) isInDoubt(l *leadership) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return l.inDoubt
+}
+
 // resign forgets what the leader of a term knows; d.mu is held.
 func (d *Dispatcher) resign() {
 	d.leading.runLog.write(d.leading.term, d.opts.Now())
@@ -83,6 +92,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.leading != nil && d.leading.term == term {
+		d.endDoubt()
+		return true
+	}
 	now := d.opts.Now()
 	planner := schedule.New()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.Resume(m.CallerJobs().Learnt(), now) })
@@ -113,12 +126,20 @@
 // is not ready to lead. d.mu is held.
 func (d *Dispatcher) ready() *leadership {
 	term, ok := d.opts.Replica.Leading()
-	if !ok || d.leading == nil || d.leading.term != term {
+	if !ok || d.leading == nil || d.leading.term != term || d.leading.inDoubt {
 		return nil
 	}
 	return d.leading
 }
 
+// endDoubt goes on leading after whatever became of a plan in doubt; d.mu is held. The leases
+// stay as they are: in this term nobody else has renewed one. What goes wrong otherwise: each
+// plan that is not committed puts off the end of a silent worker's lease by a whole one.
+func (d *Dispatcher) endDoubt() {
+	d.opts.Replica.ReadState(func(m *state.Machine) { d.leading.leases.settleLapses(m.CallerJobs().Worker) })
+	d.leading.inDoubt = false
+}
+
 // learntToKeep returns what the planner has learnt, if it is time to keep it for the
 // next leader.
 func (l *leadership) learntToKeep(now time.Time) *apiv1.Learnt {
@@ -131,7 +152,7 @@
 
 // endLapses lets the leases of lapsed workers be renewed again. A plan whose fate
 // is unknown may still be committed, and would give runs up under leases renewed
-// meanwhile: so this replica gets ready to lead anew, which ends after whatever
+// meanwhile: so this replica confirms anew that it leads, which ends after whatever
 // becomes of the plan.
 func (d *Dispatcher) endLapses(term uint64, workers []string, committed bool) {
 	d.mu.Lock()
@@ -140,7 +161,7 @@
 		return
 	}
 	if !committed {
-		d.resign()
+		d.leading.inDoubt = true
 		return
 	}
 	for _, w := range workers {
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -30,6 +30,8 @@
 	// lapsing: a plan that gives the worker's runs up is on its way into the log.
 	// The lease must not be renewed until its fate is known.
 	lapsing bool
+	// epoch is the worker's when that plan was made.
+	epoch uint64
 	// lapsed: the runs were given up; the next report makes the worker usable again.
 	lapsed bool
 	// duration is how long the lease was last granted for.
@@ -77,22 +79,35 @@
 		if l.lapsing || l.lapsed || now.Sub(l.renewed) <= wait {
 			continue
 		}
-		l.lapsing = true
+		t.beginLapse(w)
 		expired = append(expired, w.Spec.Id)
 	}
 	return expired
 }
 
 // beginLapse begins to give up the runs of a worker; false if that has begun already.
-func (t *leaseTable) beginLapse(worker string) bool {
-	l := t.of(worker)
+func (t *leaseTable) beginLapse(w *jobqueue.Worker) bool {
+	l := t.of(w.Spec.Id)
 	if l.lapsing {
 		return false
 	}
-	l.lapsing = true
+	l.lapsing, l.epoch = true, w.Epoch
 	return true
 }
 
+// settleLapses ends the expiries whose plans were in doubt, by what became of them. Those that
+// came to nothing are due again.
+func (t *leaseTable) settleLapses(worker func(id string) *jobqueue.Worker) {
+	for id, l := range t.byWorker {
+		if !l.lapsing {
+			continue
+		}
+		w := worker(id)
+		l.lapsing = false
+		l.lapsed = w == nil || w.Epoch != l.epoch
+	}
+}
+
 // endLapse ends an expiry that is committed.
 func (t *leaseTable) endLapse(worker string) {
 	l := t.of(worker)
--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -264,3 +264,24 @@
 	})
 	return stops
 }
+
+// Guards against a lost run that waits for another whole lease since the plan that gave it up was not committed.
+func TestSilentWorkersRunIsGivenUpAgainAtOnceWhenThePlanWasNotCommitted(t *testing.T) {
+	for fails := range int64(3) {
+		t.Run(fmt.Sprint(fails, " plans fail"), func(t *testing.T) {
+			playSim(t, 2, 0, func(t *testing.T, s *sim) {
+				s.troubleLog(fails, func(p *apiv1.PlanRuns) bool { return len(p.Lapsed) > 0 })
+				w := newToldWorker(s, "w1")
+				s.sleep(time.Second)
+				s.submitLasting("q", "set")
+				s.untilRun("set", 1)
+				newToldWorker(s, "w2")
+				s.sleep(time.Second)
+				w.silent.Store(true)
+				if took := s.untilRun("set", 2); took > simLease(2)+longestRestart {
+					t.Errorf("after its worker went silent the task had no other run for %v, the lease is %v", took, simLease(2))
+				}
+			})
+		})
+	}
+}
