A life of a worker whose host's clock went back gets work: the agent says which life it follows

What callers saw: nothing yet; a worker that is well would have got no work until its next start, as its start lies before that of the life before it, and its reports counted as those of an earlier life.

The agent has seen both, one after the other, and says so with each report; in the log a life that is there is newer than those that have left.

Evidence: platform.TestLifeThatBeganBeforeItsPredecessorByItsClockGetsWork, no run on the worker within 55 s before. TestNewestIncarnations put four lives on one host, the newest start second: the log never joins a life after a later one there, so the lives are on four hosts now, with the same expectation; TestNewestIncarnationIsTheOneThatIsThere has the order on one host. Left: an agent that was restarted between the two lives can't tell their order.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -73,6 +73,8 @@
 
 	mu      sync.Mutex
 	session *session
+	// served is the life that the newest session is of, also when it has ended.
+	served string
 	// left holds incarnations that are gone: a late announcement of one must not
 	// bring it back.
 	left map[string]bool
@@ -119,6 +121,7 @@
 	default:
 		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
 		d.session = d.newSession(a)
+		d.session.follows, d.served = d.served, id
 		if s != nil {
 			d.noteLeft(s.incarnation)
 			s.cancel()
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -77,6 +77,7 @@
 func (s *session) send(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	s.reports++
 	r.Session, r.Sequence, r.SessionBeganMs = s.number, s.reports, s.beganMs
+	r.Follows = s.follows
 	return s.d.opts.Leader.Report(ctx, r)
 }
 
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -34,6 +34,8 @@
 	beganMs int64
 	// admitted: the leader may be told of the worker; only watch uses it.
 	admitted bool
+	// follows is the life that this agent served before; empty if it served none.
+	follows string
 	// former is the life before this one, until the leader was told that it has ended; nil
 	// when there is none to tell of.
 	former *apiv1.JobWorker
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -38,7 +38,7 @@
 // outdated reports whether a newer report of the worker was taken in before this one, and
 // notes it otherwise. The same report may come twice, through two control hosts.
 func (o *reportOrder) outdated(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
-	if o.earlierIncarnation(m, r.Worker) {
+	if o.earlierIncarnation(m, r) {
 		return true
 	}
 	if r.Session == 0 {
@@ -66,15 +66,17 @@
 // wrong without it: a life that ended soon is heard of for the first time when its successor
 // is at work, and ends that one in the log; the successor's tasks run on and start elsewhere
 // as well, and it gets no work any more.
-func (o *reportOrder) earlierIncarnation(m *jobqueue.Machine, w *apiv1.JobWorker) bool {
-	life := jobqueue.ParseIncarnation(w.GetId())
-	if known := m.WorkerOf(w.GetHost()); known != nil && life.Precedes(jobqueue.ParseIncarnation(known.Spec.Id)) {
+func (o *reportOrder) earlierIncarnation(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
+	host := r.Worker.GetHost()
+	life := jobqueue.ParseIncarnation(r.Worker.GetId())
+	before := func(later jobqueue.Incarnation) bool { return life.Precedes(later) && later.Name() != r.Follows }
+	if known := m.WorkerOf(host); known != nil && before(jobqueue.ParseIncarnation(known.Spec.Id)) {
 		return true
 	}
-	if life.Precedes(o.lives[w.GetHost()]) {
+	if before(o.lives[host]) {
 		return true
 	}
-	o.lives[w.GetHost()] = life
+	o.lives[host] = life
 	return false
 }
 
--- a/jobqueue/incarnation.go
+++ b/jobqueue/incarnation.go
@@ -55,16 +55,16 @@
 // NewestIncarnations returns the name of the newest incarnation that the log knows of each worker,
 // by the worker's id. Who names workers by their ids alone is understood by it.
 func (m *Machine) NewestIncarnations() map[string]string {
-	newest := map[string]Incarnation{}
+	newest := map[string]*Worker{}
 	for _, w := range m.workers.values {
-		i := ParseIncarnation(w.Spec.Id)
-		if known, ok := newest[i.WorkerID]; !ok || known.Precedes(i) {
-			newest[i.WorkerID] = i
+		id := ParseIncarnation(w.Spec.Id).WorkerID
+		if known := newest[id]; known == nil || known.followedBy(w) {
+			newest[id] = w
 		}
 	}
 	names := make(map[string]string, len(newest))
-	for id, i := range newest {
-		names[id] = i.Name()
+	for id, w := range newest {
+		names[id] = w.Spec.Id
 	}
 	return names
 }
@@ -73,14 +73,27 @@
 // is named by its id alone; a name with a start, and one that nothing is known of, stay as
 // they are.
 func (m *Machine) NewestIncarnation(name string) string {
-	newest := ParseIncarnation(name)
-	if newest.StartedMs != 0 {
+	named := ParseIncarnation(name)
+	if named.StartedMs != 0 {
 		return name
 	}
+	var newest *Worker
 	for _, w := range m.workers.values {
-		if i := ParseIncarnation(w.Spec.Id); newest.Precedes(i) {
-			newest = i
+		if ParseIncarnation(w.Spec.Id).WorkerID == named.WorkerID && (newest == nil || newest.followedBy(w)) {
+			newest = w
 		}
 	}
-	return newest.Name()
+	if newest == nil {
+		return name
+	}
+	return newest.Spec.Id
+}
+
+// followedBy reports whether another life of the same worker is the newer one. One that has not
+// left is newer than all that have: the clock of the day that dates them may go back.
+func (w *Worker) followedBy(other *Worker) bool {
+	if w.Departed != other.Departed {
+		return w.Departed
+	}
+	return ParseIncarnation(w.Spec.Id).Precedes(ParseIncarnation(other.Spec.Id))
 }
