dispatch: questions for long-running steps go to the placement advisor before the others

What callers would see: a long-running task in an advised queue waits for seconds while a burst of batch jobs is advised on, beside workers with room.

Cause: questions were put one after the other in the order in which steps began to wait, up to 24 of them at some 0.3 s for thirty workers; one more found no place.

Why this works: questions about long-running steps have a queue of their own, which the advisor is asked from first. At most the question under way is waited for.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -15,8 +15,8 @@
 }
 
 const (
-	// maxQuestions bounds the questions that wait for the advisor, which answers one
-	// at a time and refuses calls when too many wait there.
+	// maxQuestions bounds the questions of each kind that wait for the advisor, which
+	// answers one at a time and refuses calls when too many wait there.
 	maxQuestions = 24
 	// adviceTimeout bounds one call: an advisor looks at thirty workers in less.
 	adviceTimeout = 2 * time.Second
@@ -32,8 +32,12 @@
 // again later. d.mu is held.
 func (d *Dispatcher) putQuestions(l *leadership, questions []schedule.Question, now time.Time) {
 	for _, q := range questions {
+		queue := d.questions
+		if q.LongRunning {
+			queue = d.urgent
+		}
 		select {
-		case d.questions <- askedQuestion{q, l.term}:
+		case queue <- askedQuestion{q, l.term}:
 		default:
 			l.planner.Unadvised(q, now)
 		}
@@ -43,12 +47,30 @@
 // askAdvisor puts the questions to the advisor, one after the other, until ctx ends.
 func (d *Dispatcher) askAdvisor(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		q, ok := d.nextQuestion(ctx)
+		if !ok {
 			return
-		case q := <-d.questions:
-			d.ask(ctx, q)
 		}
+		d.ask(ctx, q)
+	}
+}
+
+// nextQuestion waits for a question; false when ctx has ended. Those about long-running steps
+// come first. What goes wrong without it: a task that lost its run waits for seconds behind
+// the questions about a burst of batch work.
+func (d *Dispatcher) nextQuestion(ctx context.Context) (askedQuestion, bool) {
+	select {
+	case q := <-d.urgent:
+		return q, ctx.Err() == nil
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return askedQuestion{}, false
+	case q := <-d.urgent:
+		return q, true
+	case q := <-d.questions:
+		return q, true
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,10 +54,11 @@
 	meters  meters
 	wake    chan struct{}
 	changed broadcast
-	// questions are those that the advisor has not been asked yet.
-	questions chan askedQuestion
-	advisor   *dependency.Watch
-	hosts     *dependency.Watch
+	// urgent and questions are those that the advisor has not been asked yet: about
+	// long-running steps, and about others.
+	urgent, questions chan askedQuestion
+	advisor           *dependency.Watch
+	hosts             *dependency.Watch
 
 	// mu guards what the leader knows beside the log. It is taken before the
 	// replica's own lock.
@@ -88,6 +89,7 @@
 		wake:    make(chan struct{}, 1),
 		changed: newBroadcast(),
 
+		urgent:    make(chan askedQuestion, maxQuestions),
 		questions: make(chan askedQuestion, maxQuestions),
 		advisor:   dependency.New("advisor", o.Logger, o.Now),
 		hosts:     dependency.New("list of hosts", o.Logger, o.Now),
--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -264,3 +264,28 @@
 	})
 	return stops
 }
+
+// Guards against a long-running task that waits for advice behind the questions about batch steps.
+func TestAdviceForALongRunningTaskDoesNotWaitBehindBatchSteps(t *testing.T) {
+	for _, jobs := range []int{0, 8, 24, 48} {
+		t.Run(fmt.Sprint(jobs, " batch jobs"), func(t *testing.T) {
+			playSim(t, 1, 0, func(t *testing.T, s *sim) {
+				s.advisor.PerWorker = 10 * time.Millisecond
+				for i := range 30 {
+					newToldWorker(s, fmt.Sprintf("w%02d", i))
+				}
+				s.sleep(time.Second)
+				for i := range jobs {
+					s.submitJob(&apiv1.JobSpec{Id: fmt.Sprint("b", i), Host: simHost, Path: fmt.Sprint("/advised/b", i), Steps: []*apiv1.JobStep{
+						{Count: 1, CpuMilli: 100, MemoryMb: 10, EstimatedMs: 500},
+					}})
+				}
+				s.sleep(100 * time.Millisecond)
+				s.submitLasting("advised", "set")
+				if took := s.untilRun("set", 1); took > longestRestart {
+					t.Errorf("it started after %v beside thirty nearly empty workers", took)
+				}
+			})
+		})
+	}
+}
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -24,6 +24,8 @@
 type Question struct {
 	Step    jobqueue.StepID
 	Workers []string
+	// LongRunning: the step's tasks are owed for as long as they are away.
+	LongRunning bool
 }
 
 // Advice answers a question: a ticket for each worker that may run the step, and
@@ -94,7 +96,7 @@
 	if !c.queue.Advised || r.now.Before(r.planner.approvals.askAt[step]) {
 		return
 	}
-	q := Question{Step: step}
+	q := Question{Step: step, LongRunning: c.step.Spec.LongRunning}
 	for _, s := range r.slots {
 		if len(q.Workers) < questionSize && r.feasible(c, s) == ReasonNotAdvised {
 			q.Workers = append(q.Workers, s.worker.Spec.Id)
