jobqueue, schedule: a task without attempts left takes no room, and its job fails when the bound is lowered

What callers would see: after max_attempts of a queue was lowered to the failures that a task has, its job stays open for good, and tasks behind it wait beside empty workers.

Cause: the planner gave such tasks workers in each round, and the state refused each start. Nothing ended the job: a job fails at a failure of a run, and this task gets none any more.

TestLoweredBoundOnAttemptsFailsJobs: the jobs of a batch task and of a gang stay running.

Why this works: when a configuration is put, jobqueue fails the open jobs with a task that has failed as often as it now may, in the order of their ids; what still runs of them is stopped. That is what the interface calls failed: a task has failed max_attempts times. Planner and state ask the same Machine.AttemptsLeft, so jobs that an earlier release left open take no room until the next configuration fails them.

A replica of an earlier release applies such a configuration without failing the jobs: none should be put that lowers max_attempts while the control group runs two releases.

--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -48,10 +48,34 @@
 	}
 	if c.Version > m.configuration.Version {
 		m.configuration = c
+		m.failUsedUp()
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
+// failUsedUp fails the open jobs with a task that has failed as often as the configuration now
+// lets it: it gets no run any more, and its job would stay open for good.
+func (m *Machine) failUsedUp() {
+	for _, j := range m.Active() {
+		if j.Open() && m.usedUp(j) {
+			m.finish(j, apiv1.JobState_JOB_STATE_FAILED)
+		}
+	}
+}
+
+func (m *Machine) usedUp(j *Job) bool {
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			for _, t := range s.Tasks {
+				if !t.Done && !m.AttemptsLeft(j, s.Spec, t) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // QueueFor returns the queue of a host with the longest prefix of a path, nil
 // when there is none.
 func (m *Machine) QueueFor(host, path string) *apiv1.JobQueue {
--- a/jobqueue/machine_test.go
+++ b/jobqueue/machine_test.go
@@ -198,6 +198,42 @@
 	}
 }
 
+// Guards against a job that stays open for good since the bound on attempts was lowered to the failures of its task.
+func TestLoweredBoundOnAttemptsFailsJobs(t *testing.T) {
+	for name, kept := range map[string]struct {
+		step *apiv1.JobStep
+		open bool
+	}{
+		"batch":        {one(100), false},
+		"gang":         {&apiv1.JobStep{Count: 1, CpuMilli: 100, Gang: true}, false},
+		"long-running": {&apiv1.JobStep{Count: 1, CpuMilli: 100, LongRunning: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			m.worker("w1", "h1", 1000)
+			m.submit("failed once", kept.step)
+			m.submit("sound", kept.step)
+			m.start(task("failed once", 0, 0), 1, "w1")
+			m.end("w1", task("failed once", 0, 0), 1, failed)
+			lower := configuration(2)
+			lower.Queues[0].MaxAttempts = 1
+			m.put(lower)
+			if open := m.Job("failed once").Open(); open != kept.open {
+				t.Errorf("open: %v", open)
+			}
+			if !kept.open && m.Job("failed once").State != apiv1.JobState_JOB_STATE_FAILED {
+				t.Errorf("the job is %v", m.Job("failed once").State)
+			}
+			if !m.Job("sound").Open() {
+				t.Error("a job without a failure is over")
+			}
+			if starts := m.start(task("failed once", 0, 0), 2, "w1"); starts != kept.open {
+				t.Errorf("starts again: %v", starts)
+			}
+		})
+	}
+}
+
 // Symptom: a run of a worker's earlier life is taken for one of its new life.
 // Sequence: the worker crashes and comes back under a new id; a report of the
 // earlier one comes late.
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -129,7 +129,7 @@
 	if !j.Occurrences[id.Occurrence].Ready(int(id.Step)) {
 		return false
 	}
-	if !s.Spec.LongRunning && t.Failures >= m.maxAttempts(j) {
+	if !m.AttemptsLeft(j, s.Spec, t) {
 		return false
 	}
 	copies := 1
@@ -139,6 +139,11 @@
 	return len(t.Runs) < copies
 }
 
+// AttemptsLeft reports whether a task may run once more after its failures.
+func (m *Machine) AttemptsLeft(j *Job, s *apiv1.JobStep, t *Task) bool {
+	return s.LongRunning || t.Failures == 0 || t.Failures < m.maxAttempts(j)
+}
+
 // MayHost judges the worker: its pool, label, spread and room, and that it is not
 // about to leave. Memory and accelerators of what is being stopped still count.
 func (m *Machine) MayHost(j *Job, id TaskID, s *apiv1.JobStep, w *Worker) bool {
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -103,7 +103,7 @@
 				if s.Covered() && !s.Spec.AllowDuplicates || s.Ended() || !o.Ready(i) {
 					continue
 				}
-				if tasks := r.waitingTasks(s); len(tasks) > 0 {
+				if tasks := r.waitingTasks(j, s); len(tasks) > 0 {
 					found = append(found, r.candidate(j, k, i, s, tasks))
 				}
 			}
@@ -113,11 +113,12 @@
 }
 
 // waitingTasks returns the tasks without a run, and those that may have a second one
-// since nothing is heard of the first; for a gang all or none.
-func (r *round) waitingTasks(s *jobqueue.Step) []int {
+// since nothing is heard of the first, as far as they have attempts left: the state refuses
+// the others, and their starts would take room in each round. For a gang all or none.
+func (r *round) waitingTasks(j *jobqueue.Job, s *jobqueue.Step) []int {
 	var tasks []int
 	for i, t := range s.Tasks {
-		if !t.Done && (len(t.Runs) == 0 || r.outOfSight(s, t)) {
+		if !t.Done && (len(t.Runs) == 0 || r.outOfSight(s, t)) && r.machine.AttemptsLeft(j, s.Spec, t) {
 			tasks = append(tasks, i)
 		}
 	}
