Review of the lapse of a host: late reports, starts and calls around it; order of lives behind a restarted agent

- A start that was committed after the lapse stood for good: expiries passed over workers whose runs were given up. dispatch.TestStartCommittedAfterALapseDoesNotStand.
- An agent that gave up its call before the commit left the plan in doubt each time, and the leader refused all hosts' reports meanwhile.
The commit no longer ends with the call.
TestLapseThatItsAgentGivesUpDoesNotStopTheLeader.
- A life whose clock is behind that of the one before got no work behind a restarted agent, or where the life between them never reported.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,8 +74,8 @@
 
 	mu      sync.Mutex
 	session *session
-	// served is the life that the newest session is of, also when it has ended.
-	served string
+	// served are the lives that sessions were of, the newest last.
+	served []string
 	// left holds incarnations that are gone: a late announcement of one must not
 	// bring it back.
 	left map[string]bool
@@ -121,7 +122,7 @@
 	default:
 		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
 		d.session = d.newSession(a)
-		d.session.follows, d.served = d.served, id
+		d.session.follows = d.noteServed(id)
 		if s != nil {
 			d.noteLeft(s.incarnation)
 			s.cancel()
@@ -160,6 +161,17 @@
 	return nil
 }
 
+// maxServed bounds the lives that are remembered as served.
+const maxServed = 16
+
+// noteServed notes that a life is served from now on, and returns those before it; d.mu is held.
+func (d *Driver) noteServed(incarnation string) []string {
+	before := slices.DeleteFunc(d.served, func(id string) bool { return id == incarnation })
+	before = before[max(0, len(before)-maxServed):]
+	d.served = append(slices.Clone(before), incarnation)
+	return before
+}
+
 // maxLeft bounds the incarnations that are remembered as gone. One that is forgotten
 // comes back only if the worker says that it is the one.
 const maxLeft = 256
@@ -203,13 +215,9 @@
 	}
 }
 
-const (
-	// absenceTold is how long no worker is known when the first line says so; each further
-	// line comes after twice the time.
-	absenceTold = 3 * time.Second
-	// lapseRetry is the time between two tries to tell the leader of a lapse.
-	lapseRetry = 100 * time.Millisecond
-)
+// absenceTold is how long no worker is known when the first line says so; each further line
+// comes after twice the time.
+const absenceTold = 3 * time.Second
 
 // awaitWorker returns once a worker was announced, or when ctx ends.
 func (d *Driver) awaitWorker(ctx context.Context) {
@@ -222,10 +230,7 @@
 			event.WorkerAbsent.Write(d.logger, event.Silent(absent))
 			tellAbsence *= 2
 		}
-		wait := tellAbsence - absent
-		if left, due := d.lease.untilDue(now); due {
-			wait = min(wait, max(left, lapseRetry))
-		}
+		wait := min(tellAbsence-absent, d.lease.untilDue(now))
 		if d.awaitNews(ctx, wait) {
 			return
 		}
--- a/agent/runs/lapse.go
+++ b/agent/runs/lapse.go
@@ -21,10 +21,18 @@
 type hostLease struct {
 	mu  sync.Mutex
 	end time.Time
-	// told: the leader knows that it has run out.
-	told bool
+	// askAt is when the leader is asked next whether it holds a lease of the host, after end:
+	// a report that the network held up may have renewed one since.
+	askAt time.Time
 }
 
+const (
+	// lapseRetry is the time between two tries to tell the leader of a lapse.
+	lapseRetry = 100 * time.Millisecond
+	// lapseRecheck is the time after which the leader is asked again whether it holds a lease.
+	lapseRecheck = time.Second
+)
+
 // longestGrant is how long a worker may run on after a call that renews its lease: its clock
 // may run slower than this host's by the bound.
 func longestGrant(lease time.Duration) time.Duration {
@@ -40,46 +48,48 @@
 	}
 }
 
-// heard notes that the worker answered.
-func (l *hostLease) heard() { l.setTold(false) }
-
-func (l *hostLease) setTold(told bool) {
+// askAgain notes when the leader is to be asked next.
+func (l *hostLease) askAgain(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.told = told
+	l.askAt = at
 }
 
-// untilDue is how long it is until the leader is to be told that the lease has run out;
-// 0 says now, and false that it has been told.
-func (l *hostLease) untilDue(now time.Time) (time.Duration, bool) {
+// untilDue is how long it is until the leader is to be asked for a lease that has run out.
+func (l *hostLease) untilDue(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, l.end.Sub(now)), !l.told
+	return max(0, l.end.Sub(now), l.askAt.Sub(now))
 }
 
 // errLeaseRenewed says that the leader counts another lease of the host by now.
 var errLeaseRenewed = errors.New("the lease was renewed since, or is being given up")
 
-// tellLapse tells the leader, once, that nothing runs on the host any more, if that is sure by
-// now. It is called while the worker gives no answer, or none is known.
+// tellLapse tells the leader that nothing runs on the host any more, if that is sure by now and
+// the leader holds otherwise. It is called while the worker gives no answer, or none is known.
 func (d *Driver) tellLapse(ctx context.Context) {
-	left, due := d.lease.untilDue(d.opts.Now())
-	if !due || left > 0 {
+	now := d.opts.Now()
+	if d.lease.untilDue(now) > 0 {
 		return
 	}
+	d.lease.askAgain(now.Add(lapseRetry))
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	held, err := d.opts.Leader.HostLease(ctx, d.opts.Host)
-	if err == nil && held.LeaseWorker != "" {
-		err = d.reportLapse(ctx, held)
+	if err != nil {
+		return
 	}
-	if err == nil {
-		d.lease.setTold(true)
+	if held.LeaseWorker == "" || d.reportLapse(ctx, held) == nil {
+		d.lease.askAgain(d.opts.Now().Add(lapseRecheck))
 	}
 }
 
 // reportLapse tells of the lease that the leader holds.
 func (d *Driver) reportLapse(ctx context.Context, held *apiv1.JobsOrdersResponse) error {
+	if s := d.current(); s != nil {
+		// The leader takes what was sent before the lapse for outdated.
+		s.renumber()
+	}
 	resp, err := d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{
 		Worker: &apiv1.JobWorker{Id: held.LeaseWorker, Host: d.opts.Host}, Lapsed: true,
 		LeaseTerm: held.Term, LeaseNumber: held.LeaseNumber,
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -30,7 +30,6 @@
 	}
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
-	s.d.lease.heard()
 }
 
 // nextDeadline is the deadline for the next call: the end of the leader's lease, but
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -40,6 +41,25 @@
 	}
 }
 
+// renumber has the session go on as another one in the leader's eyes; watch calls it.
+func (s *session) renumber() {
+	s.number, s.reports, s.beganMs = rand.Uint64(), 0, 0
+}
+
+// resolveOrder ends the life that the leader takes for the newer one. The worker has confirmed
+// the life of this session, and there is but one: so what the leader holds came before it.
+func (s *session) resolveOrder(ctx context.Context) {
+	held, err := s.d.opts.Leader.HostLease(ctx, s.d.opts.Host)
+	if err != nil || held.LastLife == "" || held.LastLife == s.incarnation {
+		return
+	}
+	s.follows = append(s.follows, held.LastLife)
+	if held.LeaseWorker != "" && held.LeaseWorker != s.incarnation {
+		s.follows = append(s.follows, held.LeaseWorker)
+		s.former = &apiv1.JobWorker{Id: held.LeaseWorker, Host: s.d.opts.Host}
+	}
+}
+
 // report sends what the worker said to the leader and takes the lease from the
 // answer. It returns false when no leader took it.
 func (s *session) report(status Status, received time.Time) bool {
@@ -64,6 +84,7 @@
 	}
 	if resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE {
 		event.WorkerTakenForOther.Write(s.d.logger, event.Worker(s.incarnation))
+		s.resolveOrder(ctx)
 		return false
 	}
 	s.granted(resp, status.ClockMs, received, sent)
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -30,12 +30,12 @@
 	// number tells the session from others of the same worker, and reports counts what
 	// was sent to the leader; only watch sends.
 	number, reports uint64
-	// beganMs is what the worker's clock showed at its first answer in the session.
+	// beganMs is what the worker's clock showed at its first answer under the number.
 	beganMs int64
 	// admitted: the leader may be told of the worker; only watch uses it.
 	admitted bool
-	// follows is the life that this agent served before; empty if it served none.
-	follows string
+	// follows are lives of the worker that came before this one; only watch uses it.
+	follows []string
 	// former is the life before this one, until the leader was told that it has ended; nil
 	// when there is none to tell of.
 	former *apiv1.JobWorker
--- a/dispatch/lapse.go
+++ b/dispatch/lapse.go
@@ -22,7 +22,8 @@
 		event.ReportOutdated.Write(d.logger, event.Term(term), event.Worker(r.Worker.GetId()))
 		return &apiv1.JobsReportResponse{Term: term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE}, nil
 	}
-	committed := d.commitPlan(ctx, plan)
+	// An agent that gives its call up must not leave the plan in doubt.
+	committed := d.commitPlan(context.WithoutCancel(ctx), plan)
 	d.endLapses(term, plan.Lapsed, committed)
 	if !committed {
 		return d.refer(), nil
@@ -52,6 +53,9 @@
 		if w == nil || l.otherLease(jobs, r) || !l.leases.beginLapse(w) {
 			return
 		}
+		if r.LeaseTerm != 0 {
+			l.reports.endSession(id)
+		}
 		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w)}
 		d.noteLost(l, w, lostBySilence, nil, d.opts.Now())
 	})
--- /dev/null
+++ b/dispatch/lateword_test.go
@@ -0,0 +1,92 @@
+package dispatch_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+// Guards against a report from before a lapse that makes a dead worker one in reach.
+func TestReportFromBeforeALapseIsOutdated(t *testing.T) {
+	playLapse(t, func(r *lapseRig) {
+		r.report(&apiv1.JobsReportRequest{Session: 7, Sequence: 1})
+		r.expect(r.lapse(), apiv1.JobOutcome_JOB_OUTCOME_OK, 0)
+		if got := r.report(&apiv1.JobsReportRequest{Session: 7, Sequence: 2}); got.LeaseMs != 0 {
+			t.Errorf("a report that was sent before the lapse renews the lease: %v", got)
+		}
+		r.s.sleep(200 * time.Millisecond)
+		if r.runs() > 0 {
+			t.Error("the worker that went silent got work")
+		}
+	})
+}
+
+// Guards against a start that was decided before a lapse and committed after it, and stands for
+// good on a worker that is gone.
+func TestStartCommittedAfterALapseDoesNotStand(t *testing.T) {
+	playLapse(t, func(r *lapseRig) {
+		r.expect(r.lapse(), apiv1.JobOutcome_JOB_OUTCOME_OK, 0)
+		term, _ := r.s.replica.Leading()
+		r.s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
+			Term: term, Starts: []*apiv1.StartRun{{Task: &apiv1.TaskRef{Job: "l1"}, Run: 2, Worker: "w1"}},
+		}}})
+		if r.runs() == 0 {
+			return
+		}
+		r.s.sleep(time.Minute)
+		if r.runs() > 0 {
+			t.Error("a minute after its worker went silent, the run stands")
+		}
+	})
+}
+
+// Guards against a leader that refuses the reports of all hosts again and again, since the call
+// of one that tells of a lapse is given up before its commit.
+func TestLapseThatItsAgentGivesUpDoesNotStopTheLeader(t *testing.T) {
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
+		w := newToldWorker(s, "w1")
+		s.sleep(time.Second)
+		s.submitLasting("q", "set")
+		s.untilRun("set", 1)
+		w.silent.Store(true)
+		log := s.troubleLog(0, nil)
+		log.late.Store(int64(800 * time.Millisecond))
+		var refused, asked atomic.Int64
+		s.loops.Go(func() {
+			for s.ctx.Err() == nil {
+				resp, err := s.dispatcher.Report(s.ctx, &apiv1.JobsReportRequest{
+					Worker: &apiv1.JobWorker{Id: "w2", Host: "h2", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000},
+				})
+				asked.Add(1)
+				if err != nil || resp.NotLeader {
+					refused.Add(1)
+				}
+				s.sleep(200 * time.Millisecond)
+			}
+		})
+		for began := time.Now(); time.Since(began) < 30*time.Second; s.sleep(100 * time.Millisecond) {
+			ctx, cancel := context.WithTimeout(s.ctx, 600*time.Millisecond)
+			held, err := s.dispatcher.Orders(ctx, &apiv1.JobsOrdersRequest{Host: "host-w1"})
+			if err == nil && held.LeaseWorker != "" {
+				resp, err := s.dispatcher.Report(ctx, &apiv1.JobsReportRequest{
+					Worker: &apiv1.JobWorker{Id: held.LeaseWorker, Host: "host-w1"}, Lapsed: true,
+					LeaseTerm: held.Term, LeaseNumber: held.LeaseNumber,
+				})
+				if err == nil && resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_OK {
+					cancel()
+					break
+				}
+			}
+			cancel()
+		}
+		s.replica.ReadState(func(m *state.Machine) { t.Logf("epoch of w1: %d", m.CallerJobs().Worker("w1").Epoch) })
+		t.Logf("%d of %d reports of another host were refused", refused.Load(), asked.Load())
+		if refused.Load()*4 > asked.Load() {
+			t.Error("more than a fourth of another host's reports were refused")
+		}
+	})
+}
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -76,7 +76,10 @@
 	for _, w := range workers {
 		l := t.of(w.Spec.Id)
 		wait := l.duration + l.duration*clockRateErrorPPM/1_000_000 + leaseMargin
-		if l.lapsing || l.lapsed || now.Sub(l.renewed) <= wait {
+		// A run that was decided before a lapse and committed after it can't have begun: its
+		// start needs a lease that is granted after.
+		overdue := now.Sub(l.renewed) > wait && !l.lapsed || l.lapsed && len(w.Runs) > 0
+		if l.lapsing || !overdue {
 			continue
 		}
 		t.beginLapse(w)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -43,8 +43,8 @@
 	}
 	resp := &apiv1.JobsOrdersResponse{Term: l.term}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
-		if held := m.CallerJobs().WorkerOf(r.Host); held != nil {
-			resp.LeaseWorker, resp.LeaseNumber = held.Spec.Id, l.leases.of(held.Spec.Id).number
+		if r.Host != "" {
+			l.addHost(resp, m.CallerJobs(), r.Host)
 		}
 		w := m.CallerJobs().Worker(r.Worker)
 		if w == nil {
@@ -74,3 +74,15 @@
 		resp.Paces = append(resp.Paces, &apiv1.PaceOrder{Task: r.ID.Task.Ref(), Run: r.ID.Number, Percent: percent})
 	}
 }
+
+// addHost adds what the leader holds of a host.
+func (l *leadership) addHost(resp *apiv1.JobsOrdersResponse, m *jobqueue.Machine, host string) {
+	resp.LastLife = l.reports.lives[host].Name()
+	w := m.WorkerOf(host)
+	if w == nil {
+		return
+	}
+	if lease := l.leases.of(w.Spec.Id); !lease.lapsed || len(w.Runs) > 0 {
+		resp.LeaseWorker, resp.LeaseNumber = w.Spec.Id, lease.number
+	}
+}
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
@@ -49,8 +51,11 @@
 		seen = &reportsSeen{session: r.Session, beganMs: r.SessionBeganMs, former: map[uint64]bool{}}
 		o.byWorker[r.Worker.GetId()] = seen
 	}
+	if seen.former[r.Session] {
+		return true
+	}
 	if seen.session != r.Session {
-		if seen.former[r.Session] || r.SessionBeganMs != 0 && r.SessionBeganMs < seen.beganMs {
+		if r.SessionBeganMs != 0 && r.SessionBeganMs < seen.beganMs {
 			return true
 		}
 		seen.begin(r)
@@ -69,7 +74,9 @@
 func (o *reportOrder) earlierIncarnation(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
 	host := r.Worker.GetHost()
 	life := jobqueue.ParseIncarnation(r.Worker.GetId())
-	before := func(later jobqueue.Incarnation) bool { return life.Precedes(later) && later.Name() != r.Follows }
+	before := func(later jobqueue.Incarnation) bool {
+		return life.Precedes(later) && !slices.Contains(r.Follows, later.Name())
+	}
 	if known := m.WorkerOf(host); known != nil && before(jobqueue.ParseIncarnation(known.Spec.Id)) {
 		return true
 	}
@@ -88,3 +95,11 @@
 	s.former[s.session] = true
 	s.session, s.beganMs, s.sequence = r.Session, r.SessionBeganMs, 0
 }
+
+// endSession notes that the session of a worker is over: its agent says that the worker's lease
+// ran out, and numbers what it reports after that as another session.
+func (o *reportOrder) endSession(worker string) {
+	if seen := o.byWorker[worker]; seen != nil {
+		seen.former[seen.session] = true
+	}
+}
