--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -289,3 +289,35 @@
 		})
 	}
 }
+
+// Guards against a start that is not decided again after its plan came to nothing.
+func TestStartIsDecidedAgainWhenThePlanWasNotCommitted(t *testing.T) {
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
+		s.troubleLog(5, func(p *apiv1.PlanRuns) bool { return len(p.Starts) > 0 })
+		newToldWorker(s, "w1")
+		s.sleep(time.Second)
+		s.submitLasting("q", "set")
+		if took := s.untilRun("set", 1); took > longestRestart {
+			t.Errorf("it started after %v", took)
+		}
+	})
+}
+
+// Guards against workers that get no work since their reports come a little late.
+func TestTaskStartsThoughReportsComeEachSecond(t *testing.T) {
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
+		w := newToldWorker(s, "w1")
+		w.silent.Store(true)
+		s.loops.Go(func() {
+			for s.ctx.Err() == nil {
+				w.send(w.next())
+				s.sleep(time.Second)
+			}
+		})
+		s.sleep(1900 * time.Millisecond)
+		s.submitLasting("q", "set")
+		if took := s.untilRun("set", 1); took > longestRestart {
+			t.Errorf("it started after %v", took)
+		}
+	})
+}
--- a/schedule/longrunning_test.go
+++ b/schedule/longrunning_test.go
@@ -1,10 +1,13 @@
 package schedule
 
 import (
+	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // lasting is a long-running step that only reserves.
@@ -61,6 +64,93 @@
 	t.Error("a run was missing in the reports of its worker for 30 s, and it is not stopped")
 }
 
+// Guards against a second run of a task beside one that may go on, and against a wait after that has ended.
+func TestRunBeingStoppedHoldsItsTaskUntilItsEnd(t *testing.T) {
+	for name, ends := range map[string]func(r *rig, id jobqueue.RunID){
+		"listed": func(r *rig, id jobqueue.RunID) { r.end(id, apiv1.RunEndKind_RUN_END_KIND_STOPPED) },
+		"lapsed": func(r *rig, _ jobqueue.RunID) {
+			r.silent["w1"] = true
+			r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{Term: testTerm, Lapsed: []string{"w1"}}}})
+		},
+		"refused": func(r *rig, id jobqueue.RunID) { r.refuse(id, "w1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.worker("w1", 8000, 8000)
+			r.submit("urgent", "set", lasting(1))
+			r.plan()
+			r.worker("w2", 8000, 8000)
+			id := r.runsOn("w1")[0]
+			r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
+				Term: testTerm, Stops: []*apiv1.StopRun{{Task: id.Task.Ref(), Run: id.Number}},
+			}}})
+			for range 300 {
+				r.pass(simStep)
+				if d := r.plan(); len(d.Starts) > 0 {
+					t.Fatalf("started again as %v", d.Starts)
+				}
+			}
+			ends(r, id)
+			if took := r.untilRunning("set"); took > 0 {
+				t.Errorf("it started %v after the end of its run", took)
+			}
+		})
+	}
+}
+
+// Guards against an end of a run, of whatever kind, after which its task never gets another one.
+func TestEachEndOfALongRunningRunIsFollowedByAStart(t *testing.T) {
+	for seed := range int64(20) {
+		random := rand.New(rand.NewSource(seed))
+		r := newRig(t)
+		step := lasting(3)
+		step.AllowDuplicates = seed%2 == 0
+		r.submit("batch", "set", step)
+		for i := range 4 {
+			r.worker(fmt.Sprintf("w%d-0", i), 3000, 8000)
+		}
+		for life := range 100 {
+			r.plan()
+			if !r.machine.Job("set").Occurrences[0].Steps[0].Covered() {
+				t.Fatalf("seed %d: a task waits after %d ends", seed, life)
+			}
+			r.endSomehow(random)
+			r.pass(simStep)
+		}
+	}
+}
+
+// endSomehow ends a random run, or all of a worker, in a random way that is no failure.
+func (r *rig) endSomehow(random *rand.Rand) {
+	r.t.Helper()
+	w := r.machine.Workers()[random.Intn(len(r.machine.Workers()))]
+	runs := w.SortedRuns()
+	if len(runs) == 0 {
+		return
+	}
+	id := runs[random.Intn(len(runs))]
+	switch random.Intn(6) {
+	case 0:
+		r.end(id, apiv1.RunEndKind_RUN_END_KIND_DONE)
+	case 1:
+		r.end(id, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+	case 2:
+		r.refuse(id, w.Spec.Id)
+	case 3:
+		r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{Term: testTerm, Lapsed: []string{w.Spec.Id}}}})
+	case 4:
+		r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{Worker: w.Spec, Departed: true}}})
+		r.worker(w.Spec.Id+"x", 3000, 8000)
+	case 5:
+		restored, err := jobqueue.Restore(r.machine.Snapshot(), r.now.UnixMilli())
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		r.machine = restored
+		r.end(id, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+	}
+}
+
 // Guards against a lost run whose job counts as not yet due once the leader's clock was set back.
 func TestLostRunStartsAgainWhenTheClockWasSetBack(t *testing.T) {
 	r := newRig(t)
