--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -92,7 +92,11 @@
 	if l.away {
 		return nil, errAway
 	}
-	return &apiv1.JobsOrdersResponse{Term: term, LeaseWorker: "w1", LeaseNumber: uint64(len(l.reports))}, nil
+	held := &apiv1.JobsOrdersResponse{Term: term, HostTold: true, LeaseNumber: uint64(len(l.reports))}
+	if n := len(l.reports); n == 0 || !l.reports[n-1].Lapsed {
+		held.LeaseWorker = "w1"
+	}
+	return held, nil
 }
 
 func (l *leader) set(f func()) {
--- a/agent/runs/lapse.go
+++ b/agent/runs/lapse.go
@@ -79,11 +79,23 @@
 	if err != nil {
 		return
 	}
+	if !held.HostTold {
+		held = d.leaseOfSession()
+	}
 	if held.LeaseWorker == "" || d.reportLapse(ctx, held) == nil {
 		d.lease.askAgain(d.opts.Now().Add(lapseRecheck))
 	}
 }
 
+// leaseOfSession is what an agent tells a leader of the release before, which can't say what it
+// holds: the worker of its session, and no number of a lease.
+func (d *Driver) leaseOfSession() *apiv1.JobsOrdersResponse {
+	if s := d.current(); s != nil {
+		return &apiv1.JobsOrdersResponse{LeaseWorker: s.incarnation}
+	}
+	return &apiv1.JobsOrdersResponse{}
+}
+
 // reportLapse tells of the lease that the leader holds.
 func (d *Driver) reportLapse(ctx context.Context, held *apiv1.JobsOrdersResponse) error {
 	if s := d.current(); s != nil {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -157,6 +157,7 @@
 		case err != nil || answer != AnswerDone:
 			event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
 			s.d.tellLapse(s.ctx)
+			wait = 0
 			s.pause(retryPause)
 			continue
 		}
--- a/dispatch/lateword_test.go
+++ b/dispatch/lateword_test.go
@@ -90,3 +90,40 @@
 		}
 	})
 }
+
+// Guards against a life that is at work and is ended in the log by the late first report of one
+// before it, whose start is the later one by a clock that was set back.
+func TestLateFirstReportOfAFormerLifeWithALaterClockEndsNothing(t *testing.T) {
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
+		s.sleep(time.Second)
+		r := &lapseRig{t, s}
+		life := func(id string) *apiv1.JobWorker {
+			return &apiv1.JobWorker{Id: id, Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000}
+		}
+		r.report(&apiv1.JobsReportRequest{Worker: life("w@150"), Session: 2, Sequence: 1})
+		s.submitLasting("q", "set")
+		s.untilRun("set", 1)
+		r.report(&apiv1.JobsReportRequest{Worker: life("w@200"), Session: 1, Sequence: 1})
+		if len(s.runsOn("w@150")) == 0 {
+			t.Errorf("the run is given up and goes on; the log holds %v on the former life", s.runsOn("w@200"))
+		}
+	})
+}
+
+// Guards against a worker that gets no work for good since a life that has left, and began later
+// by a clock that was set back, is remembered.
+func TestLifeWithAnEarlierClockIsTakenOnceTheOneBeforeHasLeft(t *testing.T) {
+	playSim(t, 1, 0, func(t *testing.T, s *sim) {
+		s.sleep(time.Second)
+		r := &lapseRig{t, s}
+		life := func(id string) *apiv1.JobWorker {
+			return &apiv1.JobWorker{Id: id, Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000}
+		}
+		r.report(&apiv1.JobsReportRequest{Worker: life("w@200"), Session: 1, Sequence: 1})
+		r.report(&apiv1.JobsReportRequest{Worker: life("w@200"), Session: 1, Sequence: 2, Departed: true})
+		got := r.report(&apiv1.JobsReportRequest{Worker: life("w@150"), Session: 2, Sequence: 1})
+		if got.LeaseMs == 0 {
+			t.Errorf("the report is answered %v", got)
+		}
+	})
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -77,6 +77,7 @@
 
 // addHost adds what the leader holds of a host.
 func (l *leadership) addHost(resp *apiv1.JobsOrdersResponse, m *jobqueue.Machine, host string) {
+	resp.HostTold = true
 	resp.LastLife = l.reports.lives[host].Name()
 	w := m.WorkerOf(host)
 	if w == nil {
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -12,7 +12,7 @@
 
 const (
 	// outageLook is the time between two looks at all long-running tasks.
-	outageLook = 500 * time.Millisecond
+	outageLook = time.Second
 	// outageTold is how long a long-running task has been away when the first line says
 	// so, and the time between two such lines: most are back sooner.
 	outageTold = 2 * time.Second
@@ -51,6 +51,9 @@
 
 // noteEnd notes how a run ended, or that it is given up.
 func (o *outages) noteEnd(r *jobqueue.Run, how string, now time.Time) {
+	if told, known := o.ended[r.ID.Task]; known && told.run == r.ID.Number {
+		return // A report may be taken in again.
+	}
 	if r.Step.LongRunning && r.Job().Open() {
 		o.ended[r.ID.Task] = outage{since: now, run: r.ID.Number, worker: r.Worker, how: how}
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -73,7 +73,8 @@
 	var outdated bool
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		// A worker that has left has left, whatever was said after.
-		outdated = !r.Departed && l.reports.outdated(m.CallerJobs(), r)
+		jobs := m.CallerJobs()
+		outdated = !r.Departed && (l.contested(jobs, r, d.opts.Now()) || l.reports.outdated(jobs, r))
 	})
 	if outdated {
 		d.meters.reportsOutdated.Inc(1)
@@ -102,6 +103,22 @@
 	return t
 }
 
+// takeoverSilence is how long nothing has been heard of the worker of a host when a life that
+// does not say that it follows that one may take its place: some reports' worth.
+const takeoverSilence = 2 * time.Second
+
+// contested reports whether a life that the log does not know would end one that was heard of
+// just now. Its agent says whom it follows; what the network held up does not.
+func (l *leadership) contested(m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) bool {
+	id := r.Worker.GetId()
+	known := m.WorkerOf(r.Worker.GetHost())
+	if known == nil || known.Spec.Id == id || slices.Contains(r.Follows, known.Spec.Id) {
+		return false
+	}
+	lease := l.leases.of(known.Spec.Id)
+	return lease.heard && !lease.lapsed && now.Sub(lease.renewed) < takeoverSilence
+}
+
 // observe notes the state of a run.
 func (l *leadership) observe(o *apiv1.RunObservation, now time.Time) {
 	id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -80,7 +80,7 @@
 	if known := m.WorkerOf(host); known != nil && before(jobqueue.ParseIncarnation(known.Spec.Id)) {
 		return true
 	}
-	if before(o.lives[host]) {
+	if last := o.lives[host]; before(last) && !m.HasLeft(last.Name()) {
 		return true
 	}
 	o.lives[host] = life
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -22,8 +22,9 @@
 	// the next one is not in a row with those before it. A long-running task never ends
 	// well, so nothing else would ever end the row.
 	failuresApart = 15 * time.Second
-	// tryAgainAfter is how long after its last failure an avoided worker gets a task that
-	// finds no other: one that fails all it gets is tried once in that time.
+	// tryAgainAfter is the time between two rounds that give an avoided worker tasks that find
+	// no other: one that fails all it gets is tried once in that time, and what else fails
+	// there meanwhile keeps nobody waiting.
 	tryAgainAfter = time.Second
 	// refusalPause is how long a worker that refused a start gets no other one: long enough
 	// for the task to go elsewhere, and most workers are full or unhealthy for a moment.
@@ -44,6 +45,8 @@
 	lengthenedAt time.Time
 	// refusedUntil is when the pause after its last refusal is over.
 	refusedUntil time.Time
+	// triedAt is when it last got a task although it was avoided.
+	triedAt time.Time
 }
 
 func newHealthTable() healthTable { return healthTable{byWorker: map[string]*health{}} }
@@ -68,7 +71,7 @@
 }
 
 // forget ends the row of failures.
-func (h *health) forget() { *h = health{refusedUntil: h.refusedUntil} }
+func (h *health) forget() { *h = health{refusedUntil: h.refusedUntil, triedAt: h.triedAt} }
 
 func (h *health) fail(at time.Time) {
 	if at.Sub(h.failedAt) > failuresApart && at.Sub(h.avoidedUntil) > failuresApart {
@@ -104,12 +107,15 @@
 	return h != nil && (now.Before(h.avoidedUntil) || now.Before(h.refusedUntil))
 }
 
-// mayTry reports whether an avoided worker may get a task that finds no other.
+// mayTry reports whether an avoided worker may get tasks that find no other.
 func (t healthTable) mayTry(worker string, now time.Time) bool {
 	h := t.byWorker[worker]
-	return h == nil || now.Sub(h.failedAt) >= tryAgainAfter && !now.Before(h.refusedUntil)
+	return h == nil || now.Sub(h.triedAt) >= tryAgainAfter && !now.Before(h.refusedUntil)
 }
 
+// tried notes that an avoided worker got a task that found no other.
+func (t healthTable) tried(worker string, at time.Time) { t.of(worker).triedAt = at }
+
 // doubtful reports whether a worker failed its last run.
 func (t healthTable) doubtful(worker string) bool {
 	h := t.byWorker[worker]
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -246,6 +246,9 @@
 		start.Ticket, _ = r.planner.approvals.ticket(c.key(), s.worker.Spec.Id, r.now)
 	}
 	r.decision.Starts = append(r.decision.Starts, start)
+	if s.avoided {
+		r.planner.health.tried(s.worker.Spec.Id, r.now)
+	}
 	s.give(c, 1)
 	if c.step.Spec.TailObjectiveMs > 0 {
 		s.noteServing(c)
