--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -34,6 +34,8 @@
 	beganMs int64
 	// admitted: the leader may be told of the worker; only watch uses it.
 	admitted bool
+	// notRenewedAt is when a line last said that the lease is not renewed; only watch uses it.
+	notRenewedAt time.Time
 	// follows are lives of the worker that came before this one; only watch uses it.
 	follows []string
 	// former is the life before this one, until the leader was told that it has ended; nil
@@ -155,7 +157,7 @@
 			s.pause(retryPause)
 			continue
 		case err != nil || answer != AnswerDone:
-			event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
+			s.tellNotRenewed(answer, err)
 			s.d.tellLapse(s.ctx)
 			wait = 0
 			s.pause(retryPause)
@@ -192,6 +194,19 @@
 	return status, answer, err
 }
 
+// notRenewedTold is the time between two lines on a lease that is not renewed: a worker that is
+// away is asked many times a second.
+const notRenewedTold = time.Second
+
+func (s *session) tellNotRenewed(answer Answer, err error) {
+	now := s.d.opts.Now()
+	if now.Sub(s.notRenewedAt) < notRenewedTold {
+		return
+	}
+	s.notRenewedAt = now
+	event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
+}
+
 func (s *session) pause(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
