--- a/schedule/health.go
+++ b/schedule/health.go
@@ -102,14 +102,12 @@
 }
 
 // avoided reports whether a worker should get no work for now.
-func (t healthTable) avoided(worker string, now time.Time) bool {
-	h := t.byWorker[worker]
+func (h *health) avoided(now time.Time) bool {
 	return h != nil && (now.Before(h.avoidedUntil) || now.Before(h.refusedUntil))
 }
 
 // mayTry reports whether an avoided worker may get tasks that find no other.
-func (t healthTable) mayTry(worker string, now time.Time) bool {
-	h := t.byWorker[worker]
+func (h *health) mayTry(now time.Time) bool {
 	return h == nil || now.Sub(h.triedAt) >= tryAgainAfter && !now.Before(h.refusedUntil)
 }
 
@@ -117,7 +115,6 @@
 func (t healthTable) tried(worker string, at time.Time) { t.of(worker).triedAt = at }
 
 // doubtful reports whether a worker failed its last run.
-func (t healthTable) doubtful(worker string) bool {
-	h := t.byWorker[worker]
+func (h *health) doubtful() bool {
 	return h != nil && h.failures > 0
 }
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -111,15 +111,16 @@
 	workers := r.machine.Workers()
 	r.slots = make([]*slot, 0, len(workers))
 	for _, w := range workers {
+		health := r.planner.health.byWorker[w.Spec.Id]
 		r.slots = append(r.slots, &slot{
 			worker:   w,
 			free:     w.Free(),
 			use:      r.useOf(w),
 			usable:   !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
 			leaving:  r.machine.Leaving(w.Spec.Id),
-			avoided:  r.planner.health.avoided(w.Spec.Id, r.now),
-			mayTry:   r.planner.health.mayTry(w.Spec.Id, r.now),
-			doubtful: r.planner.health.doubtful(w.Spec.Id),
+			avoided:  health.avoided(r.now),
+			mayTry:   health.mayTry(r.now),
+			doubtful: health.doubtful(),
 		})
 	}
 	r.planner.forgetGone(r.machine, r.now)
