--- a/fakes/runwatch.go
+++ b/fakes/runwatch.go
@@ -46,6 +46,9 @@
 }
 
 func (j *RunWatch) add(w *RunWorker) {
+	if j == nil {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.workers = append(j.workers, w)
@@ -53,6 +56,9 @@
 
 // ended takes in that a run ended, noted or not.
 func (j *RunWatch) ended(_ *RunWorker, id jobqueue.RunID, kind apiv1.RunEndKind, at time.Time) {
+	if j == nil {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if kind == apiv1.RunEndKind_RUN_END_KIND_DONE {
@@ -63,6 +69,9 @@
 // noted takes in that a good end of a task at some time was taken note of. No start
 // may follow that end, neither before it was noted nor after.
 func (j *RunWatch) noted(task jobqueue.TaskID, at time.Time) {
+	if j == nil {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.notedAt[task] = at
@@ -76,6 +85,9 @@
 // started judges a start. The calling worker's lock is held; the others are asked
 // beside the call, since two of them may ask each other.
 func (j *RunWatch) started(w *RunWorker, id jobqueue.RunID) {
+	if j == nil {
+		return
+	}
 	now := time.Now()
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -24,6 +24,23 @@
 	Late time.Duration
 }
 
+// Work is what a run does.
+type Work struct {
+	// Duration is how long it works; 0 means until it is stopped.
+	Duration time.Duration
+	// Fails: it ends failed.
+	Fails bool
+	// Startup is how long a task that lasts takes to be at work. Others tell their progress.
+	Startup time.Duration
+	Lasts   bool
+}
+
+// RunEvents is told what becomes of runs.
+type RunEvents interface {
+	RunBegan(run jobqueue.RunID, at time.Time)
+	RunEnded(run jobqueue.RunID, kind apiv1.RunEndKind, at time.Time)
+}
+
 // RunWorker is a stand-in for a worker that runs submitted jobs' tasks under one
 // lease: numbered runs, refusals of old ones, a list of ends with a cursor, a clock
 // of its own that may be slow, and orders that are lost or carried out late.
@@ -40,9 +57,13 @@
 	Duration func(jobqueue.TaskID) time.Duration
 	// Fails tells which runs end failed.
 	Fails func(jobqueue.RunID) bool
+	// Work, if set, tells what a run does from its payload, instead of Duration and Fails.
+	Work func(run jobqueue.RunID, payload string) Work
+	// Events, if set, is told of the begin and end of every run. The worker's lock is held.
+	Events RunEvents
 	// Advisor, if set, gives the tickets that starts need.
 	Advisor *Advisor
-	// Judge is told of every run.
+	// Judge is told of every run; nil for none.
 	Judge *RunWatch
 
 	mu       sync.Mutex
@@ -67,7 +88,7 @@
 type workerRun struct {
 	id         jobqueue.RunID
 	at         time.Time
-	duration   time.Duration
+	work       Work
 	checkpoint string
 }
 
@@ -153,13 +174,13 @@
 		w.lapsedAt = lapse
 	}
 	for task, r := range w.running {
-		end := r.at.Add(r.duration)
-		works := r.duration > 0 && !end.After(now)
+		end := r.at.Add(r.work.Duration)
+		works := r.work.Duration > 0 && !end.After(now)
 		lapsed := !lapse.After(now)
 		switch {
 		case works && (!lapsed || end.Before(lapse)):
 			kind := apiv1.RunEndKind_RUN_END_KIND_DONE
-			if w.Fails != nil && w.Fails(r.id) {
+			if r.work.Fails {
 				kind = apiv1.RunEndKind_RUN_END_KIND_FAILED
 			}
 			w.end(task, r, kind, end)
@@ -180,6 +201,9 @@
 	close(w.endedNews)
 	w.endedNews = make(chan struct{})
 	w.Judge.ended(w, r.id, kind, at)
+	if w.Events != nil {
+		w.Events.RunEnded(r.id, kind, at)
+	}
 }
 
 // saved is the checkpoint of the last whole second of work.
@@ -254,19 +278,31 @@
 	if w.Advisor != nil && !w.Advisor.Valid(s.Run.Task.StepID(), w.Spec.Id, s.Ticket) {
 		return runs.AnswerNoTicket
 	}
-	r := &workerRun{id: s.Run, at: time.Now(), checkpoint: s.Checkpoint}
-	if w.Duration != nil {
-		r.duration = w.Duration(task)
-	}
+	r := &workerRun{id: s.Run, at: time.Now(), checkpoint: s.Checkpoint, work: w.workOf(s)}
 	w.running[task] = r
 	if !w.watched {
 		w.watched = true
 		w.Judge.add(w)
 	}
 	w.Judge.started(w, s.Run)
+	if w.Events != nil {
+		w.Events.RunBegan(r.id, r.at)
+	}
 	return runs.AnswerDone
 }
 
+func (w *RunWorker) workOf(s runs.Start) Work {
+	if w.Work != nil {
+		return w.Work(s.Run, s.Payload)
+	}
+	var work Work
+	if w.Duration != nil {
+		work.Duration = w.Duration(s.Run.Task)
+	}
+	work.Fails = w.Fails != nil && w.Fails(s.Run)
+	return work
+}
+
 // Stop implements runs.Worker.
 func (w *RunWorker) Stop(ctx context.Context, o runs.Order, run jobqueue.RunID) (runs.Answer, error) {
 	var answer runs.Answer
@@ -334,8 +370,8 @@
 	defer w.mu.Unlock()
 	next := time.Hour
 	for _, r := range w.running {
-		if r.duration > 0 {
-			next = min(next, max(time.Millisecond, time.Until(r.at.Add(r.duration))))
+		if r.work.Duration > 0 {
+			next = min(next, max(time.Millisecond, time.Until(r.at.Add(r.work.Duration))))
 		}
 	}
 	return next
@@ -368,13 +404,23 @@
 func (w *RunWorker) status() runs.Status {
 	s := runs.Status{ClockMs: w.clockMs(time.Now()), Ended: append([]*apiv1.RunEnd(nil), w.ended...)}
 	for task, r := range w.running {
-		percent := uint32(100)
-		if r.duration > 0 {
-			percent = uint32(100 * time.Since(r.at) / r.duration)
-		}
 		s.Running = append(s.Running, &apiv1.RunObservation{
-			Task: task.Ref(), Run: r.id.Number, Percent: min(percent, 100), Checkpoint: r.saved(),
+			Task: task.Ref(), Run: r.id.Number, Percent: r.percent(), Checkpoint: r.saved(),
 		})
 	}
 	return s
 }
+
+const fullPercent = 100
+
+// percent is how far a task has come, or how much of a task that lasts is at work.
+func (r *workerRun) percent() uint32 {
+	whole := r.work.Duration
+	if r.work.Lasts {
+		whole = r.work.Startup
+	}
+	if whole == 0 {
+		return fullPercent
+	}
+	return uint32(min(fullPercent, fullPercent*time.Since(r.at)/whole))
+}
