--- /dev/null
+++ b/soak/cluster.go
@@ -0,0 +1,203 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+// Options tell what a cluster is made of.
+type Options struct {
+	// Folder takes settings, disks, logs and records.
+	Folder string
+	// Program is the path of cairnlift-platform. WorkerCommand begins a worker; its settings follow.
+	Program       string
+	WorkerCommand []string
+	// Network is the second and third number of all addresses, "A.B" of 127.A.B.x.
+	Network string
+	Workers int
+}
+
+const (
+	controlHosts   = 3
+	furtherEntries = 1
+	// firstWorker is the last number of the first worker's address.
+	firstWorker = 101
+	pool        = "pool"
+
+	controlMetrics = "9102"
+	entryMetrics   = "9101"
+	agentMetrics   = "9103"
+
+	workerCPU    = 4000
+	workerMemory = 8000
+	heartbeatMs  = 1500
+)
+
+// host is a worker's host.
+type host struct {
+	agent, worker *process
+}
+
+// cluster is a running deployment.
+type cluster struct {
+	o        Options
+	faults   *faultLog
+	seedIPs  []string
+	entryIPs []string
+	programs []*process
+	hosts    []*host
+	client   platformtest.Client
+}
+
+func newCluster(o Options) (*cluster, error) {
+	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+		return nil, errors.Wrap(err, "folder of the play")
+	}
+	faults, err := newFaultLog(filepath.Join(o.Folder, "faults.jsonl"))
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{o: o, faults: faults}
+	for i := range controlHosts {
+		c.seedIPs = append(c.seedIPs, c.ip(i+1))
+	}
+	for i := range controlHosts + furtherEntries {
+		if err := c.addFront(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Workers {
+		if err := c.addHost(i); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *cluster) ip(last int) string { return fmt.Sprintf("127.%s.%d", c.o.Network, last) }
+
+// addFront adds an entry, with a control process where it has a disk.
+func (c *cluster) addFront(number int) error {
+	m := platformtest.Machine{Name: fmt.Sprintf("front-%d", number), IP: c.ip(number + 1), Zone: "a", SeedIPs: c.seedIPs, Bootstrap: true}
+	if number < controlHosts {
+		m.DataDir = filepath.Join(c.o.Folder, "disk-"+m.Name)
+		if err := os.MkdirAll(m.DataDir, 0o700); err != nil {
+			return errors.Wrap(err, "disk")
+		}
+	}
+	settings, err := c.settings(m)
+	if err != nil {
+		return err
+	}
+	if m.DataDir != "" {
+		c.programs = append(c.programs, c.process("control-"+m.Name, program(c.o.Program, "control", controlMetrics, settings)))
+	}
+	c.programs = append(c.programs, c.process("entry-"+m.Name, program(c.o.Program, "entry", entryMetrics, settings)))
+	c.entryIPs = append(c.entryIPs, m.IP)
+	return nil
+}
+
+// addHost adds a worker with its agent.
+func (c *cluster) addHost(number int) error {
+	m := platformtest.Machine{
+		Name: fmt.Sprintf("host-%d", number), IP: c.ip(firstWorker + number), Zone: "a", Pool: pool, SeedIPs: c.seedIPs, Bootstrap: true,
+	}
+	settings, err := c.settings(m)
+	if err != nil {
+		return err
+	}
+	c.hosts = append(c.hosts, &host{
+		agent:  c.process(fmt.Sprintf("agent-%d", number), program(c.o.Program, "agent", agentMetrics, settings)),
+		worker: c.process(workerName(number), c.workerCommand(number, m)),
+	})
+	return nil
+}
+
+func workerName(number int) string { return fmt.Sprintf("w%d", number) }
+
+func (c *cluster) workerCommand(number int, m platformtest.Machine) func() *exec.Cmd {
+	return func() *exec.Cmd {
+		s := platformtest.WorkerSettings{
+			ID: workerName(number), Address: platformtest.WorkerAddress(m.IP), Registry: platformtest.ControlAddress(m.IP),
+			Pool: pool, Zone: m.Zone, Labels: []string{"a"}, CPUMilli: workerCPU, MemoryMB: workerMemory, HeartbeatMs: heartbeatMs,
+			ClockStartMs: time.Now().UnixMilli() % (24 * time.Hour).Milliseconds(),
+		}
+		text, err := json.Marshal(s)
+		if err != nil {
+			panic(err) // settings are made of numbers and strings
+		}
+		words := append(append([]string{}, c.o.WorkerCommand...), string(text))
+		cmd := exec.Command(words[0], words[1:]...)
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+		return cmd
+	}
+}
+
+func (c *cluster) settings(m platformtest.Machine) (string, error) {
+	path := filepath.Join(c.o.Folder, m.Name+".toml")
+	return path, platformtest.WriteSettings(path, m)
+}
+
+func (c *cluster) process(name string, command func() *exec.Cmd) *process {
+	return &process{name: name, command: command, output: filepath.Join(c.o.Folder, name+".log"), faults: c.faults}
+}
+
+// start starts everything and has the control group take a configuration.
+func (c *cluster) start(ctx context.Context, configuration []byte) error {
+	for _, p := range c.all() {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return c.until(ctx, "configuration", func() bool {
+		status, err := c.client.Put(ctx, c.seedIPs[0], configuration)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+func (c *cluster) all() []*process {
+	all := append([]*process{}, c.programs...)
+	for _, h := range c.hosts {
+		all = append(all, h.agent, h.worker)
+	}
+	return all
+}
+
+// stop ends all processes.
+func (c *cluster) stop() {
+	for _, p := range c.all() {
+		p.kill()
+	}
+}
+
+const (
+	// patience bounds a wait for something that comes for sure.
+	patience   = 20 * time.Second
+	retryEvery = 100 * time.Millisecond
+)
+
+func (c *cluster) until(ctx context.Context, what string, holds func() bool) error {
+	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, retryEvery) {
+		if holds() {
+			return nil
+		}
+	}
+	return errors.Newf("%s: not within %v", what, patience)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+const (
+	// maxAway is how long a task that lasts may be without a run when all is calm.
+	maxAway = 9 * time.Second
+	// calmBefore is how long nothing may have befallen a process before a moment that counts.
+	calmBefore = 7 * time.Second
+	// roomBefore is how long there must have been room for the task twice over.
+	roomBefore = 3 * time.Second
+	roomNeeded = 2
+	// sampleEvery is how often room is looked at.
+	sampleEvery = 50 * time.Millisecond
+	// shownFrom is the shortest gap that is shown.
+	shownFrom = 3 * time.Second
+)
+
+// judgedGap is a gap with what can be said of it.
+type judgedGap struct {
+	gap
+	// broken: it lasted too long though all was calm and there was room.
+	broken bool
+	// calm is the longest time within it without a fault.
+	calm time.Duration
+	// room is the least room in its last seconds, in tasks of its step.
+	room int
+}
+
+// report is what became of the tasks that last.
+type report struct {
+	rec   *record
+	tasks int
+	gaps  []judgedGap
+	twice []string
+	steps map[string]platformtest.Step
+}
+
+func judge(c *cluster, jobs []submittedJob, end time.Time) (*report, error) {
+	rec, err := readRecord(c, end)
+	if err != nil {
+		return nil, err
+	}
+	rep := &report{rec: rec, steps: map[string]platformtest.Step{}}
+	for _, j := range jobs {
+		rep.steps[j.ID] = j.Job.Steps[0]
+	}
+	for _, j := range jobs {
+		step := j.Job.Steps[0]
+		for i := range step.Count {
+			task := fmt.Sprintf("%s.0.0.%d", j.ID, i)
+			rep.judgeTwice(task)
+			if !step.LongRunning {
+				continue
+			}
+			rep.tasks++
+			for _, g := range rec.gapsOf(task, step, j.Accepted) {
+				rep.gaps = append(rep.gaps, rep.judgeGap(g))
+			}
+		}
+	}
+	slices.SortFunc(rep.gaps, func(a, b judgedGap) int { return byLength(a.gap, b.gap) })
+	return rep, nil
+}
+
+// judgeTwice looks for two runs of a task at the same time.
+func (rep *report) judgeTwice(task string) {
+	var last *run
+	for _, r := range rep.rec.runsOf(task) {
+		if last != nil && r.began.Before(last.end) {
+			rep.twice = append(rep.twice, fmt.Sprintf("%s: run %d on %s beside run %d on %s", task, r.number, r.life.worker, last.number, last.life.worker))
+		}
+		if last == nil || r.end.After(last.end) {
+			last = r
+		}
+	}
+}
+
+func (rep *report) judgeGap(g gap) judgedGap {
+	j := judgedGap{gap: g, calm: rep.rec.calmWithin(g.from, g.to), room: rep.leastRoom(g, g.to.Add(-roomBefore), g.to)}
+	for at := g.from.Add(maxAway); !j.broken && !at.After(g.to); at = at.Add(sampleEvery) {
+		calm := rep.rec.calmWithin(at.Add(-calmBefore), at) == calmBefore
+		j.broken = calm && rep.leastRoom(g, at.Add(-roomBefore), at) >= roomNeeded
+	}
+	return j
+}
+
+// calmWithin is the longest time between two moments without a fault.
+func (rec *record) calmWithin(from, to time.Time) time.Duration {
+	longest, since := time.Duration(0), from
+	for _, f := range rec.faults {
+		if f.at().Before(from) || f.at().After(to) {
+			continue
+		}
+		longest, since = max(longest, f.at().Sub(since)), f.at()
+	}
+	return max(longest, to.Sub(since))
+}
+
+// leastRoom is the least room for a task's step between two moments.
+func (rep *report) leastRoom(g gap, from, to time.Time) int {
+	least := rep.room(g, from)
+	for at := maxTime(from, g.from); at.Before(to) && least > 0; at = at.Add(sampleEvery) {
+		least = min(least, rep.room(g, at))
+	}
+	return least
+}
+
+// room is how many tasks of a step fit on the workers that are there at a moment.
+func (rep *report) room(g gap, at time.Time) int {
+	sum := 0
+	for _, l := range rep.rec.lives {
+		if !l.began.After(at) && l.end.After(at) {
+			sum += rep.roomOn(l, g, at)
+		}
+	}
+	return sum
+}
+
+func (rep *report) roomOn(l *life, g gap, at time.Time) int {
+	cpu, memory, beside := int64(workerCPU), int64(workerMemory), int64(0)
+	for _, r := range rep.rec.runs {
+		if r.life != l || r.began.After(at) || !r.end.After(at) {
+			continue
+		}
+		step := rep.steps[jobOf(r.task)]
+		memory -= step.MemMB
+		if !step.Fills {
+			cpu -= step.CPU
+		}
+		if jobOf(r.task) == jobOf(g.task) {
+			beside++
+		}
+	}
+	fit := min(cpu/g.step.CPU, memory/g.step.MemMB)
+	if g.step.AntiAffinity > 0 {
+		fit = min(fit, int64(g.step.AntiAffinity)-beside)
+	}
+	return int(max(0, fit))
+}
+
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
+func (rep *report) broken() int {
+	count := len(rep.twice)
+	for _, g := range rep.gaps {
+		if g.broken {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const clockFormat = "15:04:05.000"
+
+// text is the report as a table, the longest gaps first.
+func (rep *report) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d tasks that last, %d runs, %d lives; times without a run: %s\n",
+		rep.tasks, len(rep.rec.runs), len(rep.rec.lives), rep.quantiles())
+	for _, t := range rep.twice {
+		fmt.Fprintf(&b, "TWICE %s\n", t)
+	}
+	for _, g := range rep.gaps {
+		if g.length() >= shownFrom {
+			fmt.Fprintln(&b, rep.line(g))
+		}
+	}
+	return b.String()
+}
+
+// quantiles sums the lengths of all gaps after a first run up.
+func (rep *report) quantiles() string {
+	var lengths []time.Duration
+	for _, g := range rep.gaps {
+		if g.after != nil {
+			lengths = append(lengths, g.length())
+		}
+	}
+	if len(lengths) == 0 {
+		return "none"
+	}
+	slices.Sort(lengths)
+	at := func(share float64) time.Duration {
+		return lengths[int(share*float64(len(lengths)-1))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("%d, median %v, 90%% %v, longest %v", len(lengths), at(0.5), at(0.9), at(1))
+}
+
+func (rep *report) line(g judgedGap) string {
+	mark := "      "
+	if g.broken {
+		mark = "BROKEN"
+	}
+	after := "first run"
+	if g.after != nil {
+		l := g.after.life
+		after = fmt.Sprintf("run %d on %s born %s began %s %s", g.after.number, l.worker, l.began.Format(clockFormat),
+			g.after.began.Format(clockFormat), g.after.how)
+	}
+	next := "none"
+	if g.next != nil {
+		next = fmt.Sprintf("run %d on %s", g.next.number, g.next.life.worker)
+	}
+	return fmt.Sprintf("%s %6.3fs %s..%s calm %.1fs room %d %s cpu %d spread %d | after %s | next %s | %s", mark, g.length().Seconds(),
+		g.from.Format(clockFormat), g.to.Format(clockFormat), g.calm.Seconds(), g.room, g.task, g.step.CPU, g.step.AntiAffinity, after, next,
+		rep.faultsNear(g.gap))
+}
+
+// nearBefore is how long before a gap faults are shown.
+const nearBefore = 2 * time.Second
+
+// faultsNear lists what befell processes shortly before a gap and in it, by seconds since its begin.
+func (rep *report) faultsNear(g gap) string {
+	var near []string
+	for _, f := range rep.rec.faults {
+		if f.at().After(g.from.Add(-nearBefore)) && f.at().Before(g.to) && f.What != "ended" {
+			near = append(near, fmt.Sprintf("%+.2f %s %s", f.at().Sub(g.from).Seconds(), f.Process, f.What))
+		}
+	}
+	return strings.Join(near, ", ")
+}
