--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -26,16 +26,24 @@
 	folder := lives.Flag("folder", "Folder of the plays.").Required().String()
 	program := lives.Flag("program", "Path of cairnlift-platform.").Required().String()
 	workers := lives.Flag("workers", "How many workers.").Default("8").Int()
+	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
+	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
+	judge := app.Command("judge", "Judges a play again.")
+	played := judge.Arg("folder", "Folder of the play.").Required().String()
 	worker := app.Command("worker", "Stands in for the platform's worker.").Hidden()
 	settings := worker.Arg("settings", "Settings as JSON.").Required().String()
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	var err error
-	if chosen == worker.FullCommand() {
+	switch chosen {
+	case worker.FullCommand():
 		err = runWorker(ctx, *settings)
-	} else {
-		err = playSeeds(ctx, soak.Options{Folder: *folder, Program: *program, Workers: *workers}, *first, *seeds)
+	case judge.FullCommand():
+		err = judgePlay(*played)
+	default:
+		o := soak.Options{Folder: *folder, Program: *program, Workers: *workers}
+		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing}, *first, *seeds)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cairnlift-soak:", err)
@@ -54,24 +62,30 @@
 // addressNumbers is how many values a number of an address has for networks.
 const addressNumbers = 250
 
-func playSeeds(ctx context.Context, o soak.Options, first, seeds uint64) error {
+func playSeeds(ctx context.Context, o soak.Options, p soak.Profile, first, seeds uint64) error {
 	self, err := os.Executable()
 	if err != nil {
 		return errors.Wrap(err, "own path")
 	}
 	o.WorkerCommand = []string{self, "worker"}
-	under, broken := o.Folder, 0
+	under, findings := o.Folder, []error{}
 	for seed := first; seed < first+seeds && ctx.Err() == nil; seed++ {
 		o.Folder = filepath.Join(under, fmt.Sprintf("seed-%d", seed))
 		o.Network = fmt.Sprintf("%d.%d", 1+os.Getpid()%addressNumbers, 1+seed%addressNumbers)
-		found, err := soak.PlayLives(ctx, o, seed, os.Stdout)
-		if err != nil {
+		if err := soak.PlayLives(ctx, o, p, seed); err != nil {
 			return err
 		}
-		broken += found
+		if err := judgePlay(o.Folder); err != nil {
+			findings = append(findings, err)
+		}
 	}
-	if broken > 0 {
-		return errors.Newf("%d findings", broken)
+	return errors.Join(findings...)
+}
+
+func judgePlay(folder string) error {
+	found, err := soak.Judge(folder, os.Stdout)
+	if err == nil && found > 0 {
+		err = errors.Newf("%d findings in %s", found, folder)
 	}
-	return nil
+	return err
 }
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -63,7 +63,7 @@
 	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
 		return nil, errors.Wrap(err, "folder of the play")
 	}
-	faults, err := newFaultLog(filepath.Join(o.Folder, "faults.jsonl"))
+	faults, err := newFaultLog(filepath.Join(o.Folder, faultsFile))
 	if err != nil {
 		return nil, err
 	}
--- a/soak/faultlog.go
+++ b/soak/faultlog.go
@@ -19,10 +19,12 @@
 
 func (f fault) at() time.Time { return time.UnixMicro(f.AtMicros) }
 
-// faultLog is the record of all faults of a play.
+// faultsFile is the file with all faults of a play, one a line.
+const faultsFile = "faults.jsonl"
+
+// faultLog writes down the faults of a play.
 type faultLog struct {
 	mu   sync.Mutex
-	list []fault
 	file *os.File
 }
 
@@ -33,18 +35,13 @@
 
 func (l *faultLog) note(process, what string, pid int) {
 	f := fault{AtMicros: time.Now().UnixMicro(), Process: process, What: what, PID: pid}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.list = append(l.list, f)
 	data, err := json.Marshal(f)
 	if err != nil {
 		panic(err) // a fault is made of numbers and strings
 	}
-	_, _ = l.file.Write(append(data, '\n')) // the copy in memory is what is judged
-}
-
-func (l *faultLog) all() []fault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]fault(nil), l.list...)
+	if _, err := l.file.Write(append(data, '\n')); err != nil {
+		panic(err) // a play without its record proves nothing
+	}
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cairnlift/cairnlift/platform/platformtest"
 )
 
@@ -41,14 +46,42 @@
 	gaps  []judgedGap
 	twice []string
 	steps map[string]platformtest.Step
+	// leader are the lines of the control hosts.
+	leader []logLine
+}
+
+// Judge judges the play whose records are in a folder, and writes what became of the tasks
+// that last. It returns how many findings there are.
+func Judge(folder string, out io.Writer) (int, error) {
+	s, err := readSummary(folder)
+	if err != nil {
+		return 0, err
+	}
+	rep, err := judge(folder, s)
+	if err != nil {
+		return 0, err
+	}
+	excerpts, err := rep.excerpts(folder)
+	if err != nil {
+		return 0, err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "excerpts.txt"), []byte(excerpts), 0o600); err != nil {
+		return 0, errors.Wrap(err, "excerpts")
+	}
+	_, err = fmt.Fprintf(out, "%s, %s\n%s", s.Title, folder, rep.text())
+	return rep.broken(), errors.Wrap(err, "report")
 }
 
-func judge(c *cluster, jobs []submittedJob, end time.Time) (*report, error) {
-	rec, err := readRecord(c, end)
+func judge(folder string, s summary) (*report, error) {
+	rec, err := readRecord(folder, s.End)
 	if err != nil {
 		return nil, err
 	}
+	jobs := s.Jobs
 	rep := &report{rec: rec, steps: map[string]platformtest.Step{}}
+	if rep.leader, err = readLogs(folder, "control-*.log"); err != nil {
+		return nil, err
+	}
 	for _, j := range jobs {
 		rep.steps[j.ID] = j.Job.Steps[0]
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -71,7 +71,7 @@
 )
 
 // drawPlan draws the faults of workers' lives that begin within a time.
-func drawPlan(r *rand.Rand, workers int, within time.Duration) []action {
+func drawPlan(r *rand.Rand, workers int, within time.Duration, p Profile) []action {
 	var plan []action
 	for at := time.Duration(0); at < within; {
 		hit := 1
@@ -80,7 +80,7 @@
 		}
 		end := at
 		for _, host := range r.Perm(workers)[:hit] {
-			actions := drawLives(r, host, at+span{0, time.Second}.draw(r))
+			actions := drawLives(r, host, at+span{0, time.Second}.draw(r), p)
 			plan = append(plan, actions...)
 			for _, a := range actions {
 				end = max(end, a.at)
@@ -93,11 +93,13 @@
 }
 
 // drawLives draws what becomes of one worker: up to three deaths in a row.
-func drawLives(r *rand.Rand, host int, at time.Duration) []action {
+func drawLives(r *rand.Rand, host int, at time.Duration, p Profile) []action {
 	var plan []action
 	for range 1 + r.IntN(maxKills) {
 		plan = append(plan, action{at: at, host: host, signal: syscall.SIGKILL})
-		plan = append(plan, drawAgentFault(r, host, max(0, at+aroundTheKill.draw(r)))...)
+		if p.Agents {
+			plan = append(plan, drawAgentFault(r, host, max(0, at+aroundTheKill.draw(r)))...)
+		}
 		at += drawOne(r, awayTimes)
 		plan = append(plan, action{at: at, host: host, starts: true})
 		at += drawOne(r, lifeTimes)
--- a/soak/play.go
+++ b/soak/play.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -29,32 +28,39 @@
 	failPercents = []uint32{0, 20, 50, 100}
 )
 
-// PlayLives plays workers that die and come back under their ids, and writes what became of
-// the tasks that last. It returns how many of them stayed away too long.
-func PlayLives(ctx context.Context, o Options, seed uint64, out io.Writer) (int, error) {
+// failingPercent is how many batch runs fail where most do.
+const failingPercent = 80
+
+// Profile says what goes wrong beside the deaths of workers.
+type Profile struct {
+	// Agents: agents are killed and paused, too.
+	Agents bool
+	// Failing: most batch runs fail.
+	Failing bool
+}
+
+// PlayLives plays workers that die and come back under their ids. Judge judges the play.
+func PlayLives(ctx context.Context, o Options, p Profile, seed uint64) error {
 	c, err := newCluster(o)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer c.stop()
 	r := rand.New(rand.NewPCG(seed, 1))
-	plan := drawPlan(r, o.Workers, faultTime)
+	plan := drawPlan(r, o.Workers, faultTime, p)
 	if err := writePlan(filepath.Join(o.Folder, "plan.txt"), plan); err != nil {
-		return 0, err
+		return err
 	}
 	l := &load{c: c, rand: r, batchShare: batchShares[r.IntN(len(batchShares))], failPercent: failPercents[r.IntN(len(failPercents))]}
+	if p.Failing {
+		l.failPercent, l.allFail = failingPercent, true
+	}
 	if err := c.start(ctx, configuration()); err != nil {
-		return 0, err
+		return err
 	}
 	l.play(ctx, plan)
-	end := time.Now()
-	c.stop()
-	report, err := judge(c, l.accepted(), end)
-	if err != nil {
-		return 0, err
-	}
-	_, err = fmt.Fprintf(out, "seed %d, batch share %v, failing %d%%, %s\n%s", seed, l.batchShare, l.failPercent, o.Folder, report.text())
-	return report.broken(), errors.Wrap(err, "report")
+	title := fmt.Sprintf("seed %d, %+v, batch share %v, failing %d%%", seed, p, l.batchShare, l.failPercent)
+	return summary{Title: title, End: time.Now(), Jobs: l.accepted()}.write(o.Folder)
 }
 
 // play hands the jobs in, and carries the plan out beside them.
--- a/soak/record.go
+++ b/soak/record.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"encoding/json"
 	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,24 +41,43 @@
 }
 
 // readRecord reads the workers' lines. What had not ended by end is taken to end then.
-func readRecord(c *cluster, end time.Time) (*record, error) {
+func readRecord(folder string, end time.Time) (*record, error) {
 	rec := &record{end: end}
-	for _, f := range c.faults.all() {
-		if f.at().Before(end) {
-			rec.faults = append(rec.faults, f)
-		}
+	if err := rec.readFaults(filepath.Join(folder, faultsFile)); err != nil {
+		return nil, err
+	}
+	paths, err := filepath.Glob(filepath.Join(folder, "w*.log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "record")
 	}
-	for i, h := range c.hosts {
-		data, err := os.ReadFile(h.worker.output)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
 		if err != nil {
 			return nil, errors.Wrap(err, "record")
 		}
-		rec.readWorker(workerName(i), data)
+		rec.readWorker(strings.TrimSuffix(filepath.Base(path), ".log"), data)
 	}
 	slices.SortFunc(rec.runs, func(a, b *run) int { return a.began.Compare(b.began) })
 	return rec, nil
 }
 
+func (rec *record) readFaults(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "record of faults")
+	}
+	for line := range bytes.Lines(data) {
+		var f fault
+		if err := json.Unmarshal(line, &f); err != nil {
+			return errors.Wrap(err, "record of faults")
+		}
+		if f.at().Before(rec.end) {
+			rec.faults = append(rec.faults, f)
+		}
+	}
+	return nil
+}
+
 func (rec *record) readWorker(name string, data []byte) {
 	var now *life
 	open := map[string]*run{}
--- a/soak/report.go
+++ b/soak/report.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// toldFrom is the shortest gap that is told with what the leader wrote of it.
+const toldFrom = 6500 * time.Millisecond
+
 const clockFormat = "15:04:05.000"
 
 // text is the report as a table, the longest gaps first.
@@ -18,8 +21,12 @@
 		fmt.Fprintf(&b, "TWICE %s\n", t)
 	}
 	for _, g := range rep.gaps {
-		if g.length() >= shownFrom {
-			fmt.Fprintln(&b, rep.line(g))
+		if g.length() < shownFrom {
+			continue
+		}
+		fmt.Fprintln(&b, rep.line(g))
+		if g.length() >= toldFrom {
+			fmt.Fprintf(&b, "      leader: %s\n", story(rep.leader, g.gap))
 		}
 	}
 	return b.String()
@@ -76,3 +83,19 @@
 	}
 	return strings.Join(near, ", ")
 }
+
+// excerpts are the lines of agents and leader about the long gaps.
+func (rep *report) excerpts(folder string) (string, error) {
+	var b strings.Builder
+	for _, g := range rep.gaps {
+		if g.length() < toldFrom || g.after == nil {
+			continue
+		}
+		agent, err := readLogs(folder, "agent-"+strings.TrimPrefix(g.after.life.worker, "w")+".log")
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "%s\n      leader: %s\n      agent:\n%s\n", rep.line(g), story(rep.leader, g.gap), agentLines(agent, g.gap))
+	}
+	return b.String(), nil
+}
--- /dev/null
+++ b/soak/summary.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// summary is what the judge needs to know of a play beside its processes' records.
+type summary struct {
+	Title string
+	// End is when the play was over, and its processes were ended.
+	End  time.Time
+	Jobs []submittedJob
+}
+
+const summaryFile = "summary.json"
+
+func (s summary) write(folder string) error {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "summary")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(folder, summaryFile), data, 0o600), "summary")
+}
+
+func readSummary(folder string) (summary, error) {
+	var s summary
+	data, err := os.ReadFile(filepath.Join(folder, summaryFile))
+	if err != nil {
+		return s, errors.Wrap(err, "summary")
+	}
+	return s, errors.Wrap(json.Unmarshal(data, &s), "summary")
+}
--- a/soak/work.go
+++ b/soak/work.go
@@ -37,6 +37,8 @@
 	batchShare float64
 	// failPercent is how many runs of a failing job fail.
 	failPercent uint32
+	// allFail: all batch jobs are failing ones.
+	allFail bool
 
 	mu   sync.Mutex
 	rand *rand.Rand
@@ -71,7 +73,7 @@
 // drawBatch draws a job whose tasks end.
 func (l *load) drawBatch() platformtest.Job {
 	behavior := platformtest.Behavior{WorkMs: int64(200 + l.rand.IntN(2000)), SpreadMs: 1000}
-	if l.rand.IntN(3) == 0 {
+	if l.rand.IntN(3) == 0 || l.allFail {
 		behavior.FailPercent = l.failPercent
 	}
 	step := platformtest.Step{
