--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -28,6 +28,7 @@
 	workers := lives.Flag("workers", "How many workers.").Default("8").Int()
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
+	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
 	judge := app.Command("judge", "Judges a play again.")
 	played := judge.Arg("folder", "Folder of the play.").Required().String()
 	worker := app.Command("worker", "Stands in for the platform's worker.").Hidden()
@@ -43,7 +44,7 @@
 		err = judgePlay(*played)
 	default:
 		o := soak.Options{Folder: *folder, Program: *program, Workers: *workers}
-		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing}, *first, *seeds)
+		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick}, *first, *seeds)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cairnlift-soak:", err)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,8 @@
 // host is a worker's host.
 type host struct {
 	agent, worker *process
+	// sick: the next life of the worker fails whatever it runs.
+	sick atomic.Bool
 }
 
 // cluster is a running deployment.
@@ -116,21 +119,20 @@
 	if err != nil {
 		return err
 	}
-	c.hosts = append(c.hosts, &host{
-		agent:  c.process(fmt.Sprintf("agent-%d", number), program(c.o.Program, "agent", agentMetrics, settings)),
-		worker: c.process(workerName(number), c.workerCommand(number, m)),
-	})
+	h := &host{agent: c.process(fmt.Sprintf("agent-%d", number), program(c.o.Program, "agent", agentMetrics, settings))}
+	h.worker = c.process(workerName(number), c.workerCommand(number, m, &h.sick))
+	c.hosts = append(c.hosts, h)
 	return nil
 }
 
 func workerName(number int) string { return fmt.Sprintf("w%d", number) }
 
-func (c *cluster) workerCommand(number int, m platformtest.Machine) func() *exec.Cmd {
+func (c *cluster) workerCommand(number int, m platformtest.Machine, sick *atomic.Bool) func() *exec.Cmd {
 	return func() *exec.Cmd {
 		s := platformtest.WorkerSettings{
 			ID: workerName(number), Address: platformtest.WorkerAddress(m.IP), Registry: platformtest.ControlAddress(m.IP),
 			Pool: pool, Zone: m.Zone, Labels: []string{"a"}, CPUMilli: workerCPU, MemoryMB: workerMemory, HeartbeatMs: heartbeatMs,
-			ClockStartMs: time.Now().UnixMilli() % (24 * time.Hour).Milliseconds(),
+			Sick: sick.Load(), ClockStartMs: time.Now().UnixMilli() % (24 * time.Hour).Milliseconds(),
 		}
 		text, err := json.Marshal(s)
 		if err != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -17,6 +17,8 @@
 	signal syscall.Signal
 	// starts: it is started, and no signal is sent.
 	starts bool
+	// sick: the worker that starts fails whatever it runs.
+	sick bool
 }
 
 func (a action) String() string {
@@ -27,6 +29,9 @@
 	if a.starts {
 		what = "start"
 	}
+	if a.sick {
+		what = "start, sick"
+	}
 	return fmt.Sprintf("%8.3f %s %s", a.at.Seconds(), name, what)
 }
 
@@ -68,6 +73,7 @@
 	severalHitPercent = 30
 	agentPausePercent = 20
 	agentKillPercent  = 15
+	sickPercent       = 25
 )
 
 // drawPlan draws the faults of workers' lives that begin within a time.
@@ -101,7 +107,7 @@
 			plan = append(plan, drawAgentFault(r, host, max(0, at+aroundTheKill.draw(r)))...)
 		}
 		at += drawOne(r, awayTimes)
-		plan = append(plan, action{at: at, host: host, starts: true})
+		plan = append(plan, action{at: at, host: host, starts: true, sick: p.Sick && r.IntN(100) < sickPercent})
 		at += drawOne(r, lifeTimes)
 	}
 	return plan
--- a/soak/play.go
+++ b/soak/play.go
@@ -37,6 +37,8 @@
 	Agents bool
 	// Failing: most batch runs fail.
 	Failing bool
+	// Sick: some workers fail whatever they run after they came back.
+	Sick bool
 }
 
 // PlayLives plays workers that die and come back under their ids. Judge judges the play.
@@ -88,9 +90,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		p := c.hosts[a.host].worker
+		h := c.hosts[a.host]
+		p := h.worker
 		if a.agent {
-			p = c.hosts[a.host].agent
+			p = h.agent
+		} else {
+			h.sick.Store(a.sick)
 		}
 		if !a.starts {
 			p.signal(a.signal)
--- a/soak/record.go
+++ b/soak/record.go
@@ -19,6 +19,7 @@
 type life struct {
 	worker     string
 	bornMs     int64
+	sick       bool
 	began, end time.Time
 }
 
@@ -88,7 +89,7 @@
 		}
 		switch e.Kind {
 		case platformtest.LifeBegan:
-			now = &life{worker: name, bornMs: e.BornMs, began: e.At()}
+			now = &life{worker: name, bornMs: e.BornMs, sick: e.Sick, began: e.At()}
 			now.end = rec.endOf(now)
 			rec.lives = append(rec.lives, now)
 			open = map[string]*run{}
