--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -26,6 +26,7 @@
 	folder := lives.Flag("folder", "Folder of the plays.").Required().String()
 	program := lives.Flag("program", "Path of cairnlift-platform.").Required().String()
 	workers := lives.Flag("workers", "How many workers.").Default("8").Int()
+	disks := lives.Flag("disks", "Folder of the control hosts' disks, such as one in memory; the play's own when empty.").String()
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
@@ -43,7 +44,7 @@
 	case judge.FullCommand():
 		err = judgePlay(*played)
 	default:
-		o := soak.Options{Folder: *folder, Program: *program, Workers: *workers}
+		o := soak.Options{Folder: *folder, Program: *program, Workers: *workers, Disks: *disks}
 		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick}, *first, *seeds)
 	}
 	if err != nil {
@@ -69,9 +70,12 @@
 		return errors.Wrap(err, "own path")
 	}
 	o.WorkerCommand = []string{self, "worker"}
-	under, findings := o.Folder, []error{}
+	under, disks, findings := o.Folder, o.Disks, []error{}
 	for seed := first; seed < first+seeds && ctx.Err() == nil; seed++ {
 		o.Folder = filepath.Join(under, fmt.Sprintf("seed-%d", seed))
+		if disks != "" {
+			o.Disks = filepath.Join(disks, fmt.Sprintf("seed-%d-%d", seed, os.Getpid()))
+		}
 		o.Network = fmt.Sprintf("%d.%d", 1+os.Getpid()%addressNumbers, 1+seed%addressNumbers)
 		if err := soak.PlayLives(ctx, o, p, seed); err != nil {
 			return err
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,6 +27,8 @@
 	// Network is the second and third number of all addresses, "A.B" of 127.A.B.x.
 	Network string
 	Workers int
+	// Disks is the folder of the control hosts' disks; Folder when empty.
+	Disks string
 }
 
 const (
@@ -93,7 +96,7 @@
 func (c *cluster) addFront(number int) error {
 	m := platformtest.Machine{Name: fmt.Sprintf("front-%d", number), IP: c.ip(number + 1), Zone: "a", SeedIPs: c.seedIPs, Bootstrap: true}
 	if number < controlHosts {
-		m.DataDir = filepath.Join(c.o.Folder, "disk-"+m.Name)
+		m.DataDir = filepath.Join(cmp.Or(c.o.Disks, c.o.Folder), "disk-"+m.Name)
 		if err := os.MkdirAll(m.DataDir, 0o700); err != nil {
 			return errors.Wrap(err, "disk")
 		}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -77,15 +78,16 @@
 	if err != nil {
 		return nil, err
 	}
-	jobs := s.Jobs
 	rep := &report{rec: rec, steps: map[string]platformtest.Step{}}
 	if rep.leader, err = readLogs(folder, "control-*.log"); err != nil {
 		return nil, err
 	}
-	for _, j := range jobs {
+	rec.faults = append(rec.faults, leaderChanges(rep.leader)...)
+	slices.SortStableFunc(rec.faults, func(a, b fault) int { return cmp.Compare(a.AtMicros, b.AtMicros) })
+	for _, j := range s.Jobs {
 		rep.steps[j.ID] = j.Job.Steps[0]
 	}
-	for _, j := range jobs {
+	for _, j := range s.Jobs {
 		step := j.Job.Steps[0]
 		for i := range step.Count {
 			task := fmt.Sprintf("%s.0.0.%d", j.ID, i)
--- a/soak/logs.go
+++ b/soak/logs.go
@@ -29,6 +29,7 @@
 const (
 	messageLost  = "runs are lost"
 	messageWaits = "tasks wait"
+	messageLeads = "Leadership changed."
 )
 
 // readLogs reads the lines of the processes whose outputs match a pattern, in order of time.
@@ -54,6 +55,17 @@
 	return lines, nil
 }
 
+// leaderChanges are the changes of leader, which nothing in a play is meant to cause.
+func leaderChanges(leader []logLine) []fault {
+	var changes []fault
+	for _, l := range leader {
+		if l.Message == messageLeads {
+			changes = append(changes, fault{AtMicros: l.At.UnixMicro(), Process: l.Process, What: "leads or not any more"})
+		}
+	}
+	return changes
+}
+
 // linesAfter is how much later the lines about a moment may come: waits are gathered.
 const linesAfter = 1200 * time.Millisecond
 
--- a/soak/play.go
+++ b/soak/play.go
@@ -71,6 +71,7 @@
 	var all conc.WaitGroup
 	defer all.Wait()
 	defer stop()
+	all.Go(func() { watchStalls(working, l.c.faults) })
 	for _, j := range drawLasting(l.rand, l.c.o.Workers) {
 		id := l.newID()
 		all.Go(func() { l.hand(working, servingPath, id, j) })
