--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -14,17 +14,24 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cairnlift/cairnlift/platform"
 	"github.com/cairnlift/cairnlift/platform/platformtest"
 	"github.com/cairnlift/cairnlift/soak"
 )
 
+// programWord stands before the words of cairnlift-platform.
+const programWord = "program"
+
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == programWord {
+		os.Exit(platform.Main(os.Args[2:]))
+	}
 	app := kingpin.New("cairnlift-soak", "Plays real processes under faults.")
 	lives := app.Command("lives", "Workers die and come back under their ids.")
 	first := lives.Flag("first", "First seed.").Default("1").Uint64()
 	seeds := lives.Flag("seeds", "How many seeds.").Default("1").Uint64()
 	folder := lives.Flag("folder", "Folder of the plays.").Required().String()
-	program := lives.Flag("program", "Path of cairnlift-platform.").Required().String()
+	program := lives.Flag("program", "Absolute path of cairnlift-platform; the one in this program when empty.").String()
 	workers := lives.Flag("workers", "How many workers.").Default("8").Int()
 	disks := lives.Flag("disks", "Folder of the control hosts' disks, such as one in memory; the play's own when empty.").String()
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
@@ -44,7 +51,10 @@
 	case judge.FullCommand():
 		err = judgePlay(*played)
 	default:
-		o := soak.Options{Folder: *folder, Program: *program, Workers: *workers, Disks: *disks}
+		o := soak.Options{Folder: *folder, Workers: *workers, Disks: *disks}
+		if *program != "" {
+			o.Program = []string{*program}
+		}
 		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick}, *first, *seeds)
 	}
 	if err != nil {
@@ -69,7 +79,10 @@
 	if err != nil {
 		return errors.Wrap(err, "own path")
 	}
-	o.WorkerCommand = []string{self, "worker"}
+	o.Worker = []string{self, "worker"}
+	if o.Program == nil {
+		o.Program = []string{self, programWord}
+	}
 	under, disks, findings := o.Folder, o.Disks, []error{}
 	for seed := first; seed < first+seeds && ctx.Err() == nil; seed++ {
 		o.Folder = filepath.Join(under, fmt.Sprintf("seed-%d", seed))
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -21,9 +21,10 @@
 type Options struct {
 	// Folder takes settings, disks, logs and records.
 	Folder string
-	// Program is the path of cairnlift-platform. WorkerCommand begins a worker; its settings follow.
-	Program       string
-	WorkerCommand []string
+	// Program begins cairnlift-platform; the role follows. Its path is absolute.
+	Program []string
+	// Worker begins a worker; its settings follow.
+	Worker []string
 	// Network is the second and third number of all addresses, "A.B" of 127.A.B.x.
 	Network string
 	Workers int
@@ -141,10 +142,7 @@
 		if err != nil {
 			panic(err) // settings are made of numbers and strings
 		}
-		words := append(append([]string{}, c.o.WorkerCommand...), string(text))
-		cmd := exec.Command(words[0], words[1:]...)
-		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
-		return cmd
+		return command(c.o.Worker, string(text))
 	}
 }
 
@@ -185,6 +183,14 @@
 	}
 }
 
+// remove ends all processes, and removes disks that are not in the play's folder.
+func (c *cluster) remove() {
+	c.stop()
+	if c.o.Disks != "" {
+		_ = os.RemoveAll(c.o.Disks) // what is left lies in a folder for scratch
+	}
+}
+
 const (
 	// patience bounds a wait for something that comes for sure.
 	patience   = 20 * time.Second
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -166,17 +166,17 @@
 			continue
 		}
 		step := rep.steps[jobOf(r.task)]
-		memory -= step.MemMB
-		if !step.Fills {
+		memory -= step.MemoryMB
+		if !step.Backfill {
 			cpu -= step.CPU
 		}
 		if jobOf(r.task) == jobOf(g.task) {
 			beside++
 		}
 	}
-	fit := min(cpu/g.step.CPU, memory/g.step.MemMB)
-	if g.step.AntiAffinity > 0 {
-		fit = min(fit, int64(g.step.AntiAffinity)-beside)
+	fit := min(cpu/g.step.CPU, memory/g.step.MemoryMB)
+	if g.step.MaxPerWorker > 0 {
+		fit = min(fit, int64(g.step.MaxPerWorker)-beside)
 	}
 	return int(max(0, fit))
 }
--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+// script is a record made by hand, in seconds since its begin.
+type script struct {
+	rec   *record
+	begin time.Time
+}
+
+func newScript(length float64) *script {
+	s := &script{begin: time.UnixMilli(1_700_000_000_000)}
+	s.rec = &record{end: s.at(length)}
+	return s
+}
+
+func (s *script) at(seconds float64) time.Time {
+	return s.begin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func (s *script) life(worker string, from, to float64) *life {
+	l := &life{worker: worker, began: s.at(from), end: s.at(to)}
+	s.rec.lives = append(s.rec.lives, l)
+	return l
+}
+
+func (s *script) run(task string, l *life, from, to float64) {
+	s.rec.runs = append(s.rec.runs, &run{task: task, life: l, began: s.at(from), end: s.at(to)})
+}
+
+func (s *script) fault(at float64) {
+	s.rec.faults = append(s.rec.faults, fault{AtMicros: s.at(at).UnixMicro(), Process: "w9", What: "killed"})
+}
+
+var judgedStep = platformtest.Step{Count: 1, CPU: 1000, MemoryMB: 1000, LongRunning: true}
+
+// gaps judges the gaps of the one task "a" of the script.
+func (s *script) gaps() []judgedGap {
+	rep := &report{rec: s.rec, steps: map[string]platformtest.Step{"a": judgedStep, "b": {CPU: 3000, MemoryMB: 100}}}
+	var judged []judgedGap
+	for _, g := range s.rec.gapsOf("a.0.0.0", judgedStep, s.begin) {
+		judged = append(judged, rep.judgeGap(g))
+	}
+	return judged
+}
+
+// TestGapsThatAreTooLong guards against a judge that passes what the rule forbids, or finds what it allows.
+func TestGapsThatAreTooLong(t *testing.T) {
+	for name, c := range map[string]struct {
+		back   float64
+		faults []float64
+		full   bool
+		want   bool
+	}{
+		"back in time":                       {back: 18.9},
+		"back too late":                      {back: 19.3, want: true},
+		"never back":                         {back: 30, want: true},
+		"a fault shortly after the death":    {back: 19.3, faults: []float64{11.5}, want: true},
+		"a fault in the calm time":           {back: 19.3, faults: []float64{13}},
+		"calm for long enough after a fault": {back: 21, faults: []float64{13}, want: true},
+		"never calm for long enough":         {back: 30, faults: []float64{13, 19, 25}},
+		"no room for the task twice over":    {back: 30, full: true},
+	} {
+		s := newScript(30)
+		s.run("a.0.0.0", s.life("w1", 0, 10), 0, 10)
+		other := s.life("w2", 0, 30)
+		if c.full {
+			s.run("b.0.0.0", other, 0, 30)
+		}
+		if c.back < 30 {
+			s.run("a.0.0.0", other, c.back, 30)
+		}
+		for _, at := range c.faults {
+			s.fault(at)
+		}
+		gaps := s.gaps()
+		if len(gaps) != 1 || gaps[0].broken != c.want {
+			t.Errorf("%s: %+v", name, gaps)
+		}
+	}
+}
+
+// TestGapsBetweenRunsThatOverlap guards against gaps that are counted while another run of the task goes on.
+func TestGapsBetweenRunsThatOverlap(t *testing.T) {
+	s := newScript(20)
+	w1, w2 := s.life("w1", 0, 20), s.life("w2", 0, 20)
+	s.run("a.0.0.0", w1, 0, 12)
+	s.run("a.0.0.0", w2, 1, 3)
+	s.run("a.0.0.0", w2, 13, 20)
+	gaps := s.gaps()
+	if len(gaps) != 1 || gaps[0].length() != time.Second {
+		t.Errorf("%+v", gaps)
+	}
+	rep := &report{rec: s.rec}
+	if rep.judgeTwice("a.0.0.0"); len(rep.twice) != 1 {
+		t.Errorf("two runs at once: %v", rep.twice)
+	}
+}
--- a/soak/play.go
+++ b/soak/play.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.stop()
+	defer c.remove()
 	r := rand.New(rand.NewPCG(seed, 1))
 	plan := drawPlan(r, o.Workers, faultTime, p)
 	if err := writePlan(filepath.Join(o.Folder, "plan.txt"), plan); err != nil {
--- a/soak/process.go
+++ b/soak/process.go
@@ -83,12 +83,19 @@
 
 func (p *process) kill() { p.signal(syscall.SIGKILL) }
 
-// program is a process that reads a settings file.
-func program(binary, role, metricsPort, settings string) func() *exec.Cmd {
+// program returns the command of a process that reads a settings file.
+func program(words []string, role, metricsPort, settings string) func() *exec.Cmd {
 	return func() *exec.Cmd {
-		cmd := exec.Command(binary, role, "--metrics-port", metricsPort)
-		cmd.Env = append(os.Environ(), platformtest.SettingsVariable+"="+settings, "GOMAXPROCS=1")
+		cmd := command(words, role, "--metrics-port", metricsPort)
+		cmd.Env = append(cmd.Env, platformtest.SettingsVariable+"="+settings)
 		cmd.Dir = filepath.Dir(settings)
 		return cmd
 	}
 }
+
+// command returns a command of some words and arguments, on one processor at a time.
+func command(words []string, arguments ...string) *exec.Cmd {
+	cmd := exec.Command(words[0], append(append([]string{}, words[1:]...), arguments...)...)
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	return cmd
+}
--- a/soak/record.go
+++ b/soak/record.go
@@ -18,7 +18,6 @@
 // life is a life of a worker.
 type life struct {
 	worker     string
-	bornMs     int64
 	sick       bool
 	began, end time.Time
 }
@@ -89,7 +88,7 @@
 		}
 		switch e.Kind {
 		case platformtest.LifeBegan:
-			now = &life{worker: name, bornMs: e.BornMs, sick: e.Sick, began: e.At()}
+			now = &life{worker: name, sick: e.Sick, began: e.At()}
 			now.end = rec.endOf(now)
 			rec.lives = append(rec.lives, now)
 			open = map[string]*run{}
--- a/soak/report.go
+++ b/soak/report.go
@@ -58,7 +58,7 @@
 	after := "first run"
 	if g.after != nil {
 		l := g.after.life
-		after = fmt.Sprintf("run %d on %s born %s began %s %s", g.after.number, l.worker, l.began.Format(clockFormat),
+		after = fmt.Sprintf("run %d on %s of %s began %s %s", g.after.number, l.worker, l.began.Format(clockFormat),
 			g.after.began.Format(clockFormat), g.after.how)
 	}
 	next := "none"
@@ -66,7 +66,7 @@
 		next = fmt.Sprintf("run %d on %s", g.next.number, g.next.life.worker)
 	}
 	return fmt.Sprintf("%s %6.3fs %s..%s calm %.1fs room %d %s cpu %d spread %d | after %s | next %s | %s", mark, g.length().Seconds(),
-		g.from.Format(clockFormat), g.to.Format(clockFormat), g.calm.Seconds(), g.room, g.task, g.step.CPU, g.step.AntiAffinity, after, next,
+		g.from.Format(clockFormat), g.to.Format(clockFormat), g.calm.Seconds(), g.room, g.task, g.step.CPU, g.step.MaxPerWorker, after, next,
 		rep.faultsNear(g.gap))
 }
 
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/platform"
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+// The words by which the test binary is one of the cluster's processes.
+const (
+	programWord = "soak-program"
+	workerWord  = "soak-worker"
+)
+
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 && os.Args[1] == programWord {
+		os.Exit(platform.Main(os.Args[2:]))
+	}
+	if len(os.Args) > 2 && os.Args[1] == workerWord {
+		os.Exit(workerMain(os.Args[2]))
+	}
+	os.Exit(m.Run())
+}
+
+func workerMain(settings string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	var s platformtest.WorkerSettings
+	err := json.Unmarshal([]byte(settings), &s)
+	if err == nil {
+		err = platformtest.RunWorker(ctx, s, os.Stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+func newTestCluster(t *testing.T, workers int) *cluster {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := newCluster(Options{
+		Folder: t.TempDir(), Program: []string{self, programWord}, Worker: []string{self, workerWord},
+		Network: fmt.Sprintf("%d.251", 1+os.Getpid()%250), Workers: workers,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.remove)
+	if err := c.start(t.Context(), configuration()); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// runningOf counts the tasks of a job that run now by the workers' lines.
+func runningOf(t *testing.T, c *cluster, job string, tasks uint32) int {
+	rec, err := readRecord(c.o.Folder, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := 0
+	for i := range tasks {
+		for _, r := range rec.runsOf(fmt.Sprintf("%s.0.0.%d", job, i)) {
+			if r.how == "runs" {
+				running++
+			}
+		}
+	}
+	return running
+}
+
+// TestTasksRunAgainAfterTheirWorkersDeath guards the whole way of a task that lasts through real processes.
+func TestTasksRunAgainAfterTheirWorkersDeath(t *testing.T) {
+	c := newTestCluster(t, 2)
+	const job, tasks = "00000000000000aa", 4
+	spec := platformtest.Job{
+		Spec:  platformtest.Behavior{Lasts: true}.Payload(),
+		Steps: []platformtest.Step{{Count: tasks, CPU: 500, MemoryMB: 500, LongRunning: true}},
+	}
+	(&load{c: c}).hand(t.Context(), servingPath, job, spec)
+	all := func() bool { return runningOf(t, c, job, tasks) == tasks }
+	if err := c.until(t.Context(), "all tasks run", all); err != nil {
+		t.Fatal(err)
+	}
+	c.hosts[0].worker.kill()
+	c.hosts[1].worker.kill()
+	if left := runningOf(t, c, job, tasks); left != 0 {
+		t.Fatalf("%d tasks run on dead workers", left)
+	}
+	if err := c.hosts[0].worker.start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.until(t.Context(), "all tasks run again", all); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/soak/work.go
+++ b/soak/work.go
@@ -54,10 +54,10 @@
 	left := int64(lastingShare * float64(workers*workerCPU))
 	for left > 0 {
 		step := platformtest.Step{
-			Count: uint32(3 + r.IntN(6)), CPU: int64(400 + 200*r.IntN(5)), MemMB: int64(300 + 300*r.IntN(4)), LongRunning: true,
+			Count: uint32(3 + r.IntN(6)), CPU: int64(400 + 200*r.IntN(5)), MemoryMB: int64(300 + 300*r.IntN(4)), LongRunning: true,
 		}
 		if r.IntN(3) == 0 {
-			step.AntiAffinity = 1
+			step.MaxPerWorker = 1
 			step.Count = min(step.Count, uint32(workers-3))
 		}
 		behavior := platformtest.Behavior{Lasts: true}
@@ -77,8 +77,8 @@
 		behavior.FailPercent = l.failPercent
 	}
 	step := platformtest.Step{
-		Count: uint32(1 + l.rand.IntN(10)), CPU: int64(400 + 200*l.rand.IntN(8)), MemMB: int64(200 + 200*l.rand.IntN(6)),
-		EstimatedMs: behavior.WorkMs + behavior.SpreadMs/2, Fills: l.rand.IntN(6) == 0,
+		Count: uint32(1 + l.rand.IntN(10)), CPU: int64(400 + 200*l.rand.IntN(8)), MemoryMB: int64(200 + 200*l.rand.IntN(6)),
+		EstimatedMs: behavior.WorkMs + behavior.SpreadMs/2, Backfill: l.rand.IntN(6) == 0,
 	}
 	return platformtest.Job{Spec: behavior.Payload(), Steps: []platformtest.Step{step}}
 }
