--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -37,6 +37,7 @@
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
+	batch := lives.Flag("batch", "How much batch work comes, against what the lasting tasks leave; drawn when 0.").Float64()
 	judge := app.Command("judge", "Judges a play again.")
 	played := judge.Arg("folder", "Folder of the play.").Required().String()
 	worker := app.Command("worker", "Stands in for the platform's worker.").Hidden()
@@ -55,7 +56,7 @@
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick}, *first, *seeds)
+		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick, BatchShare: *batch}, *first, *seeds)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cairnlift-soak:", err)
--- a/soak/play.go
+++ b/soak/play.go
@@ -39,6 +39,8 @@
 	Failing bool
 	// Sick: some workers fail whatever they run after they came back.
 	Sick bool
+	// BatchShare is how much batch work comes, against what the lasting tasks leave; drawn when 0.
+	BatchShare float64
 }
 
 // PlayLives plays workers that die and come back under their ids. Judge judges the play.
@@ -54,6 +56,9 @@
 		return err
 	}
 	l := &load{c: c, rand: r, batchShare: batchShares[r.IntN(len(batchShares))], failPercent: failPercents[r.IntN(len(failPercents))]}
+	if p.BatchShare > 0 {
+		l.batchShare = p.BatchShare
+	}
 	if p.Failing {
 		l.failPercent, l.allFail = failingPercent, true
 	}
