--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -38,8 +38,8 @@
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
 	batch := lives.Flag("batch", "How much batch work comes, against what the lasting tasks leave; drawn when 0.").Float64()
-	judge := app.Command("judge", "Judges a play again.")
-	played := judge.Arg("folder", "Folder of the play.").Required().String()
+	judge := app.Command("judge", "Judges plays again.")
+	played := judge.Arg("folders", "Folders of the plays.").Required().Strings()
 	worker := app.Command("worker", "Stands in for the platform's worker.").Hidden()
 	settings := worker.Arg("settings", "Settings as JSON.").Required().String()
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -50,7 +50,7 @@
 	case worker.FullCommand():
 		err = runWorker(ctx, *settings)
 	case judge.FullCommand():
-		err = judgePlay(*played)
+		err = judgePlays(*played)
 	default:
 		o := soak.Options{Folder: *folder, Workers: *workers, Disks: *disks}
 		if *program != "" {
@@ -101,6 +101,16 @@
 	return errors.Join(findings...)
 }
 
+func judgePlays(folders []string) error {
+	var findings []error
+	for _, folder := range folders {
+		if err := judgePlay(folder); err != nil {
+			findings = append(findings, err)
+		}
+	}
+	return errors.Join(findings...)
+}
+
 func judgePlay(folder string) error {
 	found, err := soak.Judge(folder, os.Stdout)
 	if err == nil && found > 0 {
