--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -37,6 +37,7 @@
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
+	uneven := lives.Flag("uneven", "Hold processes up for moments now and then.").Bool()
 	batch := lives.Flag("batch", "How much batch work comes, against what the lasting tasks leave; drawn when 0.").Float64()
 	judge := app.Command("judge", "Judges plays again.")
 	played := judge.Arg("folders", "Folders of the plays.").Required().Strings()
@@ -56,7 +57,8 @@
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		err = playSeeds(ctx, o, soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick, BatchShare: *batch}, *first, *seeds)
+		p := soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
+		err = playSeeds(ctx, o, p, *first, *seeds)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cairnlift-soak:", err)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -132,11 +132,13 @@
 func workerName(number int) string { return fmt.Sprintf("w%d", number) }
 
 func (c *cluster) workerCommand(number int, m platformtest.Machine, sick *atomic.Bool) func() *exec.Cmd {
+	lives := 0
 	return func() *exec.Cmd {
+		lives++
 		s := platformtest.WorkerSettings{
 			ID: workerName(number), Address: platformtest.WorkerAddress(m.IP), Registry: platformtest.ControlAddress(m.IP),
 			Pool: pool, Zone: m.Zone, Labels: []string{"a"}, CPUMilli: workerCPU, MemoryMB: workerMemory, HeartbeatMs: heartbeatMs,
-			Sick: sick.Load(), ClockStartMs: time.Now().UnixMilli() % (24 * time.Hour).Milliseconds(),
+			Sick: sick.Load(), ClockStartMs: clockStart(number, lives), ClockRatePPM: int64(number%clockRates) * clockRateStep,
 		}
 		text, err := json.Marshal(s)
 		if err != nil {
@@ -146,6 +148,19 @@
 	}
 }
 
+const (
+	// clockRates workers in a row run slower by a step each, up to the 2% that the platform allows.
+	clockRates    = 3
+	clockRateStep = 10_000
+	// clockStarts bounds what a worker's clock shows at its start, in milliseconds.
+	clockStarts = 1_000_000
+)
+
+// clockStart is what a worker's clock shows at the start of a life: more than in the life before, or less.
+func clockStart(worker, lives int) int64 {
+	return 1 + int64(worker*7919+lives*611_953)%clockStarts
+}
+
 func (c *cluster) settings(m platformtest.Machine) (string, error) {
 	path := filepath.Join(c.o.Folder, m.Name+".toml")
 	return path, platformtest.WriteSettings(path, m)
--- a/soak/play.go
+++ b/soak/play.go
@@ -39,6 +39,8 @@
 	Failing bool
 	// Sick: some workers fail whatever they run after they came back.
 	Sick bool
+	// Uneven: all processes but the workers are held up for moments now and then.
+	Uneven bool
 	// BatchShare is how much batch work comes, against what the lasting tasks leave; drawn when 0.
 	BatchShare float64
 }
@@ -65,18 +67,22 @@
 	if err := c.start(ctx, configuration()); err != nil {
 		return err
 	}
-	l.play(ctx, plan)
+	l.play(ctx, plan, p)
 	title := fmt.Sprintf("seed %d, %+v, batch share %v, failing %d%%", seed, p, l.batchShare, l.failPercent)
 	return summary{Title: title, End: time.Now(), Jobs: l.accepted()}.write(o.Folder)
 }
 
 // play hands the jobs in, and carries the plan out beside them.
-func (l *load) play(ctx context.Context, plan []action) {
+func (l *load) play(ctx context.Context, plan []action, p Profile) {
 	working, stop := context.WithCancel(ctx)
 	var all conc.WaitGroup
 	defer all.Wait()
 	defer stop()
 	all.Go(func() { watchStalls(working, l.c.faults) })
+	if p.Uneven {
+		hitches := rand.New(rand.NewPCG(l.rand.Uint64(), 1))
+		all.Go(func() { l.c.hitch(working, hitches) })
+	}
 	for _, j := range drawLasting(l.rand, l.c.o.Workers) {
 		id := l.newID()
 		all.Go(func() { l.hand(working, servingPath, id, j) })
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,6 +24,8 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
+	// paused: the plan stopped it, and has not let it go on.
+	paused bool
 }
 
 // start starts it; it must not be running.
@@ -45,7 +47,7 @@
 	}
 	p.faults.note(p.name, "started", cmd.Process.Pid)
 	ended := make(chan struct{})
-	p.cmd, p.ended = cmd, ended
+	p.cmd, p.ended, p.paused = cmd, ended, false
 	go func() {
 		_ = cmd.Wait() // how it ended is in its own output
 		p.faults.note(p.name, "ended", cmd.Process.Pid)
@@ -76,6 +78,7 @@
 	}
 	p.faults.note(p.name, s.String(), p.cmd.Process.Pid)
 	_ = p.cmd.Process.Signal(s) // it may have ended just now
+	p.paused = s == syscall.SIGSTOP
 	if s == syscall.SIGKILL {
 		<-p.ended
 	}
