--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -38,6 +38,7 @@
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
 	uneven := lives.Flag("uneven", "Hold processes up for moments now and then.").Bool()
+	plan := lives.Flag("plan", "File with the faults, in the form of a play's plan.txt, instead of drawn ones.").String()
 	batch := lives.Flag("batch", "How much batch work comes, against what the lasting tasks leave; drawn when 0.").Float64()
 	judge := app.Command("judge", "Judges plays again.")
 	played := judge.Arg("folders", "Folders of the plays.").Required().Strings()
@@ -58,7 +59,9 @@
 			o.Program = []string{*program}
 		}
 		p := soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
-		err = playSeeds(ctx, o, p, *first, *seeds)
+		if p.Plan, err = readPlan(*plan); err == nil {
+			err = playSeeds(ctx, o, p, *first, *seeds)
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cairnlift-soak:", err)
@@ -74,6 +77,14 @@
 	return platformtest.RunWorker(ctx, s, os.Stdout)
 }
 
+func readPlan(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(path)
+	return string(text), errors.Wrap(err, "plan")
+}
+
 // addressNumbers is how many values a number of an address has for networks.
 const addressNumbers = 250
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // action is something that is done to a process of a host at a time of the play.
@@ -21,18 +24,51 @@
 	sick bool
 }
 
+// words are what can be done to a process.
+var words = map[string]action{
+	"kill": {signal: syscall.SIGKILL}, "stop": {signal: syscall.SIGSTOP}, "continue": {signal: syscall.SIGCONT},
+	"start": {starts: true}, "start-sick": {starts: true, sick: true},
+}
+
+// String is a line of a plan: seconds, the kind of process, the number of its host, and a word.
 func (a action) String() string {
-	name, what := workerName(a.host), a.signal.String()
+	kind := workerKind
 	if a.agent {
-		name = "agent of " + name
+		kind = agentKind
 	}
-	if a.starts {
-		what = "start"
+	for word, w := range words {
+		if w.signal == a.signal && w.starts == a.starts && w.sick == a.sick {
+			return fmt.Sprintf("%8.3f %s %d %s", a.at.Seconds(), kind, a.host, word)
+		}
 	}
-	if a.sick {
-		what = "start, sick"
+	panic("an action without a word")
+}
+
+const (
+	workerKind = "worker"
+	agentKind  = "agent"
+)
+
+// parsePlan reads the lines of a plan, in the order of their times.
+func parsePlan(text string, workers int) ([]action, error) {
+	var plan []action
+	for line := range strings.Lines(text) {
+		var seconds float64
+		var kind, word string
+		var host int
+		if _, err := fmt.Sscan(line, &seconds, &kind, &host, &word); err != nil {
+			return nil, errors.Wrapf(err, "plan, %q", line)
+		}
+		a, known := words[word]
+		if !known || host < 0 || host >= workers || (kind != workerKind && kind != agentKind) {
+			return nil, errors.Newf("plan, %q: no such process or nothing that can be done to it", line)
+		}
+		a.host, a.agent = host, kind == agentKind
+		a.at = time.Duration(seconds * float64(time.Second)).Round(time.Millisecond)
+		plan = append(plan, a)
 	}
-	return fmt.Sprintf("%8.3f %s %s", a.at.Seconds(), name, what)
+	slices.SortStableFunc(plan, func(a, b action) int { return cmp.Compare(a.at, b.at) })
+	return plan, nil
 }
 
 // span is a range that a time is drawn from.
--- a/soak/play.go
+++ b/soak/play.go
@@ -43,6 +43,8 @@
 	Uneven bool
 	// BatchShare is how much batch work comes, against what the lasting tasks leave; drawn when 0.
 	BatchShare float64
+	// Plan is carried out instead of one that is drawn; it has the form of a play's plan.txt.
+	Plan string
 }
 
 // PlayLives plays workers that die and come back under their ids. Judge judges the play.
@@ -54,6 +56,11 @@
 	defer c.remove()
 	r := rand.New(rand.NewPCG(seed, 1))
 	plan := drawPlan(r, o.Workers, faultTime, p)
+	if p.Plan != "" {
+		if plan, err = parsePlan(p.Plan, o.Workers); err != nil {
+			return err
+		}
+	}
 	if err := writePlan(filepath.Join(o.Folder, "plan.txt"), plan); err != nil {
 		return err
 	}
@@ -68,6 +75,7 @@
 		return err
 	}
 	l.play(ctx, plan, p)
+	p.Plan = ""
 	title := fmt.Sprintf("seed %d, %+v, batch share %v, failing %d%%", seed, p, l.batchShare, l.failPercent)
 	return summary{Title: title, End: time.Now(), Jobs: l.accepted()}.write(o.Folder)
 }
