--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,8 +45,10 @@
 
 // Options set up a Driver.
 type Options struct {
-	Worker  Worker
-	Leader  Leader
+	Worker Worker
+	Leader Leader
+	// Host is the name of this host, as the worker's announcements have it.
+	Host    string
 	Logger  *zap.Logger
 	Metrics metrics.Registry
 	// MaxLease is the longest that the worker runs on after a call that renews its
@@ -66,10 +69,13 @@
 	worker *dependency.Watch
 	// term is the newest that a leader told. It holds for all sessions: a worker that was
 	// asked under it refuses calls under an older one.
-	term highest.Number
+	term  highest.Number
+	lease hostLease
 
 	mu      sync.Mutex
 	session *session
+	// served are the lives that sessions were of, the newest last.
+	served []string
 	// left holds incarnations that are gone: a late announcement of one must not
 	// bring it back.
 	left map[string]bool
@@ -87,11 +93,14 @@
 		o.Now = time.Now
 	}
 	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
-	return &Driver{
+	d := &Driver{
 		opts: o, logger: event.Runs.Named(o.Logger), meters: newMeters(o.Metrics),
 		worker: dependency.New("worker", o.Logger, o.Now),
 		news:   make(chan struct{}, 1), left: map[string]bool{},
 	}
+	// The agent before this one may have renewed the worker's lease until now.
+	d.lease.extend(o.Now().Add(longestGrant(o.MaxLease)))
+	return d
 }
 
 // Announce takes in what the worker says of itself. It may take callTimeout. An error
@@ -111,12 +120,14 @@
 	case s != nil && s.incarnation == id:
 		return s.announce(a)
 	default:
+		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
+		d.session = d.newSession(a)
+		d.session.follows = d.noteServed(id)
 		if s != nil {
 			d.noteLeft(s.incarnation)
 			s.cancel()
+			d.session.former = s.announcement().Worker
 		}
-		event.WorkerFound.Write(d.logger, event.Worker(id), event.Before(incarnationOf(s)))
-		d.session = d.newSession(a)
 	}
 	d.wake()
 	return nil
@@ -150,6 +161,17 @@
 	return nil
 }
 
+// maxServed bounds the lives that are remembered as served.
+const maxServed = 16
+
+// noteServed notes that a life is served from now on, and returns those before it; d.mu is held.
+func (d *Driver) noteServed(incarnation string) []string {
+	before := slices.DeleteFunc(d.served, func(id string) bool { return id == incarnation })
+	before = before[max(0, len(before)-maxServed):]
+	d.served = append(slices.Clone(before), incarnation)
+	return before
+}
+
 // maxLeft bounds the incarnations that are remembered as gone. One that is forgotten
 // comes back only if the worker says that it is the one.
 const maxLeft = 256
@@ -183,10 +205,7 @@
 	for ctx.Err() == nil {
 		s := d.current()
 		if s == nil {
-			select {
-			case <-ctx.Done():
-			case <-d.news:
-			}
+			d.awaitWorker(ctx)
 			continue
 		}
 		stop := context.AfterFunc(ctx, s.cancel)
@@ -196,6 +215,42 @@
 	}
 }
 
+// absenceTold is how long no worker is known when the first line says so; each further line
+// comes after twice the time.
+const absenceTold = 3 * time.Second
+
+// awaitWorker returns once a worker was announced, or when ctx ends.
+func (d *Driver) awaitWorker(ctx context.Context) {
+	since := d.opts.Now()
+	tellAbsence := absenceTold
+	for ctx.Err() == nil {
+		now := d.opts.Now()
+		absent := now.Sub(since)
+		if absent >= tellAbsence {
+			event.WorkerAbsent.Write(d.logger, event.Silent(absent))
+			tellAbsence *= 2
+		}
+		wait := min(tellAbsence-absent, d.lease.untilDue(now))
+		if d.awaitNews(ctx, wait) {
+			return
+		}
+		d.tellLapse(ctx)
+	}
+}
+
+// awaitNews reports whether a worker was announced within a time.
+func (d *Driver) awaitNews(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-d.news:
+		return true
+	case <-t.C:
+	}
+	return false
+}
+
 func (d *Driver) current() *session {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -85,6 +85,20 @@
 	return l.orders, nil
 }
 
+// HostLease tells of the one worker.
+func (l *leader) HostLease(context.Context, string) (*apiv1.JobsOrdersResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return nil, errAway
+	}
+	held := &apiv1.JobsOrdersResponse{Term: term, HostTold: true, LeaseNumber: uint64(len(l.reports))}
+	if n := len(l.reports); n == 0 || !l.reports[n-1].Lapsed {
+		held.LeaseWorker = "w1"
+	}
+	return held, nil
+}
+
 func (l *leader) set(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -447,11 +461,16 @@
 		time.Sleep(2 * time.Second)
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		partial := false
 		for _, r := range l.reports {
+			partial = partial || r.Partial
 			if len(r.Refusals) > 0 {
 				t.Fatalf("the run is given back: %v", r.Refusals)
 			}
 			if len(r.Ends) > 0 {
+				if !partial {
+					t.Error("the leader is not told that reports lack what can't be read")
+				}
 				return // the leader drops the order now
 			}
 		}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -27,6 +28,38 @@
 	}
 }
 
+// tellOfFormer tells the leader that the life before this one has ended. The first report of
+// this one would say so too, but it may end before that.
+func (s *session) tellOfFormer() {
+	if s.former == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	if _, err := s.send(ctx, &apiv1.JobsReportRequest{Worker: s.former, Departed: true}); err == nil {
+		s.former = nil
+	}
+}
+
+// renumber has the session go on as another one in the leader's eyes; watch calls it.
+func (s *session) renumber() {
+	s.number, s.reports, s.beganMs = rand.Uint64(), 0, 0
+}
+
+// resolveOrder ends the life that the leader takes for the newer one. The worker has confirmed
+// the life of this session, and there is but one: so what the leader holds came before it.
+func (s *session) resolveOrder(ctx context.Context) {
+	held, err := s.d.opts.Leader.HostLease(ctx, s.d.opts.Host)
+	if err != nil || held.LastLife == "" || held.LastLife == s.incarnation {
+		return
+	}
+	s.follows = append(s.follows, held.LastLife)
+	if held.LeaseWorker != "" && held.LeaseWorker != s.incarnation {
+		s.follows = append(s.follows, held.LeaseWorker)
+		s.former = &apiv1.JobWorker{Id: held.LeaseWorker, Host: s.d.opts.Host}
+	}
+}
+
 // report sends what the worker said to the leader and takes the lease from the
 // answer. It returns false when no leader took it.
 func (s *session) report(status Status, received time.Time) bool {
@@ -34,6 +67,7 @@
 	r := &apiv1.JobsReportRequest{
 		Worker: a.Worker, Ends: status.Ended, Running: status.Running,
 		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.openRefusals(),
+		Partial: status.Partial,
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
@@ -50,6 +84,7 @@
 	}
 	if resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE {
 		event.WorkerTakenForOther.Write(s.d.logger, event.Worker(s.incarnation))
+		s.resolveOrder(ctx)
 		return false
 	}
 	s.granted(resp, status.ClockMs, received, sent)
@@ -63,6 +98,7 @@
 func (s *session) send(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	s.reports++
 	r.Session, r.Sequence, r.SessionBeganMs = s.number, s.reports, s.beganMs
+	r.Follows = s.follows
 	return s.d.opts.Leader.Report(ctx, r)
 }
 
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -87,7 +87,10 @@
 
 // String returns the answer's name in logs.
 func (a Answer) String() string {
-	names := [...]string{"none", "done", "fenced", "over", "late", "no room", "unwilling", "invalid", "no ticket", "other incarnation"}
+	names := [...]string{
+		"none", "done", "fenced", "over", "late", jobqueue.RefusedForRoom, jobqueue.RefusedUnwilling, "invalid", "no ticket",
+		"other incarnation",
+	}
 	if a < 0 || int(a) >= len(names) {
 		return "unknown"
 	}
@@ -102,6 +105,9 @@
 	// CurrentOrders looks for the leader and returns what it has for a worker now: its
 	// term, and an epoch if it knows the worker.
 	CurrentOrders(ctx context.Context, worker string) (*apiv1.JobsOrdersResponse, error)
+	// HostLease looks for the leader and returns which worker it holds on a host, and the
+	// number of that worker's lease.
+	HostLease(ctx context.Context, host string) (*apiv1.JobsOrdersResponse, error)
 }
 
 // Announcement is what a worker says of itself of its own accord.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,10 +54,11 @@
 	meters  meters
 	wake    chan struct{}
 	changed broadcast
-	// questions are those that the advisor has not been asked yet.
-	questions chan askedQuestion
-	advisor   *dependency.Watch
-	hosts     *dependency.Watch
+	// urgent and questions are those that the advisor has not been asked yet: about
+	// long-running steps, and about others.
+	urgent, questions chan askedQuestion
+	advisor           *dependency.Watch
+	hosts             *dependency.Watch
 
 	// mu guards what the leader knows beside the log. It is taken before the
 	// replica's own lock.
@@ -88,6 +89,7 @@
 		wake:    make(chan struct{}, 1),
 		changed: newBroadcast(),
 
+		urgent:    make(chan askedQuestion, maxQuestions),
 		questions: make(chan askedQuestion, maxQuestions),
 		advisor:   dependency.New("advisor", o.Logger, o.Now),
 		hosts:     dependency.New("list of hosts", o.Logger, o.Now),
@@ -141,6 +143,14 @@
 	if plan == nil {
 		return
 	}
+	committed := d.commitPlan(ctx, plan)
+	if len(lapsed) > 0 {
+		d.endLapses(plan.Term, lapsed, committed)
+	}
+}
+
+// commitPlan reports whether a plan is surely committed and in force.
+func (d *Dispatcher) commitPlan(ctx context.Context, plan *apiv1.PlanRuns) bool {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
 	res, err := d.opts.Replica.ProposeLocal(ctx, jobsCommand(&apiv1.JobsCommand{
@@ -149,9 +159,7 @@
 	if err != nil {
 		event.PlanUncommitted.Write(d.logger, event.Term(plan.Term), event.Err(err))
 	}
-	if len(lapsed) > 0 {
-		d.endLapses(plan.Term, lapsed, err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK)
-	}
+	return err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
 // decide returns the plan to commit, nil when there is nothing to do.
@@ -178,6 +186,7 @@
 			d.meters.paceOrders.Inc(1)
 		}
 		plan.Learnt = l.learntToKeep(now)
+		d.lookAtLongRunning(l, jobs, decision.Waits, now)
 		d.logDecision(jobs, l, plan, now)
 		d.noteWaits(l, decision.Waits, now)
 		d.putQuestions(l, decision.Questions, now)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -13,11 +13,19 @@
 
 // leadership is what the leader of a term knows beside the log.
 type leadership struct {
-	term     uint64
+	term uint64
+	// inDoubt: a plan that gives runs up may still be committed. Nothing is decided until its
+	// fate is known.
+	inDoubt  bool
 	planner  *schedule.Planner
 	leases   *leaseTable
 	reports  *reportOrder
 	observed map[jobqueue.RunID]schedule.Observation
+	contacts *contacts
+	// endsLearnt is the highest sequence number of each worker's ends that the planner knows.
+	endsLearnt map[string]uint64
+	// refusalsLearnt are the refused runs that the planner knows of and the log still holds.
+	refusalsLearnt map[jobqueue.RunID]bool
 	// paceRevisions grow with each change of a worker's paces.
 	paceRevisions map[string]uint64
 	// waits are the steps that found no worker in the last round.
@@ -31,6 +39,7 @@
 	// overTold are the jobs whose end was told.
 	overTold map[string]bool
 	moves    *movesLed
+	outages  *outages
 	// keptAt is when a plan last carried what the planner has learnt, and reported is
 	// set once a worker reported since.
 	keptAt   time.Time
@@ -49,12 +58,18 @@
 	if !ok {
 		return false
 	}
-	if current != nil && current.term == term {
+	if current != nil && current.term == term && !d.isInDoubt(current) {
 		return true
 	}
 	return d.takeOver(ctx, term)
 }
 
+func (d *Dispatcher) isInDoubt(l *leadership) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return l.inDoubt
+}
+
 // resign forgets what the leader of a term knows; d.mu is held.
 func (d *Dispatcher) resign() {
 	d.leading.runLog.write(d.leading.term, d.opts.Now())
@@ -77,23 +92,31 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.leading != nil && d.leading.term == term {
+		d.endDoubt()
+		return true
+	}
 	now := d.opts.Now()
 	planner := schedule.New()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.Resume(m.CallerJobs().Learnt(), now) })
 	d.leading = &leadership{
-		term:          term,
-		planner:       planner,
-		keptAt:        now,
-		leases:        newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		reports:       newReportOrder(),
-		observed:      map[jobqueue.RunID]schedule.Observation{},
-		paceRevisions: map[string]uint64{},
-		waitsLogged:   map[jobqueue.StepID]waitLogged{},
-		runLog:        newRunLog(d.logger),
-		saved:         map[jobqueue.RunID]saved{},
-		lostTold:      map[string]uint64{},
-		overTold:      map[string]bool{},
-		moves:         newMovesLed(now),
+		term:           term,
+		planner:        planner,
+		keptAt:         now,
+		leases:         newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
+		reports:        newReportOrder(),
+		observed:       map[jobqueue.RunID]schedule.Observation{},
+		contacts:       newContacts(d.opts.ContactTimeout),
+		endsLearnt:     map[string]uint64{},
+		refusalsLearnt: map[jobqueue.RunID]bool{},
+		paceRevisions:  map[string]uint64{},
+		waitsLogged:    map[jobqueue.StepID]waitLogged{},
+		runLog:         newRunLog(d.logger),
+		saved:          map[jobqueue.RunID]saved{},
+		lostTold:       map[string]uint64{},
+		overTold:       map[string]bool{},
+		moves:          newMovesLed(now),
+		outages:        newOutages(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -103,12 +126,20 @@
 // is not ready to lead. d.mu is held.
 func (d *Dispatcher) ready() *leadership {
 	term, ok := d.opts.Replica.Leading()
-	if !ok || d.leading == nil || d.leading.term != term {
+	if !ok || d.leading == nil || d.leading.term != term || d.leading.inDoubt {
 		return nil
 	}
 	return d.leading
 }
 
+// endDoubt goes on leading after whatever became of a plan in doubt; d.mu is held. The leases
+// stay as they are: in this term nobody else has renewed one. What goes wrong otherwise: each
+// plan that is not committed puts off the end of a silent worker's lease by a whole one.
+func (d *Dispatcher) endDoubt() {
+	d.opts.Replica.ReadState(func(m *state.Machine) { d.leading.leases.settleLapses(m.CallerJobs().Worker) })
+	d.leading.inDoubt = false
+}
+
 // learntToKeep returns what the planner has learnt, if it is time to keep it for the
 // next leader.
 func (l *leadership) learntToKeep(now time.Time) *apiv1.Learnt {
@@ -121,7 +152,7 @@
 
 // endLapses lets the leases of lapsed workers be renewed again. A plan whose fate
 // is unknown may still be committed, and would give runs up under leases renewed
-// meanwhile: so this replica gets ready to lead anew, which ends after whatever
+// meanwhile: so this replica confirms anew that it leads, which ends after whatever
 // becomes of the plan.
 func (d *Dispatcher) endLapses(term uint64, workers []string, committed bool) {
 	d.mu.Lock()
@@ -130,7 +161,7 @@
 		return
 	}
 	if !committed {
-		d.resign()
+		d.leading.inDoubt = true
 		return
 	}
 	for _, w := range workers {
@@ -162,6 +193,17 @@
 			delete(l.saved, id)
 		}
 	}
+	l.contacts.forget(m)
+	for id := range l.refusalsLearnt {
+		if m.Run(id) == nil {
+			delete(l.refusalsLearnt, id)
+		}
+	}
+	for worker := range l.endsLearnt {
+		if m.Worker(worker) == nil {
+			delete(l.endsLearnt, worker)
+		}
+	}
 	for id := range l.overTold {
 		if m.Job(id) == nil {
 			delete(l.overTold, id)
@@ -178,6 +220,11 @@
 // Reachable implements schedule.Fleet.
 func (v fleetView) Reachable(worker string) bool { return v.l.leases.reachable(worker, v.now) }
 
+// HeardSince implements schedule.Fleet.
+func (v fleetView) HeardSince(worker string) (time.Time, bool) {
+	return v.l.contacts.since(worker, v.now)
+}
+
 // Observed implements schedule.Fleet.
 func (v fleetView) Observed(id jobqueue.RunID) (schedule.Observation, bool) {
 	o, ok := v.l.observed[id]
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -23,11 +23,15 @@
 
 type lease struct {
 	renewed time.Time
+	// number grows with each renewal.
+	number uint64
 	// heard is set by the first report; without one, nothing is known of the worker.
 	heard bool
 	// lapsing: a plan that gives the worker's runs up is on its way into the log.
 	// The lease must not be renewed until its fate is known.
 	lapsing bool
+	// epoch is the worker's when that plan was made.
+	epoch uint64
 	// lapsed: the runs were given up; the next report makes the worker usable again.
 	lapsed bool
 	// duration is how long the lease was last granted for.
@@ -60,6 +64,7 @@
 		l.duration = min(t.duration, bound)
 	}
 	l.renewed = now
+	l.number++
 	l.heard = true
 	l.lapsed = false
 	return l.duration, true
@@ -71,15 +76,41 @@
 	for _, w := range workers {
 		l := t.of(w.Spec.Id)
 		wait := l.duration + l.duration*clockRateErrorPPM/1_000_000 + leaseMargin
-		if l.lapsing || l.lapsed || now.Sub(l.renewed) <= wait {
+		// A run that was decided before a lapse and committed after it can't have begun: its
+		// start needs a lease that is granted after.
+		overdue := now.Sub(l.renewed) > wait && !l.lapsed || l.lapsed && len(w.Runs) > 0
+		if l.lapsing || !overdue {
 			continue
 		}
-		l.lapsing = true
+		t.beginLapse(w)
 		expired = append(expired, w.Spec.Id)
 	}
 	return expired
 }
 
+// beginLapse begins to give up the runs of a worker; false if that has begun already.
+func (t *leaseTable) beginLapse(w *jobqueue.Worker) bool {
+	l := t.of(w.Spec.Id)
+	if l.lapsing {
+		return false
+	}
+	l.lapsing, l.epoch = true, w.Epoch
+	return true
+}
+
+// settleLapses ends the expiries whose plans were in doubt, by what became of them. Those that
+// came to nothing are due again.
+func (t *leaseTable) settleLapses(worker func(id string) *jobqueue.Worker) {
+	for id, l := range t.byWorker {
+		if !l.lapsing {
+			continue
+		}
+		w := worker(id)
+		l.lapsing = false
+		l.lapsed = w == nil || w.Epoch != l.epoch
+	}
+}
+
 // endLapse ends an expiry that is committed.
 func (t *leaseTable) endLapse(worker string) {
 	l := t.of(worker)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -18,7 +18,7 @@
 	defer timer.Stop()
 	for {
 		changed := d.changed.wait()
-		resp := d.orders(r.Worker)
+		resp := d.orders(r)
 		news := resp.NotLeader || resp.Term != r.Term || resp.Sequence != r.Sequence
 		if news {
 			return resp, nil
@@ -33,8 +33,8 @@
 	}
 }
 
-// orders returns the open orders of a worker.
-func (d *Dispatcher) orders(worker string) *apiv1.JobsOrdersResponse {
+// orders returns the open orders of a worker, and what is held of a host that is asked of.
+func (d *Dispatcher) orders(r *apiv1.JobsOrdersRequest) *apiv1.JobsOrdersResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.ready()
@@ -43,12 +43,15 @@
 	}
 	resp := &apiv1.JobsOrdersResponse{Term: l.term}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
-		w := m.CallerJobs().Worker(worker)
+		if r.Host != "" {
+			l.addHost(resp, m.CallerJobs(), r.Host)
+		}
+		w := m.CallerJobs().Worker(r.Worker)
 		if w == nil {
 			return
 		}
 		resp.Epoch = w.Epoch
-		resp.Sequence = w.Revision + l.paceRevisions[worker]
+		resp.Sequence = w.Revision + l.paceRevisions[r.Worker]
 		for _, id := range w.SortedRuns() {
 			l.addOrder(resp, w.Runs[id])
 		}
@@ -71,3 +74,16 @@
 		resp.Paces = append(resp.Paces, &apiv1.PaceOrder{Task: r.ID.Task.Ref(), Run: r.ID.Number, Percent: percent})
 	}
 }
+
+// addHost adds what the leader holds of a host.
+func (l *leadership) addHost(resp *apiv1.JobsOrdersResponse, m *jobqueue.Machine, host string) {
+	resp.HostTold = true
+	resp.LastLife = l.reports.lives[host].Name()
+	w := m.WorkerOf(host)
+	if w == nil {
+		return
+	}
+	if lease := l.leases.of(w.Spec.Id); !lease.lapsed || len(w.Runs) > 0 {
+		resp.LeaseWorker, resp.LeaseNumber = w.Spec.Id, lease.number
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -18,10 +18,13 @@
 // Report implements apiv1.Jobs: it records what an agent learnt of its worker and
 // renews the worker's lease.
 func (d *Dispatcher) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	if r.Lapsed {
+		return d.reportLapse(ctx, r)
+	}
 	t := d.take(r)
 	switch {
 	case t.term == 0:
-		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
+		return d.refer(), nil
 	case t.outdated:
 		return &apiv1.JobsReportResponse{Term: t.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE}, nil
 	}
@@ -29,12 +32,9 @@
 	now, leads := d.opts.Replica.Leading()
 	if err != nil || !leads || now != t.term {
 		event.ReportUnproved.Write(d.logger, event.Worker(r.Worker.GetId()), event.Err(err))
-		return &apiv1.JobsReportResponse{NotLeader: true, LeaderAddress: d.opts.Replica.LeaderAddress()}, nil
+		return d.refer(), nil
 	}
 	resp := &apiv1.JobsReportResponse{Term: t.term, Outcome: outcome}
-	if r.Lapsed {
-		d.noteLapse(t.term, r.Worker.GetId())
-	}
 	if outcome == apiv1.JobOutcome_JOB_OUTCOME_OK && !r.Departed {
 		resp.LeaseMs = t.granted.Milliseconds()
 	}
@@ -73,7 +73,8 @@
 	var outdated bool
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		// A worker that has left has left, whatever was said after.
-		outdated = !r.Departed && l.reports.outdated(m.CallerJobs(), r)
+		jobs := m.CallerJobs()
+		outdated = !r.Departed && (l.contested(jobs, r, d.opts.Now()) || l.reports.outdated(jobs, r))
 	})
 	if outdated {
 		d.meters.reportsOutdated.Inc(1)
@@ -82,9 +83,8 @@
 	}
 	t := taken{term: l.term}
 	now := d.opts.Now()
-	if !r.Lapsed {
-		t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
-	}
+	t.granted, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
+	l.contacts.note(r, now)
 	for _, o := range r.Running {
 		l.observe(o, now)
 	}
@@ -103,15 +103,20 @@
 	return t
 }
 
-// noteLapse takes in that a worker's runs were given up because its agent gets no
-// answer from it: it gets no work until the agent reports again.
-func (d *Dispatcher) noteLapse(term uint64, worker string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.leading != nil && d.leading.term == term {
-		d.leading.leases.endLapse(worker)
-	}
-	event.WorkerSilent.Write(d.logger, event.Term(term), event.Worker(worker))
+// takeoverSilence is how long nothing has been heard of the worker of a host when a life that
+// does not say that it follows that one may take its place: some reports' worth.
+const takeoverSilence = 2 * time.Second
+
+// contested reports whether a life that the log does not know would end one that was heard of
+// just now. Its agent says whom it follows; what the network held up does not.
+func (l *leadership) contested(m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) bool {
+	id := r.Worker.GetId()
+	known := m.WorkerOf(r.Worker.GetHost())
+	if known == nil || known.Spec.Id == id || slices.Contains(r.Follows, known.Spec.Id) {
+		return false
+	}
+	lease := l.leases.of(known.Spec.Id)
+	return lease.heard && !lease.lapsed && now.Sub(lease.renewed) < takeoverSilence
 }
 
 // observe notes the state of a run.
@@ -133,24 +138,22 @@
 	l.observed[id] = seen
 }
 
-// learn tells the planner of ends that are new.
+// learn tells the planner of ends that are new. A report is sent again until it is committed:
+// what goes wrong without a note of what was learnt is that one failed run counts as several.
 func (d *Dispatcher) learn(l *leadership, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	w := m.Worker(r.Worker.GetId())
 	if w == nil {
 		return
 	}
-	for _, refusal := range r.Refusals {
-		d.meters.refused.Inc(1)
-		d.count("dispatch.starts_refused", refusal.Reason)
-		l.planner.StartRefused(jobqueue.TaskIDOf(refusal.Task).StepID(), w.Spec.Id)
-		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason),
-			event.Task(jobqueue.TaskIDOf(refusal.Task)), event.Run(refusal.Run))
-	}
+	l.outages.noteEnds(w, r.Ends, r.Refusals, now)
+	d.learnRefusals(l, w, r.Refusals, now)
+	known := max(w.Acknowledged, l.endsLearnt[w.Spec.Id])
 	for _, e := range r.Ends {
 		run := w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}]
-		if e.Sequence <= w.Acknowledged || run == nil {
+		if e.Sequence <= known || run == nil {
 			continue
 		}
+		l.endsLearnt[w.Spec.Id] = max(l.endsLearnt[w.Spec.Id], e.Sequence)
 		d.meters.ends.Inc(1)
 		ended := schedule.Ended{
 			Worker: w.Spec.Id, Kind: e.Kind, Step: run.Step, At: now, Resumed: run.Checkpoint != "",
@@ -168,6 +171,29 @@
 	}
 }
 
+// learnRefusals tells the planner of starts that were refused, each once.
+func (d *Dispatcher) learnRefusals(l *leadership, w *jobqueue.Worker, refusals []*apiv1.RunRefusal, now time.Time) {
+	for _, refusal := range refusals {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}
+		if w.Runs[id] == nil || l.refusalsLearnt[id] {
+			continue
+		}
+		l.refusalsLearnt[id] = true
+		d.meters.refused.Inc(1)
+		d.count("dispatch.starts_refused", refusal.Reason)
+		l.planner.StartRefused(schedule.Refusal{
+			Step: id.Task.StepID(), Worker: w.Spec.Id, At: now, Unable: unable(refusal.Reason),
+		})
+		event.StartRefused.Write(d.logger, event.Worker(w.Spec.Id), event.Reason(refusal.Reason), event.Task(id.Task),
+			event.Run(id.Number))
+	}
+}
+
+// unable reports whether a refusal says that the worker can take no task for now.
+func unable(reason string) bool {
+	return reason == jobqueue.RefusedForRoom || reason == jobqueue.RefusedUnwilling
+}
+
 // endName is a kind of end in logs.
 func endName(k apiv1.RunEndKind) string {
 	return strings.ToLower(strings.TrimPrefix(k.String(), "RUN_END_KIND_"))
@@ -176,7 +202,7 @@
 // reportCommand returns what of a report the log does not hold yet.
 func (l *leadership) reportCommand(m *jobqueue.Machine, r *apiv1.JobsReportRequest) *apiv1.ReportWorker {
 	w := m.Worker(r.Worker.GetId())
-	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed, Lapsed: r.Lapsed}
+	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed}
 	if w == nil {
 		command.Ends = r.Ends
 		command.Checkpoints = l.checkpoints(m.WorkerOf(r.Worker.GetHost()))
@@ -190,14 +216,11 @@
 	command.Refusals = slices.DeleteFunc(slices.Clone(r.Refusals), func(refusal *apiv1.RunRefusal) bool {
 		return w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}] == nil
 	})
-	if r.Departed || r.Lapsed {
+	if r.Departed {
 		command.Checkpoints = l.checkpoints(w)
 	}
 	same := proto.Equal(w.Spec, r.Worker)
-	if r.Lapsed && len(w.Runs) == 0 {
-		command.Lapsed = false
-	}
-	if same && !r.Departed && !command.Lapsed && len(command.Ends)+len(command.Refusals) == 0 {
+	if same && !r.Departed && len(command.Ends)+len(command.Refusals) == 0 {
 		return nil
 	}
 	return command
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
@@ -38,7 +40,7 @@
 // outdated reports whether a newer report of the worker was taken in before this one, and
 // notes it otherwise. The same report may come twice, through two control hosts.
 func (o *reportOrder) outdated(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
-	if o.earlierIncarnation(m, r.Worker) {
+	if o.earlierIncarnation(m, r) {
 		return true
 	}
 	if r.Session == 0 {
@@ -49,8 +51,11 @@
 		seen = &reportsSeen{session: r.Session, beganMs: r.SessionBeganMs, former: map[uint64]bool{}}
 		o.byWorker[r.Worker.GetId()] = seen
 	}
+	if seen.former[r.Session] {
+		return true
+	}
 	if seen.session != r.Session {
-		if seen.former[r.Session] || r.SessionBeganMs != 0 && r.SessionBeganMs < seen.beganMs {
+		if r.SessionBeganMs != 0 && r.SessionBeganMs < seen.beganMs {
 			return true
 		}
 		seen.begin(r)
@@ -66,15 +71,19 @@
 // wrong without it: a life that ended soon is heard of for the first time when its successor
 // is at work, and ends that one in the log; the successor's tasks run on and start elsewhere
 // as well, and it gets no work any more.
-func (o *reportOrder) earlierIncarnation(m *jobqueue.Machine, w *apiv1.JobWorker) bool {
-	life := jobqueue.ParseIncarnation(w.GetId())
-	if known := m.WorkerOf(w.GetHost()); known != nil && life.Precedes(jobqueue.ParseIncarnation(known.Spec.Id)) {
+func (o *reportOrder) earlierIncarnation(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
+	host := r.Worker.GetHost()
+	life := jobqueue.ParseIncarnation(r.Worker.GetId())
+	before := func(later jobqueue.Incarnation) bool {
+		return life.Precedes(later) && !slices.Contains(r.Follows, later.Name())
+	}
+	if known := m.WorkerOf(host); known != nil && before(jobqueue.ParseIncarnation(known.Spec.Id)) {
 		return true
 	}
-	if life.Precedes(o.lives[w.GetHost()]) {
+	if last := o.lives[host]; before(last) && !m.HasLeft(last.Name()) {
 		return true
 	}
-	o.lives[w.GetHost()] = life
+	o.lives[host] = life
 	return false
 }
 
@@ -86,3 +95,11 @@
 	s.former[s.session] = true
 	s.session, s.beganMs, s.sequence = r.Session, r.SessionBeganMs, 0
 }
+
+// endSession notes that the session of a worker is over: its agent says that the worker's lease
+// ran out, and numbers what it reports after that as another session.
+func (o *reportOrder) endSession(worker string) {
+	if seen := o.byWorker[worker]; seen != nil {
+		seen.former[seen.session] = true
+	}
+}
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -24,6 +24,8 @@
 type Question struct {
 	Step    jobqueue.StepID
 	Workers []string
+	// LongRunning: the step's tasks are owed for as long as they are away.
+	LongRunning bool
 }
 
 // Advice answers a question: a ticket for each worker that may run the step, and
@@ -88,19 +90,13 @@
 	p.approvals.askAt[q.Step] = now.Add(askAgainAfter)
 }
 
-// StartRefused takes in that a worker refused to start a run of a step: a ticket for
-// it is not used again.
-func (p *Planner) StartRefused(step jobqueue.StepID, worker string) {
-	delete(p.approvals.bySteps[step], worker)
-}
-
 // ask notes a question about a step whose tasks wait, unless one is under way.
 func (r *round) ask(c *candidate) {
 	step := c.key()
 	if !c.queue.Advised || r.now.Before(r.planner.approvals.askAt[step]) {
 		return
 	}
-	q := Question{Step: step}
+	q := Question{Step: step, LongRunning: c.step.Spec.LongRunning}
 	for _, s := range r.slots {
 		if len(q.Workers) < questionSize && r.feasible(c, s) == ReasonNotAdvised {
 			q.Workers = append(q.Workers, s.worker.Spec.Id)
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -70,6 +70,8 @@
 	late bool
 	// neededSpeed is the share of their full speed at which its tasks start.
 	neededSpeed float64
+	// lastResort: it found no worker that is not avoided.
+	lastResort bool
 }
 
 // startWaiting gives each waiting task a worker while there is room, the most
@@ -94,14 +96,14 @@
 			continue
 		}
 		for k, o := range j.Occurrences {
-			if j.DueMs(k) > r.wallMs {
+			if !j.Due(k, r.wallMs) {
 				continue
 			}
 			for i, s := range o.Steps {
 				if s.Covered() && !s.Spec.AllowDuplicates || s.Ended() || !o.Ready(i) {
 					continue
 				}
-				if tasks := r.waitingTasks(s); len(tasks) > 0 {
+				if tasks := r.waitingTasks(j, s); len(tasks) > 0 {
 					found = append(found, r.candidate(j, k, i, s, tasks))
 				}
 			}
@@ -111,11 +113,12 @@
 }
 
 // waitingTasks returns the tasks without a run, and those that may have a second one
-// since nothing is heard of the first; for a gang all or none.
-func (r *round) waitingTasks(s *jobqueue.Step) []int {
+// since nothing is heard of the first, as far as they have attempts left: the state refuses
+// the others, and their starts would take room in each round. For a gang all or none.
+func (r *round) waitingTasks(j *jobqueue.Job, s *jobqueue.Step) []int {
 	var tasks []int
 	for i, t := range s.Tasks {
-		if !t.Done && (len(t.Runs) == 0 || r.outOfSight(s, t)) {
+		if !t.Done && (len(t.Runs) == 0 || r.outOfSight(s, t)) && r.machine.AttemptsLeft(j, s.Spec, t) {
 			tasks = append(tasks, i)
 		}
 	}
@@ -178,6 +181,9 @@
 func (r *round) startTasks(c *candidate) {
 	ranked := r.rank(c)
 	for i, index := range c.tasks {
+		if ranked.best() == nil && c.step.Spec.LongRunning {
+			ranked = r.rankLastResort(c, ranked)
+		}
 		s := ranked.best()
 		if s != nil {
 			r.start(c, index, s, c.step.NextRun(index))
@@ -185,21 +191,32 @@
 			continue
 		}
 		if r.starving(c) {
-			s = r.anyFeasible(c)
+			s = r.startStarving(c, index)
 		}
 		if s == nil {
 			r.wait(c, len(c.tasks)-i, ranked)
 			return
 		}
-		r.start(c, index, s, c.step.NextRun(index))
 	}
 }
 
+// rankLastResort judges the workers again with those that are avoided, for a candidate that
+// found no other. What goes wrong without it: tasks that fail wherever they run have all
+// workers avoided for seconds, and a long-running task that lost its run has none meanwhile.
+func (r *round) rankLastResort(c *candidate, ranked *ranking) *ranking {
+	if c.lastResort || ranked.refused[ReasonAvoided] == 0 {
+		return ranked
+	}
+	c.lastResort = true
+	return r.rank(c)
+}
+
 // startGang starts all members or none.
 func (r *round) startGang(c *candidate) {
 	run := c.step.NextRun(0)
 	before := len(r.decision.Starts)
 	var taken []*slot
+	c.lastResort = r.starving(c)
 	ranked := r.rank(c)
 	for _, index := range c.tasks {
 		s := ranked.best()
@@ -229,6 +246,9 @@
 		start.Ticket, _ = r.planner.approvals.ticket(c.key(), s.worker.Spec.Id, r.now)
 	}
 	r.decision.Starts = append(r.decision.Starts, start)
+	if s.avoided {
+		r.planner.health.tried(s.worker.Spec.Id, r.now)
+	}
 	s.give(c, 1)
 	if c.step.Spec.TailObjectiveMs > 0 {
 		s.noteServing(c)
@@ -268,7 +288,7 @@
 		return ReasonMaintenance
 	case !s.usable:
 		return ReasonUnreachable
-	case s.avoided:
+	case s.avoided && !(c.lastResort && s.mayTry):
 		return ReasonAvoided
 	case !s.worker.HasLabel(spec.RequiredLabel):
 		return ReasonLabel
