soak: control hosts, entries and links between agents and workers among the faults

Plans name control, entry and link beside worker and agent; agents, entries and control hosts are terminated, too. A loopback proxy stands between an agent and its worker where the plan disturbs the link. The judge counts room only on workers whose agent is at work and reaches them.

--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -35,6 +35,8 @@
 	workers := lives.Flag("workers", "How many workers.").Default("8").Int()
 	disks := lives.Flag("disks", "Folder of the control hosts' disks, such as one in memory; the play's own when empty.").String()
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
+	fronts := lives.Flag("fronts", "Kill, pause and terminate control hosts and entries, too.").Bool()
+	links := lives.Flag("links", "Disturb connections between agents and workers, too.").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
 	uneven := lives.Flag("uneven", "Hold processes up for moments now and then.").Bool()
@@ -58,7 +60,7 @@
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		p := soak.Profile{Agents: *agents, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
+		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
 		if p.Plan, err = readPlan(*plan); err == nil {
 			err = playSeeds(ctx, o, p, *first, *seeds)
 		}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 // host is a worker's host.
 type host struct {
 	agent, worker *process
+	// link carries the connections of the agent to the worker; nil where they go straight.
+	link *link
 	// sick: the next life of the worker fails whatever it runs.
 	sick atomic.Bool
 }
@@ -61,7 +64,8 @@
 	faults   *faultLog
 	seedIPs  []string
 	entryIPs []string
-	programs []*process
+	controls []*process
+	entries  []*process
 	hosts    []*host
 	client   platformtest.Client
 }
@@ -107,9 +111,9 @@
 		return err
 	}
 	if m.DataDir != "" {
-		c.programs = append(c.programs, c.process("control-"+m.Name, program(c.o.Program, "control", controlMetrics, settings)))
+		c.controls = append(c.controls, c.process("control-"+m.Name, program(c.o.Program, "control", controlMetrics, settings)))
 	}
-	c.programs = append(c.programs, c.process("entry-"+m.Name, program(c.o.Program, "entry", entryMetrics, settings)))
+	c.entries = append(c.entries, c.process("entry-"+m.Name, program(c.o.Program, "entry", entryMetrics, settings)))
 	c.entryIPs = append(c.entryIPs, m.IP)
 	return nil
 }
@@ -124,21 +128,24 @@
 		return err
 	}
 	h := &host{agent: c.process(fmt.Sprintf("agent-%d", number), program(c.o.Program, "agent", agentMetrics, settings))}
-	h.worker = c.process(workerName(number), c.workerCommand(number, m, &h.sick))
+	h.worker = c.process(workerName(number), c.workerCommand(number, m, h))
 	c.hosts = append(c.hosts, h)
 	return nil
 }
 
 func workerName(number int) string { return fmt.Sprintf("w%d", number) }
 
-func (c *cluster) workerCommand(number int, m platformtest.Machine, sick *atomic.Bool) func() *exec.Cmd {
+func (c *cluster) workerCommand(number int, m platformtest.Machine, h *host) func() *exec.Cmd {
 	lives := 0
 	return func() *exec.Cmd {
 		lives++
 		s := platformtest.WorkerSettings{
 			ID: workerName(number), Address: platformtest.WorkerAddress(m.IP), Registry: platformtest.ControlAddress(m.IP),
 			Pool: pool, Zone: m.Zone, Labels: []string{"a"}, CPUMilli: workerCPU, MemoryMB: workerMemory, HeartbeatMs: heartbeatMs,
-			Sick: sick.Load(), ClockStartMs: clockStart(number, lives), ClockRatePPM: int64(number%clockRates) * clockRateStep,
+			Sick: h.sick.Load(), ClockStartMs: clockStart(number, lives), ClockRatePPM: int64(number%clockRates) * clockRateStep,
+		}
+		if h.link != nil {
+			s.Listen = h.link.worker
 		}
 		text, err := json.Marshal(s)
 		if err != nil {
@@ -184,7 +191,7 @@
 }
 
 func (c *cluster) all() []*process {
-	all := append([]*process{}, c.programs...)
+	all := slices.Concat(c.controls, c.entries)
 	for _, h := range c.hosts {
 		all = append(all, h.agent, h.worker)
 	}
@@ -196,6 +203,11 @@
 	for _, p := range c.all() {
 		p.kill()
 	}
+	for _, h := range c.hosts {
+		if h.link != nil {
+			h.link.close()
+		}
+	}
 }
 
 // remove ends all processes, and removes disks that are not in the play's folder.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -148,11 +148,11 @@
 	return least
 }
 
-// room is how many tasks of a step fit on the sound workers that are there at a moment.
+// room is how many tasks of a step fit on the sound workers that are there and reachable at a moment.
 func (rep *report) room(g gap, at time.Time) int {
 	sum := 0
 	for _, l := range rep.rec.lives {
-		if !l.sick && !l.began.After(at) && l.end.After(at) {
+		if !l.sick && !l.began.After(at) && l.end.After(at) && rep.rec.reachable(l.worker, at) {
 			sum += rep.roomOn(l, g, at)
 		}
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -55,6 +55,7 @@
 		back   float64
 		faults []float64
 		full   bool
+		apart  bool
 		want   bool
 	}{
 		"back in time":                       {back: 18.9},
@@ -65,6 +66,7 @@
 		"calm for long enough after a fault": {back: 21, faults: []float64{13}, want: true},
 		"never calm for long enough":         {back: 30, faults: []float64{13, 19, 25}},
 		"no room for the task twice over":    {back: 30, full: true},
+		"nobody reaches the other worker":    {back: 30, apart: true},
 	} {
 		s := newScript(30)
 		s.run("a.0.0.0", s.life("w1", 0, 10), 0, 10)
@@ -72,6 +74,9 @@
 		if c.full {
 			s.run("b.0.0.0", other, 0, 30)
 		}
+		if c.apart {
+			s.rec.faults = append(s.rec.faults, fault{AtMicros: s.at(1).UnixMicro(), Process: "link-2", What: string(linkDark)})
+		}
 		if c.back < 30 {
 			s.run("a.0.0.0", other, c.back, 30)
 		}
--- /dev/null
+++ b/soak/link_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// echo serves connections that send back what they get.
+func echo(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, l *link) net.Conn {
+	conn, err := net.Dial("tcp", l.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+const (
+	quietTime  = 200 * time.Millisecond
+	answerTime = 10 * time.Second
+)
+
+// answers sends a byte if told so, and reports whether one comes back within a time.
+func answers(conn net.Conn, send bool, within time.Duration) (bool, error) {
+	if send {
+		if _, err := conn.Write([]byte{1}); err != nil {
+			return false, err
+		}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(within)) // a read tells if it failed
+	n, err := conn.Read(make([]byte, 1))
+	return n == 1, err
+}
+
+// TestLinksDisturbWhatTheyAreToldTo guards against plays whose faults of the network do not happen.
+func TestLinksDisturbWhatTheyAreToldTo(t *testing.T) {
+	for _, c := range []struct {
+		mode             linkMode
+		present, further string
+	}{
+		{linkMend, "works", "works"}, {linkDelay, "works", "works"}, {linkReset, "ends", "works"}, {linkRefuse, "ends", "ends"},
+		{linkSilence, "silent", "works"}, {linkDark, "silent", "silent"}, {linkCut, "silent", "silent"},
+	} {
+		l, err := newLink("127.0.0.1:0", echo(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.close)
+		present := dial(t, l)
+		if ok, err := answers(present, true, answerTime); !ok {
+			t.Fatal(err)
+		}
+		l.set(c.mode)
+		further := dial(t, l)
+		for conn, want := range map[net.Conn]string{present: c.present, further: c.further} {
+			expect(t, c.mode, conn, want)
+		}
+		l.set(linkMend)
+		for conn, was := range map[net.Conn]string{present: c.present, further: c.further} {
+			if was != "silent" {
+				continue
+			}
+			if ok, err := answers(conn, false, answerTime); !ok {
+				t.Errorf("%s: what was held back is lost: %v", c.mode, err)
+			}
+		}
+	}
+}
+
+func expect(t *testing.T, mode linkMode, conn net.Conn, want string) {
+	t.Helper()
+	within := answerTime
+	if want == "silent" {
+		within = quietTime
+	}
+	ok, err := answers(conn, true, within)
+	is := "ends"
+	if ok {
+		is = "works"
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		is = "silent"
+	}
+	if is != want {
+		t.Errorf("%s: a connection %s (%v), want %s", mode, is, err, want)
+	}
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -12,12 +12,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// action is something that is done to a process of a host at a time of the play.
+// action is something that is done to a process or a link at a time of the play.
 type action struct {
-	at     time.Duration
+	at time.Duration
+	// kind tells what it is done to, host the number of that.
+	kind   string
 	host   int
-	agent  bool
 	signal syscall.Signal
+	// link is what becomes of a link between an agent and its worker.
+	link linkMode
 	// starts: it is started, and no signal is sent.
 	starts bool
 	// sick: the worker that starts fails whatever it runs.
@@ -27,28 +30,48 @@
 // words are what can be done to a process.
 var words = map[string]action{
 	"kill": {signal: syscall.SIGKILL}, "stop": {signal: syscall.SIGSTOP}, "continue": {signal: syscall.SIGCONT},
-	"start": {starts: true}, "start-sick": {starts: true, sick: true},
+	"terminate": {signal: syscall.SIGTERM}, "start": {starts: true}, "start-sick": {starts: true, sick: true},
 }
 
 // String is a line of a plan: seconds, the kind of process, the number of its host, and a word.
 func (a action) String() string {
-	kind := workerKind
-	if a.agent {
-		kind = agentKind
+	if a.kind == linkKind {
+		return fmt.Sprintf("%8.3f %s %d %s", a.at.Seconds(), a.kind, a.host, a.link)
 	}
 	for word, w := range words {
 		if w.signal == a.signal && w.starts == a.starts && w.sick == a.sick {
-			return fmt.Sprintf("%8.3f %s %d %s", a.at.Seconds(), kind, a.host, word)
+			return fmt.Sprintf("%8.3f %s %d %s", a.at.Seconds(), a.kind, a.host, word)
 		}
 	}
 	panic("an action without a word")
 }
 
+// The kinds of what a plan names.
 const (
-	workerKind = "worker"
-	agentKind  = "agent"
+	workerKind  = "worker"
+	agentKind   = "agent"
+	controlKind = "control"
+	entryKind   = "entry"
+	linkKind    = "link"
 )
 
+// numberOf is how many of a kind there are in a cluster.
+func numberOf(kind string, workers int) int {
+	return map[string]int{
+		workerKind: workers, agentKind: workers, linkKind: workers, controlKind: controlHosts, entryKind: controlHosts + furtherEntries,
+	}[kind]
+}
+
+// parseWord reads what is done to a process or a link.
+func parseWord(kind, word string) (action, bool) {
+	if kind == linkKind {
+		return action{kind: kind, link: linkMode(word)}, slices.Contains(linkModes, linkMode(word))
+	}
+	a, known := words[word]
+	a.kind = kind
+	return a, known
+}
+
 // parsePlan reads the lines of a plan, in the order of their times.
 func parsePlan(text string, workers int) ([]action, error) {
 	var plan []action
@@ -59,11 +82,11 @@
 		if _, err := fmt.Sscan(line, &seconds, &kind, &host, &word); err != nil {
 			return nil, errors.Wrapf(err, "plan, %q", line)
 		}
-		a, known := words[word]
-		if !known || host < 0 || host >= workers || (kind != workerKind && kind != agentKind) {
+		a, known := parseWord(kind, word)
+		if !known || host < 0 || host >= numberOf(kind, workers) {
 			return nil, errors.Newf("plan, %q: no such process or nothing that can be done to it", line)
 		}
-		a.host, a.agent = host, kind == agentKind
+		a.host = host
 		a.at = time.Duration(seconds * float64(time.Second)).Round(time.Millisecond)
 		plan = append(plan, a)
 	}
@@ -109,6 +132,7 @@
 	severalHitPercent = 30
 	agentPausePercent = 20
 	agentKillPercent  = 15
+	agentTermPercent  = 10
 	sickPercent       = 25
 )
 
@@ -130,6 +154,8 @@
 		}
 		at = end + drawOne(r, pauses)
 	}
+	plan = append(plan, drawFronts(r, within, p)...)
+	plan = append(plan, drawLinks(r, workers, within, p)...)
 	slices.SortStableFunc(plan, func(a, b action) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
@@ -138,12 +164,12 @@
 func drawLives(r *rand.Rand, host int, at time.Duration, p Profile) []action {
 	var plan []action
 	for range 1 + r.IntN(maxKills) {
-		plan = append(plan, action{at: at, host: host, signal: syscall.SIGKILL})
+		plan = append(plan, action{at: at, kind: workerKind, host: host, signal: syscall.SIGKILL})
 		if p.Agents {
 			plan = append(plan, drawAgentFault(r, host, max(0, at+aroundTheKill.draw(r)))...)
 		}
 		at += drawOne(r, awayTimes)
-		plan = append(plan, action{at: at, host: host, starts: true, sick: p.Sick && r.IntN(100) < sickPercent})
+		plan = append(plan, action{at: at, kind: workerKind, host: host, starts: true, sick: p.Sick && r.IntN(100) < sickPercent})
 		at += drawOne(r, lifeTimes)
 	}
 	return plan
@@ -154,13 +180,18 @@
 	switch p := r.IntN(100); {
 	case p < agentPausePercent:
 		return []action{
-			{at: at, host: host, agent: true, signal: syscall.SIGSTOP},
-			{at: at + agentPause.draw(r), host: host, agent: true, signal: syscall.SIGCONT},
+			{at: at, kind: agentKind, host: host, signal: syscall.SIGSTOP},
+			{at: at + agentPause.draw(r), kind: agentKind, host: host, signal: syscall.SIGCONT},
 		}
 	case p < agentPausePercent+agentKillPercent:
 		return []action{
-			{at: at, host: host, agent: true, signal: syscall.SIGKILL},
-			{at: at + agentAway.draw(r), host: host, agent: true, starts: true},
+			{at: at, kind: agentKind, host: host, signal: syscall.SIGKILL},
+			{at: at + agentAway.draw(r), kind: agentKind, host: host, starts: true},
+		}
+	case p < agentPausePercent+agentKillPercent+agentTermPercent:
+		return []action{
+			{at: at, kind: agentKind, host: host, signal: syscall.SIGTERM},
+			{at: at + termTimes.draw(r), kind: agentKind, host: host, starts: true},
 		}
 	}
 	return nil
--- a/soak/play.go
+++ b/soak/play.go
@@ -35,6 +35,10 @@
 type Profile struct {
 	// Agents: agents are killed and paused, too.
 	Agents bool
+	// Fronts: control hosts and entries are killed, paused and terminated, too.
+	Fronts bool
+	// Links: the connections between agents and workers are disturbed, too.
+	Links bool
 	// Failing: most batch runs fail.
 	Failing bool
 	// Sick: some workers fail whatever they run after they came back.
@@ -49,18 +53,21 @@
 
 // PlayLives plays workers that die and come back under their ids. Judge judges the play.
 func PlayLives(ctx context.Context, o Options, p Profile, seed uint64) error {
-	c, err := newCluster(o)
-	if err != nil {
-		return err
-	}
-	defer c.remove()
 	r := rand.New(rand.NewPCG(seed, 1))
-	plan := drawPlan(r, o.Workers, faultTime, p)
+	plan, err := drawPlan(r, o.Workers, faultTime, p), error(nil)
 	if p.Plan != "" {
 		if plan, err = parsePlan(p.Plan, o.Workers); err != nil {
 			return err
 		}
 	}
+	c, err := newCluster(o)
+	if err != nil {
+		return err
+	}
+	defer c.remove()
+	if err := c.linkHosts(plan); err != nil {
+		return err
+	}
 	if err := writePlan(filepath.Join(o.Folder, "plan.txt"), plan); err != nil {
 		return err
 	}
@@ -110,19 +117,43 @@
 		if ctx.Err() != nil {
 			return
 		}
-		h := c.hosts[a.host]
-		p := h.worker
-		if a.agent {
-			p = h.agent
-		} else {
-			h.sick.Store(a.sick)
-		}
-		if !a.starts {
-			p.signal(a.signal)
-		} else if err := p.start(); err != nil {
-			c.faults.note(p.name, "start: "+err.Error(), 0)
-		}
+		c.do(a)
+	}
+}
+
+func (c *cluster) do(a action) {
+	if a.kind == linkKind {
+		c.faults.note(fmt.Sprintf("link-%d", a.host), string(a.link), 0)
+		c.hosts[a.host].link.set(a.link)
+		return
+	}
+	p := c.processOf(a)
+	if a.kind == workerKind {
+		c.hosts[a.host].sick.Store(a.sick)
+	}
+	if !a.starts {
+		p.signal(a.signal)
+		return
+	}
+	if a.kind != workerKind {
+		p.kill() // one that was terminated may not have ended yet
+	}
+	if err := p.start(); err != nil {
+		c.faults.note(p.name, "start: "+err.Error(), 0)
+	}
+}
+
+// processOf is the process that an action names.
+func (c *cluster) processOf(a action) *process {
+	switch a.kind {
+	case agentKind:
+		return c.hosts[a.host].agent
+	case controlKind:
+		return c.controls[a.host]
+	case entryKind:
+		return c.entries[a.host]
 	}
+	return c.hosts[a.host].worker
 }
 
 func writePlan(path string, plan []action) error {
--- /dev/null
+++ b/soak/reach.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"strings"
+	"syscall"
+	"time"
+)
+
+// reachable reports whether a worker's agent was at work at a moment and could talk to it.
+func (rec *record) reachable(worker string, at time.Time) bool {
+	number := strings.TrimPrefix(worker, "w")
+	agent := rec.lastDone("agent-"+number, at)
+	switch agent {
+	case "", "started", syscall.SIGCONT.String():
+	default:
+		return false
+	}
+	switch linkMode(rec.lastDone("link-"+number, at)) {
+	case "", linkMend, linkDelay, linkReset, linkSilence:
+		return true
+	}
+	return false
+}
+
+// lastDone is what was done last to a process or link before a moment.
+func (rec *record) lastDone(name string, at time.Time) string {
+	last := ""
+	for _, f := range rec.faults {
+		if f.at().After(at) {
+			break
+		}
+		if f.Process == name {
+			last = f.What
+		}
+	}
+	return last
+}
--- a/soak/uneven.go
+++ b/soak/uneven.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -16,7 +17,7 @@
 // hitch pauses cairnlift's processes for moments until ctx ends, one at a time. These count as no
 // faults: every machine has them.
 func (c *cluster) hitch(ctx context.Context, r *rand.Rand) {
-	processes := append([]*process{}, c.programs...)
+	processes := slices.Concat(c.controls, c.entries)
 	for _, h := range c.hosts {
 		processes = append(processes, h.agent)
 	}
