soak: callers cancel, give up and send again; the judge checks what they were told

Accepted jobs are known in the end in a state that the workers' records bear out, refused ones never ran, nothing of a canceled job begins or goes on, and no task starts after an acknowledged end. Workers write down what was acknowledged.

--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -37,6 +37,7 @@
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	fronts := lives.Flag("fronts", "Kill, pause and terminate control hosts and entries, too.").Bool()
 	links := lives.Flag("links", "Disturb connections between agents and workers, too.").Bool()
+	callers := lives.Flag("callers", "Have callers cancel, give up and send again.").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
 	uneven := lives.Flag("uneven", "Hold processes up for moments now and then.").Bool()
@@ -60,7 +61,7 @@
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
+		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
 		if p.Plan, err = readPlan(*plan); err == nil {
 			err = playSeeds(ctx, o, p, *first, *seeds)
 		}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -46,7 +46,9 @@
 	tasks int
 	gaps  []judgedGap
 	twice []string
-	steps map[string]platformtest.Step
+	// promises are those that callers were given and that were broken.
+	promises []string
+	steps    map[string]platformtest.Step
 	// leader are the lines of the control hosts.
 	leader []logLine
 }
@@ -89,15 +91,19 @@
 	}
 	for _, j := range s.Jobs {
 		step := j.Job.Steps[0]
+		rep.judgeJob(j)
 		for i := range step.Count {
 			task := fmt.Sprintf("%s.0.0.%d", j.ID, i)
 			rep.judgeTwice(task)
-			if !step.LongRunning {
+			rep.judgeDone(task)
+			if !step.LongRunning || j.Refused {
 				continue
 			}
 			rep.tasks++
 			for _, g := range rec.gapsOf(task, step, j.Accepted) {
-				rep.gaps = append(rep.gaps, rep.judgeGap(g))
+				if g, counts := j.wanted(g); counts {
+					rep.gaps = append(rep.gaps, rep.judgeGap(g))
+				}
 			}
 		}
 	}
@@ -187,7 +193,7 @@
 }
 
 func (rep *report) broken() int {
-	count := len(rep.twice)
+	count := len(rep.twice) + len(rep.promises)
 	for _, g := range rep.gaps {
 		if g.broken {
 			count++
--- a/soak/play.go
+++ b/soak/play.go
@@ -39,6 +39,8 @@
 	Fronts bool
 	// Links: the connections between agents and workers are disturbed, too.
 	Links bool
+	// Callers: callers cancel jobs, give up after refusals, and send again what was accepted.
+	Callers bool
 	// Failing: most batch runs fail.
 	Failing bool
 	// Sick: some workers fail whatever they run after they came back.
@@ -71,7 +73,7 @@
 	if err := writePlan(filepath.Join(o.Folder, "plan.txt"), plan); err != nil {
 		return err
 	}
-	l := &load{c: c, rand: r, batchShare: batchShares[r.IntN(len(batchShares))], failPercent: failPercents[r.IntN(len(failPercents))]}
+	l := &load{c: c, rand: r, callers: p.Callers, batchShare: batchShares[r.IntN(len(batchShares))], failPercent: failPercents[r.IntN(len(failPercents))]}
 	if p.BatchShare > 0 {
 		l.batchShare = p.BatchShare
 	}
@@ -84,7 +86,7 @@
 	l.play(ctx, plan, p)
 	p.Plan = ""
 	title := fmt.Sprintf("seed %d, %+v, batch share %v, failing %d%%", seed, p, l.batchShare, l.failPercent)
-	return summary{Title: title, End: time.Now(), Jobs: l.accepted()}.write(o.Folder)
+	return summary{Title: title, End: time.Now(), Jobs: l.told()}.write(o.Folder)
 }
 
 // play hands the jobs in, and carries the plan out beside them.
@@ -100,13 +102,19 @@
 	}
 	for _, j := range drawLasting(l.rand, l.c.o.Workers) {
 		id := l.newID()
-		all.Go(func() { l.hand(working, servingPath, id, j) })
+		caller := l.drawCaller()
+		caller.tries = 0 // the load has to come
+		all.Go(func() { l.call(working, servingPath, id, j, caller) })
 	}
 	sleep(ctx, warmUp/2)
 	all.Go(func() { l.feedBatch(working) })
 	sleep(ctx, warmUp/2)
 	l.c.carryOut(ctx, plan)
 	sleep(ctx, coolDown)
+	stop()
+	all.Wait()
+	l.later.Wait()
+	l.askStates(ctx)
 }
 
 // carryOut does to the processes what the plan says.
--- a/soak/record.go
+++ b/soak/record.go
@@ -20,6 +20,8 @@
 	worker     string
 	sick       bool
 	began, end time.Time
+	// ends is how many ends have been acknowledged.
+	ends uint64
 }
 
 // run is a run of a task on a life of a worker.
@@ -28,6 +30,9 @@
 	number     uint64
 	life       *life
 	began, end time.Time
+	// acknowledged: the agent let the worker forget its end, at ackedAt.
+	acknowledged bool
+	ackedAt      time.Time
 	// how it ended; "died" with its worker, "runs" when it had not ended.
 	how string
 }
@@ -81,6 +86,7 @@
 func (rec *record) readWorker(name string, data []byte) {
 	var now *life
 	open := map[string]*run{}
+	var ended []*run
 	for line := range bytes.Lines(data) {
 		var e platformtest.Event
 		if json.Unmarshal(line, &e) != nil || e.Kind == "" || e.At().After(rec.end) {
@@ -91,7 +97,7 @@
 			now = &life{worker: name, sick: e.Sick, began: e.At()}
 			now.end = rec.endOf(now)
 			rec.lives = append(rec.lives, now)
-			open = map[string]*run{}
+			open, ended = map[string]*run{}, nil
 		case platformtest.RunBegan:
 			r := &run{task: e.Task, number: e.Run, life: now, began: e.At(), end: now.end, how: "died"}
 			if now.end.Equal(rec.end) {
@@ -102,6 +108,12 @@
 		case platformtest.RunEnded:
 			if r := open[e.Task]; r != nil && r.number == e.Run {
 				r.end, r.how = e.At(), e.How
+				ended = append(ended, r)
+			}
+		case platformtest.EndsAcknowledged:
+			for ; len(ended) > 0 && now.ends < e.Ends; now.ends++ {
+				ended[0].acknowledged, ended[0].ackedAt = true, e.At()
+				ended = ended[1:]
 			}
 		}
 	}
--- a/soak/report.go
+++ b/soak/report.go
@@ -20,6 +20,9 @@
 	for _, t := range rep.twice {
 		fmt.Fprintf(&b, "TWICE %s\n", t)
 	}
+	for _, p := range rep.promises {
+		fmt.Fprintf(&b, "PROMISE %s\n", p)
+	}
 	for _, g := range rep.gaps {
 		if g.length() < shownFrom {
 			continue
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,7 +89,7 @@
 		Spec:  platformtest.Behavior{Lasts: true}.Payload(),
 		Steps: []platformtest.Step{{Count: tasks, CPU: 500, MemoryMB: 500, LongRunning: true}},
 	}
-	(&load{c: c}).hand(t.Context(), servingPath, job, spec)
+	(&load{c: c}).call(t.Context(), servingPath, job, spec, caller{})
 	all := func() bool { return runningOf(t, c, job, tasks) == tasks }
 	if err := c.until(t.Context(), "all tasks run", all); err != nil {
 		t.Fatal(err)
--- a/soak/work.go
+++ b/soak/work.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/cairnlift/cairnlift/platform/platformtest"
 )
 
@@ -15,19 +16,29 @@
 	queueHost   = "queues.example"
 	servingPath = "/serving/"
 	batchPath   = "/batch/"
+	// batchAttempts is how often a task of the batch queue fails until its job has failed.
+	batchAttempts = 4
 )
 
 func configuration() []byte {
 	return platformtest.Configuration(1, pool,
 		platformtest.Queue{Name: "serving", Host: queueHost, PathPrefix: servingPath, MaxAttempts: 2},
-		platformtest.Queue{Name: "batch", Host: queueHost, PathPrefix: batchPath, Priority: 1, MaxAttempts: 4})
+		platformtest.Queue{Name: "batch", Host: queueHost, PathPrefix: batchPath, Priority: 1, MaxAttempts: batchAttempts})
 }
 
-// submittedJob is a job that was accepted.
+// submittedJob is a job with what its caller was told.
 type submittedJob struct {
 	ID       string
+	Path     string
 	Job      platformtest.Job
 	Accepted time.Time
+	// Refused: each try was refused, and the caller gave up.
+	Refused bool
+	// CancelSent is when the caller first asked for the end, Canceled when that was acknowledged.
+	CancelSent, Canceled time.Time
+	// State is what an entry said last, Status the code of that answer.
+	State  string
+	Status int
 }
 
 // load hands jobs in.
@@ -37,12 +48,17 @@
 	batchShare float64
 	// failPercent is how many runs of a failing job fail.
 	failPercent uint32
+	// callers: some callers do more than to hand a job in.
+	callers bool
 	// allFail: all batch jobs are failing ones.
 	allFail bool
 
+	// later is what callers do with jobs that were accepted.
+	later conc.WaitGroup
+
 	mu   sync.Mutex
 	rand *rand.Rand
-	jobs []submittedJob
+	jobs []*submittedJob
 }
 
 // lastingShare is how much of the fleet the lasting tasks take.
@@ -85,37 +101,28 @@
 
 func (l *load) newID() string { return fmt.Sprintf("%016x", l.rand.Uint64()) }
 
-// hand hands a job in until it is accepted or refused for good.
-func (l *load) hand(ctx context.Context, prefix, id string, j platformtest.Job) {
-	for try := 0; ctx.Err() == nil; try++ {
-		entry := l.c.entryIPs[try%len(l.c.entryIPs)]
-		status, err := l.c.client.Submit(ctx, entry, queueHost, prefix+id, j)
-		if err == nil && status == http.StatusOK {
-			l.mu.Lock()
-			l.jobs = append(l.jobs, submittedJob{ID: id, Job: j, Accepted: time.Now()})
-			l.mu.Unlock()
-			return
-		}
-		sleep(ctx, retryEvery)
-	}
-}
-
 // feedBatch hands batch jobs in until ctx ends, at the rate that fills its share.
 func (l *load) feedBatch(ctx context.Context) {
 	room := l.batchShare * (1 - lastingShare) * float64(l.c.o.Workers*workerCPU)
 	for ctx.Err() == nil {
 		l.mu.Lock()
 		id, j := l.newID(), l.drawBatch()
+		caller := l.drawCaller()
 		l.mu.Unlock()
-		l.hand(ctx, batchPath, id, j)
+		l.call(ctx, batchPath, id, j, caller)
 		s := j.Steps[0]
 		work := float64(s.CPU) * float64(s.Count) * float64(s.EstimatedMs)
 		sleep(ctx, time.Duration(work/room*float64(time.Millisecond)))
 	}
 }
 
-func (l *load) accepted() []submittedJob {
+// told returns the jobs that callers got an answer about.
+func (l *load) told() []submittedJob {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]submittedJob(nil), l.jobs...)
+	var jobs []submittedJob
+	for _, j := range l.jobs {
+		jobs = append(jobs, *j)
+	}
+	return jobs
 }
