--- /dev/null
+++ b/soak/cluster.go
@@ -0,0 +1,241 @@
+package soak
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+// Options tell what a cluster is made of.
+type Options struct {
+	// Folder takes settings, disks, logs and records.
+	Folder string
+	// Program begins cairnlift-platform; the role follows. Its path is absolute.
+	Program []string
+	// Worker begins a worker; its settings follow.
+	Worker []string
+	// Network is the second and third number of all addresses, "A.B" of 127.A.B.x.
+	Network string
+	Workers int
+	// Disks is the folder of the control hosts' disks; Folder when empty.
+	Disks string
+}
+
+const (
+	controlHosts   = 3
+	furtherEntries = 1
+	// firstWorker is the last number of the first worker's address.
+	firstWorker = 101
+	pool        = "pool"
+
+	controlMetrics = "9102"
+	entryMetrics   = "9101"
+	agentMetrics   = "9103"
+
+	workerCPU    = 4000
+	workerMemory = 8000
+	heartbeatMs  = 1500
+)
+
+// host is a worker's host.
+type host struct {
+	agent, worker *process
+	// link carries the connections of the agent to the worker; nil where they go straight.
+	link *link
+	// sick: the next life of the worker fails whatever it runs.
+	sick atomic.Bool
+}
+
+// cluster is a running deployment.
+type cluster struct {
+	o        Options
+	faults   *faultLog
+	seedIPs  []string
+	entryIPs []string
+	controls []*process
+	entries  []*process
+	hosts    []*host
+	client   platformtest.Client
+}
+
+func newCluster(o Options) (*cluster, error) {
+	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+		return nil, errors.Wrap(err, "folder of the play")
+	}
+	faults, err := newFaultLog(filepath.Join(o.Folder, faultsFile))
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{o: o, faults: faults}
+	for i := range controlHosts {
+		c.seedIPs = append(c.seedIPs, c.ip(i+1))
+	}
+	for i := range controlHosts + furtherEntries {
+		if err := c.addFront(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Workers {
+		if err := c.addHost(i); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *cluster) ip(last int) string { return fmt.Sprintf("127.%s.%d", c.o.Network, last) }
+
+// addFront adds an entry, with a control process where it has a disk.
+func (c *cluster) addFront(number int) error {
+	m := platformtest.Machine{Name: fmt.Sprintf("front-%d", number), IP: c.ip(number + 1), Zone: "a", SeedIPs: c.seedIPs, Bootstrap: true}
+	if number < controlHosts {
+		m.DataDir = filepath.Join(cmp.Or(c.o.Disks, c.o.Folder), "disk-"+m.Name)
+		if err := os.MkdirAll(m.DataDir, 0o700); err != nil {
+			return errors.Wrap(err, "disk")
+		}
+	}
+	settings, err := c.settings(m)
+	if err != nil {
+		return err
+	}
+	if m.DataDir != "" {
+		c.controls = append(c.controls, c.process("control-"+m.Name, program(c.o.Program, "control", controlMetrics, settings)))
+	}
+	c.entries = append(c.entries, c.process("entry-"+m.Name, program(c.o.Program, "entry", entryMetrics, settings)))
+	c.entryIPs = append(c.entryIPs, m.IP)
+	return nil
+}
+
+// addHost adds a worker with its agent.
+func (c *cluster) addHost(number int) error {
+	m := platformtest.Machine{
+		Name: fmt.Sprintf("host-%d", number), IP: c.ip(firstWorker + number), Zone: "a", Pool: pool, SeedIPs: c.seedIPs, Bootstrap: true,
+	}
+	settings, err := c.settings(m)
+	if err != nil {
+		return err
+	}
+	h := &host{agent: c.process(fmt.Sprintf("agent-%d", number), program(c.o.Program, "agent", agentMetrics, settings))}
+	h.worker = c.process(workerName(number), c.workerCommand(number, m, h))
+	c.hosts = append(c.hosts, h)
+	return nil
+}
+
+func workerName(number int) string { return fmt.Sprintf("w%d", number) }
+
+func (c *cluster) workerCommand(number int, m platformtest.Machine, h *host) func() *exec.Cmd {
+	lives := 0
+	return func() *exec.Cmd {
+		lives++
+		s := platformtest.WorkerSettings{
+			ID: workerName(number), Address: platformtest.WorkerAddress(m.IP), Registry: platformtest.ControlAddress(m.IP),
+			Pool: pool, Zone: m.Zone, Labels: []string{"a"}, CPUMilli: workerCPU, MemoryMB: workerMemory, HeartbeatMs: heartbeatMs,
+			Sick: h.sick.Load(), ClockStartMs: clockStart(number, lives), ClockRatePPM: int64(number%clockRates) * clockRateStep,
+		}
+		if h.link != nil {
+			s.Listen = h.link.worker
+		}
+		text, err := json.Marshal(s)
+		if err != nil {
+			panic(err) // settings are made of numbers and strings
+		}
+		return command(c.o.Worker, string(text))
+	}
+}
+
+const (
+	// clockRates workers in a row run slower by a step each, up to the 2% that the platform allows.
+	clockRates    = 3
+	clockRateStep = 10_000
+	// clockStarts bounds what a worker's clock shows at its start, in milliseconds.
+	clockStarts = 1_000_000
+)
+
+// clockStart is what a worker's clock shows at the start of a life: more than in the life before, or less.
+func clockStart(worker, lives int) int64 {
+	return 1 + int64(worker*7919+lives*611_953)%clockStarts
+}
+
+func (c *cluster) settings(m platformtest.Machine) (string, error) {
+	path := filepath.Join(c.o.Folder, m.Name+".toml")
+	return path, platformtest.WriteSettings(path, m)
+}
+
+func (c *cluster) process(name string, command func() *exec.Cmd) *process {
+	return &process{name: name, command: command, output: filepath.Join(c.o.Folder, name+".log"), faults: c.faults}
+}
+
+// start starts everything and has the control group take a configuration.
+func (c *cluster) start(ctx context.Context, configuration []byte) error {
+	for _, p := range c.all() {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return c.until(ctx, "configuration", func() bool {
+		status, err := c.client.Put(ctx, c.seedIPs[0], configuration)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+func (c *cluster) all() []*process {
+	all := slices.Concat(c.controls, c.entries)
+	for _, h := range c.hosts {
+		all = append(all, h.agent, h.worker)
+	}
+	return all
+}
+
+// stop ends all processes.
+func (c *cluster) stop() {
+	for _, p := range c.all() {
+		p.kill()
+	}
+	for _, h := range c.hosts {
+		if h.link != nil {
+			h.link.close()
+		}
+	}
+}
+
+// remove ends all processes, and removes disks that are not in the play's folder.
+func (c *cluster) remove() {
+	c.stop()
+	if c.o.Disks != "" {
+		_ = os.RemoveAll(c.o.Disks) // what is left lies in a folder for scratch
+	}
+}
+
+const (
+	// patience bounds a wait for something that comes for sure.
+	patience   = 20 * time.Second
+	retryEvery = 100 * time.Millisecond
+)
+
+func (c *cluster) until(ctx context.Context, what string, holds func() bool) error {
+	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, retryEvery) {
+		if holds() {
+			return nil
+		}
+	}
+	return errors.Newf("%s: not within %v", what, patience)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/soak/record.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+// life is a life of a worker.
+type life struct {
+	worker     string
+	sick       bool
+	began, end time.Time
+	// ends is how many ends have been acknowledged.
+	ends uint64
+}
+
+// run is a run of a task on a life of a worker.
+type run struct {
+	task       string
+	number     uint64
+	life       *life
+	began, end time.Time
+	// acknowledged: the agent let the worker forget its end, at ackedAt.
+	acknowledged bool
+	ackedAt      time.Time
+	// how it ended; "died" with its worker, "runs" when it had not ended.
+	how string
+}
+
+// record is what the workers wrote and what was done to them.
+type record struct {
+	lives  []*life
+	runs   []*run
+	faults []fault
+	end    time.Time
+}
+
+// readRecord reads the workers' lines. What had not ended by end is taken to end then.
+func readRecord(folder string, end time.Time) (*record, error) {
+	rec := &record{end: end}
+	if err := rec.readFaults(filepath.Join(folder, faultsFile)); err != nil {
+		return nil, err
+	}
+	paths, err := filepath.Glob(filepath.Join(folder, "w*.log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "record")
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "record")
+		}
+		rec.readWorker(strings.TrimSuffix(filepath.Base(path), ".log"), data)
+	}
+	slices.SortFunc(rec.runs, func(a, b *run) int { return a.began.Compare(b.began) })
+	return rec, nil
+}
+
+func (rec *record) readFaults(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "record of faults")
+	}
+	for line := range bytes.Lines(data) {
+		var f fault
+		if err := json.Unmarshal(line, &f); err != nil {
+			return errors.Wrap(err, "record of faults")
+		}
+		if f.at().Before(rec.end) {
+			rec.faults = append(rec.faults, f)
+		}
+	}
+	return nil
+}
+
+func (rec *record) readWorker(name string, data []byte) {
+	var now *life
+	open := map[string]*run{}
+	var ended []*run
+	for line := range bytes.Lines(data) {
+		var e platformtest.Event
+		if json.Unmarshal(line, &e) != nil || e.Kind == "" || e.At().After(rec.end) {
+			continue // another line, or one cut off by the end of the process
+		}
+		switch e.Kind {
+		case platformtest.LifeBegan:
+			now = &life{worker: name, sick: e.Sick, began: e.At()}
+			now.end = rec.endOf(now)
+			rec.lives = append(rec.lives, now)
+			open, ended = map[string]*run{}, nil
+		case platformtest.RunBegan:
+			r := &run{task: e.Task, number: e.Run, life: now, began: e.At(), end: now.end, how: "died"}
+			if now.end.Equal(rec.end) {
+				r.how = "runs"
+			}
+			open[e.Task] = r
+			rec.runs = append(rec.runs, r)
+		case platformtest.RunEnded:
+			if r := open[e.Task]; r != nil && r.number == e.Run {
+				r.end, r.how = e.At(), e.How
+				ended = append(ended, r)
+			}
+		case platformtest.EndsAcknowledged:
+			for ; len(ended) > 0 && now.ends < e.Ends; now.ends++ {
+				ended[0].acknowledged, ended[0].ackedAt = true, e.At()
+				ended = ended[1:]
+			}
+		}
+	}
+}
+
+// endOf is when a life ended by a kill.
+func (rec *record) endOf(l *life) time.Time {
+	for _, f := range rec.faults {
+		if f.Process == l.worker && f.What == "ended" && f.at().After(l.began) {
+			return f.at()
+		}
+	}
+	return rec.end
+}
+
+// runsOf returns the runs of a task in the order of their begin.
+func (rec *record) runsOf(task string) []*run {
+	var list []*run
+	for _, r := range rec.runs {
+		if r.task == task {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// gap is a time without a run of a task that lasts.
+type gap struct {
+	task string
+	step platformtest.Step
+	// after is the run before it; nil before the first one.
+	after *run
+	// next is the run after it; nil where there was none.
+	next     *run
+	from, to time.Time
+}
+
+func (g gap) length() time.Duration { return g.to.Sub(g.from) }
+
+// gapsOf returns the times without a run of a task since it was accepted.
+func (rec *record) gapsOf(task string, step platformtest.Step, since time.Time) []gap {
+	var gaps []gap
+	covered := since
+	var last *run
+	for _, r := range rec.runsOf(task) {
+		if r.began.After(covered) {
+			gaps = append(gaps, gap{task: task, step: step, after: last, next: r, from: covered, to: r.began})
+		}
+		if r.end.After(covered) || last == nil {
+			covered, last = maxTime(covered, r.end), r
+		}
+	}
+	if covered.Before(rec.end) {
+		gaps = append(gaps, gap{task: task, step: step, after: last, from: covered, to: rec.end})
+	}
+	return gaps
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func byLength(a, b gap) int { return cmp.Compare(b.length(), a.length()) }
