--- a/soak/process.go
+++ b/soak/process.go
@@ -100,6 +100,6 @@
 func command(words []string, arguments ...string) *exec.Cmd {
 	cmd := exec.Command(words[0], append(append([]string{}, words[1:]...), arguments...)...)
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
-	cmd.SysProcAttr = dieWithParent()
+	cmd.SysProcAttr = attributes()
 	return cmd
 }
