agent/runs: an agent that stops says of no worker that it left; lives that came before are named once

Found in reading: the session's end by the agent's own stop was told as the worker's (TestAgentThatStopsTellsOfNoWorkerThatLeft, told once before), and a life that is turned down again and again named the one before it again with each report.

--- a/agent/runs/lines_test.go
+++ b/agent/runs/lines_test.go
@@ -69,6 +69,22 @@
 	})
 }
 
+// Guards against a line that says that the worker left where it is the agent that stops.
+func TestAgentThatStopsTellsOfNoWorkerThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zapcore.InfoLevel)
+		w := fakes.NewRunWorker(spec("w1"), fakes.NewRunWatch())
+		d := runs.New(runs.Options{Worker: w, Leader: &leader{epoch: 1, orders: starts(0, 1)}, Logger: zap.New(core)})
+		stop := run(d)
+		announce(t, d, runs.Announcement{Worker: spec("w1"), Sequence: 1})
+		time.Sleep(2 * time.Second)
+		stop()
+		if n := lines.FilterMessage("worker left").Len(); n != 0 {
+			t.Errorf("told %d times", n)
+		}
+	})
+}
+
 // replaceableWorker calls whichever worker is there.
 type replaceableWorker struct {
 	runs.Worker
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -53,13 +54,19 @@
 	if err != nil || held.LastLife == "" || held.LastLife == s.incarnation {
 		return
 	}
-	s.follows = append(s.follows, held.LastLife)
+	s.noteFollows(held.LastLife)
 	if held.LeaseWorker != "" && held.LeaseWorker != s.incarnation {
-		s.follows = append(s.follows, held.LeaseWorker)
+		s.noteFollows(held.LeaseWorker)
 		s.former = &apiv1.JobWorker{Id: held.LeaseWorker, Host: s.d.opts.Host}
 	}
 }
 
+func (s *session) noteFollows(incarnation string) {
+	if !slices.Contains(s.follows, incarnation) {
+		s.follows = append(s.follows, incarnation)
+	}
+}
+
 // report sends what the worker said to the leader and takes the lease from the
 // answer. It returns false when no leader took it.
 func (s *session) report(status Status, received time.Time) bool {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -146,6 +146,8 @@
 		}
 		replaced := s.alive.Err() != nil
 		switch {
+		case s.ctx.Err() != nil:
+			return
 		case replaced || s.announcement().Departed:
 			s.depart(replaced)
 			return
