--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -65,27 +66,33 @@
 	task *jobqueue.Task
 }
 
-// longRunningTasks returns the tasks of open jobs that should be running by now.
-func longRunningTasks(m *jobqueue.Machine, wallMs int64) []longRunningTask {
-	var tasks []longRunningTask
-	for _, j := range m.Active() {
-		if !j.Open() {
-			continue
+// longRunningTasks goes through the tasks of open jobs that should be running by now.
+func longRunningTasks(m *jobqueue.Machine, wallMs int64) iter.Seq[longRunningTask] {
+	return func(yield func(longRunningTask) bool) {
+		for _, j := range m.Active() {
+			if j.Open() && !yieldTasks(j, wallMs, yield) {
+				return
+			}
 		}
-		for k, o := range j.Occurrences {
-			for i, s := range o.Steps {
-				if !s.Spec.LongRunning || !j.Due(k, wallMs) || !o.Ready(i) {
-					continue
-				}
-				step := jobqueue.TaskID{Job: j.ID(), Occurrence: uint32(k), Step: uint32(i)}
-				for n, t := range s.Tasks {
-					step.Index = uint32(n)
-					tasks = append(tasks, longRunningTask{step, t})
+	}
+}
+
+func yieldTasks(j *jobqueue.Job, wallMs int64, yield func(longRunningTask) bool) bool {
+	for k, o := range j.Occurrences {
+		for i, s := range o.Steps {
+			if !s.Spec.LongRunning || !j.Due(k, wallMs) || !o.Ready(i) {
+				continue
+			}
+			id := jobqueue.TaskID{Job: j.ID(), Occurrence: uint32(k), Step: uint32(i)}
+			for n, t := range s.Tasks {
+				id.Index = uint32(n)
+				if !yield(longRunningTask{id, t}) {
+					return false
 				}
 			}
 		}
 	}
-	return tasks
+	return true
 }
 
 // lookAtLongRunning notes which long-running tasks are not known to run, and tells of those
@@ -103,14 +110,17 @@
 	present := map[jobqueue.TaskID]bool{}
 	away := map[string][]string{}
 	back := map[string][]string{}
-	for _, t := range longRunningTasks(m, now.UnixMilli()) {
-		present[t.id] = true
+	for t := range longRunningTasks(m, now.UnixMilli()) {
+		if o.knows(t.id) {
+			present[t.id] = true
+		}
 		why, since := l.whyAway(t, whyByStep, now)
 		if why == "" {
 			d.endOutage(o, t, back, now)
 			continue
 		}
 		out := o.begin(t, since)
+		present[t.id] = true
 		if now.Sub(out.since) >= outageTold && now.Sub(out.toldAt) >= outageTold {
 			out.toldAt = now
 			away[why] = append(away[why], out.describe(t.id, now))
@@ -180,6 +190,9 @@
 
 // endOutage ends the outage of a task that runs, if there was one.
 func (d *Dispatcher) endOutage(o *outages, t longRunningTask, back map[string][]string, now time.Time) {
+	if !o.knows(t.id) {
+		return
+	}
 	delete(o.ended, t.id)
 	out := o.byTask[t.id]
 	if out == nil {
@@ -193,6 +206,15 @@
 	}
 }
 
+// knows reports whether anything is kept of a task.
+func (o *outages) knows(id jobqueue.TaskID) bool {
+	if len(o.byTask)+len(o.ended) == 0 {
+		return false
+	}
+	_, ended := o.ended[id]
+	return ended || o.byTask[id] != nil
+}
+
 // forget drops the tasks that no longer have to run.
 func (o *outages) forget(present map[jobqueue.TaskID]bool) {
 	for id := range o.byTask {
--- /dev/null
+++ b/dispatch/outages_internal_test.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/schedule"
+)
+
+// BenchmarkLookAtLongRunning looks at the long-running tasks of the target size, all at work.
+func BenchmarkLookAtLongRunning(b *testing.B) {
+	const workers, tasksPerWorker, tasksPerJob, term = 3700, 6, 6, 1
+	m := jobqueue.New()
+	apply := func(c *apiv1.JobsCommand) { m.Apply(c, 1, term) }
+	apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{Configuration: &apiv1.QueueConfiguration{
+		Version: 1, Pools: []*apiv1.WorkerPool{{Name: "p"}}, Queues: []*apiv1.JobQueue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 2, TimeoutMs: 1000}},
+	}}}})
+	now := time.Now()
+	l := &leadership{term: term, leases: newLeaseTable(now, time.Hour, time.Hour), observed: map[jobqueue.RunID]schedule.Observation{}, outages: newOutages()}
+	for w := range workers {
+		name := fmt.Sprint("w", w)
+		apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+			Worker: &apiv1.JobWorker{Id: name, Host: name, Pool: "p", CpuMilli: 32_000, MemoryMb: 128_000},
+		}}})
+		job := fmt.Sprint("j", w)
+		apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+			Id: job, Host: "h", Path: "/q/" + job, Steps: []*apiv1.JobStep{{Count: tasksPerJob, CpuMilli: 1000, MemoryMb: 10, LongRunning: true}},
+		}}}})
+		plan := &apiv1.PlanRuns{Term: term}
+		for i := range uint32(tasksPerWorker) {
+			plan.Starts = append(plan.Starts, &apiv1.StartRun{Task: &apiv1.TaskRef{Job: job, Index: i}, Run: 1, Worker: name})
+		}
+		apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: plan}})
+		for id := range m.Worker(name).Runs {
+			l.observed[id] = schedule.Observation{At: now, Percent: 100}
+		}
+		l.leases.renew(name, now, 0)
+	}
+	d := &Dispatcher{logger: zap.NewNop(), meters: newMeters(metrics.NewRegistry())}
+	if n := len(slices.Collect(longRunningTasks(m, now.UnixMilli()))); n != workers*tasksPerWorker {
+		b.Fatalf("%d long-running tasks", n)
+	}
+	for b.Loop() {
+		l.outages.lookedAt = time.Time{}
+		d.lookAtLongRunning(l, m, nil, now)
+	}
+}
