soak: an acknowledged end counts unless the worker's lease ran out between the two

Its trace: run 1 ended done on w4 at 33.13 s behind a cut link; w4's lease ran out at 37.19 (it ended another run as lapsed), the leader gave the runs up at 37.32 and started run 2; the link mended and the end was acknowledged at 38.59. All other ends are judged as before.

--- a/soak/promises.go
+++ b/soak/promises.go
@@ -113,7 +113,8 @@
 	return time.Time{}, false
 }
 
-// judgeDone looks for runs of a task after an end "done" that was acknowledged.
+// judgeDone looks for runs of a task after an end "done" that was acknowledged. One whose
+// worker's lease ran out between the two doesn't count: the run was given up before.
 func (rep *report) judgeDone(task string) {
 	var done *run
 	for _, r := range rep.rec.runsOf(task) {
@@ -121,7 +122,7 @@
 			rep.breaks("%s: run %d on %s began at %s, run %d on %s was done, which was acknowledged at %s", task, r.number, r.life.worker,
 				r.began.Format(clockFormat), done.number, done.life.worker, done.ackedAt.Format(clockFormat))
 		}
-		if r.acknowledged && r.how == "done" && (done == nil || r.ackedAt.Before(done.ackedAt)) {
+		if r.acknowledged && !r.lapsedBefore && r.how == "done" && (done == nil || r.ackedAt.Before(done.ackedAt)) {
 			done = r
 		}
 	}
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -77,6 +77,13 @@
 			s.run("a.0.0.0", s.life("w2", 0, 30), 4, 5)
 			return s.job(func(*submittedJob) {})
 		}, 1},
+		"done, acknowledged after the worker's lease ran out, begins again": {func(s *script) submittedJob {
+			s.run("a.0.0.0", s.life("w1", 0, 30), 1, 2)
+			s.end("done", 5)
+			s.rec.runs[len(s.rec.runs)-1].lapsedBefore = true
+			s.run("a.0.0.0", s.life("w2", 0, 30), 6, 7)
+			return s.job(func(*submittedJob) {})
+		}, 0},
 		"done, not acknowledged, begins again": {func(s *script) submittedJob {
 			s.run("a.0.0.0", s.life("w1", 0, 30), 1, 2)
 			s.end("done", 0)
--- a/soak/record.go
+++ b/soak/record.go
@@ -20,6 +20,8 @@
 	worker     string
 	sick       bool
 	began, end time.Time
+	// lapsed is when its lease last ended runs.
+	lapsed time.Time
 	// ends is how many ends have been acknowledged.
 	ends uint64
 }
@@ -32,6 +34,8 @@
 	began, end time.Time
 	// acknowledged: the agent let the worker forget its end, at ackedAt.
 	acknowledged bool
+	// lapsedBefore: the worker's lease ran out between the end and that.
+	lapsedBefore bool
 	ackedAt      time.Time
 	// how it ended; "died" with its worker, "runs" when it had not ended.
 	how string
@@ -110,15 +114,22 @@
 				r.end, r.how = e.At(), e.How
 				ended = append(ended, r)
 			}
+			if e.How == lapsed {
+				now.lapsed = e.At()
+			}
 		case platformtest.EndsAcknowledged:
 			for ; len(ended) > 0 && now.ends < e.Ends; now.ends++ {
 				ended[0].acknowledged, ended[0].ackedAt = true, e.At()
+				ended[0].lapsedBefore = now.lapsed.After(ended[0].end)
 				ended = ended[1:]
 			}
 		}
 	}
 }
 
+// lapsed is how a run ended whose worker's lease ran out.
+const lapsed = "lapsed"
+
 // endOf is when a life ended by a kill.
 func (rec *record) endOf(l *life) time.Time {
 	for _, f := range rec.faults {
