Lines and a counter that tell why a task ran on two workers

The record of the incident has both runs and not what released the first one. The leader now tells of runs that a worker lists and the log does not hold there (line, counter dispatch.runs_unlogged, trace), and how old the last report of a worker is whose runs are lost; an agent tells with a lapse how long its worker has been silent and how many starts are open, with a start's answer the epoch that it was ordered in, and with a run that is given back the age of the list that lacks it. No logic changes.

--- a/agent/runs/lapse.go
+++ b/agent/runs/lapse.go
@@ -109,6 +109,28 @@
 	if err == nil && resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
 		err = errLeaseRenewed
 	}
-	event.WorkersLeaseRanOut.Write(d.logger, event.Worker(held.LeaseWorker), event.Err(err))
+	silent, orders := d.unansweredOf(held.LeaseWorker)
+	event.WorkersLeaseRanOut.Write(d.logger, event.Worker(held.LeaseWorker), event.Silent(silent), event.OrderCount(orders),
+		event.Err(err))
 	return err
 }
+
+// unansweredOf returns how long ago a worker last answered, and how many starts are ordered that
+// are not known to have begun; 0 where the agent has no session with it.
+func (d *Driver) unansweredOf(worker string) (silent time.Duration, orders int) {
+	s := d.current()
+	if s == nil || s.incarnation != worker {
+		return 0, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.orders {
+		if o.start != nil && !o.begun {
+			orders++
+		}
+	}
+	if !s.clock.received.IsZero() {
+		silent = d.opts.Now().Sub(s.clock.received)
+	}
+	return silent, orders
+}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -209,9 +209,9 @@
 		event.StartUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Err(err))
 		return false
 	}
-	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Answer(answer))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer))
 	switch answer {
 	case AnswerDone:
 		s.d.meters.starts.Inc(1)
@@ -357,6 +357,10 @@
 		if reason == "" {
 			reason = "stopped before it began"
 		}
+		if _, given := s.refusals[id]; !given {
+			event.RunGivenBack.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Reason(reason),
+				event.After(asked.Sub(o.stoppedAt)))
+		}
 		s.refusals[id] = reason
 	}
 }
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -36,6 +36,8 @@
 	// the loss of its runs was told.
 	saved    map[jobqueue.RunID]saved
 	lostTold map[string]uint64
+	// unlogged are the runs that each worker listed last and the log does not hold there.
+	unlogged map[string][]jobqueue.RunID
 	// overTold are the jobs whose end was told.
 	overTold map[string]bool
 	moves    *movesLed
@@ -115,6 +117,7 @@
 		saved:          map[jobqueue.RunID]saved{},
 		lostTold:       map[string]uint64{},
 		overTold:       map[string]bool{},
+		unlogged:       map[string][]jobqueue.RunID{},
 		moves:          newMovesLed(now),
 		outages:        newOutages(),
 	}
@@ -204,6 +207,11 @@
 			delete(l.endsLearnt, worker)
 		}
 	}
+	for worker := range l.unlogged {
+		if m.Worker(worker) == nil {
+			delete(l.unlogged, worker)
+		}
+	}
 	for id := range l.overTold {
 		if m.Job(id) == nil {
 			delete(l.overTold, id)
--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -262,3 +262,31 @@
 		}
 	})
 }
+
+// Guards against a run that goes on beside another one and that nobody hears of.
+func TestRunsThatTheLogDoesNotHoldAreTold(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s, log, registry := recordingSim(ctx, t, 0, dispatch.Options{})
+		s.sleep(time.Second)
+		for range 3 {
+			_, err := s.dispatcher.Report(ctx, &apiv1.JobsReportRequest{
+				Worker:  &apiv1.JobWorker{Id: "w1", Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000},
+				Running: []*apiv1.RunObservation{{Task: &apiv1.TaskRef{Job: "j1"}, Run: 2}},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.sleep(500 * time.Millisecond)
+		}
+		stop()
+		s.loops.Wait()
+		if got := strings.Join(tracedRuns(t, log)["j1/0/0/0 2"], ", "); got != "run is not in the log" {
+			t.Errorf("the run's lines: %q", got)
+		}
+		if n := registry.Get("dispatch.runs_unlogged").(metrics.Counter).Count(); n != 1 {
+			t.Errorf("%d runs are counted, want 1", n)
+		}
+	})
+}
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -73,6 +73,7 @@
 	l.lostTold[w.Spec.Id] = w.Epoch
 	d.meters.workLost.Inc(work.Milliseconds())
 	event.RunsLost.Write(d.logger, event.Term(l.term), event.Reason(why), event.CoreSeconds(work),
+		event.Silent(now.Sub(l.leases.of(w.Spec.Id).renewed)),
 		event.Lost(named(map[string][]gatheredRun{w.Spec.Id: lost}, now)))
 }
 
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -32,6 +32,8 @@
 	paceOrders  metrics.Counter
 	// reportsOutdated counts the reports that came after newer ones of their worker.
 	reportsOutdated metrics.Counter
+	// unlogged counts the runs that workers listed and the log did not hold.
+	unlogged metrics.Counter
 	// longRunningAway counts the long-running tasks that are not known to run, and
 	// longRunningOutage is how long each was away.
 	longRunningAway   metrics.Gauge
@@ -57,6 +59,8 @@
 
 		reportsOutdated: metrics.GetOrRegisterCounter("dispatch.reports_outdated", r),
 
+		unlogged: metrics.GetOrRegisterCounter("dispatch.runs_unlogged", r),
+
 		longRunningAway:   metrics.GetOrRegisterGauge("dispatch.long_running_away", r),
 		longRunningOutage: hdrmetric.GetOrRegister("dispatch.long_running_outage_us", r),
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -92,6 +92,7 @@
 		jobs := m.CallerJobs()
 		d.learn(l, jobs, r, now)
 		d.noteReportedLosses(l, jobs, r, now)
+		d.noteUnlogged(l, jobs, r, now)
 		d.countMisses(jobs, r.Running)
 		l.noteTails(jobs.Worker(r.Worker.GetId()), r.Running, now)
 		t.command = l.reportCommand(jobs, r)
--- /dev/null
+++ b/dispatch/unlogged.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// noteUnlogged notes which runs a worker lists that the log does not hold there, and tells of
+// those that it listed for the first time. They were given up, refused or never ordered.
+func (d *Dispatcher) noteUnlogged(l *leadership, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
+	worker := r.Worker.GetId()
+	var unlogged []jobqueue.RunID
+	var news []gatheredRun
+	for _, o := range r.Running {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
+		if w := m.Worker(worker); w != nil && w.Runs[id] != nil {
+			continue
+		}
+		unlogged = append(unlogged, id)
+		if !slices.Contains(l.unlogged[worker], id) {
+			news = append(news, gatheredRun{id, now})
+		}
+	}
+	if len(unlogged) == 0 {
+		delete(l.unlogged, worker)
+		return
+	}
+	l.unlogged[worker] = unlogged
+	if len(news) == 0 {
+		return
+	}
+	d.meters.unlogged.Inc(int64(len(news)))
+	event.UnloggedRuns.Write(d.logger, event.Term(l.term), event.Worker(worker),
+		event.Unlogged(named(map[string][]gatheredRun{worker: news}, now)))
+}
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -25,6 +25,7 @@
 	NameHow         = "how"
 	NameLost        = "lost"
 	NameReason      = "reason"
+	NameUnlogged    = "unlogged"
 	NameWaits       = "waits"
 	NameTasks       = "tasks"
 	NameWorkers     = "workers"
@@ -103,6 +104,12 @@
 // Lease is for how long the lease was granted.
 func Lease(d time.Duration) Field { return duration("lease", d) }
 
+// After is how much later than what it is judged by something was asked.
+func After(d time.Duration) Field { return duration("after", d) }
+
+// Epoch counts how often a worker's lease ran out, as the leader has it.
+func Epoch(n uint64) Field { return number64("epoch", n) }
+
 // Percent is a pace.
 func Percent(p uint32) Field { return Field{zap.Uint32(NamePercent, p)} }
 
@@ -117,6 +124,9 @@
 // RunningCount is a number of running runs.
 func RunningCount(n int) Field { return number("running", n) }
 
+// OrderCount is a number of starts that are ordered and not known to have begun.
+func OrderCount(n int) Field { return number("orders", n) }
+
 // HostCount is a number of hosts.
 func HostCount(n int) Field { return number("hosts", n) }
 
@@ -150,6 +160,9 @@
 // Lost lists the runs that are lost, like Started.
 func Lost(byWorker map[string][]string) Field { return byName(NameLost, byWorker) }
 
+// Unlogged lists the runs that a worker has and the log does not hold, like Started.
+func Unlogged(byWorker map[string][]string) Field { return byName(NameUnlogged, byWorker) }
+
 // Worked lists the runs that began last on a worker, by worker; each is "TASK RUN WORKED", the time
 // that it had worked at least in milliseconds.
 func Worked(byWorker map[string][]string) Field { return byName(NameWorked, byWorker) }
--- a/trace/gathered.go
+++ b/trace/gathered.go
@@ -25,6 +25,8 @@
 		gathered = waitsOf(l)
 	case event.RunsLost.Name:
 		gathered = gatheredOf(l, event.NameLost, eventLost)
+	case event.UnloggedRuns.Name:
+		gathered = gatheredOf(l, event.NameUnlogged, eventUnlogged)
 	case event.WorkerCrashed.Name:
 		gathered = timesOf(l, event.NameWorked, event.NameWorked)
 	case event.TailsOver.Name:
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -159,6 +159,8 @@
 const (
 	eventStart = "start"
 	eventLost  = "run lost"
+	// eventUnlogged is a run that its worker lists and the log does not hold there.
+	eventUnlogged = "run is not in the log"
 )
 
 // isFate reports whether a line is about what became of a worker.
