Tests of leases that agents gave up: they fail on this code

A worker falls silent until its lease has run out; its agent tells the leader, which starts the tasks elsewhere; then the worker is back and the agent's reports don't arrive. The second test of agent/runs is of the same class: the agent of a worker that says that it ends goes on starting runs there.

--- /dev/null
+++ b/agent/runs/lapse_test.go
@@ -0,0 +1,63 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// lapseWithOpenStart has a worker fall silent until its lapse was told, with a start ordered meanwhile.
+func lapseWithOpenStart(t *testing.T, l *leader, w *countingWorker) {
+	t.Helper()
+	time.Sleep(2 * time.Second)
+	w.silent.Store(all)
+	time.Sleep(time.Second)
+	l.set(func() { l.orders = starts(2, 1) })
+	time.Sleep(6 * time.Second)
+	if l.lapsedReports() == 0 {
+		t.Fatal("no lapse is told")
+	}
+}
+
+// Guards against a task on two workers: a start that is made under a lease that the agent gave up.
+func TestStartOfALeaseThatRanOutIsNotMade(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		lapseWithOpenStart(t, l, w)
+		l.set(func() { l.away = true })
+		w.silent.Store("")
+		time.Sleep(2 * time.Second)
+		if n := len(w.Running()); n != 0 {
+			t.Errorf("%d runs began under a lease that was given up", n)
+		}
+		l.set(func() { l.away, l.epoch, l.orders = false, 2, starts(3, 2) })
+		time.Sleep(3 * time.Second)
+		if n := len(w.Running()); n != 1 {
+			t.Errorf("%d runs are at work under the next lease, want 1", n)
+		}
+	})
+}
+
+// Guards against a start on a worker that has said that it ends, and whose runs the leader gives up.
+func TestNothingStartsOnAWorkerThatSaidThatItEnds(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	with(t, l, func(d *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		w.silent.Store("start")
+		l.set(func() { l.orders = starts(2, 1) })
+		time.Sleep(time.Second)
+		l.set(func() { l.away = true })
+		if err := d.Depart("w1"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second) // the call for an end that waits is over
+		w.silent.Store("")
+		before := w.startCalls.Load()
+		time.Sleep(4 * time.Second)
+		if n := w.startCalls.Load() - before; n != 0 {
+			t.Errorf("%d starts after the worker said that it ends", n)
+		}
+	})
+}
--- a/fakes/runwatch.go
+++ b/fakes/runwatch.go
@@ -128,6 +128,17 @@
 	return total
 }
 
+// Starts returns how many runs began.
+func (j *RunWatch) Starts() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	total := 0
+	for _, starts := range j.starts {
+		total += len(starts)
+	}
+	return total
+}
+
 // judgeCrashes counts a start of a task that crashes its workers.
 func (j *RunWatch) judgeCrashes(id jobqueue.RunID) {
 	c := j.crashes[id.Task]
