An agent that tells of a lapse gives its lease up first

Callers saw a task on two workers at once. A worker that gave no answer until its lease had run out was reported to the leader, which gave its runs up and started them elsewhere. The agent kept the rest of the leader's lease, which outlasts the worker's by seconds: once the worker answered again, what had been ordered before was started under it, as long as no report had brought the next epoch. The lease is given up before the leader is told, so no order of answers matters: nothing starts until a leader has granted a lease after the lapse.

--- a/agent/runs/lapse.go
+++ b/agent/runs/lapse.go
@@ -73,6 +73,9 @@
 		return
 	}
 	d.lease.askAgain(now.Add(lapseRetry))
+	if s := d.current(); s != nil {
+		s.giveUpLease()
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	held, err := d.opts.Leader.HostLease(ctx, d.opts.Host)
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -47,6 +47,15 @@
 	return deadline
 }
 
+// giveUpLease has the session make no start until the leader grants another lease. It is called
+// before the leader is told that nothing runs any more: the leader's lease outlasts the worker's, and
+// a start under the rest of it would run beside the one that the leader orders elsewhere.
+func (s *session) giveUpLease() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadlineMs = 0
+}
+
 // boundLease gives up what the agent holds of its lease beyond the time that the
 // worker may run on by itself, given the worker's newest clock, and returns what is
 // left at most, in milliseconds. What goes wrong without it: a host that announced
