An agent whose worker says that it ends starts nothing there any more

The agent tells the leader, which gives the worker's runs up; until that was taken, starts that were open went on being made, on a worker that may be there for seconds more. Calls of the worker end before the leader is told.

--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -17,6 +17,7 @@
 	s.d.noteLeft(s.incarnation)
 	s.d.mu.Unlock()
 	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(replaced))
+	s.endCalls()
 	end := s.endReport()
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -21,7 +21,8 @@
 	incarnation string
 	ctx         context.Context
 	cancel      context.CancelFunc
-	// alive ends when another life of the worker has answered in place of this one.
+	// alive ends when another life of the worker has answered in place of this one, or the worker
+	// has said that it ends.
 	alive     context.Context
 	noteOther context.CancelFunc
 	slots     chan struct{}
@@ -96,6 +97,15 @@
 	s.calls.Wait()
 }
 
+// endCalls has the session call its worker no more. A start that was made while the leader gives the
+// worker's runs up would run beside the one elsewhere, if the worker has not ended yet.
+func (s *session) endCalls() {
+	s.mu.Lock()
+	s.over = true
+	s.mu.Unlock()
+	s.noteOther()
+}
+
 // announce takes in a further announcement of the incarnation, unless it names another
 // pool: an incarnation stays in one. What goes wrong without that: an announcement that
 // another program wrote takes a worker that is well out of use.
