An agent does not go on with a start that the leader no longer orders

A start whose call has no answer is tried again until it has one. Where the leader gave the run up meanwhile and the agent had its newer orders, the attempts went on: the comparison of orders ended those that are idle and left one that is being tried. It is void now, unless the leader orders it again.

--- a/agent/runs/lapse_test.go
+++ b/agent/runs/lapse_test.go
@@ -60,3 +60,30 @@
 		}
 	})
 }
+
+// Guards against a task on two workers: a start that goes on being tried when the leader has given
+// the run up.
+func TestStartThatTheLeaderNoLongerOrdersIsNotMade(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	with(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		w.silent.Store("start")
+		l.set(func() { l.orders = starts(2, 1) })
+		time.Sleep(3 * time.Second)
+		if w.startCalls.Load() == 0 {
+			t.Fatal("nothing was tried")
+		}
+		l.set(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: 3, Epoch: 1} })
+		time.Sleep(3 * time.Second)
+		w.silent.Store("")
+		time.Sleep(2 * time.Second)
+		if n := len(w.Running()); n != 0 {
+			t.Errorf("%d runs began that the leader no longer orders", n)
+		}
+		l.set(func() { l.orders = starts(4, 1) })
+		time.Sleep(3 * time.Second)
+		if n := len(w.Running()); n != 1 {
+			t.Errorf("%d runs are at work once they are ordered again, want 1", n)
+		}
+	})
+}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -20,6 +20,8 @@
 	// capacity is what the leader knew the worker to have when it first gave the order; nil from
 	// one that does not say.
 	capacity *apiv1.WorkerCapacity
+	// ended: the leader no longer has the order.
+	ended bool
 	// begun is set once the worker said that the run is there or over.
 	begun bool
 	// asked is set once the worker may have got the start.
@@ -75,7 +77,7 @@
 		if known.start == nil {
 			known.capacity = resp.Capacity
 		}
-		known.start, known.epoch = o, resp.Epoch
+		known.start, known.epoch, known.ended = o, resp.Epoch, false
 	}
 	for _, o := range resp.Stops {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
@@ -92,6 +94,7 @@
 			delete(s.orders, id)
 			continue
 		}
+		o.ended = !open[id]
 		s.advance(id, o)
 	}
 }
@@ -126,9 +129,13 @@
 
 // mayStart reports whether a start is still to be made; s.mu is held.
 func (s *session) mayStart(o *order) bool {
-	return o.start != nil && !o.stop && !o.begun && !o.starting && o.refuse == "" && o.epoch >= s.epoch
+	return o.start != nil && !o.stop && !o.begun && !o.starting && o.refuse == "" && !s.isVoid(o)
 }
 
+// isVoid reports whether a start must not be made any more: the leader has given the run up; s.mu is
+// held.
+func (s *session) isVoid(o *order) bool { return o.ended || o.epoch < s.epoch }
+
 // carryOutStart has the worker start a run. A call without an answer is repeated:
 // the same run starts once, however often it is ordered.
 func (s *session) carryOutStart(id jobqueue.RunID, o *order) {
@@ -160,7 +167,7 @@
 func (s *session) nextStart(id jobqueue.RunID, o *order) (startCall, bool) {
 	for s.alive.Err() == nil {
 		s.mu.Lock()
-		stop, leased := o.stop || o.epoch < s.epoch, s.deadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
+		stop, leased := o.stop || s.isVoid(o), s.deadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 		if s.announced.Worker.Draining && !o.asked && leased && !stop {
 			s.giveBack(id, o, "worker drains")
 			stop = true
