A worker is ordered to stop runs that the log does not hold

A run that was given up, refused or never ordered and that a worker lists all the same went on to its end: beside another run of its task, in room that nothing counts. The leader compares each report with the log and orders the worker to stop what the log lacks. It is the second line of defence against a task on two workers, whatever the first cause is; and the agent's stop makes the worker refuse the run for good. TestRunsThatTheLogDoesNotHoldAreStopped failed before (no stop). A worker that the log does not know yet is left to its agent's admission: in 4 of 7 runs of the package TestRunsThatTheLogDoesNotHoldAreTold had failed, as a round between report and commit forgot that the run was told.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,7 +182,7 @@
 		decision := l.planner.Plan(jobs, l.fleet(now), now, now.UnixMilli())
 		plan.Starts, plan.Stops, plan.TrialsOver = decision.Starts, decision.Stops, decision.TrialsOver
 		for _, w := range decision.Paced {
-			l.paceRevisions[w]++
+			l.orderRevisions[w]++
 			d.meters.paceOrders.Inc(1)
 		}
 		plan.Learnt = l.learntToKeep(now)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -26,8 +26,8 @@
 	endsLearnt map[string]uint64
 	// refusalsLearnt are the refused runs that the planner knows of and the log still holds.
 	refusalsLearnt map[jobqueue.RunID]bool
-	// paceRevisions grow with each change of a worker's paces.
-	paceRevisions map[string]uint64
+	// orderRevisions grow with each change of what is ordered to a worker beside the log.
+	orderRevisions map[string]uint64
 	// waits are the steps that found no worker in the last round.
 	waits       []schedule.Wait
 	waitsLogged map[jobqueue.StepID]waitLogged
@@ -111,7 +111,7 @@
 		contacts:       newContacts(d.opts.ContactTimeout),
 		endsLearnt:     map[string]uint64{},
 		refusalsLearnt: map[jobqueue.RunID]bool{},
-		paceRevisions:  map[string]uint64{},
+		orderRevisions: map[string]uint64{},
 		waitsLogged:    map[jobqueue.StepID]waitLogged{},
 		runLog:         newRunLog(d.logger),
 		saved:          map[jobqueue.RunID]saved{},
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -54,10 +54,13 @@
 		resp.Capacity = &apiv1.WorkerCapacity{
 			CpuMilli: w.Spec.CpuMilli, MemoryMb: w.Spec.MemoryMb, Accelerators: w.Spec.Accelerators,
 		}
-		resp.Sequence = w.Revision + l.paceRevisions[r.Worker]
+		resp.Sequence = w.Revision + l.orderRevisions[r.Worker]
 		for _, id := range w.SortedRuns() {
 			l.addOrder(resp, w, w.Runs[id])
 		}
+		for _, id := range l.unlogged[r.Worker] {
+			resp.Stops = append(resp.Stops, &apiv1.StopOrder{Task: id.Task.Ref(), Run: id.Number})
+		}
 	})
 	return resp
 }
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -13,6 +13,6 @@
 	if w == nil || !l.planner.Observe(w, l.fleet(now), now) {
 		return false
 	}
-	l.paceRevisions[w.Spec.Id]++
+	l.orderRevisions[w.Spec.Id]++
 	return true
 }
--- a/dispatch/unlogged.go
+++ b/dispatch/unlogged.go
@@ -10,14 +10,19 @@
 )
 
 // noteUnlogged notes which runs a worker lists that the log does not hold there, and tells of
-// those that it listed for the first time. They were given up, refused or never ordered.
+// those that it listed for the first time. They were given up, refused or never ordered; the task
+// may run elsewhere, and nothing counts the room that they take, so their worker is ordered to stop them.
 func (d *Dispatcher) noteUnlogged(l *leadership, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	worker := r.Worker.GetId()
+	w := m.Worker(worker)
+	if w == nil {
+		return // Its next report is compared with what this one brings into the log.
+	}
 	var unlogged []jobqueue.RunID
 	var news []gatheredRun
 	for _, o := range r.Running {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
-		if w := m.Worker(worker); w != nil && w.Runs[id] != nil {
+		if w.Runs[id] != nil {
 			continue
 		}
 		unlogged = append(unlogged, id)
@@ -25,6 +30,9 @@
 			news = append(news, gatheredRun{id, now})
 		}
 	}
+	if len(unlogged) != len(l.unlogged[worker]) || len(news) > 0 {
+		l.orderRevisions[worker]++
+	}
 	if len(unlogged) == 0 {
 		delete(l.unlogged, worker)
 		return
