soak: workers tell when their lease ran out, also while nothing ran under it

The trace: the first run ended done behind a dark link, the worker's lease ran out 4 s later with nothing left to run, the agent told of it, the leader ordered the task elsewhere, and the end was read when the link was back. The users' rule allows that (the lease ran out between end and acknowledgement); the judge took a lease for kept unless a run ended lapsed.

--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -101,3 +102,23 @@
 		}
 	}
 }
+
+// Guards against a judge that misses a lease that ran out while nothing ran under it.
+func TestLapseWithoutRunsIsRead(t *testing.T) {
+	s := newScript(30)
+	var lines string
+	for _, l := range []struct {
+		at   float64
+		rest string
+	}{
+		{0, `"kind":"life began"`}, {1, `"kind":"run began","task":"a.0.0.0","run":1`},
+		{2, `"kind":"run ended","task":"a.0.0.0","run":1,"how":"done"`}, {4, `"kind":"lease lapsed"`},
+		{5, `"kind":"ends acknowledged","ends":1`},
+	} {
+		lines += fmt.Sprintf("{\"at_us\":%d,\"worker\":\"w1\",%s}\n", s.at(l.at).UnixMicro(), l.rest)
+	}
+	s.rec.readWorker("w1", []byte(lines))
+	if r := s.rec.runs[0]; !r.acknowledged || !r.lapsedBefore {
+		t.Errorf("the run is read as %+v", r)
+	}
+}
--- a/soak/record.go
+++ b/soak/record.go
@@ -20,7 +20,7 @@
 	worker     string
 	sick       bool
 	began, end time.Time
-	// lapsed is when its lease last ended runs.
+	// lapsed is when its lease last ran out.
 	lapsed time.Time
 	// ends is how many ends have been acknowledged.
 	ends uint64
@@ -114,9 +114,8 @@
 				r.end, r.how = e.At(), e.How
 				ended = append(ended, r)
 			}
-			if e.How == lapsed {
-				now.lapsed = e.At()
-			}
+		case platformtest.LeaseLapsed:
+			now.lapsed = e.At()
 		case platformtest.EndsAcknowledged:
 			for ; len(ended) > 0 && now.ends < e.Ends; now.ends++ {
 				ended[0].acknowledged, ended[0].ackedAt = true, e.At()
@@ -127,9 +126,6 @@
 	}
 }
 
-// lapsed is how a run ended whose worker's lease ran out.
-const lapsed = "lapsed"
-
 // endOf is when a life ended by a kill.
 func (rec *record) endOf(l *life) time.Time {
 	for _, f := range rec.faults {
