A start that never reached its worker is no crash under its task

Callers may see a job given up whose task crashed one worker only. An agent told of every start that it had tried when its worker crashed, also of those for which nobody ever listened, and the leader counted a crash under their tasks. The worker's client marks calls that were never sent (no connection, or one that leads to another life); where the agent was the first to be ordered the start, it says that it was never sent, and it counts against nobody. A start that was tried for over 10 s is not forgotten any more by its own next try.

--- a/agent/runs/lastcalls.go
+++ b/agent/runs/lastcalls.go
@@ -28,6 +28,8 @@
 // it, zero if an agent before this one did, and begunAt when it first said that the run is there.
 type startCalls struct {
 	askedAt, begunAt time.Time
+	// maybeSent: a call for it may have reached the worker. unsent: none has, so far.
+	maybeSent, unsent bool
 }
 
 func newLastCalls() lastCalls { return lastCalls{starts: map[jobqueue.RunID]startCalls{}} }
@@ -35,15 +37,26 @@
 // ask notes that the worker is asked to start a run.
 func (c *lastCalls) ask(id jobqueue.RunID, now time.Time) {
 	for old, s := range c.starts {
-		if now.Sub(s.askedAt) > rememberStarts && now.Sub(s.begunAt) > rememberStarts {
+		if old != id && now.Sub(s.askedAt) > rememberStarts && now.Sub(s.begunAt) > rememberStarts {
 			delete(c.starts, old)
 		}
 	}
-	if _, asked := c.starts[id]; !asked {
+	if s, asked := c.starts[id]; !asked || s.unsent {
 		c.starts[id] = startCalls{askedAt: now}
 	}
 }
 
+// asked takes in the outcome of a call for a start that this agent was the first to be ordered.
+func (c *lastCalls) asked(id jobqueue.RunID, err error) {
+	s := c.starts[id]
+	if errors.Is(err, ErrNotSent) && !s.maybeSent {
+		s.unsent = true
+	} else {
+		s.maybeSent = true
+	}
+	c.starts[id] = s
+}
+
 // begun notes that the worker said that a run is there.
 func (c *lastCalls) begun(id jobqueue.RunID, now time.Time) {
 	s := c.starts[id]
@@ -75,7 +88,7 @@
 }
 
 // worked lists the runs that may have begun on a worker that is known to have crashed by now, with
-// bounds on how long they had worked.
+// bounds on how long they had worked, and those of which it never heard.
 func (c *lastCalls) worked(now time.Time) []*apiv1.RunWork {
 	crashed := now
 	if !c.brokenAt.IsZero() {
@@ -83,6 +96,10 @@
 	}
 	var list []*apiv1.RunWork
 	for id, s := range c.starts {
+		if s.unsent {
+			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: true})
+			continue
+		}
 		began := !s.begunAt.IsZero()
 		if !began && s.askedAt.After(crashed) {
 			continue
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -20,6 +20,8 @@
 	// capacity is what the leader knew the worker to have when it first gave the order; nil from
 	// one that does not say.
 	capacity *apiv1.WorkerCapacity
+	// first: no agent before this one can have had the order.
+	first bool
 	// ended: the leader no longer has the order.
 	ended bool
 	// begun is set once the worker said that the run is there or over.
@@ -75,7 +77,7 @@
 		open[id] = true
 		known := s.order(id)
 		if known.start == nil {
-			known.capacity = resp.Capacity
+			known.capacity, known.first = resp.Capacity, s.ordered
 		}
 		known.start, known.epoch, known.ended = o, resp.Epoch, false
 	}
@@ -97,6 +99,7 @@
 		o.ended = !open[id]
 		s.advance(id, o)
 	}
+	s.ordered = true
 }
 
 func (s *session) order(id jobqueue.RunID) *order {
@@ -211,13 +214,16 @@
 
 // startAnswered takes in the answer to a start; true ends the attempts.
 func (s *session) startAnswered(id jobqueue.RunID, o *order, answer Answer, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.first {
+		s.lastCalls.asked(id, err)
+	}
 	if err != nil {
 		s.d.meters.unanswered.Inc(1)
 		event.StartUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Err(err))
 		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer))
 	switch answer {
 	case AnswerDone:
--- a/agent/runs/rig_test.go
+++ b/agent/runs/rig_test.go
@@ -130,8 +130,9 @@
 type countingWorker struct {
 	*fakes.RunWorker
 	startCalls, renewals atomic.Int64
-	// refusing fails every start at once, as a host does where nobody listens.
+	// refusing fails every start at once, as a host does where nobody listens, and refusal with what.
 	refusing atomic.Bool
+	refusal  atomic.Pointer[error]
 	// silent is the one call that gets no answer: its name, or all for every one.
 	silent atomic.Value
 }
@@ -149,6 +150,9 @@
 	if w.refusing.Load() {
 		return 0, errAway
 	}
+	if err := w.refusal.Load(); err != nil {
+		return 0, *err
+	}
 	return w.RunWorker.Start(ctx, o, s)
 }
 
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -58,8 +58,10 @@
 	clock        clockReading
 	acknowledged uint64
 	orders       map[jobqueue.RunID]*order
-	refusals     map[jobqueue.RunID]string
-	lastCalls    lastCalls
+	// ordered is set with the first orders, which an agent before this one may have had too.
+	ordered   bool
+	refusals  map[jobqueue.RunID]string
+	lastCalls lastCalls
 }
 
 // isUndated reports whether a name is that of the session's worker without its start.
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
@@ -13,7 +15,7 @@
 // Worker is what the agent asks of its worker. Every call names the incarnation it
 // is for and the leader's term as a fencing token: a worker does nothing for a
 // term below the highest it has seen. An error means that no answer came: the
-// call may have been carried out, or may be seconds later.
+// call may have been carried out, or may be seconds later, unless it is marked ErrNotSent.
 type Worker interface {
 	Start(ctx context.Context, o Order, s Start) (Answer, error)
 	Stop(ctx context.Context, o Order, run jobqueue.RunID) (Answer, error)
@@ -23,6 +25,9 @@
 	Renew(ctx context.Context, o Order, r Renewal) (Status, Answer, error)
 }
 
+// ErrNotSent marks the error of a call that never reached the worker, and never will.
+var ErrNotSent = errors.New("call was not sent")
+
 // Order is what every call carries.
 type Order struct {
 	Incarnation string
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -40,17 +40,20 @@
 		work := byRun[id]
 		if o, seen := l.observed[id]; seen {
 			work = cmp.Or(work, unknown(id))
+			work.NeverSent = false
 			work.WorkedMs, work.Began = max(work.WorkedMs, o.At.Sub(o.FirstAt).Milliseconds()), true
 		}
 		if work == nil && len(told) == 0 {
 			work = unknown(id)
 		}
-		if work != nil {
+		if work != nil && !work.NeverSent {
 			list = append(list, work)
 		}
 	}
 	for _, id := range w.GivenUp() {
-		list = append(list, cmp.Or(byRun[id], unknown(id)))
+		if work := cmp.Or(byRun[id], unknown(id)); !work.NeverSent {
+			list = append(list, work)
+		}
 	}
 	slices.SortStableFunc(list, func(a, b *apiv1.RunWork) int { return cmp.Compare(a.WorkedMs, b.WorkedMs) })
 	return list
