--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -37,6 +37,7 @@
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	fronts := lives.Flag("fronts", "Kill, pause and terminate control hosts and entries, too.").Bool()
 	links := lives.Flag("links", "Disturb connections between agents and workers, too.").Bool()
+	outages := lives.Flag("outages", "Cut the power of all but the workers, empty disks, and keep links dark until leases run out.").Bool()
 	callers := lives.Flag("callers", "Have callers cancel, give up and send again.").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
@@ -61,7 +62,7 @@
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
+		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Outages: *outages, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
 		if p.Plan, err = readPlan(*plan); err == nil {
 			err = playSeeds(ctx, o, p, *first, *seeds)
 		}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -68,6 +68,10 @@
 	entries  []*process
 	hosts    []*host
 	client   platformtest.Client
+	// disks are the folders of the control hosts.
+	disks []string
+	// machines are all hosts, as their settings have them.
+	machines []platformtest.Machine
 }
 
 func newCluster(o Options) (*cluster, error) {
@@ -111,6 +115,7 @@
 		return err
 	}
 	if m.DataDir != "" {
+		c.disks = append(c.disks, m.DataDir)
 		c.controls = append(c.controls, c.process("control-"+m.Name, program(c.o.Program, "control", controlMetrics, settings)))
 	}
 	c.entries = append(c.entries, c.process("entry-"+m.Name, program(c.o.Program, "entry", entryMetrics, settings)))
@@ -169,10 +174,27 @@
 }
 
 func (c *cluster) settings(m platformtest.Machine) (string, error) {
-	path := filepath.Join(c.o.Folder, m.Name+".toml")
+	c.machines = append(c.machines, m)
+	path := c.settingsPath(m)
 	return path, platformtest.WriteSettings(path, m)
 }
 
+func (c *cluster) settingsPath(m platformtest.Machine) string {
+	return filepath.Join(c.o.Folder, m.Name+".toml")
+}
+
+// endBootstrap has the settings say that a process which starts now is not among the first: one with an
+// empty disk must not found another group.
+func (c *cluster) endBootstrap() error {
+	for i := range c.machines {
+		c.machines[i].Bootstrap = false
+		if err := platformtest.WriteSettings(c.settingsPath(c.machines[i]), c.machines[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *cluster) process(name string, command func() *exec.Cmd) *process {
 	return &process{name: name, command: command, output: filepath.Join(c.o.Folder, name+".log"), faults: c.faults}
 }
@@ -184,10 +206,14 @@
 			return err
 		}
 	}
-	return c.until(ctx, "configuration", func() bool {
+	err := c.until(ctx, "configuration", func() bool {
 		status, err := c.client.Put(ctx, c.seedIPs[0], configuration)
 		return err == nil && status == http.StatusOK
 	})
+	if err != nil {
+		return err
+	}
+	return c.endBootstrap()
 }
 
 func (c *cluster) all() []*process {
--- /dev/null
+++ b/soak/darklinks_test.go
@@ -0,0 +1,33 @@
+package soak
+
+import (
+	"os"
+	"testing"
+)
+
+// Guards against a task on two workers at once: links are dark until leases have run out, and no leader
+// answers when they are mended.
+func TestDarkLinksBesideControlHostsThatStandStill(t *testing.T) {
+	plan, err := os.ReadFile("testdata/dark-links.plan")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := testOptions(t, 8)
+	if err := PlayLives(t.Context(), o, Profile{Plan: string(plan), BatchShare: 2}, 1); err != nil {
+		t.Fatal(err)
+	}
+	s, err := readSummary(o.Folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep, err := judge(o.Folder, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rep.rec.runs) == 0 {
+		t.Error("nothing ran")
+	}
+	for _, finding := range append(rep.twice, rep.promises...) {
+		t.Error(finding)
+	}
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,12 +25,15 @@
 	starts bool
 	// sick: the worker that starts fails whatever it runs.
 	sick bool
+	// wipes: the disk of a control host is emptied while its process is down.
+	wipes bool
 }
 
 // words are what can be done to a process.
 var words = map[string]action{
 	"kill": {signal: syscall.SIGKILL}, "stop": {signal: syscall.SIGSTOP}, "continue": {signal: syscall.SIGCONT},
 	"terminate": {signal: syscall.SIGTERM}, "start": {starts: true}, "start-sick": {starts: true, sick: true},
+	"wipe": {wipes: true},
 }
 
 // String is a line of a plan: seconds, the kind of process, the number of its host, and a word.
@@ -39,7 +42,7 @@
 		return fmt.Sprintf("%8.3f %s %d %s", a.at.Seconds(), a.kind, a.host, a.link)
 	}
 	for word, w := range words {
-		if w.signal == a.signal && w.starts == a.starts && w.sick == a.sick {
+		if w.signal == a.signal && w.starts == a.starts && w.sick == a.sick && w.wipes == a.wipes {
 			return fmt.Sprintf("%8.3f %s %d %s", a.at.Seconds(), a.kind, a.host, word)
 		}
 	}
@@ -69,7 +72,7 @@
 	}
 	a, known := words[word]
 	a.kind = kind
-	return a, known
+	return a, known && (!a.wipes || kind == controlKind)
 }
 
 // parsePlan reads the lines of a plan, in the order of their times.
@@ -156,6 +159,7 @@
 	}
 	plan = append(plan, drawFronts(r, within, p)...)
 	plan = append(plan, drawLinks(r, workers, within, p)...)
+	plan = append(plan, drawOutages(r, workers, within, p)...)
 	slices.SortStableFunc(plan, func(a, b action) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
--- a/soak/play.go
+++ b/soak/play.go
@@ -39,6 +39,9 @@
 	Fronts bool
 	// Links: the connections between agents and workers are disturbed, too.
 	Links bool
+	// Outages: all but the workers lose power at times, disks are lost, and links are dark until leases
+	// have run out.
+	Outages bool
 	// Callers: callers cancel jobs, give up after refusals, and send again what was accepted.
 	Callers bool
 	// Failing: most batch runs fail.
@@ -136,6 +139,10 @@
 		return
 	}
 	p := c.processOf(a)
+	if a.wipes {
+		c.wipe(a.host)
+		return
+	}
 	if a.kind == workerKind {
 		c.hosts[a.host].sick.Store(a.sick)
 	}
@@ -151,6 +158,17 @@
 	}
 }
 
+// wipe empties the disk of a control host, whose process is ended if it is there.
+func (c *cluster) wipe(host int) {
+	p := c.controls[host]
+	p.kill()
+	what := "disk lost"
+	if err := errors.Join(os.RemoveAll(c.disks[host]), os.MkdirAll(c.disks[host], 0o700)); err != nil {
+		what = "disk: " + err.Error()
+	}
+	c.faults.note(p.name, what, 0)
+}
+
 // processOf is the process that an action names.
 func (c *cluster) processOf(a action) *process {
 	switch a.kind {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,15 +45,19 @@
 	return 0
 }
 
-func newTestCluster(t *testing.T, workers int) *cluster {
+func testOptions(t *testing.T, workers int) Options {
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := newCluster(Options{
+	return Options{
 		Folder: t.TempDir(), Program: []string{self, programWord}, Worker: []string{self, workerWord},
 		Network: fmt.Sprintf("%d.251", 1+os.Getpid()%250), Workers: workers,
-	})
+	}
+}
+
+func newTestCluster(t *testing.T, workers int) *cluster {
+	c, err := newCluster(testOptions(t, workers))
 	if err != nil {
 		t.Fatal(err)
 	}
