soak: a start that a dark link held up may begin after a cancel; the plan of dark links has 16 workers

The trace: the calls were sent 0.2 s before the cancel into a link that had gone dark; bytes that a dark link holds arrive when it is mended, 5.3 s later, with the stop right behind them (the runs ended 0.2 ms after they began). The users' rule leaves out orders that are carried out late. The judge still finds such a start where link and worker were undisturbed for the 3 s before it.

--- a/soak/darklinks_test.go
+++ b/soak/darklinks_test.go
@@ -12,7 +12,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := testOptions(t, 8)
+	o := testOptions(t, 16)
 	if err := PlayLives(t.Context(), o, Profile{Plan: string(plan), BatchShare: 2}, 1); err != nil {
 		t.Fatal(err)
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -37,6 +37,11 @@
 	s.rec.faults = append(s.rec.faults, fault{AtMicros: s.at(at).UnixMicro(), Process: "w9", What: "killed"})
 }
 
+// link disturbs the link of "w1", or mends it.
+func (s *script) link(at float64, mode linkMode) {
+	s.rec.faults = append(s.rec.faults, fault{AtMicros: s.at(at).UnixMicro(), Process: "link-1", What: string(mode)})
+}
+
 var judgedStep = platformtest.Step{Count: 1, CPU: 1000, MemoryMB: 1000, LongRunning: true}
 
 // gaps judges the gaps of the one task "a" of the script.
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -88,10 +88,12 @@
 	return g, g.from.Before(g.to)
 }
 
-// judgeCanceled looks for runs that begin or go on after a cancel.
+// judgeCanceled looks for runs that begin or go on after a cancel. A start that was sent before and
+// that a disturbed link or a worker that stood still held up may begin later.
 func (rep *report) judgeCanceled(j submittedJob, runs []*run) {
 	for _, r := range runs {
-		if r.began.After(j.Canceled.Add(beginsAfterCancel)) {
+		late := r.began.After(j.Canceled.Add(beginsAfterCancel))
+		if late && !rep.rec.heldUp(r.life.worker, r.began.Add(-beginsAfterCancel), r.began) {
 			rep.breaks("%s: run %d on %s began at %s, cancel acknowledged at %s", r.task, r.number, r.life.worker,
 				r.began.Format(clockFormat), j.Canceled.Format(clockFormat))
 		}
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -69,6 +69,18 @@
 			s.run("a.0.0.0", s.life("w1", 0, 30), 13.1, 14)
 			return s.job(func(j *submittedJob) { j.State, j.CancelSent, j.Canceled = "canceled", s.at(10), s.at(10) })
 		}, 1},
+		"canceled, begins late when its link is mended": {func(s *script) submittedJob {
+			s.run("a.0.0.0", s.life("w1", 0, 30), 15, 15.1)
+			s.link(11, linkDark)
+			s.link(14.9, linkMend)
+			return s.job(func(j *submittedJob) { j.State, j.CancelSent, j.Canceled = "canceled", s.at(10), s.at(10) })
+		}, 0},
+		"canceled, begins late after its link was mended": {func(s *script) submittedJob {
+			s.run("a.0.0.0", s.life("w1", 0, 30), 15, 15.1)
+			s.link(11, linkDark)
+			s.link(11.9, linkMend)
+			return s.job(func(j *submittedJob) { j.State, j.CancelSent, j.Canceled = "canceled", s.at(10), s.at(10) })
+		}, 1},
 		"canceled, runs in the end": {func(s *script) submittedJob {
 			return s.job(func(j *submittedJob) { j.CancelSent, j.Canceled = s.at(10), s.at(10) })
 		}, 1},
--- a/soak/reach.go
+++ b/soak/reach.go
@@ -35,3 +35,22 @@
 	}
 	return last
 }
+
+// heldUp reports whether calls of a worker may have been held up within a time: its link was
+// disturbed, or the worker stood still.
+func (rec *record) heldUp(worker string, from, to time.Time) bool {
+	link := "link-" + strings.TrimPrefix(worker, "w")
+	disturbed := func(at time.Time) bool {
+		mode := linkMode(rec.lastDone(link, at))
+		return mode != "" && mode != linkMend || rec.lastDone(worker, at) == syscall.SIGSTOP.String()
+	}
+	if disturbed(from) {
+		return true
+	}
+	for _, f := range rec.faults {
+		if (f.Process == link || f.Process == worker) && f.at().After(from) && !f.at().After(to) && disturbed(f.at()) {
+			return true
+		}
+	}
+	return false
+}
