--- a/soak/judge.go
+++ b/soak/judge.go
@@ -167,8 +167,8 @@
 
 func (rep *report) roomOn(l *life, g gap, at time.Time) int {
 	cpu, memory, beside := int64(workerCPU), int64(workerMemory), int64(0)
-	for _, r := range rep.rec.runs {
-		if r.life != l || r.began.After(at) || !r.end.After(at) {
+	for _, r := range l.runs {
+		if r.began.After(at) || !r.end.After(at) {
 			continue
 		}
 		step := rep.steps[jobOf(r.task)]
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -30,7 +30,8 @@
 }
 
 func (s *script) run(task string, l *life, from, to float64) {
-	s.rec.runs = append(s.rec.runs, &run{task: task, life: l, began: s.at(from), end: s.at(to)})
+	r := &run{task: task, life: l, began: s.at(from), end: s.at(to)}
+	s.rec.runs, l.runs = append(s.rec.runs, r), append(l.runs, r)
 }
 
 func (s *script) fault(at float64) {
--- a/soak/reach.go
+++ b/soak/reach.go
@@ -25,17 +25,27 @@
 // lastDone is what was done last to a process or link before a moment.
 func (rec *record) lastDone(name string, at time.Time) string {
 	last := ""
-	for _, f := range rec.faults {
+	for _, f := range rec.faultsOf(name) {
 		if f.at().After(at) {
 			break
 		}
-		if f.Process == name {
-			last = f.What
-		}
+		last = f.What
 	}
 	return last
 }
 
+// faultsOf are the faults of a process or link, in order. A judge asks for them at each moment that it
+// looks at.
+func (rec *record) faultsOf(name string) []fault {
+	if rec.indexed != len(rec.faults) {
+		rec.byProcess, rec.indexed = map[string][]fault{}, len(rec.faults)
+		for _, f := range rec.faults {
+			rec.byProcess[f.Process] = append(rec.byProcess[f.Process], f)
+		}
+	}
+	return rec.byProcess[name]
+}
+
 // heldUp reports whether calls of a worker may have been held up within a time: its link was
 // disturbed, or the worker stood still.
 func (rec *record) heldUp(worker string, from, to time.Time) bool {
--- a/soak/record.go
+++ b/soak/record.go
@@ -24,6 +24,7 @@
 	lapsed time.Time
 	// ends is how many ends have been acknowledged.
 	ends uint64
+	runs []*run
 }
 
 // run is a run of a task on a life of a worker.
@@ -47,6 +48,9 @@
 	runs   []*run
 	faults []fault
 	end    time.Time
+	// byProcess are the first indexed faults by what they were done to.
+	byProcess map[string][]fault
+	indexed   int
 }
 
 // readRecord reads the workers' lines. What had not ended by end is taken to end then.
@@ -108,7 +112,7 @@
 				r.how = "runs"
 			}
 			open[e.Task] = r
-			rec.runs = append(rec.runs, r)
+			rec.runs, now.runs = append(rec.runs, r), append(now.runs, r)
 		case platformtest.RunEnded:
 			if r := open[e.Task]; r != nil && r.number == e.Run {
 				r.end, r.how = e.At(), e.How
