An agent tells of a departure once its worker runs nothing any more

A worker that says that it ends and gets no acknowledgement ends some seconds later. Its agent took the word at once and told the leader, which started the tasks elsewhere while they went on: the users would see a task on two workers. The agent gives its lease up, asks until the worker lists nothing, gives no answer or has outlived its lease, and tells then. TestWorkerThatSaidThatItEndsHasItsTasksUntilItDoes failed before.

--- a/agent/runs/lapse_test.go
+++ b/agent/runs/lapse_test.go
@@ -61,6 +61,41 @@
 	})
 }
 
+// Guards against a task on two workers: one that said that it ends, and was not heard to be
+// acknowledged, is there for seconds more.
+func TestWorkerThatSaidThatItEndsHasItsTasksUntilItDoes(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	with(t, l, func(d *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		l.set(func() { l.orders = starts(2, 1) })
+		time.Sleep(2 * time.Second)
+		if err := d.Depart("w1"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		if _, told := l.departure(); told || len(w.Running()) != 1 {
+			t.Errorf("told that the worker left: %v, while it runs %v", told, w.Running())
+		}
+		w.Crash()
+		time.Sleep(500 * time.Millisecond)
+		if crashed, told := l.departure(); !told || crashed {
+			t.Errorf("told that the worker left: %v, as a crash: %v", told, crashed)
+		}
+	})
+}
+
+// departure is whether the agent told that its worker ended, and as a crash.
+func (l *leader) departure() (crashed, told bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.reports {
+		if r.Departed {
+			return r.Crashed, true
+		}
+	}
+	return false, false
+}
+
 // Guards against a task on two workers: a start that goes on being tried when the leader has given
 // the run up.
 func TestStartThatTheLeaderNoLongerOrdersIsNotMade(t *testing.T) {
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -17,6 +17,10 @@
 	s.d.noteLeft(s.incarnation)
 	s.d.mu.Unlock()
 	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(replaced))
+	s.giveUpLease()
+	if !replaced {
+		s.awaitEnd()
+	}
 	s.endCalls()
 	end := s.endReport()
 	for s.ctx.Err() == nil {
@@ -30,6 +34,19 @@
 	}
 }
 
+// awaitEnd returns once the worker, which has said that it ends, runs nothing any more: it gives no
+// answer, lists nothing, or its lease has run out. One that was not acknowledged goes on for seconds,
+// and tasks that the leader gave up meanwhile would run elsewhere as well.
+func (s *session) awaitEnd() {
+	for s.ctx.Err() == nil && s.d.lease.untilDue(s.d.opts.Now()) > 0 {
+		status, answer, err := s.renew(0)
+		if err != nil || answer != AnswerDone || len(status.Running) == 0 && !status.Partial {
+			return
+		}
+		s.pause(retryPause)
+	}
+}
+
 // tellOfFormer tells the leader that the life before this one has ended. The first report of
 // this one would say so too, but it may end before that.
 func (s *session) tellOfFormer() {
