soak: changes and reads of the configuration, and five control hosts

The operator sends one version after the other to control hosts that it picks and reads at others; the judge looks for versions that went back, were never sent or are not in force 3 s after their acknowledgement. Draws with three stay as they were.

--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -33,11 +33,13 @@
 	folder := lives.Flag("folder", "Folder of the plays.").Required().String()
 	program := lives.Flag("program", "Absolute path of cairnlift-platform; the one in this program when empty.").String()
 	workers := lives.Flag("workers", "How many workers.").Default("8").Int()
+	controls := lives.Flag("controls", "How many control hosts, an odd number.").Default("3").Int()
 	disks := lives.Flag("disks", "Folder of the control hosts' disks, such as one in memory; the play's own when empty.").String()
 	agents := lives.Flag("agents", "Kill and pause agents, too.").Default("true").Bool()
 	fronts := lives.Flag("fronts", "Kill, pause and terminate control hosts and entries, too.").Bool()
 	links := lives.Flag("links", "Disturb connections between agents and workers, too.").Bool()
 	outages := lives.Flag("outages", "Cut the power of all but the workers, empty disks, and keep links dark until leases run out.").Bool()
+	configurations := lives.Flag("configurations", "Change and read the configuration all the while.").Bool()
 	callers := lives.Flag("callers", "Have callers cancel, give up and send again.").Bool()
 	failing := lives.Flag("failing", "Have most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Have some workers come back sick.").Bool()
@@ -58,11 +60,11 @@
 	case judge.FullCommand():
 		err = judgePlays(*played)
 	default:
-		o := soak.Options{Folder: *folder, Workers: *workers, Disks: *disks}
+		o := soak.Options{Folder: *folder, Workers: *workers, Controls: *controls, Disks: *disks}
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Outages: *outages, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
+		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Outages: *outages, Configurations: *configurations, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
 		if p.Plan, err = readPlan(*plan); err == nil {
 			err = playSeeds(ctx, o, p, *first, *seeds)
 		}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -29,13 +29,25 @@
 	// Network is the second and third number of all addresses, "A.B" of 127.A.B.x.
 	Network string
 	Workers int
+	// Controls is the number of control hosts; 3 when 0.
+	Controls int
 	// Disks is the folder of the control hosts' disks; Folder when empty.
 	Disks string
 }
 
+// fleet is how many workers, control hosts and entries there are; each worker has an agent and may have a
+// link.
+type fleet struct{ workers, controls, entries int }
+
+// fleet is what the options ask for.
+func (o Options) fleet() fleet {
+	controls := cmp.Or(o.Controls, defaultControls)
+	return fleet{workers: o.Workers, controls: controls, entries: controls + furtherEntries}
+}
+
 const (
-	controlHosts   = 3
-	furtherEntries = 1
+	defaultControls = 3
+	furtherEntries  = 1
 	// firstWorker is the last number of the first worker's address.
 	firstWorker = 101
 	pool        = "pool"
@@ -83,10 +95,11 @@
 		return nil, err
 	}
 	c := &cluster{o: o, faults: faults}
-	for i := range controlHosts {
+	of := o.fleet()
+	for i := range of.controls {
 		c.seedIPs = append(c.seedIPs, c.ip(i+1))
 	}
-	for i := range controlHosts + furtherEntries {
+	for i := range of.entries {
 		if err := c.addFront(i); err != nil {
 			return nil, err
 		}
@@ -104,7 +117,7 @@
 // addFront adds an entry, with a control process where it has a disk.
 func (c *cluster) addFront(number int) error {
 	m := platformtest.Machine{Name: fmt.Sprintf("front-%d", number), IP: c.ip(number + 1), Zone: "a", SeedIPs: c.seedIPs, Bootstrap: true}
-	if number < controlHosts {
+	if number < c.o.fleet().controls {
 		m.DataDir = filepath.Join(cmp.Or(c.o.Disks, c.o.Folder), "disk-"+m.Name)
 		if err := os.MkdirAll(m.DataDir, 0o700); err != nil {
 			return errors.Wrap(err, "disk")
--- /dev/null
+++ b/soak/configurations.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+var (
+	// betweenChanges are the times between two changes of the configuration.
+	betweenChanges = []span{{200 * time.Millisecond, time.Second}, {time.Second, 6 * time.Second}}
+	betweenReads   = span{50 * time.Millisecond, 400 * time.Millisecond}
+)
+
+const (
+	// inForceWithin is how long after its acknowledgement a version may not be read back yet.
+	inForceWithin = 3 * time.Second
+	// readWithin is how long before the end of a play a read must have been answered.
+	readWithin = 8 * time.Second
+	// maxVersionStep bounds by how much a version is higher than the one before.
+	maxVersionStep = 5
+)
+
+// configChange is a version that the operator sent first at a time; Acknowledged is zero while no
+// control host has.
+type configChange struct {
+	Version            uint64
+	Sent, Acknowledged time.Time
+}
+
+// configRead is a version that a control host gave to a read that was sent at a time.
+type configRead struct {
+	Version uint64
+	Sent    time.Time
+}
+
+// operator changes the configuration and reads it, at control hosts that it picks.
+type operator struct {
+	c       *cluster
+	changes []configChange
+	reads   []configRead
+}
+
+// change sends one version after the other until ctx ends, each until it is acknowledged.
+func (o *operator) change(ctx context.Context, r *rand.Rand) {
+	version := firstVersion
+	o.changes = append(o.changes, configChange{Version: version, Sent: time.Now(), Acknowledged: time.Now()})
+	for ctx.Err() == nil {
+		sleep(ctx, drawOne(r, betweenChanges))
+		version += 1 + r.Uint64N(maxVersionStep)
+		o.changes = append(o.changes, configChange{Version: version, Sent: time.Now()})
+		for ctx.Err() == nil {
+			status, err := o.c.client.Put(ctx, o.seed(r), configuration(version))
+			if err == nil && status == http.StatusOK {
+				o.changes[len(o.changes)-1].Acknowledged = time.Now()
+				break
+			}
+			sleep(ctx, retryEvery)
+		}
+	}
+}
+
+// read reads the configuration until ctx ends.
+func (o *operator) read(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		status, version, err := o.c.client.Configuration(ctx, o.seed(r))
+		if err == nil && status == http.StatusOK {
+			o.reads = append(o.reads, configRead{Version: version, Sent: sent})
+		}
+		sleep(ctx, betweenReads.draw(r))
+	}
+}
+
+func (o *operator) seed(r *rand.Rand) string { return o.c.seedIPs[r.IntN(len(o.c.seedIPs))] }
+
+// judgeConfigurations looks for reads that give a version which was never sent, or an older one than is
+// in force, and for a play that ends without an answer.
+func (rep *report) judgeConfigurations(changes []configChange, reads []configRead) {
+	if len(changes) == 0 {
+		return
+	}
+	sent := map[uint64]bool{}
+	for _, c := range changes {
+		sent[c.Version] = true
+	}
+	answered := false
+	for _, r := range reads {
+		if !sent[r.Version] {
+			rep.breaks("configuration %d is read at %s and was never sent", r.Version, r.Sent.Format(clockFormat))
+		}
+		if newest := inForceAt(changes, r.Sent); r.Version < newest {
+			rep.breaks("configuration %d is read at %s, %d was acknowledged before", r.Version, r.Sent.Format(clockFormat), newest)
+		}
+		answered = answered || r.Sent.After(rep.rec.end.Add(-readWithin))
+	}
+	if !answered {
+		rep.breaks("no read of the configuration was answered in the last %v", readWithin)
+	}
+}
+
+// inForceAt is the version that a read which is sent at a moment must give at least.
+func inForceAt(changes []configChange, at time.Time) uint64 {
+	newest := uint64(0)
+	for _, c := range changes {
+		if !c.Acknowledged.IsZero() && c.Acknowledged.Add(inForceWithin).Before(at) {
+			newest = max(newest, c.Version)
+		}
+	}
+	return newest
+}
+
+// firstVersion is that of the configuration that a play begins with.
+const firstVersion uint64 = 1
+
+func configuration(version uint64) []byte {
+	return platformtest.Configuration(version, pool,
+		platformtest.Queue{Name: "serving", Host: queueHost, PathPrefix: servingPath, MaxAttempts: 2},
+		platformtest.Queue{Name: "batch", Host: queueHost, PathPrefix: batchPath, Priority: 1, MaxAttempts: batchAttempts})
+}
--- a/soak/fronts.go
+++ b/soak/fronts.go
@@ -25,7 +25,7 @@
 
 // drawFronts draws the faults of control hosts and entries, one at a time, and of some plays the
 // death of all control hosts at once before them.
-func drawFronts(r *rand.Rand, within time.Duration, p Profile) []action {
+func drawFronts(r *rand.Rand, of fleet, within time.Duration, p Profile) []action {
 	if !p.Fronts {
 		return nil
 	}
@@ -33,16 +33,16 @@
 	at := span{0, 5 * time.Second}.draw(r)
 	if r.IntN(100) < outagePercent {
 		back := at + outageTime.draw(r)
-		for i := range controlHosts {
+		for i := range of.controls {
 			plan = append(plan, action{at: at, kind: controlKind, host: i, signal: syscall.SIGKILL},
 				action{at: back, kind: controlKind, host: i, starts: true})
 		}
 		at = back + drawOne(r, frontPauses)
 	}
 	for at < within {
-		kind, number := controlKind, r.IntN(controlHosts)
+		kind, number := controlKind, r.IntN(of.controls)
 		if r.IntN(100) < entryPercent {
-			kind, number = entryKind, r.IntN(controlHosts+furtherEntries)
+			kind, number = entryKind, r.IntN(of.entries)
 		}
 		actions := drawAway(r, action{at: at, kind: kind, host: number})
 		plan = append(plan, actions...)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -107,6 +107,7 @@
 			}
 		}
 	}
+	rep.judgeConfigurations(s.Changes, s.Reads)
 	slices.SortFunc(rep.gaps, func(a, b judgedGap) int { return byLength(a.gap, b.gap) })
 	return rep, nil
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -58,10 +58,10 @@
 	linkKind    = "link"
 )
 
-// numberOf is how many of a kind there are in a cluster.
-func numberOf(kind string, workers int) int {
+// numberOf is how many of a kind there are.
+func (f fleet) numberOf(kind string) int {
 	return map[string]int{
-		workerKind: workers, agentKind: workers, linkKind: workers, controlKind: controlHosts, entryKind: controlHosts + furtherEntries,
+		workerKind: f.workers, agentKind: f.workers, linkKind: f.workers, controlKind: f.controls, entryKind: f.entries,
 	}[kind]
 }
 
@@ -76,7 +76,7 @@
 }
 
 // parsePlan reads the lines of a plan, in the order of their times.
-func parsePlan(text string, workers int) ([]action, error) {
+func parsePlan(text string, of fleet) ([]action, error) {
 	var plan []action
 	for line := range strings.Lines(text) {
 		var seconds float64
@@ -86,7 +86,7 @@
 			return nil, errors.Wrapf(err, "plan, %q", line)
 		}
 		a, known := parseWord(kind, word)
-		if !known || host < 0 || host >= numberOf(kind, workers) {
+		if !known || host < 0 || host >= of.numberOf(kind) {
 			return nil, errors.Newf("plan, %q: no such process or nothing that can be done to it", line)
 		}
 		a.host = host
@@ -140,7 +140,7 @@
 )
 
 // drawPlan draws the faults of workers' lives that begin within a time.
-func drawPlan(r *rand.Rand, workers int, within time.Duration, p Profile) []action {
+func drawPlan(r *rand.Rand, of fleet, within time.Duration, p Profile) []action {
 	var plan []action
 	for at := time.Duration(0); at < within; {
 		hit := 1
@@ -148,7 +148,7 @@
 			hit = 2 + r.IntN(maxHit-1)
 		}
 		end := at
-		for _, host := range r.Perm(workers)[:hit] {
+		for _, host := range r.Perm(of.workers)[:hit] {
 			actions := drawLives(r, host, at+span{0, time.Second}.draw(r), p)
 			plan = append(plan, actions...)
 			for _, a := range actions {
@@ -157,9 +157,9 @@
 		}
 		at = end + drawOne(r, pauses)
 	}
-	plan = append(plan, drawFronts(r, within, p)...)
-	plan = append(plan, drawLinks(r, workers, within, p)...)
-	plan = append(plan, drawOutages(r, workers, within, p)...)
+	plan = append(plan, drawFronts(r, of, within, p)...)
+	plan = append(plan, drawLinks(r, of.workers, within, p)...)
+	plan = append(plan, drawOutages(r, of, within, p)...)
 	slices.SortStableFunc(plan, func(a, b action) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
--- a/soak/play.go
+++ b/soak/play.go
@@ -31,6 +31,12 @@
 // failingPercent is how many batch runs fail where most do.
 const failingPercent = 80
 
+// The streams of random numbers of the operator, beside that of a play.
+const (
+	changesStream = 2
+	readsStream   = 3
+)
+
 // Profile says what goes wrong beside the deaths of workers.
 type Profile struct {
 	// Agents: agents are killed and paused, too.
@@ -42,6 +48,8 @@
 	// Outages: all but the workers lose power at times, disks are lost, and links are dark until leases
 	// have run out.
 	Outages bool
+	// Configurations: the configuration is changed and read all the while.
+	Configurations bool
 	// Callers: callers cancel jobs, give up after refusals, and send again what was accepted.
 	Callers bool
 	// Failing: most batch runs fail.
@@ -59,9 +67,9 @@
 // PlayLives plays workers that die and come back under their ids. Judge judges the play.
 func PlayLives(ctx context.Context, o Options, p Profile, seed uint64) error {
 	r := rand.New(rand.NewPCG(seed, 1))
-	plan, err := drawPlan(r, o.Workers, faultTime, p), error(nil)
+	plan, err := drawPlan(r, o.fleet(), faultTime, p), error(nil)
 	if p.Plan != "" {
-		if plan, err = parsePlan(p.Plan, o.Workers); err != nil {
+		if plan, err = parsePlan(p.Plan, o.fleet()); err != nil {
 			return err
 		}
 	}
@@ -76,24 +84,25 @@
 	if err := writePlan(filepath.Join(o.Folder, "plan.txt"), plan); err != nil {
 		return err
 	}
-	l := &load{c: c, rand: r, callers: p.Callers, batchShare: batchShares[r.IntN(len(batchShares))], failPercent: failPercents[r.IntN(len(failPercents))]}
+	l := &load{c: c, seed: seed, rand: r, callers: p.Callers, batchShare: batchShares[r.IntN(len(batchShares))], failPercent: failPercents[r.IntN(len(failPercents))]}
 	if p.BatchShare > 0 {
 		l.batchShare = p.BatchShare
 	}
 	if p.Failing {
 		l.failPercent, l.allFail = failingPercent, true
 	}
-	if err := c.start(ctx, configuration()); err != nil {
+	if err := c.start(ctx, configuration(firstVersion)); err != nil {
 		return err
 	}
-	l.play(ctx, plan, p)
+	op := &operator{c: c}
+	l.play(ctx, plan, p, op)
 	p.Plan = ""
 	title := fmt.Sprintf("seed %d, %+v, batch share %v, failing %d%%", seed, p, l.batchShare, l.failPercent)
-	return summary{Title: title, End: time.Now(), Jobs: l.told()}.write(o.Folder)
+	return summary{Title: title, End: time.Now(), Jobs: l.told(), Changes: op.changes, Reads: op.reads}.write(o.Folder)
 }
 
 // play hands the jobs in, and carries the plan out beside them.
-func (l *load) play(ctx context.Context, plan []action, p Profile) {
+func (l *load) play(ctx context.Context, plan []action, p Profile, op *operator) {
 	working, stop := context.WithCancel(ctx)
 	var all conc.WaitGroup
 	defer all.Wait()
@@ -103,6 +112,10 @@
 		hitches := rand.New(rand.NewPCG(l.rand.Uint64(), 1))
 		all.Go(func() { l.c.hitch(working, hitches) })
 	}
+	if p.Configurations {
+		all.Go(func() { op.change(working, rand.New(rand.NewPCG(l.seed, changesStream))) })
+		all.Go(func() { op.read(working, rand.New(rand.NewPCG(l.seed, readsStream))) })
+	}
 	for _, j := range drawLasting(l.rand, l.c.o.Workers) {
 		id := l.newID()
 		caller := l.drawCaller()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.remove)
-	if err := c.start(t.Context(), configuration()); err != nil {
+	if err := c.start(t.Context(), configuration(firstVersion)); err != nil {
 		t.Fatal(err)
 	}
 	return c
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -15,6 +15,9 @@
 	// End is when the play was over, and its processes were ended.
 	End  time.Time
 	Jobs []submittedJob
+	// Changes and Reads are of the configuration; none where it was not changed.
+	Changes []configChange
+	Reads   []configRead
 }
 
 const summaryFile = "summary.json"
--- a/soak/work.go
+++ b/soak/work.go
@@ -20,12 +20,6 @@
 	batchAttempts = 4
 )
 
-func configuration() []byte {
-	return platformtest.Configuration(1, pool,
-		platformtest.Queue{Name: "serving", Host: queueHost, PathPrefix: servingPath, MaxAttempts: 2},
-		platformtest.Queue{Name: "batch", Host: queueHost, PathPrefix: batchPath, Priority: 1, MaxAttempts: batchAttempts})
-}
-
 // submittedJob is a job with what its caller was told.
 type submittedJob struct {
 	ID       string
@@ -43,7 +37,8 @@
 
 // load hands jobs in.
 type load struct {
-	c *cluster
+	c    *cluster
+	seed uint64
 	// batchShare is how much batch work comes, against what the lasting tasks leave.
 	batchShare float64
 	// failPercent is how many runs of a failing job fail.
