--- /dev/null
+++ b/fakes/runworker_calls.go
@@ -0,0 +1,199 @@
+package fakes
+
+import (
+	"context"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// call carries a call out, or loses or delays it. It returns false when there is no
+// answer.
+func (w *RunWorker) call(ctx context.Context, name string, f func()) bool {
+	var fault OrderFault
+	if w.Fault != nil {
+		fault = w.Fault(name)
+	}
+	calledAt := time.Now()
+	carryOut := func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.advance()
+		w.calledAt = calledAt
+		f()
+	}
+	if fault.Late > 0 {
+		time.AfterFunc(fault.Late, carryOut)
+	}
+	if fault.Lost || fault.Late > 0 {
+		<-ctx.Done()
+		return false
+	}
+	carryOut()
+	return true
+}
+
+// check refuses calls for another incarnation or under an old term; w.mu is held.
+func (w *RunWorker) check(o runs.Order) runs.Answer {
+	switch {
+	case w.gone || o.Incarnation != w.Spec.Id:
+		return runs.AnswerOther
+	case o.Term < w.term:
+		return runs.AnswerFenced
+	}
+	w.term = o.Term
+	return runs.AnswerDone
+}
+
+// Start implements runs.Worker.
+func (w *RunWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
+	var answer runs.Answer
+	if !w.call(ctx, "start", func() { answer = w.start(o, s) }) {
+		return 0, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (w *RunWorker) start(o runs.Order, s runs.Start) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	if s.DeadlineMs <= w.clockMs(time.Now()) {
+		return runs.AnswerLate
+	}
+	w.deadlineMs = max(w.deadlineMs, w.shorten(s.DeadlineMs))
+	task := s.Run.Task
+	if r := w.running[task]; r != nil && r.id == s.Run {
+		return runs.AnswerDone
+	}
+	if s.Run.Number <= w.newest[task] || w.running[task] != nil {
+		return runs.AnswerOver
+	}
+	if w.Advisor != nil && !w.Advisor.Valid(s.Run.Task.StepID(), w.Spec.Id, s.Ticket) {
+		return runs.AnswerNoTicket
+	}
+	r := &workerRun{id: s.Run, at: time.Now(), checkpoint: s.Checkpoint, work: w.workOf(s)}
+	w.running[task] = r
+	if !w.watched {
+		w.watched = true
+		w.Judge.add(w)
+	}
+	w.Judge.started(w, s.Run)
+	if r.work.CrashAfter > 0 {
+		time.AfterFunc(r.work.CrashAfter, func() { w.crashOf(r) })
+	}
+	if w.Events != nil {
+		w.Events.RunBegan(r.id, r.at)
+	}
+	return runs.AnswerDone
+}
+
+// Stop implements runs.Worker.
+func (w *RunWorker) Stop(ctx context.Context, o runs.Order, run jobqueue.RunID) (runs.Answer, error) {
+	var answer runs.Answer
+	if !w.call(ctx, "stop", func() { answer = w.stop(o, run) }) {
+		return 0, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (w *RunWorker) stop(o runs.Order, run jobqueue.RunID) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	w.newest[run.Task] = max(w.newest[run.Task], run.Number)
+	if r := w.running[run.Task]; r != nil && r.id.Number <= run.Number {
+		w.end(run.Task, r, apiv1.RunEndKind_RUN_END_KIND_STOPPED, time.Now())
+	}
+	return runs.AnswerDone
+}
+
+// Pace implements runs.Worker.
+func (w *RunWorker) Pace(ctx context.Context, o runs.Order, _ jobqueue.RunID, _ uint32) (runs.Answer, error) {
+	var answer runs.Answer
+	if !w.call(ctx, "pace", func() { answer = w.check(o) }) {
+		return 0, ctx.Err()
+	}
+	return answer, nil
+}
+
+// Renew implements runs.Worker.
+func (w *RunWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	var status runs.Status
+	var answer runs.Answer
+	var news <-chan struct{}
+	renew := func() {
+		answer = w.renew(o, r)
+		status, news = w.status(), w.endedNews
+	}
+	if !w.call(ctx, "renew", renew) {
+		return runs.Status{}, 0, ctx.Err()
+	}
+	if answer != runs.AnswerDone || len(status.Ended) > 0 || r.Wait == 0 {
+		return status, answer, nil
+	}
+	timer := time.NewTimer(min(r.Wait, w.untilNextEnd()))
+	defer timer.Stop()
+	select {
+	case <-news:
+	case <-timer.C:
+	case <-ctx.Done():
+		return status, 0, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if w.gone {
+		return status, runs.AnswerOther, nil
+	}
+	return w.status(), answer, nil
+}
+
+// untilNextEnd is the time to the next end by itself.
+func (w *RunWorker) untilNextEnd() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := time.Hour
+	for _, r := range w.running {
+		if r.work.Duration > 0 {
+			next = min(next, max(time.Millisecond, time.Until(r.at.Add(r.work.Duration))))
+		}
+	}
+	return next
+}
+
+func (w *RunWorker) renew(o runs.Order, r runs.Renewal) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	if r.DeadlineMs > w.clockMs(time.Now()) {
+		w.deadlineMs = max(w.deadlineMs, w.shorten(r.DeadlineMs))
+	}
+	w.cursor = max(w.cursor, r.Acknowledged)
+	for len(w.ended) > 0 && w.ended[0].Sequence <= w.cursor {
+		w.noted(w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	return runs.AnswerDone
+}
+
+// noted tells the judge of an end that was taken note of; one from before the lease
+// ran out doesn't count, since the leader had given the run up by then.
+func (w *RunWorker) noted(e *apiv1.RunEnd) {
+	at := w.endedAt[e.Sequence]
+	if e.Kind == apiv1.RunEndKind_RUN_END_KIND_DONE && !w.lapsedAt.After(at) {
+		w.Judge.noted(jobqueue.TaskIDOf(e.Task), at)
+	}
+}
+
+func (w *RunWorker) status() runs.Status {
+	s := runs.Status{ClockMs: w.clockMs(time.Now()), Ended: append([]*apiv1.RunEnd(nil), w.ended...)}
+	for task, r := range w.running {
+		s.Running = append(s.Running, &apiv1.RunObservation{
+			Task: task.Ref(), Run: r.id.Number, Percent: r.percent(), Checkpoint: r.saved(),
+		})
+	}
+	return s
+}
