A run that ends by itself clears its task of the crashes before

Callers saw a long-running service given up for good. Two workers had been killed under one of its tasks for other reasons; its next two runs ended failed by themselves after 6 to 9 s, as long-running tasks may, and used up the starts that a suspected task has. A run that ends by itself is evidence against guilt, so it clears the task. TestTaskWhoseRunsEndByThemselvesIsNotGivenUp failed before (failed for crashes).

--- a/jobqueue/crash_test.go
+++ b/jobqueue/crash_test.go
@@ -180,3 +180,43 @@
 		t.Errorf("the task was started %d times", starts)
 	}
 }
+
+// Guards against a long-running task that is given up for crashes that others caused, though its runs
+// since ended by themselves.
+func TestTaskWhoseRunsEndByThemselvesIsNotGivenUp(t *testing.T) {
+	r := newCrashRig(t)
+	const job = "l1"
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+		Id: job, Host: "h", Path: "/q/" + job, Steps: []*apiv1.JobStep{{Count: 1, CpuMilli: 1, MemoryMb: 1, LongRunning: true}},
+	}}}})
+	task := TaskID{Job: job}
+	start := func(host int) {
+		if r.m.Task(task) == nil {
+			t.Fatalf("the job is %v for %v", r.m.Job(job).State, r.m.Job(job).Failure)
+		}
+		run := r.m.Task(task).LastRun + 1
+		r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: task.Ref(), Run: run, Worker: r.worker(host)}}})
+		if r.m.Task(task).LastRun != run {
+			t.Fatalf("run %d does not start", run)
+		}
+	}
+	for host := range crashesCounted {
+		start(host)
+		r.lives[host]++
+		r.report(host, &apiv1.WorkerCrash{Worked: []*apiv1.RunWork{{
+			Task: task.Ref(), Run: r.m.Task(task).LastRun, WorkedMs: 4000, AtMostMs: 4000, Began: true,
+		}}})
+	}
+	for sequence := range uint64(startsBorne + 1) {
+		start(0)
+		r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+			Worker: &apiv1.JobWorker{Id: r.worker(0), Host: "h0", Pool: "p", CpuMilli: 1000, MemoryMb: 1000},
+			Ends: []*apiv1.RunEnd{{
+				Sequence: sequence + 1, Task: task.Ref(), Run: r.m.Task(task).LastRun, Kind: apiv1.RunEndKind_RUN_END_KIND_FAILED,
+			}},
+		}}})
+	}
+	if j := r.m.Job(job); !j.Open() {
+		t.Errorf("the job is %v for %v", j.State, j.Failure)
+	}
+}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -177,6 +177,9 @@
 	case apiv1.RunEndKind_RUN_END_KIND_DONE:
 		m.taskDone(j, s, t, run != nil)
 	case apiv1.RunEndKind_RUN_END_KIND_FAILED:
+		if run != nil { // a task that crashes its workers does not end by itself
+			t.Crashes = Crashes{}
+		}
 		m.taskFailed(j, s, t, id)
 	}
 	if run != nil && e.Kind != apiv1.RunEndKind_RUN_END_KIND_DONE {
