agent, dispatch: sessions of one worker are ordered by numbers that a leader issues; a superseded agent begins a new session

Cause: the leader ordered sessions with one incarnation by a reading of the worker's clock, and by arrival where two readings were equal. An agent that was restarted within one millisecond of that clock had its first report taken; then the network delivered the first report of the agent before it, which took the present session's place. Every later report of the present one was rejected as outdated, and its agent was told only that the worker had left; it looked up the order of incarnations, found its own, and sent the same session again.

TestSessionNumbersOrderSessionsOfEqualClockReadings states the order.

Why this works: an agent asks the leader for a number before a session's first report. A dead agent can't use a number that was issued after its death, and numbers grow within a term, so they order sessions strictly. Whatever the order says, a rejected agent that still serves the worker is told so and begins a new session with a higher number, so that a wrong decision costs one report.

--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -307,3 +307,21 @@
 		}
 	})
 }
+
+// Guards against an agent that repeats reports of a session that the leader counts as superseded,
+// so that its worker stays unreachable.
+func TestSupersededSessionIsReplaced(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term}}
+	withDriver(t, l, func(*runs.Driver, *countingWorker) {
+		time.Sleep(time.Second)
+		var superseded uint64
+		l.update(func() { superseded = l.reports[0].Session; l.supersededSession = superseded; l.reports = nil })
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		last := l.reports[len(l.reports)-1]
+		if last.Session == superseded || last.Sequence == 0 {
+			t.Errorf("the last of %d reports is number %d of the superseded session", len(l.reports), last.Sequence)
+		}
+	})
+}
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -34,7 +34,9 @@
 	// ordersNeedFound: calls for orders fail until a report or a CurrentOrders call has found the
 	// leader, as for a process that does not know the leader yet.
 	ordersNeedFound, found bool
-	reports                []*apiv1.JobsReportRequest
+	// supersededSession is a session whose reports the leader rejects.
+	supersededSession uint64
+	reports           []*apiv1.JobsReportRequest
 }
 
 var errUnavailable = errors.New("no leader")
@@ -51,6 +53,9 @@
 		l.reportsUntilUnavailable--
 		l.unavailable = l.reportsUntilUnavailable == 0
 	}
+	if l.supersededSession != 0 && r.Session == l.supersededSession {
+		return &apiv1.JobsReportResponse{Term: term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE, SessionSuperseded: true}, nil
+	}
 	resp := &apiv1.JobsReportResponse{Term: term, LeaseMs: leaseMs, Epoch: l.epoch, Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
 	for _, e := range r.Ends {
 		resp.Acknowledged = max(resp.Acknowledged, e.Sequence)
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -62,9 +62,27 @@
 }
 
 // resetID makes the leader treat the following reports as those of a new session. Only leaseLoop
-// calls it, through reportExpiry.
+// calls it.
 func (s *session) resetID() {
-	s.id, s.reportCount, s.startedMs = rand.Uint64(), 0, 0
+	s.id, s.reportCount, s.startedMs, s.number = rand.Uint64(), 0, 0, sessionNumber{}
+}
+
+// sessionNumber is the order of a session among those of its host: a number that a leader issued,
+// and the leader's term.
+type sessionNumber struct{ term, number uint64 }
+
+// obtainNumber has the leader issue the session's number, unless it has one. A leader of the previous
+// release issues none.
+func (s *session) obtainNumber(ctx context.Context) error {
+	if s.number.term != 0 {
+		return nil
+	}
+	resp, err := s.d.opts.Leader.HostLease(ctx, s.d.opts.Host)
+	if err != nil {
+		return err
+	}
+	s.number = sessionNumber{resp.Term, resp.SessionNumber}
+	return nil
 }
 
 // resolveIncarnationOrder lists the incarnation that the leader takes for the newest as a
@@ -106,14 +124,19 @@
 	if a.Worker.Draining && status.ClockMs > 0 {
 		r.LeaseBoundMs = s.capLease(status.ClockMs)
 	}
-	resp, err := s.send(ctx, r)
+	resp, err := s.sendNumbered(ctx, r)
 	if err != nil {
 		s.d.metrics.reportsLost.Inc(1)
 		event.ReportLost.Write(s.d.logger, event.Worker(s.incarnation), event.EndCount(len(r.Ends)),
 			event.RunningCount(len(r.Running)), event.Err(err))
 		return false
 	}
-	if resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE {
+	switch {
+	case resp.SessionSuperseded:
+		event.SessionSuperseded.Write(s.d.logger, event.Worker(s.incarnation))
+		s.resetID()
+		return false
+	case resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_STALE:
 		event.WorkerMisidentified.Write(s.d.logger, event.Worker(s.incarnation))
 		s.resolveIncarnationOrder(ctx)
 		return false
@@ -123,6 +146,14 @@
 	return true
 }
 
+// sendNumbered sends a report of a session that has a number.
+func (s *session) sendNumbered(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	if err := s.obtainNumber(ctx); err != nil {
+		return nil, err
+	}
+	return s.send(ctx, r)
+}
+
 // send numbers a report and sends it to the leader. Without the number, the leader would accept a
 // report that the network delivers seconds after its sender abandoned it: it would believe
 // outdated statements about a worker that has become unresponsive since, or record runs as lost
@@ -130,6 +161,7 @@
 func (s *session) send(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	s.reportCount++
 	r.Session, r.Sequence, r.SessionBeganMs = s.id, s.reportCount, s.startedMs
+	r.SessionTerm, r.SessionNumber = s.number.term, s.number.number
 	r.Follows = s.previousIncarnations
 	return s.d.opts.Leader.Report(ctx, r)
 }
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -33,6 +33,8 @@
 	id, reportCount uint64
 	// startedMs is the reading of the worker's clock at its first answer under the current id.
 	startedMs int64
+	// number orders the sessions of the host's agents; zero until a leader has issued it.
+	number sessionNumber
 	// admitted: the worker may be reported to the leader. Only leaseLoop uses it.
 	admitted bool
 	// notRenewedLoggedAt is when a failed renewal of the lease was last logged. Only leaseLoop
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -84,9 +84,11 @@
 	}
 }
 
-// addHost adds the newest incarnation and the current lease on a host.
+// addHost adds the newest incarnation and the current lease on a host, and a session number for its
+// agent.
 func (l *leaderState) addHost(resp *apiv1.JobsOrdersResponse, m *jobqueue.Machine, host string) {
 	resp.HostTold = true
+	resp.SessionNumber = l.reports.issueSessionNumber()
 	resp.LastLife = l.reports.newestIncarnations[host].Name()
 	w := m.WorkerOnHost(host)
 	if w == nil {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -26,7 +26,9 @@
 	case applied.term == 0:
 		return d.notLeaderResponse(), nil
 	case applied.outdated:
-		return &apiv1.JobsReportResponse{Term: applied.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE}, nil
+		return &apiv1.JobsReportResponse{
+			Term: applied.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE, SessionSuperseded: applied.sessionSuperseded,
+		}, nil
 	}
 	outcome, err := d.commitReport(ctx, applied.command)
 	term, leads := d.opts.Replica.Leading()
@@ -57,7 +59,8 @@
 	// openJobs are the jobs that may finish with the report.
 	openJobs map[string]openJob
 	// outdated means that a newer report was applied earlier, and nothing of this one was.
-	outdated bool
+	// sessionSuperseded means that this holds for all reports of its session.
+	outdated, sessionSuperseded bool
 }
 
 // applyReport applies a report to the leader's state. A term of 0 means that this replica does not
@@ -79,7 +82,7 @@
 	if outdated {
 		d.metrics.reportsOutdated.Inc(1)
 		event.ReportOutdated.Write(d.logger, event.Term(l.term), event.Worker(r.Worker.GetId()))
-		return appliedReport{term: l.term, outdated: true}
+		return appliedReport{term: l.term, outdated: true, sessionSuperseded: l.reports.superseded(r)}
 	}
 	applied := appliedReport{term: l.term}
 	now := d.opts.Now()
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -17,12 +18,14 @@
 // on it. Without this check, a report from before the partition could arrive after the agent's
 // report that the worker's lease expired: the worker would count as reachable and empty, and all
 // waiting tasks would be ordered to a worker that never responds. A session whose reports all arrive
-// late is distinguished from a newer one by its start time: otherwise its late report would end the
-// newer session, and that worker would get no work.
+// late is distinguished from a newer one by its number: otherwise its late report would supersede the
+// newer session.
 type reportOrder struct {
 	byWorker map[string]*sessionState
 	// newestIncarnations are the newest reported incarnations, by host.
 	newestIncarnations map[string]jobqueue.Incarnation
+	// lastSessionNumber is the last session number that this leader issued.
+	lastSessionNumber uint64
 }
 
 func newReportOrder() *reportOrder {
@@ -32,10 +35,36 @@
 // sessionState is the newest report of a worker and the sessions before its own.
 type sessionState struct {
 	session, sequence uint64
-	// startedMs is when the session began by the worker's clock, 0 if the report did not include
-	// it.
-	startedMs int64
-	previous  map[uint64]bool
+	began             sessionStart
+	previous          map[uint64]bool
+}
+
+// sessionStart orders the sessions with one worker. A number that a leader issued orders them
+// strictly: an agent uses a number only if it got the response, and the agents of a host serve the
+// worker one after another. A clock reading does not, since two sessions may begin at the same one.
+type sessionStart struct {
+	// term and number identify the issued number; number is 0 if the agent has none.
+	term, number uint64
+	// clockMs is the reading of the worker's clock, 0 if it is unknown.
+	clockMs int64
+}
+
+func sessionStartOf(r *apiv1.JobsReportRequest) sessionStart {
+	return sessionStart{term: r.SessionTerm, number: r.SessionNumber, clockMs: r.SessionBeganMs}
+}
+
+// before reports whether a session began before another one.
+func (s sessionStart) before(other sessionStart) bool {
+	if s.number != 0 && other.number != 0 {
+		return cmp.Or(cmp.Compare(s.term, other.term), cmp.Compare(s.number, other.number)) < 0
+	}
+	return s.clockMs != 0 && s.clockMs < other.clockMs
+}
+
+// issueSessionNumber returns a number that is higher than all that this leader issued before.
+func (o *reportOrder) issueSessionNumber() uint64 {
+	o.lastSessionNumber++
+	return o.lastSessionNumber
 }
 
 // outdated reports whether a newer report of the worker was recorded before this one, and records
@@ -49,14 +78,14 @@
 	}
 	state := o.byWorker[r.Worker.GetId()]
 	if state == nil {
-		state = &sessionState{session: r.Session, startedMs: r.SessionBeganMs, previous: map[uint64]bool{}}
+		state = &sessionState{session: r.Session, began: sessionStartOf(r), previous: map[uint64]bool{}}
 		o.byWorker[r.Worker.GetId()] = state
 	}
 	if state.previous[r.Session] {
 		return true
 	}
 	if state.session != r.Session {
-		if r.SessionBeganMs != 0 && r.SessionBeganMs < state.startedMs {
+		if sessionStartOf(r).before(state.began) {
 			return true
 		}
 		state.startSession(r)
@@ -94,7 +123,14 @@
 		clear(s.previous)
 	}
 	s.previous[s.session] = true
-	s.session, s.startedMs, s.sequence = r.Session, r.SessionBeganMs, 0
+	s.session, s.began, s.sequence = r.Session, sessionStartOf(r), 0
+}
+
+// superseded reports whether the session of a report has ended for the leader, so that none of its
+// reports will be accepted.
+func (o *reportOrder) superseded(r *apiv1.JobsReportRequest) bool {
+	state := o.byWorker[r.Worker.GetId()]
+	return r.Session != 0 && state != nil && (state.session != r.Session || state.previous[r.Session])
 }
 
 // endSession records that a worker's session has ended: its agent reports that the worker's lease
--- a/dispatch/reportorder_test.go
+++ b/dispatch/reportorder_test.go
@@ -75,3 +75,33 @@
 		}
 	}
 }
+
+// Guards against a healthy worker that stays unreachable: of two sessions that began at the same
+// reading of the worker's clock, the earlier one is reported last and takes the newer one's place.
+func TestSessionNumbersOrderSessionsOfEqualClockReadings(t *testing.T) {
+	order, m := newReportOrder(), jobqueue.New()
+	for i, step := range []struct {
+		session, term, number, sequence uint64
+		outdated, superseded            bool
+	}{
+		{session: 8, term: 1, number: 2, sequence: 1},
+		{session: 7, term: 1, number: 1, sequence: 1, outdated: true, superseded: true}, // Delayed by the network.
+		{session: 8, term: 1, number: 2, sequence: 2},
+		{session: 8, term: 1, number: 2, sequence: 1, outdated: true},
+		{session: 9, term: 2, number: 1, sequence: 1}, // Another leader issued the number.
+		{session: 8, term: 1, number: 2, sequence: 3, outdated: true, superseded: true},
+		{session: 7, term: 1, number: 1, sequence: 2, outdated: true, superseded: true},
+		{session: 9, term: 2, number: 1, sequence: 2},
+	} {
+		r := &apiv1.JobsReportRequest{
+			Worker: &apiv1.JobWorker{Id: "w1"}, Session: step.session, Sequence: step.sequence, SessionBeganMs: 1000,
+			SessionTerm: step.term, SessionNumber: step.number,
+		}
+		if got := order.outdated(m, r); got != step.outdated {
+			t.Errorf("step %d: outdated %v, want %v", i, got, step.outdated)
+		}
+		if got := order.superseded(r); got != step.superseded {
+			t.Errorf("step %d: superseded %v, want %v", i, got, step.superseded)
+		}
+	}
+}
