jobqueue: the first report of an incarnation is refused if another worker has been recorded on its host since it was judged

Cause: the leader judged the first report of an incarnation against the log, and committed it some time later. A report that the network held up could be judged before the first report of the host's present incarnation and be committed after it. The log then ended the present incarnation for good.

Why this works: the entry names the worker that the leader saw on the host, and the log refuses it if there is another one when it is applied. Whichever report is committed first stands; the sender of the other, if it is alive, looks up the order of incarnations and reports again, also when the leader knows its incarnation as the newest one. Entries of earlier releases name no worker and mean what they meant.

--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -91,10 +91,12 @@
 // came before it.
 func (s *session) resolveIncarnationOrder(ctx context.Context) {
 	counted, err := s.d.opts.Leader.HostLease(ctx, s.d.opts.Host)
-	if err != nil || counted.LastLife == "" || counted.LastLife == s.incarnation {
+	if err != nil {
 		return
 	}
-	s.addPreviousIncarnation(counted.LastLife)
+	if counted.LastLife != "" && counted.LastLife != s.incarnation {
+		s.addPreviousIncarnation(counted.LastLife)
+	}
 	if counted.LeaseWorker != "" && counted.LeaseWorker != s.incarnation {
 		s.addPreviousIncarnation(counted.LeaseWorker)
 		s.previousEndReport = &apiv1.JobsReportRequest{
--- a/dispatch/latereport_test.go
+++ b/dispatch/latereport_test.go
@@ -127,3 +127,36 @@
 		}
 	})
 }
+
+// Guards against a report of a previous incarnation that ends its running successor in the log. The
+// leader judges it before the successor's first report, and it is committed after that.
+func TestReportOfPreviousIncarnationCommittedLateKeepsSuccessor(t *testing.T) {
+	for name, previous := range map[string]string{"earlier clock": "w@100", "clock set back between them": "w@300"} {
+		t.Run(name, func(t *testing.T) {
+			runSim(t, 1, 0, func(t *testing.T, s *sim) {
+				s.sleep(time.Second)
+				log := s.injectLogFaults(0, nil)
+				r := &expiryHarness{t, s}
+				worker := func(id string) *apiv1.JobWorker {
+					return &apiv1.JobWorker{Id: id, Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000}
+				}
+				log.commitDelay.Store(int64(2 * time.Second))
+				s.loops.Go(func() { r.report(&apiv1.JobsReportRequest{Worker: worker(previous), Session: 1, Sequence: 1}) })
+				s.sleep(100 * time.Millisecond)
+				log.commitDelay.Store(0)
+				present := &apiv1.JobsReportRequest{Worker: worker("w@200"), Session: 2, Sequence: 1, Follows: []string{previous}}
+				r.report(present)
+				s.submitLongRunning("q", "set")
+				s.waitForRun("set", 1)
+				s.sleep(3 * time.Second)
+				if len(s.runsOn("w@200")) == 0 {
+					t.Error("the run is lost but continues")
+				}
+				present.Sequence = 2
+				if got := r.report(present); got.LeaseMs == 0 {
+					t.Errorf("the successor gets no lease: %v", got)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -212,8 +212,13 @@
 		command.Crash = &apiv1.WorkerCrash{Worked: worked}
 	}
 	if w == nil {
+		replaced := m.WorkerOnHost(r.Worker.GetHost())
 		command.Ends = r.Ends
-		command.Checkpoints = l.checkpoints(m.WorkerOnHost(r.Worker.GetHost()))
+		command.Checkpoints = l.checkpoints(replaced)
+		command.Replaces = proto.String("")
+		if replaced != nil {
+			command.Replaces = proto.String(replaced.Spec.Id)
+		}
 		return command
 	}
 	for _, e := range r.Ends {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -18,6 +18,10 @@
 	} else if known == nil && r.Departed {
 		m.recordUnknownDeparture(spec)
 		return apiv1.JobOutcome_JOB_OUTCOME_OK
+	} else if known == nil && r.Replaces != nil && m.current[spec.Host] != r.GetReplaces() {
+		// Another incarnation was recorded while this report was being committed. Which of the two
+		// is newer has to be decided again.
+		return apiv1.JobOutcome_JOB_OUTCOME_STALE
 	}
 	m.recordCheckpoints(r.Checkpoints)
 	w := m.upsertWorker(spec, r.Crash)
