agent: a run whose end the worker listed does not count as crashed with the worker

Cause: an agent keeps when it started runs, and tells with a crash of its worker how long each had worked. It kept runs that had ended by themselves as well. Where the end was not reported before the crash, as in a partition, the log still had the run and counted the crash under its task: with two such crashes the starts of an innocent task are limited.

Why this works: the agent marks such runs as ended, and the leader leaves them out. Only a run that the worker had not listed as ended can have crashed it.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -31,6 +31,8 @@
 	requestedAt, confirmedAt time.Time
 	// maybeSent: a start call may have reached the worker. neverSent: none has reached it so far.
 	maybeSent, neverSent bool
+	// ended: the worker listed the end of the run.
+	ended bool
 }
 
 func newCallHistory() callHistory { return callHistory{starts: map[jobqueue.RunID]startRecord{}} }
@@ -68,6 +70,14 @@
 	}
 }
 
+// recordEnded records that the worker listed the end of a run.
+func (c *callHistory) recordEnded(id jobqueue.RunID) {
+	if s, known := c.starts[id]; known {
+		s.ended = true
+		c.starts[id] = s
+	}
+}
+
 // recordListedRuns records the runs in the first status of the worker, which a previous agent had
 // started.
 func (s *session) recordListedRuns(status Status, now time.Time) {
@@ -90,7 +100,8 @@
 }
 
 // workAtCrash lists the runs that may have begun on a worker that has crashed, with bounds on how
-// long they had worked, and the runs whose start never reached it.
+// long they had worked, and the runs that were certainly not there: their start never reached it, or
+// it listed their end.
 func (c *callHistory) workAtCrash(now time.Time) []*apiv1.RunWork {
 	crashed := now
 	if !c.failedAt.IsZero() {
@@ -98,8 +109,8 @@
 	}
 	var list []*apiv1.RunWork
 	for id, s := range c.starts {
-		if s.neverSent {
-			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: true})
+		if s.neverSent || s.ended {
+			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: s.neverSent, Ended: s.ended})
 			continue
 		}
 		began := !s.confirmedAt.IsZero()
--- a/agent/runs/callhistory_test.go
+++ b/agent/runs/callhistory_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 var errNotListening = fmt.Errorf("connection refused: %w", runs.ErrNotSent)
@@ -38,6 +39,27 @@
 	}
 }
 
+// Guards against a job that reaches its crash limit through crashes of workers on which its run had
+// ended by itself: the end was not reported before the crash.
+func TestEndBeforeCrashIsReported(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		w.Duration = func(jobqueue.TaskID) time.Duration { return 3 * time.Second }
+		time.Sleep(2 * time.Second)
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(2500 * time.Millisecond)
+		l.update(func() { l.unavailable = true })
+		time.Sleep(2500 * time.Millisecond)
+		w.Crash()
+		time.Sleep(time.Second)
+		l.update(func() { l.unavailable = false })
+		time.Sleep(2 * time.Second)
+		if worked, ok := l.workedAtCrash(); !ok || len(worked) != 1 || !worked[0].Ended {
+			t.Errorf("work reported with the crash: %v", worked)
+		}
+	})
+}
+
 // workedAtCrash returns the work that the agent reported for the runs of a worker that crashed.
 func (l *leader) workedAtCrash() ([]*apiv1.RunWork, bool) {
 	l.mu.Lock()
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
 )
 
@@ -31,6 +32,9 @@
 	}
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
+	for _, e := range status.Ended {
+		s.callHistory.recordEnded(jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run})
+	}
 }
 
 // nextDeadline returns the deadline for the next call: the end of the leader's lease, but at most
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -30,7 +30,8 @@
 
 // workBeforeCrash lists the minimum working time of each run that a worker may have begun, shortest
 // first. reported is what the agent lists: if it lists any run, then a run that neither it nor an
-// earlier report lists never began, unless the log had counted that run as lost.
+// earlier report lists never began, unless the log had counted that run as lost. A run whose end the
+// agent has seen was not running, although the log may not contain the end.
 func (l *leaderState) workBeforeCrash(w *jobqueue.Worker, reported []*apiv1.RunWork) []*apiv1.RunWork {
 	byRun := map[jobqueue.RunID]*apiv1.RunWork{}
 	for _, t := range reported {
@@ -47,12 +48,12 @@
 		if work == nil && len(reported) == 0 {
 			work = unknownWork(id)
 		}
-		if work != nil && !work.NeverSent {
+		if work != nil && !notRunning(work) {
 			list = append(list, work)
 		}
 	}
 	for _, id := range w.LostRuns() {
-		if work := cmp.Or(byRun[id], unknownWork(id)); !work.NeverSent {
+		if work := cmp.Or(byRun[id], unknownWork(id)); !notRunning(work) {
 			list = append(list, work)
 		}
 	}
@@ -60,6 +61,9 @@
 	return list
 }
 
+// notRunning reports whether the run was certainly not there when its worker crashed.
+func notRunning(w *apiv1.RunWork) bool { return w.NeverSent || w.Ended }
+
 func unknownWork(id jobqueue.RunID) *apiv1.RunWork {
 	return &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, WorkedMs: jobqueue.UnknownMs, AtMostMs: jobqueue.UnknownMs}
 }
