crashloop, jobqueue, dispatch: one rule of evidence for crashes of workers

Runs are now measured by readings of the worker's own clock. - A crash with another cause before the task's own started the count anew: only crashes in a row counted. - Nothing compared workers: those that crash together without a run in common, or beside a task that has crashed others after the same runtime, counted in full.

Rule (package crashloop): a history of the crashes under each task. A run that worked for longer than an earlier one disproves that one's crash. Simultaneous crashes of three workers or more that no step explains, and crashes that a task that failed by the limit explains, are excused. Two crashes that the task may have caused and two starts since the second crash fail its job; crashes with other causes count towards the starts once one of its own happened on probation. While several other workers are silent, the verdict waits for three seconds.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -88,13 +88,17 @@
 	}
 }
 
+// isUnanswered reports whether a call got no answer until its deadline, so that it may have been lost.
+func isUnanswered(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
 // recordResult records the result of a call.
 func (c *callHistory) recordResult(answer Answer, err error, now time.Time) {
-	unanswered := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 	switch {
 	case err == nil && answer != AnswerOtherIncarnation && answer != AnswerFenced:
 		c.lastAnsweredAt, c.failedAt = now, time.Time{}
-	case err != nil && !unanswered && c.failedAt.IsZero():
+	case err != nil && !isUnanswered(err) && c.failedAt.IsZero():
 		c.failedAt = now
 	}
 }
@@ -137,14 +141,52 @@
 	s.callHistory.recordResult(answer, err, s.d.opts.Now())
 }
 
+// crashedAt estimates when a worker that has crashed did so. It returns false if that is not known.
+func (c *callHistory) crashedAt() (crashMoment, bool) {
+	switch {
+	case !c.failedAt.IsZero():
+		return crashMoment{at: c.failedAt}, true
+	case !c.lastAnsweredAt.IsZero():
+		return crashMoment{c.lastAnsweredAt.Add(renewalWait / 2), renewalWait / 2}, true
+	}
+	return crashMoment{}, false
+}
+
+// crashMoment is an estimate of when a worker crashed, and its largest error. A renewal of the lease
+// is in progress most of the time: it fails when the worker crashes, unless the host goes down too.
+type crashMoment struct {
+	at          time.Time
+	uncertainty time.Duration
+}
+
+// endReport is a report that an incarnation has ended.
+type endReport struct {
+	request *apiv1.JobsReportRequest
+	// crashed is when the incarnation crashed; nil if it did not or if that is not known.
+	crashed *crashMoment
+}
+
+// addCrashAge states how long ago the crash was, as of now.
+func (r endReport) addCrashAge(now time.Time) {
+	if r.crashed == nil {
+		return
+	}
+	ago := now.Sub(r.crashed.at).Milliseconds()
+	r.request.CrashedAgoMs, r.request.CrashUncertaintyMs = &ago, r.crashed.uncertainty.Milliseconds()
+}
+
 // departureReport returns the report that the incarnation has ended. An incarnation that neither
 // drained nor reported its departure has crashed.
-func (s *session) departureReport() *apiv1.JobsReportRequest {
+func (s *session) departureReport() *endReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &apiv1.JobsReportRequest{Worker: s.announced.Worker, Departed: true}
-	if !s.announced.Departed && !s.announced.Worker.Draining {
-		r.Crashed, r.Worked = true, s.callHistory.workAtCrash(s.d.opts.Now())
+	r := &endReport{request: &apiv1.JobsReportRequest{Worker: s.announced.Worker, Departed: true}}
+	if s.announced.Departed || s.announced.Worker.Draining {
+		return r
+	}
+	r.request.Crashed, r.request.Worked = true, s.callHistory.workAtCrash(s.d.opts.Now())
+	if at, known := s.callHistory.crashedAt(); known {
+		r.crashed = &at
 	}
 	return r
 }
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -25,7 +25,7 @@
 	end := s.departureReport()
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-		_, err := s.send(ctx, end)
+		_, err := s.sendEnd(ctx, end)
 		cancel()
 		if err == nil {
 			return
@@ -56,7 +56,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
-	if _, err := s.send(ctx, s.previousEndReport); err == nil {
+	if _, err := s.sendEnd(ctx, s.previousEndReport); err == nil {
 		s.previousEndReport = nil
 	}
 }
@@ -99,9 +99,9 @@
 	}
 	if counted.LeaseWorker != "" && counted.LeaseWorker != s.incarnation {
 		s.addPreviousIncarnation(counted.LeaseWorker)
-		s.previousEndReport = &apiv1.JobsReportRequest{
+		s.previousEndReport = &endReport{request: &apiv1.JobsReportRequest{
 			Worker: &apiv1.JobWorker{Id: counted.LeaseWorker, Host: s.d.opts.Host}, Departed: true, Crashed: true,
-		}
+		}}
 	}
 }
 
@@ -118,7 +118,7 @@
 	r := &apiv1.JobsReportRequest{
 		Worker: a.Worker, Ends: status.Ended, Running: status.Running,
 		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.pendingRefusals(),
-		Partial: status.Partial,
+		Partial: status.Partial, ClockMs: status.ClockMs,
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
@@ -156,6 +156,12 @@
 	return s.send(ctx, r)
 }
 
+// sendEnd sends a report that an incarnation has ended.
+func (s *session) sendEnd(ctx context.Context, end *endReport) (*apiv1.JobsReportResponse, error) {
+	end.addCrashAge(s.d.opts.Now())
+	return s.send(ctx, end.request)
+}
+
 // send numbers a report and sends it to the leader. Without the number, the leader would accept a
 // report that the network delivers seconds after its sender abandoned it: it would believe
 // outdated statements about a worker that has become unresponsive since, or record runs as lost
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
-	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
 )
@@ -45,7 +44,7 @@
 	previousIncarnations []string
 	// previousEndReport is the report that the previous incarnation has ended, kept until the
 	// leader has received it; nil when there is none.
-	previousEndReport *apiv1.JobsReportRequest
+	previousEndReport *endReport
 
 	mu        sync.Mutex
 	announced Announcement
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -176,12 +176,12 @@
 				stopping = ", being stopped"
 			}
 			if r.OnTrial {
-				stopping += ", on trial"
+				stopping += ", on probation"
 			}
 			a.printf("  task %d: run %d on %s%s\n", i, r.Run, r.Worker, stopping)
 		}
-		if n := t.GetCrashes().GetInRow(); n > 0 {
-			a.printf("  task %d: %d workers crashed under it in a row\n", i, n)
+		if n := len(t.GetCrashes().GetCrashes()); n > 0 {
+			a.printf("  task %d: %d workers crashed under it\n", i, n)
 		}
 	}
 }
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -3,31 +3,67 @@
 import (
 	"cmp"
 	"fmt"
-	"go.uber.org/zap"
 	"slices"
+	"time"
+
+	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
+	"github.com/cairnlift/cairnlift/state"
 )
 
-// reportedCrash returns the worker that a report shows to have crashed and the work of its runs,
-// nil if there is none. A crash is a departure without notice, or the first report of an
-// incarnation whose predecessor did not give notice.
-func (l *leaderState) reportedCrash(m *jobqueue.Machine, r *apiv1.JobsReportRequest) (*jobqueue.Worker, []*apiv1.RunWork) {
+// reportedCrash returns the worker that a report shows to have crashed and its crash, nil if there is
+// none. A crash is a departure without notice, or the first report of an incarnation whose
+// predecessor did not give notice.
+func (l *leaderState) reportedCrash(m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) (*jobqueue.Worker, *apiv1.WorkerCrash) {
 	worker, previous := m.Worker(r.Worker.GetId()), m.WorkerOnHost(r.Worker.GetHost())
 	switch {
 	case worker != nil && r.Departed:
 		if !r.Crashed || worker.Spec.Draining {
 			return nil, nil
 		}
-		return worker, l.workBeforeCrash(worker, r.Worked)
+		crash := l.crashOf(m, worker, r.Worked, now)
+		if r.CrashedAgoMs != nil {
+			crash.AtMs, crash.UncertaintyMs = now.UnixMilli()-r.GetCrashedAgoMs(), r.CrashUncertaintyMs
+		}
+		return worker, crash
 	case worker == nil && !r.Departed && previous != nil && !previous.Spec.Draining:
-		return previous, l.workBeforeCrash(previous, nil)
+		return previous, l.crashOf(m, previous, nil, now)
 	}
 	return nil, nil
 }
 
+// crashTimeUncertainty is the largest error of the time of a crash that is estimated from the last
+// report: a worker is reported every half second.
+const crashTimeUncertainty = 250 * time.Millisecond
+
+// crashOf describes the crash of a worker whose agent reported the given work.
+func (l *leaderState) crashOf(m *jobqueue.Machine, w *jobqueue.Worker, worked []*apiv1.RunWork, now time.Time) *apiv1.WorkerCrash {
+	crash := &apiv1.WorkerCrash{Worked: l.workBeforeCrash(w, worked), OthersSilent: l.othersSilent(m, w, now)}
+	if lease := l.leases.get(w.Spec.Id); lease.reported {
+		crash.AtMs, crash.UncertaintyMs = lease.renewedAt.Add(crashTimeUncertainty).UnixMilli(), crashTimeUncertainty.Milliseconds()
+	}
+	return crash
+}
+
+// minOthersSilent is the number of other silent workers from which a crash may be part of one that
+// affects several workers.
+const minOthersSilent = 2
+
+// othersSilent reports whether several other workers have stopped reporting a short time ago.
+func (l *leaderState) othersSilent(m *jobqueue.Machine, crashed *jobqueue.Worker, now time.Time) bool {
+	silent := 0
+	for _, w := range m.Workers() {
+		lease := l.leases.get(w.Spec.Id)
+		if w != crashed && lease.reported && !lease.expired && !l.leases.reachable(w.Spec.Id, now) {
+			silent++
+		}
+	}
+	return silent >= minOthersSilent
+}
+
 // workBeforeCrash lists the minimum working time of each run that a worker may have begun, shortest
 // first. reported is what the agent lists: if it lists any run, then a run that neither it nor an
 // earlier report lists never began, unless the log had counted that run as lost. A run whose end the
@@ -43,7 +79,7 @@
 		if o, seen := l.observed[id]; seen {
 			work = cmp.Or(work, unknownWork(id))
 			work.NeverSent = false
-			work.WorkedMs, work.Began = max(work.WorkedMs, o.At.Sub(o.FirstAt).Milliseconds()), true
+			work.WorkedMs, work.Began = max(work.WorkedMs, o.Worked().Milliseconds()), true
 		}
 		if work == nil && len(reported) == 0 {
 			work = unknownWork(id)
@@ -96,8 +132,8 @@
 			d.metrics.jobsAtCrashLimit.Inc(1)
 			event.JobFailed.Write(d.logger, event.Term(applied.term), event.Task(id), event.Run(w.Run))
 		}
-		if task := m.Task(id); task != nil && task.Crashes.Suspect {
-			suspects = append(suspects, fmt.Sprintf("%s %d %d", id, task.Crashes.Consecutive, task.Crashes.SoleCause))
+		if task := m.Task(id); task != nil && task.Crashes.Suspect() {
+			suspects = append(suspects, fmt.Sprintf("%s %d %d", id, task.Crashes.Similar(), task.Crashes.SoleCauses()))
 		}
 	}
 	if len(suspects) > 0 {
@@ -105,6 +141,22 @@
 	}
 }
 
+// logVerdicts logs the tasks that have failed their jobs by the crash limit some time after the last
+// crash.
+func (d *Dispatcher) logVerdicts(term uint64, verdicts []jobqueue.TaskID) {
+	if len(verdicts) == 0 {
+		return
+	}
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		for _, id := range verdicts {
+			if j := m.CallerJobs().Job(id.Job); j != nil && j.Failure == apiv1.JobFailure_JOB_FAILURE_CRASHES && j.FailedTask == id {
+				d.metrics.jobsAtCrashLimit.Inc(1)
+				event.JobFailed.Write(d.logger, event.Term(term), event.Task(id))
+			}
+		}
+	})
+}
+
 // logProbationsPassed logs the tasks whose probation succeeded.
 func (l *leaderState) logProbationsPassed(logger *zap.Logger, passed []*apiv1.RunRef) {
 	if len(passed) == 0 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/dependency"
 	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/state"
@@ -140,11 +141,12 @@
 
 // round decides and commits one plan.
 func (d *Dispatcher) round(ctx context.Context) {
-	plan, expired := d.decide()
+	plan, expired, verdicts := d.decide()
 	if plan == nil {
 		return
 	}
 	committed := d.commitPlan(ctx, plan)
+	d.logVerdicts(plan.Term, verdicts)
 	if len(expired) > 0 {
 		d.finishExpiries(plan.Term, expired, committed)
 	}
@@ -163,18 +165,20 @@
 	return err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
-// decide returns the plan to commit, nil if there is nothing to do.
-func (d *Dispatcher) decide() (plan *apiv1.PlanRuns, expired []string) {
+// decide returns the plan to commit, nil if there is nothing to do, the workers whose leases expire
+// with it, and the tasks whose jobs may fail with it by the crash limit.
+func (d *Dispatcher) decide() (plan *apiv1.PlanRuns, expired []string, verdicts []jobqueue.TaskID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.readyLeader()
 	if l == nil {
-		return nil, nil
+		return nil, nil, nil
 	}
 	now := d.opts.Now()
 	started := time.Now()
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
+		verdicts = jobs.VerdictsDue(now.UnixMilli())
 		plan = &apiv1.PlanRuns{Term: l.term}
 		plan.Lapsed = l.leases.expire(jobs.Workers(), now)
 		for _, id := range plan.Lapsed {
@@ -195,10 +199,10 @@
 		l.batchedLog.flushIfDue(l.term, now)
 	})
 	d.metrics.planning.ObserveSince(started)
-	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed)+len(plan.TrialsOver) == 0 && plan.Learnt == nil {
-		return nil, nil
+	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed)+len(plan.TrialsOver)+len(verdicts) == 0 && plan.Learnt == nil {
+		return nil, nil, nil
 	}
-	return plan, plan.Lapsed
+	return plan, plan.Lapsed, verdicts
 }
 
 func jobsCommand(c *apiv1.JobsCommand) *apiv1.Command {
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -35,8 +35,8 @@
 	if worker == nil && r.Departed {
 		return // An incarnation that the log does not contain ends no other one.
 	}
-	if crashed, worked := l.reportedCrash(m, r); crashed != nil && l.lossLoggedEpoch[crashed.Spec.Id] != crashed.Epoch {
-		d.logCrash(l, crashed, worked)
+	if crashed, crash := l.reportedCrash(m, r, now); crashed != nil && l.lossLoggedEpoch[crashed.Spec.Id] != crashed.Epoch {
+		d.logCrash(l, crashed, crash.Worked)
 	}
 	if previous := m.WorkerOnHost(r.Worker.GetHost()); previous != nil && (worker == nil || previous != worker && !worker.Departed) {
 		d.recordLostRuns(l, previous, lostWorkerReplaced, nil, now)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -86,10 +86,12 @@
 	}
 	applied := appliedReport{term: l.term}
 	now := d.opts.Now()
-	applied.grantedLease, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
+	if !r.Departed {
+		applied.grantedLease, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
+	}
 	l.contacts.recordReport(r, now)
 	for _, o := range r.Running {
-		l.recordObservation(o, now)
+		l.recordObservation(o, r.ClockMs, now)
 	}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
@@ -98,7 +100,7 @@
 		d.recordUnlogged(l, jobs, r, now)
 		d.countObjectiveMisses(jobs, r.Running)
 		l.logObjectiveMisses(jobs.Worker(r.Worker.GetId()), r.Running, now)
-		applied.command = l.reportCommand(jobs, r)
+		applied.command = l.reportCommand(jobs, r, now)
 		applied.openJobs = l.openJobs(jobs, applied.command)
 		if l.adjustPaces(jobs.Worker(r.Worker.GetId()), now) {
 			d.metrics.paceOrders.Inc(1)
@@ -124,17 +126,18 @@
 	return lease.reported && !lease.expired && now.Sub(lease.renewedAt) < takeoverTimeout
 }
 
-// recordObservation records the state of a run.
-func (l *leaderState) recordObservation(o *apiv1.RunObservation, now time.Time) {
+// recordObservation records the state of a run when the worker's clock showed clockMs.
+func (l *leaderState) recordObservation(o *apiv1.RunObservation, clockMs int64, now time.Time) {
 	id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
 	observation, known := l.observed[id]
 	if !known {
-		observation.FirstAt = now
+		observation.FirstAt, observation.FirstClockMs = now, clockMs
 		observation.ProgressAt = now
 	}
 	if observation.Percent != o.Percent {
 		observation.ProgressAt = now
 	}
+	observation.ClockMs = clockMs
 	observation.At, observation.Percent, observation.Figure = now, o.Percent, o.Figure
 	if o.Checkpoint != "" {
 		observation.Checkpoint = o.Checkpoint
@@ -205,12 +208,10 @@
 }
 
 // reportCommand returns the part of a report that the log does not contain yet.
-func (l *leaderState) reportCommand(m *jobqueue.Machine, r *apiv1.JobsReportRequest) *apiv1.ReportWorker {
+func (l *leaderState) reportCommand(m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) *apiv1.ReportWorker {
 	w := m.Worker(r.Worker.GetId())
 	command := &apiv1.ReportWorker{Worker: r.Worker, Refusals: r.Refusals, Departed: r.Departed}
-	if crashed, worked := l.reportedCrash(m, r); crashed != nil {
-		command.Crash = &apiv1.WorkerCrash{Worked: worked}
-	}
+	_, command.Crash = l.reportedCrash(m, r, now)
 	if w == nil {
 		replaced := m.WorkerOnHost(r.Worker.GetHost())
 		command.Ends = r.Ends
--- a/jobqueue/crash_test.go
+++ b/jobqueue/crash_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/crashloop"
 )
 
 // crashHarness is a machine with one job whose workers crash one after the other.
@@ -99,7 +100,7 @@
 	for _, restored := range []bool{false, true} {
 		r := newCrashHarness(t)
 		r.restoreEachTime = restored
-		for range maxSoleCauseCrashes {
+		for range crashloop.MaxSoleCauseCrashes {
 			if !r.start(0, 0) {
 				t.Fatal("the task does not start")
 			}
@@ -132,7 +133,7 @@
 // before the crash was reported.
 func TestCrashReportedAfterLeaseExpiryCounts(t *testing.T) {
 	r := newCrashHarness(t)
-	for host := range maxSoleCauseCrashes {
+	for host := range crashloop.MaxSoleCauseCrashes {
 		r.start(0, host)
 		r.plan(&apiv1.PlanRuns{Lapsed: []string{r.worker(host)}})
 		r.crash(host, map[uint32]time.Duration{0: time.Millisecond})
@@ -146,13 +147,13 @@
 // only unreachable and reported again in between.
 func TestUnreachableWorkerDidNotCrash(t *testing.T) {
 	r := newCrashHarness(t)
-	for range maxSoleCauseCrashes {
+	for range crashloop.MaxSoleCauseCrashes {
 		r.start(0, 0)
 		r.plan(&apiv1.PlanRuns{Lapsed: []string{r.worker(0)}})
 		r.report(0, nil)
 		r.crash(0, map[uint32]time.Duration{0: time.Millisecond})
 	}
-	if c := r.m.Task(r.task(0)).Crashes; c.Consecutive > 0 {
+	if c := r.m.Task(r.task(0)).Crashes; c.Count() > 0 {
 		t.Errorf("%+v counts against the task", c)
 	}
 }
@@ -184,7 +185,7 @@
 		starts++
 		r.crash(i%scheduledWorkers, map[uint32]time.Duration{0: 2 * time.Second})
 	}
-	if starts != repeatedCrashes+maxStartsAfterRepeatedCrashes {
+	if starts != crashloop.RepeatedCrashes+crashloop.MaxStartsAfterRepeatedCrashes {
 		t.Errorf("the task was started %d times", starts)
 	}
 }
@@ -208,14 +209,14 @@
 			t.Fatalf("run %d does not start", run)
 		}
 	}
-	for host := range repeatedCrashes {
+	for host := range crashloop.RepeatedCrashes {
 		start(host)
 		r.incarnations[host]++
 		r.report(host, &apiv1.WorkerCrash{Worked: []*apiv1.RunWork{{
 			Task: task.Ref(), Run: r.m.Task(task).LastRun, WorkedMs: 4000, AtMostMs: 4000, Began: true,
 		}}})
 	}
-	for sequence := range uint64(maxStartsAfterRepeatedCrashes + 1) {
+	for sequence := range uint64(crashloop.MaxStartsAfterRepeatedCrashes + 1) {
 		start(0)
 		r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
 			Worker: &apiv1.JobWorker{Id: r.worker(0), Host: "h0", Pool: "p", CpuMilli: 1000, MemoryMb: 1000},
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -45,7 +45,13 @@
 	leaving map[string]bool
 	// learned is the data that the leader last stored for its successors.
 	learned *apiv1.Learnt
-	nowMs   int64
+	// crashEvents are the recent crashes of workers, oldest first, and lastCrashEvent is the number of
+	// the last one.
+	crashEvents    []*crashEvent
+	lastCrashEvent uint64
+	// pendingVerdicts are the tasks at their crash limit whose jobs fail at the given time of the log.
+	pendingVerdicts map[TaskID]int64
+	nowMs           int64
 }
 
 // New returns an empty machine.
@@ -58,6 +64,9 @@
 		current:       map[string]string{},
 		waves:         map[uint64]*Wave{},
 		moves:         map[string]*apiv1.HostMove{},
+
+		lastCrashEvent:  legacyCrashEvent,
+		pendingVerdicts: map[TaskID]int64{},
 	}
 }
 
@@ -66,6 +75,7 @@
 func (m *Machine) Apply(cmd *apiv1.JobsCommand, nowMs int64, leaderTerm uint64) apiv1.JobOutcome {
 	m.nowMs = max(m.nowMs, nowMs)
 	m.pruneExpired()
+	m.settleVerdicts()
 	switch body := cmd.GetBody().(type) {
 	case *apiv1.JobsCommand_PutQueues:
 		return m.putQueues(body.PutQueues.GetConfiguration())
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -25,7 +25,7 @@
 		m.stopRun(stop)
 	}
 	for _, ref := range p.TrialsOver {
-		m.endProbation(RunID{TaskIDOf(ref.Task), ref.Run})
+		m.endProbation(RunID{TaskIDOf(ref.Task), ref.Run}, milliseconds(ref.WorkedMs))
 	}
 	for i := 0; i < len(p.Starts); {
 		n := m.groupLength(p.Starts[i:])
@@ -84,7 +84,7 @@
 	for _, r := range started {
 		t, _ := m.task(r.ID.Task)
 		t.LastRun = r.ID.Number
-		t.Crashes.recordStart()
+		t.Crashes.RecordStart()
 		r.job.Started = true
 		r.job.State = apiv1.JobState_JOB_STATE_RUNNING
 	}
@@ -139,11 +139,11 @@
 	if !j.Occurrences[id.Occurrence].StepReady(int(id.Step)) {
 		return false
 	}
-	if !m.AttemptsLeft(j, s.Spec, t) || t.Crashes.limitReached() {
+	if !m.AttemptsLeft(j, s.Spec, t) || t.Crashes.LimitReached() {
 		return false
 	}
 	copies := 1
-	if s.Spec.AllowDuplicates && t.Crashes.Consecutive == 0 {
+	if s.Spec.AllowDuplicates && t.Crashes.Similar() == 0 {
 		copies = maxDuplicateRuns
 	}
 	return len(t.Runs) < copies
@@ -174,11 +174,14 @@
 }
 
 func compareRunIDs(a, b RunID) int {
+	return cmp.Or(compareTaskIDs(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+}
+
+func compareTaskIDs(a, b TaskID) int {
 	return cmp.Or(
-		cmp.Compare(a.Task.Job, b.Task.Job),
-		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
-		cmp.Compare(a.Task.Step, b.Task.Step),
-		cmp.Compare(a.Task.Index, b.Task.Index),
-		cmp.Compare(a.Number, b.Number),
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+		cmp.Compare(a.Index, b.Index),
 	)
 }
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/crashloop"
 )
 
 // report records an agent's report about its worker.
@@ -26,7 +27,7 @@
 	m.recordCheckpoints(r.Checkpoints)
 	w := m.upsertWorker(spec, r.Crash)
 	if !r.Departed {
-		w.lostRuns = nil
+		m.forgetLostRuns(w)
 	}
 	for _, end := range r.Ends {
 		if end.Sequence > w.Acknowledged {
@@ -89,7 +90,7 @@
 	}
 	m.recordCrash(w, crash)
 	m.releaseLostRuns(w)
-	w.lostRuns = nil
+	m.forgetLostRuns(w)
 	w.Departed = true
 	w.DepartedMs = m.nowMs
 	m.departed = append(m.departed, w.Spec.Id)
@@ -102,6 +103,7 @@
 func (m *Machine) expireLease(w *Worker) {
 	for id := range w.Runs {
 		w.recordLostRun(id)
+		m.recordPossibleCrash(id)
 	}
 	m.releaseLostRuns(w)
 	w.Epoch++
@@ -185,7 +187,7 @@
 		m.completeTask(j, s, t, run != nil)
 	case apiv1.RunEndKind_RUN_END_KIND_FAILED:
 		if run != nil { // a run that ends by itself did not crash its worker
-			t.Crashes = Crashes{}
+			t.Crashes = crashloop.History{}
 		}
 		m.recordTaskFailure(j, s, t, id)
 	}
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -27,6 +27,10 @@
 		out.Waves = append(out.Waves, w.Record())
 	}
 	out.Moves, out.HostOrders = m.snapshotMoves(), m.hostOrders
+	for _, e := range m.crashEvents {
+		out.Crashes = append(out.Crashes, e.record())
+	}
+	out.LastCrash = m.lastCrashEvent
 	return out
 }
 
@@ -52,7 +56,7 @@
 func (s *Step) record() *apiv1.JobStepRecord {
 	r := &apiv1.JobStepRecord{FailedRun: s.failedRun}
 	for _, t := range s.Tasks {
-		tr := &apiv1.JobTaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, Checkpoint: t.Checkpoint, Crashes: t.Crashes.record()}
+		tr := &apiv1.JobTaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, Checkpoint: t.Checkpoint, Crashes: t.CrashRecord()}
 		for _, run := range t.Runs {
 			tr.Runs = append(tr.Runs, &apiv1.JobRunRecord{
 				Run: run.ID.Number, Worker: run.Worker, Stopping: run.Stopping, Checkpoint: run.Checkpoint,
@@ -94,6 +98,11 @@
 	slices.SortFunc(m.finished, func(a, b string) int {
 		return compareFinished(m.jobs[a], m.jobs[b])
 	})
+	for _, r := range s.GetCrashes() {
+		m.crashEvents = append(m.crashEvents, crashEventOf(r))
+	}
+	m.lastCrashEvent = max(legacyCrashEvent, s.GetLastCrash())
+	m.restoreVerdicts()
 	return m, nil
 }
 
@@ -148,7 +157,7 @@
 	s := &Step{Spec: j.Spec.Steps[number], failedRun: r.FailedRun}
 	o.Steps = append(o.Steps, s)
 	for i, tr := range r.Tasks {
-		t := &Task{Done: tr.Done, Failures: tr.Failures, LastRun: tr.LastRun, Checkpoint: tr.Checkpoint, Crashes: crashesOf(tr.Crashes)}
+		t := &Task{Done: tr.Done, Failures: tr.Failures, LastRun: tr.LastRun, Checkpoint: tr.Checkpoint, Crashes: crashHistoryOf(tr.Crashes)}
 		s.Tasks = append(s.Tasks, t)
 		if t.Done {
 			s.done++
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/crashloop"
 )
 
 // TaskID identifies a task.
@@ -182,7 +183,7 @@
 	// Checkpoint is the checkpoint from which the next run resumes; empty to start from the
 	// beginning.
 	Checkpoint string
-	Crashes    Crashes
+	Crashes    crashloop.History
 	// Runs are the runs that may be running.
 	Runs []*Run
 }
--- a/schedule/probation.go
+++ b/schedule/probation.go
@@ -40,8 +40,10 @@
 		open := false
 		for _, run := range s.worker.RunsMatching(func(run *jobqueue.Run) bool { return run.OnProbation }) {
 			o, seen := r.fleet.Observed(run.ID)
-			if seen && o.At.Sub(o.FirstAt) >= r.machine.Task(run.ID.Task).Crashes.Probation() {
-				r.decision.EndedProbations = append(r.decision.EndedProbations, &apiv1.RunRef{Task: run.ID.Task.Ref(), Run: run.ID.Number})
+			if seen && o.Worked() >= r.machine.Task(run.ID.Task).Crashes.Probation() {
+				r.decision.EndedProbations = append(r.decision.EndedProbations, &apiv1.RunRef{
+					Task: run.ID.Task.Ref(), Run: run.ID.Number, WorkedMs: o.Worked().Milliseconds(),
+				})
 				continue
 			}
 			open = true
--- a/schedule/probation_test.go
+++ b/schedule/probation_test.go
@@ -50,7 +50,7 @@
 			r.observeRuns("w2")
 		}
 	}
-	if task := r.machine.Task(jobqueue.TaskID{Job: "suspect"}); task.LastRun != 2 || task.Crashes.Suspect {
+	if task := r.machine.Task(jobqueue.TaskID{Job: "suspect"}); task.LastRun != 2 || task.Crashes.Suspect() {
 		t.Errorf("the last run of the suspect is %d, its crash record %+v", task.LastRun, task.Crashes)
 	}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -18,6 +18,9 @@
 	At time.Time
 	// FirstAt is the time at which the run was first reported running.
 	FirstAt time.Time
+	// FirstClockMs and ClockMs are the readings of the worker's clock in the first and the last report
+	// that listed the run, 0 if the agent does not report them.
+	FirstClockMs, ClockMs int64
 	// ProgressAt is the time at which Percent last changed.
 	ProgressAt time.Time
 	Percent    uint32
@@ -27,6 +30,15 @@
 	Checkpoint string
 }
 
+// Worked returns how long the run has been observed running. The worker's clock is used if it is
+// known: the network may deliver a report long after the worker listed its runs.
+func (o Observation) Worked() time.Duration {
+	if o.FirstClockMs != 0 {
+		return time.Duration(o.ClockMs-o.FirstClockMs) * time.Millisecond
+	}
+	return o.At.Sub(o.FirstAt)
+}
+
 // Fleet is what the leader knows of workers and runs in addition to the applied state.
 type Fleet interface {
 	// Reachable reports whether a worker's lease is valid and its agent has reported recently, so
