entry: a restarted entry is ready once it knows as many agents as the others; before that, no target means not ready

What callers saw: calls through an entry that had just been started again ended not-run no-target, while the other entries served them (TestScenarios/stops, once: two calls through entry1).

Cause: an entry is ready once it knows the agents of every other entry. An entry announces only the agents whose home it is. Those whose home the restarted entry itself was are announced by nobody until they have found another home, so the entry could be ready without any target. Its refusal said that there is no target, which it could not know.

That the one failure of the script was this is suspected: its log was not kept.

Why this works: entries tell each other how many agents they consider usable, whichever entry is their home; a new entry waits until it knows as many, for five seconds at most as before. Until then a request without a target is refused as not-ready, so that the caller or the balancer asks another entry.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -87,7 +87,7 @@
 	e.mu.Lock()
 	resend := e.directory.ApplySyncRequest(e.now(), req)
 	e.applyDirectoryChanges()
-	e.recordPeer(req, !resend)
+	e.recordPeer(req, !resend && e.directory.UsableCount() >= int(req.UsableAgents))
 	e.mu.Unlock()
 	cfg := e.control.Configuration()
 	resp := &apiv1.SyncResponse{
--- a/entry/run.go
+++ b/entry/run.go
@@ -68,6 +68,9 @@
 	if a.Queued {
 		a = e.awaitAdmission(ctx, r, a)
 	}
+	if a.Reason == apiv1.Reason_REASON_NO_TARGET && !a.OK && !e.agentsKnown() {
+		a.Reason, a.Text, a.RetryAfter = apiv1.Reason_REASON_NOT_READY, "this host does not know all targets yet", defaultRetryAfter
+	}
 	if !a.OK {
 		r.answer = notRun(a.Reason, a.Text, a.RetryAfter)
 		return pipeline.Rejected(a.Text)
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -32,12 +32,13 @@
 	configurationVersion uint64
 	lastPush             time.Time
 	leaving              bool
-	// agentsKnown is set once all agents of the peer have been known on this entry.
+	// agentsKnown is set once this entry has known all agents of the peer, and as many usable agents
+	// as the peer.
 	agentsKnown bool
 }
 
-// recordPeer records another entry's push and whether all of its agents are known on this entry
-// with it. The caller must hold e.mu.
+// recordPeer records another entry's push and whether this entry knows enough agents with it; see
+// peerState.agentsKnown. The caller must hold e.mu.
 func (e *Entry) recordPeer(req *apiv1.SyncRequest, agentsKnown bool) {
 	e.peers[req.GetEntry()] = peerState{
 		address:              req.GetAddress(),
--- a/member/directory.go
+++ b/member/directory.go
@@ -135,6 +135,17 @@
 	return out
 }
 
+// UsableCount returns the number of usable agents.
+func (d *Directory) UsableCount() int {
+	n := 0
+	for _, r := range d.agents {
+		if r.usable {
+			n++
+		}
+	}
+	return n
+}
+
 // Tick applies the heartbeat timeouts to every agent. Call it a few times per SuspectAfter.
 func (d *Directory) Tick(now time.Time) {
 	for name, r := range d.agents {
--- a/member/sync.go
+++ b/member/sync.go
@@ -31,6 +31,7 @@
 		AgentCount:           int32(len(own)),
 		Digest:               digest(own),
 		Full:                 p.needsFull,
+		UsableAgents:         int32(d.UsableCount()),
 	}
 	for _, r := range own {
 		if p.needsFull || r.changedAt > p.acknowledged {
