--- a/jobqueue/crashrecord.go
+++ b/jobqueue/crashrecord.go
@@ -1,6 +1,8 @@
 package jobqueue
 
 import (
+	"math"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/crashloop"
 )
@@ -82,17 +84,22 @@
 	return e
 }
 
-// restoreVerdicts determines the jobs whose verdict is pending.
-func (m *Machine) restoreVerdicts() {
-	for _, j := range m.active.values {
-		for k, o := range j.Occurrences {
-			for i, s := range o.Steps {
-				for n, t := range s.Tasks {
-					if len(t.Crashes.Crashes) > 0 && j.Open() && !t.Done && len(t.Runs) == 0 && t.Crashes.LimitReached() {
-						m.pendingVerdicts[TaskID{j.ID(), uint32(k), uint32(i), uint32(n)}] = m.verdictDueMs(t)
-					}
-				}
-			}
-		}
+// pendingVerdictRecords returns the pending verdicts as messages, in order.
+func (m *Machine) pendingVerdictRecords() []*apiv1.PendingVerdict {
+	var list []*apiv1.PendingVerdict
+	for _, id := range m.VerdictsDue(math.MaxInt64) {
+		list = append(list, &apiv1.PendingVerdict{Task: id.Ref(), DueMs: m.pendingVerdicts[id]})
+	}
+	return list
+}
+
+// restoreCrashes restores the recent crashes and the pending verdicts.
+func (m *Machine) restoreCrashes(s *apiv1.JobsSnapshot) {
+	for _, r := range s.GetCrashes() {
+		m.crashEvents = append(m.crashEvents, crashEventOf(r))
+	}
+	m.lastCrashEvent = max(legacyCrashEvent, s.GetLastCrash())
+	for _, r := range s.GetPendingVerdicts() {
+		m.pendingVerdicts[TaskIDOf(r.Task)] = r.DueMs
 	}
 }
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -30,7 +30,7 @@
 	for _, e := range m.crashEvents {
 		out.Crashes = append(out.Crashes, e.record())
 	}
-	out.LastCrash = m.lastCrashEvent
+	out.LastCrash, out.PendingVerdicts = m.lastCrashEvent, m.pendingVerdictRecords()
 	return out
 }
 
@@ -98,11 +98,7 @@
 	slices.SortFunc(m.finished, func(a, b string) int {
 		return compareFinished(m.jobs[a], m.jobs[b])
 	})
-	for _, r := range s.GetCrashes() {
-		m.crashEvents = append(m.crashEvents, crashEventOf(r))
-	}
-	m.lastCrashEvent = max(legacyCrashEvent, s.GetLastCrash())
-	m.restoreVerdicts()
+	m.restoreCrashes(s)
 	return m, nil
 }
 
