--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -13,7 +13,7 @@
 // was known whether any move was needed. All workers of the only pool are full for a minute.
 func TestSinglePoolMakesNoPlatformCalls(t *testing.T) {
 	runSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.disableFaults()
+		s.stopFaults()
 		f := s.newFleet()
 		s.hostFleet.Store(f)
 		s.sleep(moverSettleTime)
@@ -58,7 +58,7 @@
 // checkRefusedMove checks that a move is refused after a number of calls.
 func checkRefusedMove(t *testing.T, calls int, refuse func(*fakes.Hosts)) {
 	runSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.disableFaults()
+		s.stopFaults()
 		f := s.setUpPools(map[string]string{"host0": simPool, "host1": simPool})
 		s.sleep(moverSettleTime)
 		refuse(f)
@@ -82,7 +82,7 @@
 // ten seconds later. The refusal of one call must not be taken for a refusal of the move.
 func TestMoveWithUnansweredCallIsNotAbandoned(t *testing.T) {
 	runSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.disableFaults()
+		s.stopFaults()
 		f := s.setUpPools(map[string]string{"host0": simPool, "host1": simPool})
 		calls := 0
 		f.Fault = func(string) fakes.OrderFault {
@@ -110,7 +110,7 @@
 // refused as busy. The next leader must not take the order for its own.
 func TestNextLeaderContinuesMove(t *testing.T) {
 	runSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.disableFaults()
+		s.stopFaults()
 		f := s.setUpPools(map[string]string{"host0": simPool, "host1": simPool})
 		f.Fault = func(string) fakes.OrderFault {
 			if len(f.Orders()) > 1 {
@@ -137,7 +137,7 @@
 // run elsewhere, so a host list can't advance the open move.
 func TestMoveWaitingForTasksMakesNoPlatformCalls(t *testing.T) {
 	runSim(t, 1, 3, func(t *testing.T, s *sim) {
-		s.disableFaults()
+		s.stopFaults()
 		s.longRunningJob = "serving"
 		f := s.setUpPools(map[string]string{"host0": simPool, "host1": simPool, "host2": simPool})
 		s.submitSpec(servingJob())
@@ -161,7 +161,7 @@
 // more a second later; not each query may call the platform.
 func TestHostListIsCached(t *testing.T) {
 	runSim(t, 1, 2, func(t *testing.T, s *sim) {
-		s.disableFaults()
+		s.stopFaults()
 		f := s.setUpPools(map[string]string{"host0": simPool, "host1": reservePool})
 		s.sleep(moverSettleTime)
 		list := func(times int) *apiv1.JobsReadResponse {
--- a/dispatch/movesharness_test.go
+++ b/dispatch/movesharness_test.go
@@ -88,12 +88,6 @@
 	}
 }
 
-func (s *sim) disableFaults() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faultFree = true
-}
-
 func (s *sim) moveOf(host string) jobqueue.Move {
 	var v jobqueue.Move
 	s.replica.ReadState(func(m *state.Machine) {
--- a/dispatch/movesim_test.go
+++ b/dispatch/movesim_test.go
@@ -42,7 +42,7 @@
 			s.sleep(time.Duration(500+s.intN(3000)) * time.Millisecond)
 		}
 	}
-	s.disableFaults()
+	s.stopFaults()
 	arrived := func() bool {
 		return !slices.ContainsFunc(requested, func(host string) bool { return f.PoolOf(host) != otherPool || !s.moveOf(host).Finished() })
 	}
@@ -84,7 +84,7 @@
 		}
 		s.sleep(time.Duration(s.intN(4000)) * time.Millisecond)
 	}
-	s.disableFaults()
+	s.stopFaults()
 	inPool := func(pool string) (n int) {
 		for _, h := range s.hosts {
 			if f.PoolOf(h.name) == pool {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -101,7 +101,7 @@
 
 // expireLease releases the runs of a worker whose lease has certainly expired.
 func (m *Machine) expireLease(w *Worker) {
-	for id := range w.Runs {
+	for _, id := range w.SortedRunIDs() {
 		w.recordLostRun(id)
 		m.recordPossibleCrash(id)
 	}
