--- a/crashloop/history_test.go
+++ b/crashloop/history_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// Guards against a task that counts as innocent for good because a late report overstated how long one
+// Guards against a task that counts as innocent permanently because a late report overstated how long one
 // of its runs had worked.
 func TestCrashesInSequenceOutweighLongRun(t *testing.T) {
 	var h History
