--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -70,6 +70,8 @@
 	// received a call under this term refuses calls under a lower one.
 	term  highest.Number
 	lease hostLease
+	// previousCallsUntil is until when the worker may carry out calls of a previous agent.
+	previousCallsUntil time.Time
 
 	mu      sync.Mutex
 	session *session
@@ -98,7 +100,8 @@
 		workerAnnounced: make(chan struct{}, 1), departed: map[string]bool{},
 	}
 	// A previous agent may have renewed the worker's lease until this moment.
-	d.lease.extend(o.Now().Add(maxLeaseOnHostClock(o.MaxLease)))
+	d.previousCallsUntil = o.Now().Add(maxLeaseOnHostClock(o.MaxLease))
+	d.lease.extend(d.previousCallsUntil)
 	return d
 }
 
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -132,6 +132,13 @@
 	}
 }
 
+func stopOrders(sequence, epoch uint64) *apiv1.JobsOrdersResponse {
+	return &apiv1.JobsOrdersResponse{
+		Term: term, Sequence: sequence, Epoch: epoch,
+		Stops: []*apiv1.StopOrder{{Task: firstTask.Ref(), Run: 1}},
+	}
+}
+
 // countingWorker counts the calls of a fake worker.
 type countingWorker struct {
 	*fakes.RunWorker
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -32,6 +32,7 @@
 	}
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
+	s.startsInFlight.expire(status.ClockMs)
 	for _, e := range status.Ended {
 		s.callHistory.recordEnded(jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run})
 	}
--- a/agent/runs/log_test.go
+++ b/agent/runs/log_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/fakes"
 )
 
@@ -103,3 +104,26 @@
 	w.mu.Unlock()
 	return worker.Renew(ctx, o, r)
 }
+
+// Guards against a log that does not show whether a stop met a start that was still on its way.
+func TestStopLineShowsPendingStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zapcore.InfoLevel)
+		w := &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), fakes.NewRunChecker())}
+		w.Fault = w.fault
+		l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+		d := runs.New(runs.Options{Worker: w, Leader: l, Logger: zap.New(core)})
+		defer runDriver(d)()
+		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+		time.Sleep(10 * time.Second) // calls of a previous agent can't arrive any more
+		w.lostCall.Store("start")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(2 * time.Second)
+		l.update(func() { l.orders = stopOrders(3, 1) })
+		time.Sleep(2 * time.Second)
+		stops := lines.FilterMessage("stop answered").All()
+		if len(stops) != 1 || stops[0].ContextMap()["start_pending"] != true || stops[0].ContextMap()["try"] != int64(1) {
+			t.Errorf("stops: %v", stops)
+		}
+	})
+}
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
@@ -142,13 +144,14 @@
 // the same run only once, however often it is ordered.
 func (s *session) startRun(id jobqueue.RunID, o *order) {
 	retry := newBackoff()
-	for s.alive.Err() == nil {
+	for try := 1; s.alive.Err() == nil; try++ {
 		call, ok := s.nextStartCall(id, o)
 		if !ok {
 			break
 		}
+		call.try = try
 		answer, err := s.callStart(call)
-		if s.handleStartAnswer(id, o, answer, err) {
+		if s.handleStartAnswer(call, o, answer, err) {
 			break
 		}
 		s.sleep(retry.next())
@@ -162,6 +165,9 @@
 type startCall struct {
 	order Order
 	start Start
+	try   int
+	// inFlightBefore is what startsInFlight held for the run before the call.
+	inFlightBefore int64
 }
 
 // nextStartCall waits until the worker's lease allows the start and returns the call; false when
@@ -188,6 +194,7 @@
 		if leased && !stop {
 			o.maybeSent = true
 			s.callHistory.recordStartRequest(id, s.d.opts.Now())
+			call.inFlightBefore = s.startsInFlight.add(id, call.start.DeadlineMs)
 		}
 		s.mu.Unlock()
 		if stop {
@@ -212,18 +219,23 @@
 }
 
 // handleStartAnswer records the answer to a start and reports whether the attempts end.
-func (s *session) handleStartAnswer(id jobqueue.RunID, o *order, answer Answer, err error) bool {
+func (s *session) handleStartAnswer(c startCall, o *order, answer Answer, err error) bool {
+	id := c.start.Run
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, ErrNotSent) {
+		s.startsInFlight.remove(id, c.inFlightBefore)
+	}
 	if o.notOrderedBefore {
 		s.callHistory.recordStartResult(id, err)
 	}
 	if err != nil {
 		s.d.metrics.callsUnanswered.Inc(1)
-		event.StartUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Err(err))
+		event.StartUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Try(c.try), event.Err(err))
 		return false
 	}
-	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer))
+	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer),
+		event.Try(c.try))
 	switch answer {
 	case AnswerDone:
 		s.d.metrics.starts.Inc(1)
@@ -281,14 +293,16 @@
 // that is refused because of an old term is repeated too.
 func (s *session) stopRun(id jobqueue.RunID, o *order) {
 	retry := newBackoff()
-	for s.alive.Err() == nil {
+	for try := 1; s.alive.Err() == nil; try++ {
 		answer, err := s.callStop(id)
 		if err != nil {
 			s.d.metrics.callsUnanswered.Inc(1)
+			event.StopUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Try(try), event.Err(err))
 			s.sleep(retry.next())
 			continue
 		}
-		event.StopAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Answer(answer))
+		event.StopAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Answer(answer), event.Try(try),
+			event.StartPending(s.startMayArrive(id)))
 		if answer == AnswerOtherIncarnation {
 			s.endAlive()
 		}
@@ -306,6 +320,15 @@
 	}
 }
 
+// startMayArrive reports whether the worker may still carry out a start of a run, one that this
+// agent or a previous one sent.
+func (s *session) startMayArrive(id jobqueue.RunID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, inFlight := s.startsInFlight[id]
+	return inFlight || s.d.opts.Now().Before(s.d.previousCallsUntil)
+}
+
 func (s *session) callStop(id jobqueue.RunID) (Answer, error) {
 	s.mu.Lock()
 	o := Order{Incarnation: s.incarnation, Term: s.term}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -67,6 +67,7 @@
 	ordersReceived bool
 	refusals       map[jobqueue.RunID]string
 	callHistory    callHistory
+	startsInFlight startsInFlight
 }
 
 // matchesWithoutStartTime reports whether a name is that of the session's worker without its
@@ -90,6 +91,7 @@
 		announced: a, id: rand.Uint64(), term: d.term.Load(),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 		orders:     map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
+		startsInFlight: startsInFlight{},
 	}
 }
 
--- /dev/null
+++ b/agent/runs/startsinflight.go
@@ -0,0 +1,34 @@
+package runs
+
+import "github.com/cairnlift/cairnlift/jobqueue"
+
+// startsInFlight are the starts that were sent and got no answer, so that the worker may still
+// carry them out. The value is the latest deadline of a run's calls, a reading of the worker's
+// clock: the worker refuses a start whose own deadline has passed, even if its lease has been
+// renewed since.
+type startsInFlight map[jobqueue.RunID]int64
+
+// add records a call that is about to be sent, and returns what remove needs to undo that.
+func (f startsInFlight) add(id jobqueue.RunID, deadlineMs int64) (before int64) {
+	before = f[id]
+	f[id] = max(before, deadlineMs)
+	return before
+}
+
+// remove records that the last call of a run was answered, or never sent.
+func (f startsInFlight) remove(id jobqueue.RunID, before int64) {
+	if before == 0 {
+		delete(f, id)
+		return
+	}
+	f[id] = before
+}
+
+// expire removes the starts that a worker whose clock shows a reading refuses.
+func (f startsInFlight) expire(clockMs int64) {
+	for id, deadlineMs := range f {
+		if deadlineMs < clockMs {
+			delete(f, id)
+		}
+	}
+}
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -86,6 +86,12 @@
 // Answer is the answer to an order.
 func Answer(a fmt.Stringer) Field { return Field{zap.Stringer("answer", a)} }
 
+// Try is the number of a call among the calls for one order, from 1.
+func Try(n int) Field { return intField("try", n) }
+
+// StartPending reports whether a start of the run may still be carried out.
+func StartPending(pending bool) Field { return Field{zap.Bool("start_pending", pending)} }
+
 // Outcome is the kind of end of a run.
 func Outcome(kind string) Field { return stringField(NameOutcome, kind) }
 
