agent/runs, platform: failing tests of a worker that refuses stops and starts

The stand-in worker can refuse calls now (503 in the platform's words); none did before, which is why no test met it.

--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -142,21 +143,32 @@
 // countingWorker counts the calls of a fake worker.
 type countingWorker struct {
 	*fakes.RunWorker
-	startCalls, renewals atomic.Int64
+	startCalls, stopCalls, renewals atomic.Int64
 	// unreachable fails every start at once, like a host on which no process listens. startError
 	// does so with a given error.
 	unreachable atomic.Bool
 	startError  atomic.Pointer[error]
-	// lostCall is the name of the call that gets no answer, or allCalls.
-	lostCall atomic.Value
+	// lostCall is the name of the call that gets no answer, or allCalls. refusedCalls are the
+	// names of the calls that the worker refuses because it is unhealthy, or allCalls.
+	lostCall, refusedCalls atomic.Value
+	// nextStartDelay leaves the next start unanswered and executes it after this delay.
+	nextStartDelay atomic.Int64
 }
 
 const allCalls = "all"
 
-// fault loses the calls that lostCall names.
+// fault loses the calls that lostCall names, and refuses those that refusedCalls names.
 func (w *countingWorker) fault(call string) fakes.OrderFault {
+	if call == "start" {
+		if delay := w.nextStartDelay.Swap(0); delay > 0 {
+			return fakes.OrderFault{Late: time.Duration(delay)}
+		}
+	}
 	lost, _ := w.lostCall.Load().(string)
-	return fakes.OrderFault{Lost: lost == allCalls || lost == call}
+	refused, _ := w.refusedCalls.Load().(string)
+	return fakes.OrderFault{
+		Lost: lost == allCalls || lost == call, Refused: refused == allCalls || strings.Contains(refused, call),
+	}
 }
 
 func (w *countingWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
@@ -170,11 +182,27 @@
 	return w.RunWorker.Start(ctx, o, s)
 }
 
+func (w *countingWorker) Stop(ctx context.Context, o runs.Order, id jobqueue.RunID) (runs.Answer, error) {
+	w.stopCalls.Add(1)
+	return w.RunWorker.Stop(ctx, o, id)
+}
+
 func (w *countingWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
 	w.renewals.Add(1)
 	return w.RunWorker.Renew(ctx, o, r)
 }
 
+// refusals returns the runs that the agent returned to the leader.
+func (l *leader) refusals() []*apiv1.RunRefusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*apiv1.RunRefusal
+	for _, r := range l.reports {
+		list = append(list, r.Refusals...)
+	}
+	return list
+}
+
 func workerSpec(id string) *apiv1.JobWorker {
 	return &apiv1.JobWorker{Id: id, Host: "h", Pool: "p", CpuMilli: 1000, MemoryMb: 1000}
 }
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -21,6 +21,8 @@
 	Lost bool
 	// Late, if not zero, leaves the call unanswered and executes it after this delay.
 	Late time.Duration
+	// Refused calls of a RunWorker are answered by AnswerUnhealthy and not executed.
+	Refused bool
 }
 
 // Work describes what a run does.
@@ -106,6 +108,8 @@
 	startedAt  time.Time
 	work       Work
 	checkpoint string
+	// pace is the share at which the run may work, in percent.
+	pace uint32
 }
 
 const (
@@ -197,6 +201,17 @@
 	return slices.Collect(maps.Keys(w.running))
 }
 
+// PaceOf returns the share at which a task may work, in percent; 0 if it does not run.
+func (w *RunWorker) PaceOf(task jobqueue.TaskID) uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if r := w.running[task]; r != nil {
+		return r.pace
+	}
+	return 0
+}
+
 // limitDeadline limits a deadline to the longest lease that the worker accepts.
 func (w *RunWorker) limitDeadline(deadlineMs int64) int64 {
 	return min(deadlineMs, w.clockMs(time.Now())+maxLeaseMs)
--- a/fakes/runworker_calls.go
+++ b/fakes/runworker_calls.go
@@ -9,30 +9,38 @@
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
-// call executes a call, or loses or delays it according to Fault. It returns false if the
-// call is not answered.
-func (w *RunWorker) call(ctx context.Context, name string, f func()) bool {
+// call executes a call, or loses, delays or refuses it according to Fault. An error means that
+// the call is not answered.
+func (w *RunWorker) call(ctx context.Context, name string, f func() runs.Answer) (runs.Answer, error) {
 	var fault OrderFault
 	if w.Fault != nil {
 		fault = w.Fault(name)
 	}
+	if fault.Refused && !w.hasCrashed() {
+		return runs.AnswerUnhealthy, nil
+	}
 	calledAt := time.Now()
-	execute := func() {
+	execute := func() runs.Answer {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.advance()
 		w.calledAt = calledAt
-		f()
+		return f()
 	}
 	if fault.Late > 0 {
-		time.AfterFunc(fault.Late, execute)
+		time.AfterFunc(fault.Late, func() { execute() })
 	}
 	if fault.Lost || fault.Late > 0 {
 		<-ctx.Done()
-		return false
+		return 0, ctx.Err()
 	}
-	execute()
-	return true
+	return execute(), nil
+}
+
+func (w *RunWorker) hasCrashed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashed
 }
 
 // check refuses calls for another incarnation or under an old term. The caller must hold
@@ -50,11 +58,7 @@
 
 // Start implements runs.Worker.
 func (w *RunWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
-	var answer runs.Answer
-	if !w.call(ctx, "start", func() { answer = w.start(o, s) }) {
-		return 0, ctx.Err()
-	}
-	return answer, nil
+	return w.call(ctx, "start", func() runs.Answer { return w.start(o, s) })
 }
 
 func (w *RunWorker) start(o runs.Order, s runs.Start) runs.Answer {
@@ -75,7 +79,7 @@
 	if w.Advisor != nil && !w.Advisor.Valid(s.Run.Task.StepID(), w.Spec.Id, s.Ticket) {
 		return runs.AnswerNoTicket
 	}
-	r := &workerRun{id: s.Run, startedAt: time.Now(), checkpoint: s.Checkpoint, work: w.workOf(s)}
+	r := &workerRun{id: s.Run, startedAt: time.Now(), checkpoint: s.Checkpoint, work: w.workOf(s), pace: fullPercent}
 	w.running[task] = r
 	if !w.registered {
 		w.registered = true
@@ -93,11 +97,7 @@
 
 // Stop implements runs.Worker.
 func (w *RunWorker) Stop(ctx context.Context, o runs.Order, run jobqueue.RunID) (runs.Answer, error) {
-	var answer runs.Answer
-	if !w.call(ctx, "stop", func() { answer = w.stop(o, run) }) {
-		return 0, ctx.Err()
-	}
-	return answer, nil
+	return w.call(ctx, "stop", func() runs.Answer { return w.stop(o, run) })
 }
 
 func (w *RunWorker) stop(o runs.Order, run jobqueue.RunID) runs.Answer {
@@ -112,25 +112,31 @@
 }
 
 // Pace implements runs.Worker.
-func (w *RunWorker) Pace(ctx context.Context, o runs.Order, _ jobqueue.RunID, _ uint32) (runs.Answer, error) {
-	var answer runs.Answer
-	if !w.call(ctx, "pace", func() { answer = w.check(o) }) {
-		return 0, ctx.Err()
+func (w *RunWorker) Pace(ctx context.Context, o runs.Order, run jobqueue.RunID, percent uint32) (runs.Answer, error) {
+	return w.call(ctx, "pace", func() runs.Answer { return w.setPace(o, run, percent) })
+}
+
+func (w *RunWorker) setPace(o runs.Order, run jobqueue.RunID, percent uint32) runs.Answer {
+	if a := w.check(o); a != runs.AnswerDone {
+		return a
+	}
+	if r := w.running[run.Task]; r != nil && r.id == run {
+		r.pace = percent
 	}
-	return answer, nil
+	return runs.AnswerDone
 }
 
 // Renew implements runs.Worker.
 func (w *RunWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
 	var status runs.Status
-	var answer runs.Answer
 	var ended <-chan struct{}
-	renew := func() {
-		answer = w.renew(o, r)
+	answer, err := w.call(ctx, "renew", func() runs.Answer {
+		answer := w.renew(o, r)
 		status, ended = w.status(), w.endSignal
-	}
-	if !w.call(ctx, "renew", renew) {
-		return runs.Status{}, 0, ctx.Err()
+		return answer
+	})
+	if err != nil {
+		return runs.Status{}, 0, err
 	}
 	if answer != runs.AnswerDone || len(status.Ended) > 0 || r.Wait == 0 {
 		return status, answer, nil
