agent/runs: a stop counts as carried out only if the worker says so, and what it lists decides

What callers saw: tasks that ran on two workers at once or again after they were done, workers over their capacity, and tasks of canceled jobs that ran on.

Cause: stopRun took every answer but "fenced" for a confirmation. A worker that turns calls away (429, 503) did nothing: the run went on and was never stopped again, or a start that was still on its way began after the run had been given back and started elsewhere.

Why it works: only the answer "done" shows that a stop was carried out; every other one is repeated. A run that is still listed a second after that is stopped again. A run is given back only if a status, requested when no start of it could arrive any more, does not list it. A start cannot arrive once the worker has carried out the stop, or once the deadline of each unanswered call has passed on the worker's clock, which it enforces. Where every try of a start was answered nothing can arrive, and the run is given back at once, with one call fewer.

--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -1,11 +1,16 @@
 package runs_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // previousCallsExpired is longer than a call of a previous agent may be carried out after an agent
@@ -36,6 +41,50 @@
 	})
 }
 
+// answeringWorker answers the first stops itself, without stopping anything.
+type answeringWorker struct {
+	*countingWorker
+	answer runs.Answer
+	left   atomic.Int64
+}
+
+func (w *answeringWorker) Stop(ctx context.Context, o runs.Order, id jobqueue.RunID) (runs.Answer, error) {
+	if w.left.Add(-1) >= 0 {
+		return w.answer, nil
+	}
+	return w.countingWorker.Stop(ctx, o, id)
+}
+
+// Guards against a stop that counts as carried out because it was answered, although the worker
+// still lists the run.
+func TestRunThatIsListedAfterItsStopIsStoppedAgain(t *testing.T) {
+	for _, answer := range []runs.Answer{
+		runs.AnswerDone, runs.AnswerEnded, runs.AnswerInvalid, runs.AnswerUnhealthy, runs.AnswerNoCapacity, runs.AnswerDeadlinePassed,
+		runs.AnswerNoTicket,
+	} {
+		t.Run(answer.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &leader{epoch: 1, orders: startOrders(1, 1)}
+				watch := fakes.NewRunChecker()
+				watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+				w := &answeringWorker{
+					countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}, answer: answer,
+				}
+				w.left.Store(2)
+				d := runs.New(runs.Options{Worker: w, Leader: l})
+				defer runDriver(d)()
+				announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+				time.Sleep(2 * time.Second)
+				l.update(func() { l.orders = stopOrders(2, 1) })
+				time.Sleep(6 * time.Second)
+				if len(w.Running()) != 0 {
+					t.Errorf("the task runs on; %d stops were sent", 2-w.left.Load())
+				}
+			})
+		})
+	}
+}
+
 // Guards against a task that runs on two workers: a start gets no answer and is carried out later;
 // its repetition and the stop are refused, and the run is returned as one that never began.
 func TestRunWithStartInFlightIsNotReturned(t *testing.T) {
@@ -60,3 +109,38 @@
 	})
 }
 
+// Guards against a task that waits for a worker that refuses all calls, although no start of it
+// can be carried out any more.
+func TestRefusedStartIsReturnedWithoutStop(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.refusedCalls.Store("start")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		for w.startCalls.Load() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if len(l.refusals()) == 0 || w.stopCalls.Load() > 0 {
+			t.Errorf("%d refusals after a second, %d stops", len(l.refusals()), w.stopCalls.Load())
+		}
+	})
+}
+
+// Guards against a task that waits longer than its start may be in flight, while its worker
+// refuses all stops.
+func TestRunIsReturnedOnceItsStartExpired(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.lostCall.Store("start")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(time.Second)
+		w.refusedCalls.Store("stop")
+		l.update(func() { l.orders = stopOrders(3, 1) })
+		time.Sleep(previousCallsExpired)
+		if len(l.refusals()) == 0 {
+			t.Errorf("the run is not returned; %d stops", w.stopCalls.Load())
+		}
+	})
+}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -197,7 +197,7 @@
 			s.sleep(admissionRetryInterval)
 			continue
 		}
-		s.refuseStoppedRuns(status, requestedAt)
+		s.reviewStops(status, requestedAt)
 		reported := s.report(status, received)
 		wait = renewalWait
 		if !reported || status.Partial {
--- /dev/null
+++ b/agent/runs/starts.go
@@ -0,0 +1,177 @@
+package runs
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+// mayStart reports whether the start of a run still has to be sent. The caller must hold s.mu.
+func (s *session) mayStart(id jobqueue.RunID, o *order) bool {
+	_, returned := s.refusals[id]
+	return o.start != nil && !o.stop && !o.startConfirmed && !o.starting && o.refusalReason == "" && !returned && !s.isVoid(o)
+}
+
+// isVoid reports whether a start must no longer be sent, since the leader has withdrawn it or
+// recorded the run as lost. The caller must hold s.mu.
+func (s *session) isVoid(o *order) bool { return o.withdrawn || o.epoch < s.epoch }
+
+// startRun has the worker start a run. A call without an answer is repeated: the worker starts
+// the same run only once, however often it is ordered.
+func (s *session) startRun(id jobqueue.RunID, o *order) {
+	retry := newBackoff()
+	for try := 1; s.alive.Err() == nil; try++ {
+		call, ok := s.nextStartCall(id, o)
+		if !ok {
+			break
+		}
+		call.try = try
+		answer, err := s.callStart(call)
+		if s.handleStartAnswer(call, o, answer, err) {
+			break
+		}
+		s.sleep(retry.next())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o.starting = false
+	s.advance(id, o)
+}
+
+type startCall struct {
+	order Order
+	start Start
+	try   int
+	// inFlightBefore is what startsInFlight held for the run before the call.
+	inFlightBefore int64
+}
+
+// nextStartCall waits until the worker's lease allows the start and returns the call; false when
+// the run must no longer be started.
+func (s *session) nextStartCall(id jobqueue.RunID, o *order) (startCall, bool) {
+	for s.alive.Err() == nil {
+		s.mu.Lock()
+		stop, leased := o.stop || s.isVoid(o), s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
+		if s.announced.Worker.Draining && !o.maybeSent && leased && !stop {
+			s.refuseUnlessListed(id, o, "worker drains")
+			stop = true
+		}
+		if leased && !stop && s.hasLessCapacity(o) {
+			s.refuseUnlessListed(id, o, "worker shrank")
+			stop = true
+		}
+		call := startCall{
+			order: Order{Incarnation: s.incarnation, Term: s.term},
+			start: Start{
+				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
+				DeadlineMs: s.nextDeadline(),
+			},
+		}
+		if leased && !stop {
+			o.maybeSent = true
+			s.callHistory.recordStartRequest(id, s.d.opts.Now())
+			call.inFlightBefore = s.startsInFlight.add(id, call.start.DeadlineMs)
+		}
+		s.mu.Unlock()
+		if stop {
+			return startCall{}, false
+		}
+		if leased {
+			return call, true
+		}
+		s.sleep(retryInterval)
+	}
+	return startCall{}, false
+}
+
+func (s *session) callStart(c startCall) (Answer, error) {
+	s.startSlots <- struct{}{}
+	defer func() { <-s.startSlots }()
+	ctx, cancel := context.WithTimeout(s.alive, callTimeout)
+	defer cancel()
+	answer, err := s.d.opts.Worker.Start(ctx, c.order, c.start)
+	s.recordCall("start", answer, err)
+	return answer, err
+}
+
+// handleStartAnswer records the answer to a start and reports whether the attempts end.
+func (s *session) handleStartAnswer(c startCall, o *order, answer Answer, err error) bool {
+	id := c.start.Run
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, ErrNotSent) {
+		s.startsInFlight.remove(id, c.inFlightBefore)
+	}
+	if o.notOrderedBefore {
+		s.callHistory.recordStartResult(id, err)
+	}
+	if err != nil {
+		s.d.metrics.callsUnanswered.Inc(1)
+		event.StartUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Try(c.try), event.Err(err))
+		return false
+	}
+	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer),
+		event.Try(c.try))
+	switch answer {
+	case AnswerDone:
+		s.d.metrics.starts.Inc(1)
+		o.startConfirmed = true
+		delete(s.startsInFlight, id) // The worker starts no run twice.
+		s.callHistory.recordConfirmed(id, s.d.opts.Now())
+		return true
+	case AnswerEnded:
+		// The end of the run is listed until it is recorded. If none is listed, the run never
+		// began: a previous agent had it stopped and did not report that.
+		o.startConfirmed, o.stop = true, true
+		if !s.startMayArrive(id) {
+			o.stopConfirmedAt = s.d.opts.Now()
+			o.barredAt = o.stopConfirmedAt
+		}
+		return true
+	case AnswerDeadlinePassed, AnswerFenced:
+		// The next attempt carries a later deadline, or the term of the new leader, which gives
+		// its own orders too.
+		return false
+	case AnswerOtherIncarnation:
+		s.endAlive()
+		return true
+	}
+	s.refuseRun(id, o, answer.String())
+	return true
+}
+
+// hasLessCapacity reports whether the worker has less capacity than the leader knew when it gave
+// the order. The caller must hold s.mu.
+func (s *session) hasLessCapacity(o *order) bool {
+	now := s.announced.Worker
+	return now.CpuMilli < o.capacity.GetCpuMilli() || now.MemoryMb < o.capacity.GetMemoryMb() ||
+		now.Accelerators < o.capacity.GetAccelerators()
+}
+
+// refuseUnlessListed refuses a start that the worker must no longer receive, unless the worker
+// already lists the run. Without this check, a restarted agent would refuse a run that the
+// previous agent had started; the run would continue here and be started elsewhere as well. The
+// caller must hold s.mu.
+func (s *session) refuseUnlessListed(id jobqueue.RunID, o *order, reason string) {
+	if isListed(s.status, id) {
+		o.startConfirmed = true
+		return
+	}
+	s.refuseRun(id, o, reason)
+}
+
+// refuseRun refuses a run that is not on the worker. If a start of it may still arrive, it is
+// stopped first: a worker that has carried out the stop refuses the run permanently. The caller must
+// hold s.mu.
+func (s *session) refuseRun(id jobqueue.RunID, o *order, reason string) {
+	s.d.metrics.startsRefused.Inc(1)
+	o.refusalReason = reason
+	if s.startMayArrive(id) {
+		o.stop = true
+		return
+	}
+	s.returnRun(id, o, 0)
+}
--- a/agent/runs/startsinflight.go
+++ b/agent/runs/startsinflight.go
@@ -32,3 +32,10 @@
 		}
 	}
 }
+
+// startMayArrive reports whether the worker may still carry out a start of a run that this agent
+// or a previous one sent. The caller must hold s.mu.
+func (s *session) startMayArrive(id jobqueue.RunID) bool {
+	_, inFlight := s.startsInFlight[id]
+	return inFlight || s.d.opts.Now().Before(s.d.previousCallsUntil)
+}
