agent/runs: a start has to reach its worker within a second

A start carries a deadline of its own now, a second ahead on the worker's clock; the renewals, every half second, keep the run active.

--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -108,13 +108,15 @@
 // receives the order again. It did not send the start itself, and refuses it as never sent.
 func TestRunOfPreviousAgentIsNotRefused(t *testing.T) {
 	l := &leader{epoch: 1, orders: startOrders(1, 1)}
-	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+	startByPreviousAgent := func(w *countingWorker) {
 		id := jobqueue.RunID{Task: firstTask, Number: 1}
 		order := runs.Order{Incarnation: "w1", Term: term}
-		answer, err := w.RunWorker.Start(t.Context(), order, runs.Start{Run: id, DeadlineMs: 1_000_000 + leaseMs})
+		answer, err := w.RunWorker.Start(context.Background(), order, runs.Start{Run: id, DeadlineMs: 1_000_000 + leaseMs})
 		if err != nil || answer != runs.AnswerDone {
-			t.Fatalf("%v, %v", answer, err)
+			t.Errorf("%v, %v", answer, err)
 		}
+	}
+	withDriverAfter(t, l, startByPreviousAgent, func(d *runs.Driver, w *countingWorker) {
 		draining := workerSpec("w1")
 		draining.Draining = true
 		announce(t, d, runs.Announcement{Worker: draining, Sequence: 2})
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -151,18 +151,22 @@
 	// lostCall is the name of the call that gets no answer, or allCalls. refusedCalls are the
 	// names of the calls that the worker refuses because it is unhealthy, or allCalls.
 	lostCall, refusedCalls atomic.Value
-	// nextStartDelay leaves the next start unanswered and executes it after this delay.
-	nextStartDelay atomic.Int64
+	// nextDelay is a call that is left unanswered once and executed after a delay.
+	nextDelay atomic.Pointer[delayedCall]
+}
+
+// delayedCall is a call that is executed late.
+type delayedCall struct {
+	call string
+	by   time.Duration
 }
 
 const allCalls = "all"
 
 // fault loses the calls that lostCall names, and refuses those that refusedCalls names.
 func (w *countingWorker) fault(call string) fakes.OrderFault {
-	if call == "start" {
-		if delay := w.nextStartDelay.Swap(0); delay > 0 {
-			return fakes.OrderFault{Late: time.Duration(delay)}
-		}
+	if late := w.nextDelay.Load(); late != nil && late.call == call && w.nextDelay.CompareAndSwap(late, nil) {
+		return fakes.OrderFault{Late: late.by}
 	}
 	lost, _ := w.lostCall.Load().(string)
 	refused, _ := w.refusedCalls.Load().(string)
@@ -228,11 +232,19 @@
 
 // withDriver runs a driver with a fake worker in virtual time.
 func withDriver(t *testing.T, l *leader, f func(d *runs.Driver, w *countingWorker)) {
+	t.Helper()
+	withDriverAfter(t, l, func(*countingWorker) {}, f)
+}
+
+// withDriverAfter does the same, and calls before before the driver starts.
+func withDriverAfter(t *testing.T, l *leader, before func(*countingWorker), f func(d *runs.Driver, w *countingWorker)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		watch := fakes.NewRunChecker()
 		watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
 		w := &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}
 		w.Fault = w.fault
+		before(w)
 		d := runs.New(runs.Options{Worker: w, Leader: l})
 		defer runDriver(d)()
 		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -53,6 +53,19 @@
 	return deadline
 }
 
+// startWindow is the time in which a start must reach the worker, longer than callTimeout. The
+// renewals keep the run active after that. With the whole lease as its deadline, a start without
+// an answer could take effect for seconds, and its task would have to wait for that long before it
+// may start elsewhere.
+const startWindow = time.Second
+
+// startDeadline returns the deadline of a start that is sent now. The caller must hold s.mu.
+func (s *session) startDeadline() int64 {
+	lease := s.nextDeadline()
+	clockMs := s.clock.ms + s.d.opts.Now().Sub(s.clock.received).Milliseconds()
+	return min(lease, clockMs+startWindow.Milliseconds())
+}
+
 // dropLease prevents further starts until the leader grants another lease. It is called before
 // the leader is notified that nothing runs any more: the leader's lease outlasts the worker's,
 // and a start under the rest of it would run in parallel with the one that the leader orders
--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -17,6 +17,10 @@
 // has started.
 const previousCallsExpired = 7 * time.Second
 
+// startExpired is the sum of a poll for orders, the time that a start has to reach its worker, and
+// three renewals of the lease.
+const startExpired = time.Second + time.Second + 1500*time.Millisecond
+
 // idleOrders are orders without any call to make.
 func idleOrders() *apiv1.JobsOrdersResponse {
 	return &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}
@@ -91,7 +95,7 @@
 	l := &leader{epoch: 1, orders: idleOrders()}
 	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
 		time.Sleep(previousCallsExpired)
-		w.nextStartDelay.Store(int64(3 * time.Second))
+		w.nextDelay.Store(&delayedCall{"start", 3 * time.Second})
 		w.refusedCalls.Store("start stop")
 		l.update(func() { l.orders = startOrders(2, 1) })
 		began := false
@@ -138,7 +142,7 @@
 		time.Sleep(time.Second)
 		w.refusedCalls.Store("stop")
 		l.update(func() { l.orders = stopOrders(3, 1) })
-		time.Sleep(previousCallsExpired)
+		time.Sleep(startExpired)
 		if len(l.refusals()) == 0 {
 			t.Errorf("the run is not returned; %d stops", w.stopCalls.Load())
 		}
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -67,7 +67,7 @@
 			order: Order{Incarnation: s.incarnation, Term: s.term},
 			start: Start{
 				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
-				DeadlineMs: s.nextDeadline(),
+				DeadlineMs: s.startDeadline(),
 			},
 		}
 		if leased && !stop {
