agent/runs: a pace counts as set only if the worker says so, and late paces are corrected

What callers would see: batch work beside a serving task that goes on at full speed although it was slowed down, and serving tasks over their objective.

Only "done" confirms a pace now, "over" ends the matter, everything else is repeated. While a call without an answer may still arrive, the confirmed pace is set again every two seconds.

--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -38,9 +38,13 @@
 	// is returned to the leader.
 	refusalReason string
 	returned      bool
+	// pace is the ordered one; paceConfirmed means that the worker has set confirmedPace.
+	// latePaceUntil is until when a call without an answer may still set another one.
 	pace          uint32
 	confirmedPace uint32
+	paceConfirmed bool
 	pacing        bool
+	latePaceUntil time.Time
 }
 
 // ordersLoop fetches the leader's orders and has them carried out.
@@ -107,7 +111,7 @@
 func (s *session) orderFor(id jobqueue.RunID) *order {
 	o := s.orders[id]
 	if o == nil {
-		o = &order{pace: fullPace, confirmedPace: fullPace}
+		o = &order{pace: fullPace, confirmedPace: fullPace, paceConfirmed: true}
 		s.orders[id] = o
 	}
 	return o
@@ -126,7 +130,7 @@
 	case s.mayStart(id, o):
 		o.starting = true
 		s.calls.Go(func() { s.startRun(id, o) })
-	case o.pace != o.confirmedPace && !o.stop && !o.starting && !o.pacing:
+	case (o.pace != o.confirmedPace || !o.paceConfirmed) && !o.stop && !o.starting && !o.pacing:
 		o.pacing = true
 		s.calls.Go(func() { s.setPace(id, o) })
 	}
