--- /dev/null
+++ b/agent/runs/departure_test.go
@@ -0,0 +1,57 @@
+package runs_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// Guards against a task that runs on two workers: a worker has reported its departure, and refuses
+// a call while its tasks go on.
+func TestDepartureIsReportedOnceTheWorkerRunsNothing(t *testing.T) {
+	for name, fault := range map[string]func(*countingWorker){
+		"refuses calls": func(w *countingWorker) { w.refusedCalls.Store("renew") },
+		"loses calls":   func(w *countingWorker) { w.lostCall.Store("renew") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+				time.Sleep(2 * time.Second)
+				fault(w)
+				if err := d.Depart("w1"); err != nil {
+					t.Fatal(err)
+				}
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					l.mu.Lock()
+					departed := slices.ContainsFunc(l.reports, func(r *apiv1.JobsReportRequest) bool { return r.Departed })
+					l.mu.Unlock()
+					if running := len(w.Running()); departed && running > 0 {
+						t.Fatalf("the departure is reported while %d tasks run", running)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against runs that stay assigned for a whole lease to a worker that has ended as it said.
+func TestDepartureOfEndedWorkerIsReportedAtOnce(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		w.renewError.Store(&notListening)
+		if err := d.Depart("w1"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if last := l.reports[len(l.reports)-1]; !last.Departed {
+			t.Error("the departure is not reported after a second")
+		}
+	})
+}
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,7 +41,10 @@
 	reports           []*apiv1.JobsReportRequest
 }
 
-var errUnavailable = errors.New("no leader")
+var (
+	errUnavailable = errors.New("no leader")
+	notListening   = fmt.Errorf("dial: %w", runs.ErrNotListening)
+)
 
 func (l *leader) Report(_ context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	l.mu.Lock()
@@ -145,9 +149,9 @@
 	*fakes.RunWorker
 	startCalls, stopCalls, renewals atomic.Int64
 	// unreachable fails every start at once, like a host on which no process listens. startError
-	// does so with a given error.
-	unreachable atomic.Bool
-	startError  atomic.Pointer[error]
+	// and renewError do so with a given error.
+	unreachable            atomic.Bool
+	startError, renewError atomic.Pointer[error]
 	// lostCall is the name of the call that gets no answer, or allCalls. refusedCalls are the
 	// names of the calls that the worker refuses because it is unhealthy, or allCalls.
 	lostCall, refusedCalls atomic.Value
@@ -193,6 +197,9 @@
 
 func (w *countingWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
 	w.renewals.Add(1)
+	if err := w.renewError.Load(); err != nil {
+		return runs.Status{}, 0, *err
+	}
 	return w.RunWorker.Renew(ctx, o, r)
 }
 
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -29,6 +29,10 @@
 // ErrNotSent marks the error of a call that has not reached the worker and cannot reach it later.
 var ErrNotSent = errors.New("call was not sent")
 
+// ErrNotListening marks the error of a call that was not sent because no process listens at the
+// worker's address.
+var ErrNotListening = errors.New("no process listens at the worker's address")
+
 // Order contains what every call of the worker carries.
 type Order struct {
 	Incarnation string
