dispatch: a refused move is abandoned only once no earlier call can be executed

What callers would see: tasks ended at once when a host is moved that the leader had put back to use. A move's first call got no answer, the next one was refused (the platform does not know the host just then), and the move was taken back while the first call was still on its way. Answers "busy" and "fenced" were guarded against this, "refused" was not.

TestMoveWithUnansweredCallIsNotAbandoned has a case for it, which failed: the task ran on the host when it went down.

--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -201,11 +201,11 @@
 		return false
 	case answer == HostDone:
 		step.State = apiv1.MoveState_MOVE_STATE_BEGUN
-	case answer == HostRefused, settled:
+	case settled:
 		step.State = apiv1.MoveState_MOVE_STATE_REFUSED
 	default:
-		// A busy or fenced response says nothing about an earlier call, which may still be
-		// executed: the host stays ordered meanwhile.
+		// A refusal of any kind says nothing about an earlier call, which may still be executed: the
+		// host stays ordered meanwhile.
 		return true
 	}
 	d.commitMoveStep(ctx, term, step)
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -78,18 +78,31 @@
 }
 
 // Guards against ending tasks that were started on a host after its move was abandoned. The first
-// call of a move is not answered, the next one is refused as busy, and the first one is executed
-// ten seconds later. The refusal of one call must not be taken for a refusal of the move.
+// call of a move is not answered, the next one is refused, and the first one is executed ten
+// seconds later. The refusal of one call must not be taken for a refusal of the move.
 func TestMoveWithUnansweredCallIsNotAbandoned(t *testing.T) {
+	t.Run("busy", checkMoveWithUnansweredCall(fakes.OrderFault{}, true))
+	t.Run("refused", checkMoveWithUnansweredCall(fakes.OrderFault{Refused: true}, false))
+}
+
+func checkMoveWithUnansweredCall(next fakes.OrderFault, busy bool) func(*testing.T) {
+	return func(t *testing.T) { moveWithUnansweredCall(t, next, busy) }
+}
+
+// moveWithUnansweredCall plays a move whose second call has a fault.
+func moveWithUnansweredCall(t *testing.T, next fakes.OrderFault, busy bool) {
 	runSim(t, 1, 2, func(t *testing.T, s *sim) {
 		s.stopFaults()
 		f := s.setUpPools(map[string]string{"host0": simPool, "host1": simPool})
 		calls := 0
 		f.Fault = func(string) fakes.OrderFault {
-			if calls++; calls > 1 {
+			if calls++; calls == 2 {
+				return next
+			}
+			if calls > 2 {
 				return fakes.OrderFault{}
 			}
-			f.SetBusy("host0", true)
+			f.SetBusy("host0", busy)
 			time.AfterFunc(9*time.Second, func() { f.SetBusy("host0", false) })
 			return fakes.OrderFault{Late: 10 * time.Second}
 		}
--- a/fakes/hosts.go
+++ b/fakes/hosts.go
@@ -215,6 +215,9 @@
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
+	if fault.Refused {
+		return dispatch.HostRefused, nil
+	}
 	return f.execute(o), nil
 }
 
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -21,7 +21,7 @@
 	Lost bool
 	// Late, if not zero, leaves the call unanswered and executes it after this delay.
 	Late time.Duration
-	// Refused calls of a RunWorker are answered by AnswerUnhealthy and not executed.
+	// Refused calls are not executed; a RunWorker answers AnswerUnhealthy and Hosts HostRefused.
 	Refused bool
 }
 
