--- a/agent/lease/lease.go
+++ b/agent/lease/lease.go
@@ -24,6 +24,8 @@
 	startWindow = 2 * time.Second
 	// maxStartTries is the maximum number of tries to start one attempt.
 	maxStartTries = 3
+	// stopEffectTime is longer than a worker takes to end an attempt that it was told to stop.
+	stopEffectTime = time.Second
 	// keptHeartbeats is the number of sent heartbeats that are kept for matching replies.
 	keptHeartbeats = 16
 )
@@ -56,10 +58,15 @@
 	status *apiv1.TaskStatus
 	// missing: the worker no longer lists an attempt that it listed before.
 	missing bool
-	// stopping: a stop is in progress. unwanted: the stop was ordered without a checkpoint.
-	stopping   bool
-	unwanted   bool
-	startTries int
+	// stopping: a stop is in progress, or the worker confirmed it. unwanted: the stop was ordered
+	// without a checkpoint.
+	stopping bool
+	unwanted bool
+	// stopConfirmed: the worker confirmed the stop. runningSince is when it first listed the
+	// attempt as running after that.
+	stopConfirmed bool
+	runningSince  time.Duration
+	startTries    int
 }
 
 func (s *attemptState) running() bool {
@@ -71,6 +78,18 @@
 	return s.status != nil && s.status.Phase != apiv1.TaskPhase_TASK_PHASE_RUNNING
 }
 
+// checkStop lets the next order stop an attempt again that still runs long after its stop was
+// confirmed.
+func (s *attemptState) checkStop(now time.Duration) {
+	switch {
+	case !s.stopConfirmed || !s.running():
+	case s.runningSince == 0:
+		s.runningSince = now
+	case now-s.runningSince >= stopEffectTime:
+		s.stopping, s.stopConfirmed, s.runningSince = false, false, 0
+	}
+}
+
 // sentHeartbeat is the content of a heartbeat, kept until its reply arrives.
 type sentHeartbeat struct {
 	sequence    uint64
@@ -170,6 +189,7 @@
 	}
 	was := state.ended()
 	state.status, state.missing = st, false
+	state.checkStop(now)
 	delete(m.inferredEnds, k) // The worker's report takes precedence over the agent's inference.
 	return state.ended() && !was
 }
--- a/agent/lease/orders.go
+++ b/agent/lease/orders.go
@@ -221,6 +221,7 @@
 	if checkpoint != "" {
 		state.checkpoint = checkpoint
 	}
+	state.stopConfirmed = ok
 	if !ok {
 		state.stopping = false // The next order tries again.
 	}
--- a/agent/lease/orders_test.go
+++ b/agent/lease/orders_test.go
@@ -154,6 +154,15 @@
 			h.observe()
 			return early == nil && h.reported("a").GetPhase() == stopped
 		},
+		"an attempt that runs on after its stop was confirmed is stopped again": func(h *harness) bool {
+			h.exchange(0, stopOrders(true, "a"))
+			h.m.RecordStop(Attempt{"a", 1}.proto(), "", true)
+			h.observe()
+			early := len(h.exchange(0, stopOrders(true, "a")).Stop)
+			h.now += stopEffectTime
+			h.observe()
+			return early == 0 && len(h.exchange(0, stopOrders(true, "a")).Stop) == 1
+		},
 		"a checkpoint that the worker does not list is kept": func(h *harness) bool {
 			h.exchange(0, stopOrders(true, "a"))
 			h.m.RecordStop(Attempt{"a", 1}.proto(), "newest", true)
