agent/runs: a departed worker that lists nothing may still carry out a start

The empty list counts only once no start can arrive any more. TestDepartureIsReportedOnceNoStartCanArrive failed before.

--- a/agent/runs/departure_test.go
+++ b/agent/runs/departure_test.go
@@ -55,3 +55,30 @@
 		}
 	})
 }
+
+// Guards against a task that runs on two workers: a departing worker lists nothing, and carries out
+// a start that got no answer after its departure was reported.
+func TestDepartureIsReportedOnceNoStartCanArrive(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.nextDelay.Store(&delayedCall{"start", 800 * time.Millisecond})
+		w.refusedCalls.Store("start stop")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		for w.startCalls.Load() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if err := d.Depart("w1"); err != nil {
+			t.Fatal(err)
+		}
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			l.mu.Lock()
+			departed := slices.ContainsFunc(l.reports, func(r *apiv1.JobsReportRequest) bool { return r.Departed })
+			l.mu.Unlock()
+			if departed && len(w.Running()) > 0 {
+				t.Fatal("the task runs after the departure was reported")
+			}
+		}
+	})
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -37,20 +37,24 @@
 }
 
 // awaitWorkerEnd returns once a worker that reported its departure runs nothing any more: it lists
-// nothing, no process listens in its place, another incarnation answers, or its lease has expired.
-// A worker whose departure report was not acknowledged continues for seconds, and tasks that the
+// nothing when no start can arrive any more, no process listens in its place, another incarnation
+// answers, or its lease has expired. A worker whose departure report was not acknowledged continues for seconds, and tasks that the
 // leader recorded as lost meanwhile would run elsewhere as well. A call that is refused or lost
 // proves nothing.
 func (s *session) awaitWorkerEnd() {
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
+		settled := s.startsSettled()
 		status, answer, err := s.renew(0)
 		switch {
 		case errors.Is(err, ErrNotListening):
 			return
 		case err == nil && answer == AnswerOtherIncarnation:
 			return
-		case err == nil && answer == AnswerDone && len(status.Running) == 0 && !status.Partial:
-			return
+		case err == nil && answer == AnswerDone:
+			s.recordStatus(status, s.d.opts.Now())
+			if settled && len(status.Running) == 0 && !status.Partial {
+				return
+			}
 		}
 		s.sleep(retryInterval)
 	}
--- a/agent/runs/startsinflight.go
+++ b/agent/runs/startsinflight.go
@@ -39,3 +39,11 @@
 	_, inFlight := s.startsInFlight[id]
 	return inFlight || s.d.opts.Now().Before(s.d.previousCallsUntil)
 }
+
+// startsSettled reports whether no start of any run can arrive any more. It is meant for a session
+// that sends no starts.
+func (s *session) startsSettled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.startsInFlight) == 0 && !s.d.opts.Now().Before(s.d.previousCallsUntil)
+}
