agent/runs: a refused start does not show that the run is not on the worker

A run is given back at once only if the last list, which must be complete, does not show it. A start stays in flight, also a confirmed one, until a list was asked for after its deadline; so does any call of a previous agent. With that, a list that lacks a run whose starts are settled is proof by itself, and stops need no second list. The line "run is given back" tells which proof it was.

TestRunningRunIsNotReturnedAfterRefusedStart fails without the check (3 of 3).

--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -21,7 +21,7 @@
 }
 
 // recordStatus records the status in an answer of the worker.
-func (s *session) recordStatus(status Status, received time.Time) {
+func (s *session) recordStatus(status Status, requested, received time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if before := s.clock.ms; status.ClockMs < before {
@@ -30,9 +30,12 @@
 		event.WorkerClockWentBack.Write(s.d.logger, event.Worker(s.incarnation), event.ClockMs(status.ClockMs),
 			event.PreviousClockMs(before), event.Acknowledged(s.acknowledged))
 	}
+	// A start whose deadline had passed when this status was requested is listed in it, or was
+	// never carried out.
+	s.startsInFlight.expire(s.clock.ms)
+	s.previousCallsSettled = s.previousCallsSettled || requested.After(s.d.previousCallsUntil)
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
-	s.startsInFlight.expire(status.ClockMs)
 	for _, e := range status.Ended {
 		s.callHistory.recordEnded(jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run})
 	}
--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -13,9 +13,9 @@
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
-// previousCallsExpired is longer than a call of a previous agent may be carried out after an agent
-// has started.
-const previousCallsExpired = 7 * time.Second
+// previousCallsExpired is the time after the start of an agent until the status shows all calls of
+// a previous one: the worker's longest lease on a slow clock, and two renewals.
+const previousCallsExpired = 7500 * time.Millisecond
 
 // startExpired is the sum of a poll for orders, the time that a start has to reach its worker, and
 // three renewals of the lease.
@@ -148,3 +148,21 @@
 		}
 	})
 }
+
+// Guards against a task that runs on two workers: the next leader, which has no report yet, orders
+// the start of a run that is running; the worker refuses it, and the run is returned as one that
+// never began.
+func TestRunningRunIsNotReturnedAfterRefusedStart(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		l.update(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: 2, Epoch: 1} })
+		time.Sleep(2 * time.Second)
+		w.refusedCalls.Store("start stop")
+		l.update(func() { l.orders = startOrders(3, 1) })
+		time.Sleep(3 * time.Second)
+		if n := len(l.refusals()); n > 0 || len(w.Running()) == 0 {
+			t.Errorf("%d refusals, and %d tasks run", n, len(w.Running()))
+		}
+	})
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -43,7 +43,7 @@
 // proves nothing.
 func (s *session) awaitWorkerEnd() {
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
-		settled := s.startsSettled()
+		requested := s.d.opts.Now()
 		status, answer, err := s.renew(0)
 		switch {
 		case errors.Is(err, ErrNotListening):
@@ -51,8 +51,8 @@
 		case err == nil && answer == AnswerOtherIncarnation:
 			return
 		case err == nil && answer == AnswerDone:
-			s.recordStatus(status, s.d.opts.Now())
-			if settled && len(status.Running) == 0 && !status.Partial {
+			s.recordStatus(status, requested, s.d.opts.Now())
+			if s.startsSettled() && len(status.Running) == 0 && !status.Partial {
 				return
 			}
 		}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -68,6 +68,8 @@
 	refusals       map[jobqueue.RunID]string
 	callHistory    callHistory
 	startsInFlight startsInFlight
+	// previousCallsSettled: the status shows all starts that a previous agent sent.
+	previousCallsSettled bool
 }
 
 // matchesWithoutStartTime reports whether a name is that of the session's worker without its
@@ -187,7 +189,7 @@
 			s.sleep(retryInterval)
 			continue
 		}
-		s.recordStatus(status, received)
+		s.recordStatus(status, requestedAt, received)
 		if s.startedMs == 0 {
 			s.recordListedRuns(status, received)
 		}
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -56,11 +56,11 @@
 		s.mu.Lock()
 		stop, leased := o.stop || s.isVoid(o), s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 		if s.announced.Worker.Draining && !o.maybeSent && leased && !stop {
-			s.refuseUnlessListed(id, o, "worker drains")
+			s.refuseRun(id, o, "worker drains")
 			stop = true
 		}
 		if leased && !stop && s.hasLessCapacity(o) {
-			s.refuseUnlessListed(id, o, "worker shrank")
+			s.refuseRun(id, o, "worker shrank")
 			stop = true
 		}
 		call := startCall{
@@ -102,7 +102,7 @@
 	id := c.start.Run
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil || errors.Is(err, ErrNotSent) {
+	if err == nil && answer != AnswerDone || errors.Is(err, ErrNotSent) {
 		s.startsInFlight.remove(id, c.inFlightBefore)
 	}
 	if o.notOrderedBefore {
@@ -119,7 +119,6 @@
 	case AnswerDone:
 		s.d.metrics.starts.Inc(1)
 		o.startConfirmed = true
-		delete(s.startsInFlight, id) // The worker starts no run twice.
 		s.callHistory.recordConfirmed(id, s.d.opts.Now())
 		return true
 	case AnswerEnded:
@@ -151,27 +150,20 @@
 		now.Accelerators < o.capacity.GetAccelerators()
 }
 
-// refuseUnlessListed refuses a start that the worker must no longer receive, unless the worker
-// already lists the run. Without this check, a restarted agent would refuse a run that the
-// previous agent had started; the run would continue here and be started elsewhere as well. The
-// caller must hold s.mu.
-func (s *session) refuseUnlessListed(id jobqueue.RunID, o *order, reason string) {
+// refuseRun refuses a run whose start the worker refused or must no longer receive. A run that the
+// worker lists was started before: by a previous agent, or on the orders of a previous leader. If a
+// start may still arrive, the run is stopped first: a worker that has carried out the stop refuses
+// the run permanently. The caller must hold s.mu.
+func (s *session) refuseRun(id jobqueue.RunID, o *order, reason string) {
 	if isListed(s.status, id) {
 		o.startConfirmed = true
 		return
 	}
-	s.refuseRun(id, o, reason)
-}
-
-// refuseRun refuses a run that is not on the worker. If a start of it may still arrive, it is
-// stopped first: a worker that has carried out the stop refuses the run permanently. The caller must
-// hold s.mu.
-func (s *session) refuseRun(id jobqueue.RunID, o *order, reason string) {
 	s.d.metrics.startsRefused.Inc(1)
 	o.refusalReason = reason
-	if s.startMayArrive(id) {
+	if s.status.Partial || s.startMayArrive(id) {
 		o.stop = true
 		return
 	}
-	s.returnRun(id, o, 0)
+	s.returnRun(id, o)
 }
--- a/agent/runs/stops.go
+++ b/agent/runs/stops.go
@@ -71,7 +71,8 @@
 // reviewStops determines from a status what became of the runs that must end. One that is still
 // listed as running is stopped again. One that is listed neither as running nor as ended is
 // returned to the leader, if the status was requested when no start of it could arrive any more. A
-// partial status is no proof, since the run may be in the part that could not be read.
+// partial status is no proof, since the run may be in the part that could not be read. The status
+// must have been recorded.
 func (s *session) reviewStops(status Status, requestedAt time.Time) {
 	if status.Partial {
 		return
@@ -84,12 +85,10 @@
 		case isRunning(status, id):
 			s.repeatStop(id, o, requestedAt)
 		case hasEnded(status, id):
-		case o.barredAt.IsZero():
-			if !o.starting && !s.startMayArrive(id) {
-				o.barredAt = s.d.opts.Now()
-			}
-		case requestedAt.After(o.barredAt):
-			s.returnRun(id, o, requestedAt.Sub(o.barredAt))
+		case !s.startMayArrive(id):
+			s.returnRun(id, o)
+		case !o.barredAt.IsZero() && requestedAt.After(o.barredAt):
+			s.returnRun(id, o)
 		}
 	}
 }
@@ -105,13 +104,14 @@
 
 // returnRun returns a run to the leader. The caller must hold s.mu and have made certain that the
 // run is not on the worker and can't begin there.
-func (s *session) returnRun(id jobqueue.RunID, o *order, barredFor time.Duration) {
+func (s *session) returnRun(id jobqueue.RunID, o *order) {
 	o.returned = true
 	reason := o.refusalReason
 	if reason == "" {
 		reason = "stopped before it began"
 	}
-	event.RunReturned.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Reason(reason), event.Delay(barredFor))
+	event.RunReturned.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Reason(reason),
+		event.StopConfirmed(!o.barredAt.IsZero()))
 	s.refusals[id] = reason
 }
 
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -79,7 +79,7 @@
 	StartAnswered           = declare(Runs, Routine, "start answered", NameTask, NameRun, "epoch", "answer", "try")
 	StopAnswered            = declare(Runs, Routine, "stop answered", NameTask, NameRun, "answer", "try", "start_pending")
 	StopUnanswered          = declare(Runs, Routine, "stop is unanswered", NameTask, NameRun, "try", "error")
-	RunReturned             = declare(Runs, Routine, "run is given back", NameTask, NameRun, "reason", "after")
+	RunReturned             = declare(Runs, Routine, "run is given back", NameTask, NameRun, "reason", "stop_confirmed")
 	PaceUnanswered          = declare(Runs, Routine, "pace is unanswered", NameTask, NameRun, "error")
 	PaceAnswered            = declare(Runs, Routine, "pace answered", NameTask, NameRun, NamePercent, "answer")
 	ReportLost              = declare(Runs, Rare, "report is lost", NameWorker, "ends", "running", "error")
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -111,8 +111,9 @@
 // Lease is the duration for which a lease was granted.
 func Lease(d time.Duration) Field { return durationField("lease", d) }
 
-// Delay is the time from the confirmed stop of a run to the request of the status that omits it.
-func Delay(d time.Duration) Field { return durationField("after", d) }
+// StopConfirmed reports whether the worker confirmed the stop of a run that never began. Otherwise
+// no start of the run could arrive any more.
+func StopConfirmed(confirmed bool) Field { return Field{zap.Bool("stop_confirmed", confirmed)} }
 
 // Epoch is the number of expiries of a worker's lease that the leader has counted.
 func Epoch(n uint64) Field { return uint64Field("epoch", n) }
