jobqueue, dispatch: a job is pending until a run is known to have begun

The leader counts a run as begun now if it was reported; without a leader's knowledge an ordered start still counts until it is returned. A job whose only runs were refused is queued again.

--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -22,11 +22,40 @@
 	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS {
 		return d.readHosts(ctx), nil
 	}
+	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE {
+		return d.readQueue(r), nil
+	}
 	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) { read(m.CallerJobs(), r, resp) })
 	return resp, nil
 }
 
+// readQueue returns the number of pending jobs of a queue.
+func (d *Dispatcher) readQueue(r *apiv1.JobsReadRequest) *apiv1.JobsReadResponse {
+	resp := &apiv1.JobsReadResponse{}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		var pending int
+		pending, resp.Outcome = m.CallerJobs().Pending(r.Host, r.Path, d.hasBegun)
+		resp.Pending = uint32(pending)
+		resp.ConfigurationVersion = m.CallerJobs().Configuration().Version
+	})
+	return resp
+}
+
+// hasBegun reports whether a run counts as begun. The leader knows the runs that were reported
+// since it leads; other replicas, and a leader to which the worker has not reported yet, assume
+// that an ordered start succeeds. The caller must hold d.mu.
+func (d *Dispatcher) hasBegun(r *jobqueue.Run) bool {
+	l := d.readyLeader()
+	if l == nil || !l.leases.get(r.Worker).reported {
+		return true
+	}
+	_, observed := l.observed[r.ID]
+	return observed
+}
+
 // explain returns a job with the reasons why its tasks wait, as the leader knows them.
 func (d *Dispatcher) explain(id string) *apiv1.JobsReadResponse {
 	d.mu.Lock()
@@ -64,10 +93,6 @@
 		if j, resp.Outcome = m.Lookup(r.Host, r.Path, r.Id); j != nil {
 			resp.State = j.State
 		}
-	case apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE:
-		var pending int
-		pending, resp.Outcome = m.Pending(r.Host, r.Path)
-		resp.Pending = uint32(pending)
 	case apiv1.JobsReadKind_JOBS_READ_KIND_CONFIGURATION:
 		resp.Document = m.Configuration().Document
 		if resp.ConfigurationVersion == 0 {
--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -1,6 +1,7 @@
 package jobqueue
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -141,8 +142,10 @@
 	return q, apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
-// Pending returns the number of accepted jobs in the queue at a path that have not started yet.
-func (m *Machine) Pending(host, path string) (int, apiv1.JobOutcome) {
+// Pending returns the number of accepted jobs in the queue at a path that have not started yet. An
+// ordered start does not show that the run has begun, since the worker may refuse it: hasBegun
+// reports what is known of a run that has not ended.
+func (m *Machine) Pending(host, path string, hasBegun func(*Run) bool) (int, apiv1.JobOutcome) {
 	q, outcome := m.queueAt(host, path)
 	if q == nil {
 		return 0, outcome
@@ -150,9 +153,24 @@
 	count := 0
 	for _, j := range m.active.values {
 		same := strings.EqualFold(j.Queue.Host, q.Host) && j.Queue.PathPrefix == q.PathPrefix
-		if same && j.Open() && !j.Started {
+		if same && j.Open() && !j.Started && !j.anyRun(hasBegun) {
 			count++
 		}
 	}
 	return count, apiv1.JobOutcome_JOB_OUTCOME_OK
 }
+
+// anyRun reports whether any present run of the job satisfies a condition.
+func (j *Job) anyRun(condition func(*Run) bool) bool {
+	if !j.Running() {
+		return false
+	}
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			if slices.ContainsFunc(s.Tasks, func(t *Task) bool { return slices.ContainsFunc(t.Runs, condition) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -117,6 +117,9 @@
 		t.Crashes.UndoStart(r.ID.Number)
 	}
 	m.release(r)
+	if j := r.job; j.Open() && !j.Started && !j.Running() {
+		j.State = apiv1.JobState_JOB_STATE_QUEUED
+	}
 }
 
 // endProbation ends the probation of a run that has worked for long enough.
--- a/jobqueue/machine_test.go
+++ b/jobqueue/machine_test.go
@@ -334,7 +334,7 @@
 	if n := len(m.Active()); n != 1 {
 		t.Errorf("%d jobs", n)
 	}
-	if pending, _ := m.Pending(host, "/q/"); pending != 1 {
+	if pending, _ := m.Pending(host, "/q/", func(*jobqueue.Run) bool { return true }); pending != 1 {
 		t.Errorf("%d jobs are pending", pending)
 	}
 }
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -85,7 +85,6 @@
 		t, _ := m.task(r.ID.Task)
 		t.LastRun = r.ID.Number
 		t.Crashes.RecordStart()
-		r.job.Started = true
 		r.job.State = apiv1.JobState_JOB_STATE_RUNNING
 	}
 }
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -113,6 +113,7 @@
 func (m *Machine) releaseLostRuns(w *Worker) {
 	for _, id := range w.SortedRunIDs() {
 		r := w.Runs[id]
+		r.job.Started = true
 		m.release(r)
 		m.stopGang(r)
 		m.failIfCrashLimitReached(r.ID.Task)
@@ -175,6 +176,7 @@
 		return
 	}
 	j := m.jobs[id.Task.Job]
+	j.Started = true
 	if run != nil || e.Run == t.LastRun {
 		s.setCheckpoint(t, e.Checkpoint)
 	}
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -87,8 +87,9 @@
 type Job struct {
 	Spec *apiv1.JobSpec
 	// Queue is the queue's configuration at the time the job was accepted.
-	Queue       *apiv1.JobQueue
-	State       apiv1.JobState
+	Queue *apiv1.JobQueue
+	State apiv1.JobState
+	// Started: a run of the job is known to have begun, because it ended or was lost.
 	Started     bool
 	AcceptedMs  int64
 	FinishedMs  int64
