--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -31,8 +31,8 @@
 	// reportsUntilUnavailable is the number of further reports after which the leader becomes
 	// unavailable; 0 is never.
 	reportsUntilUnavailable int
-	// ordersFail makes only the calls for orders fail.
-	ordersFail bool
+	// ordersFail makes only the calls for orders fail, and reportsFail only the reports.
+	ordersFail, reportsFail bool
 	// ordersNeedFound: calls for orders fail until a report or a CurrentOrders call has found the
 	// leader, as for a process that does not know the leader yet.
 	ordersNeedFound, found bool
@@ -49,7 +49,7 @@
 func (l *leader) Report(_ context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.unavailable {
+	if l.unavailable || l.reportsFail {
 		return nil, errUnavailable
 	}
 	l.found = true
@@ -238,13 +238,13 @@
 }
 
 // withDriver runs a driver with a fake worker in virtual time.
-func withDriver(t *testing.T, l *leader, f func(d *runs.Driver, w *countingWorker)) {
+func withDriver(t *testing.T, l runs.Leader, f func(d *runs.Driver, w *countingWorker)) {
 	t.Helper()
 	withDriverAfter(t, l, func(*countingWorker) {}, f)
 }
 
 // withDriverAfter does the same, and calls before before the driver starts.
-func withDriverAfter(t *testing.T, l *leader, before func(*countingWorker), f func(d *runs.Driver, w *countingWorker)) {
+func withDriverAfter(t *testing.T, l runs.Leader, before func(*countingWorker), f func(d *runs.Driver, w *countingWorker)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		watch := fakes.NewRunChecker()
--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -92,10 +92,17 @@
 // Guards against a task that runs on two workers: a start gets no answer and is carried out later;
 // its repetition and the stop are refused, and the run is returned as one that never began.
 func TestRunWithStartInFlightIsNotReturned(t *testing.T) {
+	for _, delay := range []time.Duration{800 * time.Millisecond, 3 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) { checkStartInFlight(t, delay) })
+	}
+}
+
+// checkStartInFlight plays a start that is carried out after a delay.
+func checkStartInFlight(t *testing.T, delay time.Duration) {
 	l := &leader{epoch: 1, orders: idleOrders()}
-	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
 		time.Sleep(previousCallsExpired)
-		w.nextDelay.Store(&delayedCall{"start", 3 * time.Second})
+		w.nextDelay.Store(&delayedCall{"start", delay})
 		w.refusedCalls.Store("start stop")
 		l.update(func() { l.orders = startOrders(2, 1) })
 		began := false
@@ -166,3 +173,115 @@
 		}
 	})
 }
+
+// awaitAndRefuse refuses starts and stops for ten seconds, and checks that no run begins or goes on
+// after it was returned.
+func awaitAndRefuse(t *testing.T, l *leader, w *countingWorker) {
+	t.Helper()
+	w.refusedCalls.Store("start stop")
+	for range 1000 {
+		time.Sleep(10 * time.Millisecond)
+		if len(l.refusals()) > 0 && len(w.Running()) > 0 {
+			t.Fatal("the task runs after it was returned")
+		}
+	}
+}
+
+// Guards against a task that runs on two workers: a previous agent's start is carried out after the
+// present agent has returned the run.
+func TestStartOfPreviousAgentMayStillArrive(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	startByPreviousAgent := func(w *countingWorker) {
+		w.nextDelay.Store(&delayedCall{"start", 3 * time.Second})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		id := jobqueue.RunID{Task: firstTask, Number: 1}
+		_, _ = w.RunWorker.Start(ctx, runs.Order{Incarnation: "w1", Term: term}, runs.Start{Run: id, DeadlineMs: 1_000_000 + leaseMs})
+		w.refusedCalls.Store("start stop")
+	}
+	withDriverAfter(t, promptLeader{l}, startByPreviousAgent, func(_ *runs.Driver, w *countingWorker) {
+		awaitAndRefuse(t, l, w)
+	})
+}
+
+// Guards against a task that runs on two workers: the leader withdraws a start for a moment, and the
+// agent forgets that it had sent it.
+func TestStartInFlightOutlivesItsOrder(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.nextDelay.Store(&delayedCall{"start", 900 * time.Millisecond})
+		w.refusedCalls.Store("start stop")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(500 * time.Millisecond)
+		l.withdrawAndRepeat(startOrders(5, 1))
+		awaitAndRefuse(t, l, w)
+	})
+}
+
+// Guards against a task that runs on two workers: a start was confirmed, the leader withdraws it for
+// a moment, and its repetition is refused before a status lists the run.
+func TestConfirmedRunIsNotReturnedBeforeItIsListed(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		l.update(func() { l.orders = startOrders(2, 1) })
+		for len(w.Running()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.refusedCalls.Store("start stop")
+		l.withdrawAndRepeat(startOrders(5, 1))
+		awaitAndRefuse(t, l, w)
+	})
+}
+
+// Guards against a task that runs on two workers: a run was returned, and its start is sent again
+// before the leader has received that.
+func TestReturnedRunIsNotStartedAgain(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.refusedCalls.Store("start stop")
+		l.update(func() { l.reportsFail, l.orders = true, startOrders(2, 1) })
+		time.Sleep(time.Second)
+		w.refusedCalls.Store("")
+		l.withdrawAndRepeat(startOrders(5, 1))
+		time.Sleep(time.Second)
+		l.update(func() { l.reportsFail = false })
+		time.Sleep(time.Second)
+		if n := len(l.refusals()); n == 0 || len(w.Running()) > 0 {
+			t.Errorf("%d refusals, and %d tasks run", n, len(w.Running()))
+		}
+	})
+}
+
+// Guards against a task that runs on two workers: the row of its run can't be read, its start is
+// sent again and refused, and the run is returned as one that is not listed.
+func TestUnreadableRunIsNotReturnedAfterRefusedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: startOrders(1, 1)}
+		watch := fakes.NewRunChecker()
+		watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &partialWorker{countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}}
+		w.Fault = w.fault
+		d := runs.New(runs.Options{Worker: w, Leader: promptLeader{l}})
+		defer runDriver(d)()
+		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+		time.Sleep(previousCallsExpired)
+		w.unreadable.Store(true)
+		time.Sleep(time.Second)
+		l.update(func() { l.orders = idleOrders() })
+		time.Sleep(2 * time.Second)
+		l.withdrawAndRepeat(startOrders(5, 1))
+		awaitAndRefuse(t, l, w.countingWorker)
+	})
+}
+
+// withdrawAndRepeat withdraws all orders, has the agent drop them, and gives orders.
+func (l *leader) withdrawAndRepeat(orders *apiv1.JobsOrdersResponse) {
+	for sequence := orders.Sequence - 2; sequence < orders.Sequence; sequence++ {
+		l.update(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: sequence, Epoch: 1} })
+		time.Sleep(30 * time.Millisecond)
+	}
+	l.update(func() { l.orders = orders })
+}
