agent/runs, schedule: the first pace of a run is set even if it is full

What callers would see: batch work that stands still, possibly for good.

Cause: a pace that nobody ordered yet counted as in effect. A restarted agent, or one that had forgotten the order, took 100 percent for set while the worker still had what was set before; and a new leader orders no pace of 100 for a run that it never slowed down, though the leader before it may have.

TestPaceOfPreviousAgentIsCorrected, TestPaceIsCorrectedAfterItsOrderWasForgotten (0 percent in place of 100 after 30 s) and TestFirstPacesOfAWorkerAreAllOrdered failed before. The first pace of an order is sent whatever it is, and the first paces of a worker are all ordered.

--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -26,8 +26,10 @@
 	// maybeSent is set once the worker may have received the start.
 	maybeSent bool
 	starting  bool
-	// stop: the run must end. stopConfirmedAt is when the worker last confirmed that it stops the
+	// stopOrdered: the leader has ordered the end of the run. stop: the run must end, by that order
+	// or because the agent refused its start. stopConfirmedAt is when the worker last confirmed that it stops the
 	// run, or reported that it has ended; zero if the worker has to be called.
+	stopOrdered     bool
 	stop            bool
 	stopping        bool
 	stopConfirmedAt time.Time
@@ -38,13 +40,16 @@
 	// is returned to the leader.
 	refusalReason string
 	returned      bool
-	// pace is the ordered one; paceConfirmed means that the worker has set confirmedPace.
+	// pace is the ordered one, full until paceOrdered; paceConfirmed means that the worker has set confirmedPace.
 	// latePaceUntil is until when a call without an answer may still set another one.
 	pace          uint32
+	paceOrdered   bool
 	confirmedPace uint32
 	paceConfirmed bool
 	pacing        bool
+	// paceRepeatDue: the pace will be set once more because of that.
 	latePaceUntil time.Time
+	paceRepeatDue bool
 }
 
 // ordersLoop fetches the leader's orders and has them carried out.
@@ -90,12 +95,14 @@
 	for _, o := range resp.Stops {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
 		open[id] = true
-		s.orderFor(id).stop = true
+		known := s.orderFor(id)
+		known.stopOrdered, known.stop = true, true
 	}
 	for _, o := range resp.Paces {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
 		open[id] = true
-		s.orderFor(id).pace = o.Percent
+		known := s.orderFor(id)
+		known.orderPace(o.Percent)
 	}
 	for id, o := range s.orders {
 		if !open[id] && !o.starting && !o.stopping && !o.pacing {
@@ -119,12 +126,21 @@
 
 const fullPace = 100
 
+// orderPace records the ordered pace. The first one has to be set even if it is full: a previous
+// agent may have slowed down the run.
+func (o *order) orderPace(percent uint32) {
+	if !o.paceOrdered {
+		o.paceOrdered, o.paceConfirmed = true, false
+	}
+	o.pace = percent
+}
+
 // advance starts the next call that an order needs. Nothing starts once the session has finished.
 // The caller must hold s.mu.
 func (s *session) advance(id jobqueue.RunID, o *order) {
 	switch {
 	case s.finished || s.alive.Err() != nil:
-	case o.stop && !o.stopping && !o.returned && o.stopConfirmedAt.IsZero():
+	case o.stop && !o.stopping && !o.returned && !o.withdrawn && o.stopConfirmedAt.IsZero():
 		o.stopping = true
 		s.calls.Go(func() { s.stopRun(id, o) })
 	case s.mayStart(id, o):
--- a/agent/runs/paces.go
+++ b/agent/runs/paces.go
@@ -53,7 +53,8 @@
 	switch answer {
 	case AnswerDone, AnswerEnded:
 		o.confirmedPace, o.paceConfirmed = percent, true
-		if answer == AnswerDone && s.d.opts.Now().Before(o.latePaceUntil) {
+		if answer == AnswerDone && s.d.opts.Now().Before(o.latePaceUntil) && !o.paceRepeatDue {
+			o.paceRepeatDue = true
 			time.AfterFunc(paceRepeatInterval, func() { s.repeatPace(id) })
 		}
 		s.advance(id, o)
@@ -70,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o := s.orders[id]; o != nil && !o.pacing {
-		o.paceConfirmed = false
+		o.paceConfirmed, o.paceRepeatDue = false, false
 		s.advance(id, o)
 	}
 }
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -313,13 +313,14 @@
 }
 
 // replacePaces replaces the paces and reports whether one changed. A run that was never slowed down
-// needs no order.
+// needs no order; the first paces of a worker are all ordered, since a previous leader may have
+// slowed down its runs.
 func (c *pacer) replacePaces(paces map[jobqueue.RunID]uint32) bool {
 	changed, low := false, false
 	next := map[jobqueue.RunID]uint32{}
 	for id, percent := range paces {
 		before, set := c.paces[id]
-		if !set && percent == fullPace {
+		if !set && percent == fullPace && c.revision > 0 {
 			continue
 		}
 		next[id] = percent
