agent/runs: a refused run that has begun continues, and a returned one that appears is stopped

A run that only this agent refused, and that is listed, continues now (TestRunThatBeganAfterItsRefusalIsNotStopped).

A run that had been returned was passed over when the leader ordered its stop: the second line of defence failed when the first had. What is listed is stopped (TestReturnedRunThatAppearsIsStoppedOnOrder).

By reading: a stop loop that ends goes on with what the order needs; the deadline of a start is computed once the call has its slot.

--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -285,3 +285,66 @@
 	}
 	l.update(func() { l.orders = orders })
 }
+
+// Guards against work that is lost: a start gets no answer and is carried out, its repetition is
+// refused, and the agent stops the run that no leader ordered to end.
+func TestRunThatBeganAfterItsRefusalIsNotStopped(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.nextDelay.Store(&delayedCall{"start", 300 * time.Millisecond})
+		w.refusedCalls.Store("start stop")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(8 * time.Second)
+		if len(w.Running()) == 0 || len(l.refusals()) > 0 {
+			t.Fatalf("%d runs, %d refusals", len(w.Running()), len(l.refusals()))
+		}
+		l.mu.Lock()
+		reported := len(l.reports[len(l.reports)-1].Running)
+		l.mu.Unlock()
+		w.refusedCalls.Store("")
+		time.Sleep(3 * time.Second)
+		if len(w.Running()) == 0 {
+			t.Errorf("a run that was reported as running (%d) for 6 s was stopped, and no leader ordered that", reported)
+		}
+	})
+}
+
+// Guards against a run that goes on although the leader orders its stop, since the agent had returned
+// it as one that never began.
+func TestReturnedRunThatAppearsIsStoppedOnOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: idleOrders()}
+		watch := fakes.NewRunChecker()
+		watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}
+		w.Fault = w.fault
+		d := runs.New(runs.Options{Worker: w, Leader: promptLeader{l}})
+		defer runDriver(d)()
+		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+		time.Sleep(previousCallsExpired)
+		w.lostCall.Store("start")
+		w.refusedCalls.Store("stop")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(200 * time.Millisecond)
+		w.lostCall.Store("")
+		w.refusedCalls.Store("start stop")
+		for len(l.refusals()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		// The leader commits the refusal and lists nothing any more.
+		l.update(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: 3, Epoch: 1} })
+		time.Sleep(2 * time.Second)
+		w.refusedCalls.Store("")
+		id := jobqueue.RunID{Task: firstTask, Number: 1}
+		a, err := w.RunWorker.Start(t.Context(), runs.Order{Incarnation: "w1", Term: term}, runs.Start{Run: id, DeadlineMs: w.ClockMs() + 3000})
+		if err != nil || a != runs.AnswerDone {
+			t.Fatalf("%v, %v", a, err)
+		}
+		l.update(func() { l.orders = stopOrders(4, 1) })
+		time.Sleep(10 * time.Second)
+		if len(w.Running()) != 0 {
+			t.Errorf("the run goes on 10 s after the leader ordered its stop; %d stops", w.stopCalls.Load())
+		}
+	})
+}
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -24,11 +24,10 @@
 func (s *session) startRun(id jobqueue.RunID, o *order) {
 	retry := newBackoff()
 	for try := 1; s.alive.Err() == nil; try++ {
-		call, ok := s.nextStartCall(id, o)
+		call, ok := s.awaitStart(id, o, try)
 		if !ok {
 			break
 		}
-		call.try = try
 		answer, err := s.callStart(call)
 		if s.handleStartAnswer(call, o, answer, err) {
 			break
@@ -49,46 +48,58 @@
 	inFlightBefore int64
 }
 
-// nextStartCall waits until the worker's lease allows the start and returns the call; false when
-// the run must no longer be started.
-func (s *session) nextStartCall(id jobqueue.RunID, o *order) (startCall, bool) {
+// awaitStart waits until a start may be sent and returns the call, which holds one of startSlots;
+// false when the run must no longer be started. The call is prepared once it has the slot, so that
+// its short deadline does not pass meanwhile.
+func (s *session) awaitStart(id jobqueue.RunID, o *order, try int) (startCall, bool) {
 	for s.alive.Err() == nil {
-		s.mu.Lock()
-		stop, leased := o.stop || s.isVoid(o), s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
-		if s.announced.Worker.Draining && !o.maybeSent && leased && !stop {
-			s.refuseRun(id, o, "worker drains")
-			stop = true
-		}
-		if leased && !stop && s.hasLessCapacity(o) {
-			s.refuseRun(id, o, "worker shrank")
-			stop = true
-		}
-		call := startCall{
-			order: Order{Incarnation: s.incarnation, Term: s.term},
-			start: Start{
-				Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
-				DeadlineMs: s.startDeadline(),
-			},
-		}
-		if leased && !stop {
-			o.maybeSent = true
-			s.callHistory.recordStartRequest(id, s.d.opts.Now())
-			call.inFlightBefore = s.startsInFlight.add(id, call.start.DeadlineMs)
+		s.startSlots <- struct{}{}
+		call, ready, void := s.prepareStart(id, o, try)
+		if ready {
+			return call, true
 		}
-		s.mu.Unlock()
-		if stop {
+		<-s.startSlots
+		if void {
 			return startCall{}, false
 		}
-		if leased {
-			return call, true
-		}
 		s.sleep(retryInterval)
 	}
 	return startCall{}, false
 }
 
+// prepareStart returns a call that is sent now, and whether it may be sent. void means that the run
+// must no longer be started.
+func (s *session) prepareStart(id jobqueue.RunID, o *order, try int) (call startCall, ready, void bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leased := s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
+	switch {
+	case o.stop || s.isVoid(o):
+		return startCall{}, false, true
+	case !leased:
+		return startCall{}, false, false
+	case s.announced.Worker.Draining && !o.maybeSent:
+		s.refuseRun(id, o, "worker drains")
+		return startCall{}, false, true
+	case s.hasLessCapacity(o):
+		s.refuseRun(id, o, "worker shrank")
+		return startCall{}, false, true
+	}
+	call = startCall{
+		try: try, order: Order{Incarnation: s.incarnation, Term: s.term},
+		start: Start{
+			Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
+			DeadlineMs: s.startDeadline(),
+		},
+	}
+	o.maybeSent = true
+	s.callHistory.recordStartRequest(id, s.d.opts.Now())
+	call.inFlightBefore = s.startsInFlight.add(id, call.start.DeadlineMs)
+	return call, true, false
+}
+
+// callStart makes a call and releases its slot.
 func (s *session) callStart(c startCall) (Answer, error) {
-	s.startSlots <- struct{}{}
 	defer func() { <-s.startSlots }()
 	ctx, cancel := context.WithTimeout(s.alive, callTimeout)
 	defer cancel()
--- a/agent/runs/stops.go
+++ b/agent/runs/stops.go
@@ -27,13 +27,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o.stopping = false
+	s.advance(id, o)
 }
 
 // stopPending reports whether a run still has to be stopped.
 func (s *session) stopPending(o *order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.alive.Err() == nil && o.stopConfirmedAt.IsZero() && !o.returned && !o.withdrawn
+	return s.alive.Err() == nil && o.stop && o.stopConfirmedAt.IsZero() && !o.returned && !o.withdrawn
 }
 
 func (s *session) handleStopAnswer(id jobqueue.RunID, o *order, try int, answer Answer, err error) {
@@ -68,23 +69,19 @@
 	return answer, err
 }
 
-// reviewStops determines from a status what became of the runs that must end. One that is still
-// listed as running is stopped again. One that is listed neither as running nor as ended is
-// returned to the leader, if the status was requested when no start of it could arrive any more. A
-// partial status is no proof, since the run may be in the part that could not be read. The status
-// must have been recorded.
+// reviewStops determines from a status what became of the runs that must end. One that is listed
+// neither as running nor as ended is returned to the leader, if the status was requested when no
+// start of it could arrive any more. A partial status is no proof of that, since the run may be in
+// the part that could not be read. The status must have been recorded.
 func (s *session) reviewStops(status Status, requestedAt time.Time) {
-	if status.Partial {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, o := range s.orders {
 		switch {
-		case !o.stop || o.returned:
+		case !o.stop:
 		case isRunning(status, id):
-			s.repeatStop(id, o, requestedAt)
-		case hasEnded(status, id):
+			s.reviewRunning(id, o, requestedAt)
+		case o.returned || status.Partial || hasEnded(status, id):
 		case !s.startMayArrive(id):
 			s.returnRun(id, o)
 		case !o.barredAt.IsZero() && requestedAt.After(o.barredAt):
@@ -93,11 +90,15 @@
 	}
 }
 
-// repeatStop has a run stopped again that a status lists long after its stop was confirmed. The
-// caller must hold s.mu.
-func (s *session) repeatStop(id jobqueue.RunID, o *order, listedAt time.Time) {
-	if !o.stopConfirmedAt.IsZero() && listedAt.Sub(o.stopConfirmedAt) > stopEffectTime {
-		o.stopConfirmedAt = time.Time{}
+// reviewRunning handles a run that must end and is listed as running. If only this agent refused it,
+// a start that was in flight has begun it, and it continues. Otherwise it is stopped again if its
+// stop was confirmed long ago, or if it was returned. The caller must hold s.mu.
+func (s *session) reviewRunning(id jobqueue.RunID, o *order, listedAt time.Time) {
+	switch {
+	case !o.stopOrdered && o.stopConfirmedAt.IsZero() && !o.returned:
+		o.stop, o.refusalReason, o.startConfirmed = false, "", true
+	case o.returned || !o.stopConfirmedAt.IsZero() && listedAt.Sub(o.stopConfirmedAt) > stopEffectTime:
+		o.returned, o.stopConfirmedAt = false, time.Time{}
 		s.advance(id, o)
 	}
 }
