jobqueue, dispatch: the leader tells how many jobs are pending; a lost run is no proof that it began

Found by the review: a follower still counted each ordered start as begun, and a job whose only runs were lost with their worker, which had turned everything away, was pending no more (TestJobOfRunThatWasLostBeforeItBeganIsPending failed). Only the leader answers now, clients remember it, and a run counts as begun once it was reported, ended, or saved a checkpoint.

--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -30,30 +30,30 @@
 	return resp, nil
 }
 
-// readQueue returns the number of pending jobs of a queue.
+// readQueue returns the number of pending jobs of a queue. Only the leader answers: the log does not
+// contain which runs have begun.
 func (d *Dispatcher) readQueue(r *apiv1.JobsReadRequest) *apiv1.JobsReadResponse {
-	resp := &apiv1.JobsReadResponse{}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	l := d.readyLeader()
+	if l == nil {
+		return &apiv1.JobsReadResponse{Unconfirmed: true}
+	}
+	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		var pending int
-		pending, resp.Outcome = m.CallerJobs().Pending(r.Host, r.Path, d.hasBegun)
+		pending, resp.Outcome = m.CallerJobs().Pending(r.Host, r.Path, l.hasBegun)
 		resp.Pending = uint32(pending)
 		resp.ConfigurationVersion = m.CallerJobs().Configuration().Version
 	})
 	return resp
 }
 
-// hasBegun reports whether a run counts as begun. The leader knows the runs that were reported
-// since it leads; other replicas, and a leader to which the worker has not reported yet, assume
-// that an ordered start succeeds. The caller must hold d.mu.
-func (d *Dispatcher) hasBegun(r *jobqueue.Run) bool {
-	l := d.readyLeader()
-	if l == nil || !l.leases.get(r.Worker).reported {
-		return true
-	}
+// hasBegun reports whether a run counts as begun. An ordered start of a worker that has not reported
+// to this leader yet is assumed to have succeeded.
+func (l *leaderState) hasBegun(r *jobqueue.Run) bool {
 	_, observed := l.observed[r.ID]
-	return observed
+	return observed || !l.leases.get(r.Worker).reported
 }
 
 // explain returns a job with the reasons why its tasks wait, as the leader knows them.
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -233,10 +233,16 @@
 	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_RequestMove{RequestMove: r}})
 }
 
+// onlyLeaderAnswers are the reads that need what the leader knows beside the log.
+var onlyLeaderAnswers = map[apiv1.JobsReadKind]bool{
+	apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE: true, apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION: true,
+	apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS: true,
+}
+
 // Read reads state that is confirmed to be the newest. Errors: ErrUnconfirmed.
 func (c *Client) Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error) {
 	var found *apiv1.JobsReadResponse
-	c.forwarder.TryHosts(ctx, false, func(ctx context.Context, address string) (string, bool) {
+	c.forwarder.TryHosts(ctx, onlyLeaderAnswers[r.Kind], func(ctx context.Context, address string) (string, bool) {
 		resp, err := c.jobsClient(address).Read(ctx, r)
 		if err != nil || resp.Unconfirmed {
 			return "", false
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -113,7 +113,6 @@
 func (m *Machine) releaseLostRuns(w *Worker) {
 	for _, id := range w.SortedRunIDs() {
 		r := w.Runs[id]
-		r.job.Started = true
 		m.release(r)
 		m.stopGang(r)
 		m.failIfCrashLimitReached(r.ID.Task)
@@ -126,6 +125,7 @@
 	for _, c := range list {
 		id := TaskIDOf(c.Task)
 		if t, s := m.task(id); t != nil && t.LastRun == c.Run {
+			m.jobs[id.Job].Started = true
 			s.setCheckpoint(t, c.Checkpoint)
 		}
 	}
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -89,7 +89,7 @@
 	// Queue is the queue's configuration at the time the job was accepted.
 	Queue *apiv1.JobQueue
 	State apiv1.JobState
-	// Started: a run of the job is known to have begun, because it ended or was lost.
+	// Started: a run of the job is known to have begun, because it ended or saved a checkpoint.
 	Started     bool
 	AcceptedMs  int64
 	FinishedMs  int64
