--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -26,6 +26,8 @@
 	// maybeSent is set once the worker may have received the start.
 	maybeSent bool
 	starting  bool
+	// unhealthyAnswers counts the starts that the worker refused because it is unhealthy.
+	unhealthyAnswers int
 	// stopOrdered: the leader has ordered the end of the run. stop: the run must end, by that order
 	// or because the agent refused its start. stopConfirmedAt is when the worker last confirmed that it stops the
 	// run, or reported that it has ended; zero if the worker has to be called.
--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -348,3 +348,21 @@
 		}
 	})
 }
+
+// Guards against a task that waits for another worker because its own refused a few calls.
+func TestStartIsRepeatedAtAnUnhealthyWorker(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(previousCallsExpired)
+		w.refusedCalls.Store("start")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		for w.startCalls.Load() < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		w.refusedCalls.Store("")
+		time.Sleep(time.Second)
+		if n := len(l.refusals()); n > 0 || len(w.Running()) == 0 {
+			t.Errorf("%d refusals, and %d tasks run", n, len(w.Running()))
+		}
+	})
+}
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -148,11 +148,21 @@
 	case AnswerOtherIncarnation:
 		s.endAlive()
 		return true
+	case AnswerUnhealthy:
+		o.unhealthyAnswers++
+		if o.unhealthyAnswers < maxUnhealthyAnswers {
+			return false
+		}
 	}
 	s.refuseRun(id, o, answer.String())
 	return true
 }
 
+// maxUnhealthyAnswers is after how many answers of an unhealthy worker a start is refused. A worker
+// that refuses only a part of the calls takes one of the next; the tries take 0.3 s, less than the
+// task would wait for another worker.
+const maxUnhealthyAnswers = 5
+
 // hasLessCapacity reports whether the worker has less capacity than the leader knew when it gave
 // the order. The caller must hold s.mu.
 func (s *session) hasLessCapacity(o *order) bool {
