agent/runs: ends are noticed while a report waits for its response

The agent does not listen to its worker while a report waits for a leader, which takes up to 1.5 s when none responds. It reads the worker's status every 100 ms meanwhile now.

--- a/agent/runs/callhistory_test.go
+++ b/agent/runs/callhistory_test.go
@@ -60,6 +60,32 @@
 	})
 }
 
+// Guards against a job that reaches its crash limit through crashes of workers on which its run had
+// ended by itself, while the agent waited for the response to a report.
+func TestEndDuringReportIsNoticed(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
+		w.Duration = func(jobqueue.TaskID) time.Duration { return 2 * time.Second }
+		time.Sleep(2 * time.Second)
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(1400 * time.Millisecond)
+		l.update(func() { l.reportsHang = true })
+		for len(w.Running()) > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(3 * statusPollInterval)
+		w.Crash()
+		l.update(func() { l.reportsHang = false })
+		time.Sleep(4 * time.Second)
+		if worked, ok := l.workedAtCrash(); !ok || len(worked) != 1 || !worked[0].Ended {
+			t.Errorf("work reported with the crash: %v", worked)
+		}
+	})
+}
+
+// statusPollInterval is how often the agent reads the worker's status during a report.
+const statusPollInterval = 100 * time.Millisecond
+
 // workedAtCrash returns the work that the agent reported for the runs of a worker that crashed.
 func (l *leader) workedAtCrash() ([]*apiv1.RunWork, bool) {
 	l.mu.Lock()
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -33,6 +33,8 @@
 	reportsUntilUnavailable int
 	// ordersFail makes only the calls for orders fail, and reportsFail only the reports.
 	ordersFail, reportsFail bool
+	// reportsHang leaves reports without a response.
+	reportsHang bool
 	// ordersNeedFound: calls for orders fail until a report or a CurrentOrders call has found the
 	// leader, as for a process that does not know the leader yet.
 	ordersNeedFound, found bool
@@ -46,9 +48,15 @@
 	notListening   = fmt.Errorf("dial: %w", runs.ErrNotListening)
 )
 
-func (l *leader) Report(_ context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+func (l *leader) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.reportsHang {
+		l.mu.Unlock()
+		<-ctx.Done()
+		l.mu.Lock()
+		return nil, errUnavailable
+	}
 	if l.unavailable || l.reportsFail {
 		return nil, errUnavailable
 	}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -44,7 +44,7 @@
 func (s *session) awaitWorkerEnd() {
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
 		requested := s.d.opts.Now()
-		status, answer, err := s.renew(0)
+		status, answer, err := s.renew(s.alive, 0)
 		switch {
 		case errors.Is(err, ErrNotListening):
 			return
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -163,7 +163,7 @@
 	for s.ctx.Err() == nil {
 		s.reportPreviousEnd()
 		requestedAt := s.d.opts.Now()
-		status, answer, err := s.renew(wait)
+		status, answer, err := s.renew(s.alive, wait)
 		received := s.d.opts.Now()
 		if answer == AnswerOtherIncarnation {
 			s.endAlive()
@@ -200,7 +200,9 @@
 			continue
 		}
 		s.reviewStops(status, requestedAt)
+		endWatch := s.watchWorker()
 		reported := s.report(status, received)
+		endWatch()
 		wait = renewalWait
 		if !reported || status.Partial {
 			// An end that cannot be read is never acknowledged, so the worker would answer each
@@ -210,14 +212,48 @@
 	}
 }
 
-func (s *session) renew(wait time.Duration) (Status, Answer, error) {
+// statusPollInterval is the time between two reads of the worker's status during a report.
+const statusPollInterval = 100 * time.Millisecond
+
+// watchWorker reads the worker's status every so often until the returned function is called. A
+// report takes seconds if no leader responds; without the watch, a run that ended in that time would
+// count as crashed with its worker.
+func (s *session) watchWorker() (end func()) {
+	ctx, cancel := context.WithCancel(s.alive)
+	var watch conc.WaitGroup
+	watch.Go(func() {
+		ticker := time.NewTicker(statusPollInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			requested := s.d.opts.Now()
+			status, answer, err := s.renew(ctx, 0)
+			if err == nil && answer == AnswerDone {
+				s.recordStatus(status, requested, s.d.opts.Now())
+			}
+		}
+	})
+	return func() {
+		cancel()
+		watch.Wait()
+	}
+}
+
+func (s *session) renew(ctx context.Context, wait time.Duration) (Status, Answer, error) {
 	s.mu.Lock()
 	o := Order{Incarnation: s.incarnation, Term: s.term}
 	r := Renewal{DeadlineMs: s.nextDeadline(), Acknowledged: s.acknowledged, Wait: wait}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.alive, wait+callTimeout)
+	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	status, answer, err := s.d.opts.Worker.Renew(ctx, o, r)
+	status, answer, err := s.d.opts.Worker.Renew(call, o, r)
+	if err != nil && ctx.Err() != nil {
+		return status, answer, err // The agent abandoned the call, which says nothing about the worker.
+	}
 	s.d.workerWatch.Record(err)
 	s.recordCall("renew", answer, err)
 	return status, answer, err
