--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -29,8 +29,8 @@
 	// unhealthyAnswers counts the starts that the worker refused because it is unhealthy.
 	unhealthyAnswers int
 	// stopOrdered: the leader has ordered the end of the run. stop: the run must end, by that order
-	// or because the agent refused its start. stopConfirmedAt is when the worker last confirmed that it stops the
-	// run, or reported that it has ended; zero if the worker has to be called.
+	// or because the agent refused its start. stopConfirmedAt is when the worker last confirmed that
+	// it stops the run, or reported that it has ended; zero if the worker has to be called.
 	stopOrdered     bool
 	stop            bool
 	stopping        bool
@@ -42,16 +42,7 @@
 	// is returned to the leader.
 	refusalReason string
 	returned      bool
-	// pace is the ordered one, full until paceOrdered; paceConfirmed means that the worker has set confirmedPace.
-	// latePaceUntil is until when a call without an answer may still set another one.
-	pace          uint32
-	paceOrdered   bool
-	confirmedPace uint32
-	paceConfirmed bool
-	pacing        bool
-	// paceRepeatDue: the pace will be set once more because of that.
-	latePaceUntil time.Time
-	paceRepeatDue bool
+	pace          pace
 }
 
 // ordersLoop fetches the leader's orders and has them carried out.
@@ -103,11 +94,10 @@
 	for _, o := range resp.Paces {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
 		open[id] = true
-		known := s.orderFor(id)
-		known.orderPace(o.Percent)
+		s.orderFor(id).pace.order(o.Percent)
 	}
 	for id, o := range s.orders {
-		if !open[id] && !o.starting && !o.stopping && !o.pacing {
+		if !open[id] && !o.starting && !o.stopping && !o.pace.calling {
 			delete(s.orders, id)
 			continue
 		}
@@ -120,23 +110,12 @@
 func (s *session) orderFor(id jobqueue.RunID) *order {
 	o := s.orders[id]
 	if o == nil {
-		o = &order{pace: fullPace, confirmedPace: fullPace, paceConfirmed: true}
+		o = &order{pace: pace{percent: fullPace, confirmed: fullPace, isConfirmed: true}}
 		s.orders[id] = o
 	}
 	return o
 }
 
-const fullPace = 100
-
-// orderPace records the ordered pace. The first one has to be set even if it is full: a previous
-// agent may have slowed down the run.
-func (o *order) orderPace(percent uint32) {
-	if !o.paceOrdered {
-		o.paceOrdered, o.paceConfirmed = true, false
-	}
-	o.pace = percent
-}
-
 // advance starts the next call that an order needs. Nothing starts once the session has finished.
 // The caller must hold s.mu.
 func (s *session) advance(id jobqueue.RunID, o *order) {
@@ -148,8 +127,8 @@
 	case s.mayStart(id, o):
 		o.starting = true
 		s.calls.Go(func() { s.startRun(id, o) })
-	case (o.pace != o.confirmedPace || !o.paceConfirmed) && !o.stop && !o.starting && !o.pacing:
-		o.pacing = true
+	case o.pace.needsCall() && !o.stop && !o.starting:
+		o.pace.calling = true
 		s.calls.Go(func() { s.setPace(id, o) })
 	}
 }
