--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -38,9 +38,9 @@
 
 // awaitWorkerEnd returns once a worker that reported its departure runs nothing any more: it lists
 // nothing when no start can arrive any more, no process listens in its place, another incarnation
-// answers, or its lease has expired. A worker whose departure report was not acknowledged continues for seconds, and tasks that the
-// leader recorded as lost meanwhile would run elsewhere as well. A call that is refused or lost
-// proves nothing.
+// answers, or its lease has expired. A worker whose departure report was not acknowledged continues
+// for seconds, and tasks that the leader recorded as lost meanwhile would run elsewhere as well. A
+// call that is refused or lost proves nothing.
 func (s *session) awaitWorkerEnd() {
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
 		requested := s.d.opts.Now()
