agent/runs: starts ordered under a former name of a worker are barred before it is admitted

What callers would see: a task on two workers, when an agent of a release that tells no start times is replaced by one that does (or the worker's platform begins to tell them) while a start is on its way: the worker lists nothing and is admitted, its first report ends the incarnation that the log knows, the task starts elsewhere, and the start is carried out.

An agent asks the leader which name it knows on the host, and has the worker stop the runs whose start is still ordered under it.

--- a/agent/runs/admission.go
+++ b/agent/runs/admission.go
@@ -21,8 +21,8 @@
 		return true
 	}
 	if len(status.Running) == 0 && !status.Partial {
-		s.admitted = true
-		return true
+		s.admitted = s.barFormerStarts()
+		return s.admitted
 	}
 	known, err := s.knownToLeader()
 	if err != nil {
@@ -36,6 +36,41 @@
 	return true
 }
 
+// barFormerStarts reports whether no start can arrive any more that was ordered under a former name
+// of the worker. It has the worker stop the runs whose start the leader still orders under that name:
+// the worker then refuses them permanently.
+func (s *session) barFormerStarts() bool {
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	host, err := s.d.opts.Leader.HostLease(ctx, s.d.opts.Host)
+	if err != nil {
+		return false
+	}
+	if !isFormerName(host.LastLife, s.incarnation) {
+		return true
+	}
+	orders, err := s.d.opts.Leader.CurrentOrders(ctx, host.LastLife)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.recordTerm(orders.Term)
+	s.mu.Unlock()
+	barred := true
+	for _, o := range orders.Starts {
+		answer, err := s.callStop(jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run})
+		barred = barred && err == nil && answer == AnswerDone
+	}
+	return barred
+}
+
+// isFormerName reports whether two names are of one incarnation that did not always report its start
+// time.
+func isFormerName(former, current string) bool {
+	f, c := jobqueue.ParseIncarnation(former), jobqueue.ParseIncarnation(current)
+	return former != current && f.WorkerID == c.WorkerID && (f.StartedMs == 0 || c.StartedMs == 0)
+}
+
 // knownToLeader queries the leader and reports whether the log knows the incarnation. A known
 // incarnation has an epoch.
 func (s *session) knownToLeader() (bool, error) {
