--- a/agent/runs/departure_test.go
+++ b/agent/runs/departure_test.go
@@ -43,7 +43,7 @@
 	l := &leader{epoch: 1, orders: startOrders(1, 1)}
 	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
 		time.Sleep(2 * time.Second)
-		w.renewError.Store(&notListening)
+		w.renewError.Store(&errNoListener)
 		if err := d.Depart("w1"); err != nil {
 			t.Fatal(err)
 		}
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -45,7 +45,7 @@
 
 var (
 	errUnavailable = errors.New("no leader")
-	notListening   = fmt.Errorf("dial: %w", runs.ErrNotListening)
+	errNoListener  = fmt.Errorf("dial: %w", runs.ErrNotListening)
 )
 
 func (l *leader) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
