agent/runs: a failing test of a refused run behind a row that can't be read

A run that a worker refused and whose stop it confirmed is never given back while one row of the worker's status can't be read, since the run could be in that row. Giving it back some time after the stop would meet TestUnreadableRunIsNotRefused, which has to be weighed first.

--- a/agent/runs/partialstatus_test.go
+++ b/agent/runs/partialstatus_test.go
@@ -70,3 +70,20 @@
 		}
 	})
 }
+
+// Guards against a task that waits for good: its worker refused the start and confirmed the stop, and
+// one row of its status can never be read.
+func TestRefusedRunIsReturnedInSpiteOfPartialStatus(t *testing.T) {
+	withPartialWorker(t, func(l *leader, _ *runs.Driver, w *ineffectiveWorker) {
+		w.on.Store(true)
+		time.Sleep(2 * time.Second)
+		w.refusedCalls.Store("start")
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(2 * time.Second)
+		w.refusedCalls.Store("")
+		time.Sleep(60 * time.Second)
+		if len(l.refusals()) == 0 && len(w.Running()) == 0 {
+			t.Errorf("the run neither runs nor is returned after 60 s; %d stops", w.stopCalls.Load())
+		}
+	})
+}
