--- a/agent/runs/partialstatus_test.go
+++ b/agent/runs/partialstatus_test.go
@@ -71,7 +71,7 @@
 	})
 }
 
-// Guards against a task that waits for good: its worker refused the start and confirmed the stop, and
+// Guards against a task that waits forever: its worker refused the start and confirmed the stop, and
 // one row of its status can never be read.
 func TestRefusedRunIsReturnedInSpiteOfPartialStatus(t *testing.T) {
 	withPartialWorker(t, func(l *leader, _ *runs.Driver, w *ineffectiveWorker) {
--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against a queue that is shown as empty while workers refuse the starts of its jobs: an
-// ordered start counted as begun, and for good.
+// ordered start counted as begun, and permanently so.
 func TestJobIsPendingUntilARunHasBegun(t *testing.T) {
 	runSim(t, 1, 0, func(t *testing.T, s *sim) {
 		w := newScriptedWorker(s, "w1")
