--- a/spec/graph.go
+++ b/spec/graph.go
@@ -90,13 +90,6 @@
 	return strings.Join(cycle, " -> ")
 }
 
-// DependencyOrder returns the names of all services and jobs so that each comes after its
-// dependencies.
-func DependencyOrder(c *apiv1.Configuration) []string {
-	order, _ := newGraph(c).topologicalSort()
-	return order
-}
-
 func (p *parser) checkDependencies() {
 	for _, ref := range p.dependencyRefs {
 		if _, known := p.tablePaths[ref.name]; !known {
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -129,7 +129,7 @@
 }
 
 // checkRoundTrip checks that the canonical form of a configuration parses to an equal one and
-// that DependencyOrder respects its dependencies, as for every result of Parse.
+// that the order of its items respects their dependencies, as for every result of Parse.
 func checkRoundTrip(t *testing.T, c *apiv1.Configuration) {
 	t.Helper()
 	again, problems := Parse(Format(c))
@@ -144,7 +144,7 @@
 		t.Fatalf("Diff returns changes for equal configurations: %v", changes)
 	}
 	position := map[string]int{}
-	order := DependencyOrder(c)
+	order, _ := newGraph(c).topologicalSort()
 	for i, name := range order {
 		position[name] = i
 	}
