dispatch, agent/runs: a departure is ordered like every other report

Cause: a worker reported its departure, its agent found that it runs nothing and sent that to the leader; the network held the report up, and the agent was restarted. The new agent knew of no departure, found the worker still running, and the leader ordered starts there. Then the old report arrived. The leader took no departure for outdated, since a departure is final. It is not: a worker that said that it leaves runs on until it is acknowledged or some seconds have passed, and what its agent said about its runs holds for that session only.

Change: - A departure of a session is rejected once the leader has heard a later one. - A leader accepts only session numbers that it issued itself. A new leader knew no sessions, so it accepted whatever came first: a departure, or a report that returns a start which the present session has carried out. An agent whose number is of an earlier leader gets another one and repeats its report at once. - While a departure is being committed, no lease of the worker is renewed, as it is for an expiry: the departure would end what a later session starts meanwhile. Only commits that are in doubt are settled by a confirmation of the leadership; one that was in progress was taken for settled too.

A true departure is not lost: the agent that sent it is the one that still runs and repeats it under a number of the present leader; if it has been restarted, its successor reports the end of the worker, or the expiry of the host's lease.

TestReportOrder and the tests beside it name the leader's term now and are otherwise unchanged.

--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -27,7 +27,7 @@
 	end := s.departureReport()
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-		_, err := s.sendEnd(ctx, end)
+		err := s.sendEnd(ctx, end)
 		cancel()
 		if err == nil {
 			return
@@ -68,7 +68,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
-	if _, err := s.sendEnd(ctx, s.previousEndReport); err == nil {
+	if err := s.sendEnd(ctx, s.previousEndReport); err == nil {
 		s.previousEndReport = nil
 	}
 }
@@ -146,6 +146,8 @@
 		return false
 	}
 	switch {
+	case s.needsNewNumber(resp):
+		return false
 	case resp.SessionSuperseded:
 		event.SessionSuperseded.Write(s.d.logger, event.Worker(s.incarnation))
 		s.resetID()
@@ -160,18 +162,41 @@
 	return true
 }
 
-// sendNumbered sends a report of a session that has a number.
+// sendNumbered sends a report under the session's number. A leader accepts only numbers that it
+// issued, so the report is sent again under a number of the leader that rejected the first one.
 func (s *session) sendNumbered(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	if err := s.obtainNumber(ctx); err != nil {
+		return nil, err
+	}
+	resp, err := s.send(ctx, r)
+	if err != nil || !s.needsNewNumber(resp) {
+		return resp, err
+	}
+	s.number = sessionNumber{}
 	if err := s.obtainNumber(ctx); err != nil {
 		return nil, err
 	}
 	return s.send(ctx, r)
 }
 
-// sendEnd sends a report that an incarnation has ended.
-func (s *session) sendEnd(ctx context.Context, end *endReport) (*apiv1.JobsReportResponse, error) {
+// needsNewNumber reports whether a report was rejected only because a previous leader issued the
+// session's number.
+func (s *session) needsNewNumber(resp *apiv1.JobsReportResponse) bool {
+	return resp.SessionSuperseded && s.number.number != 0 && resp.Term > s.number.term
+}
+
+// errNumberRejected means that the leader changed again while a session obtained its number.
+var errNumberRejected = errors.New("leader did not issue the session's number")
+
+// sendEnd sends a report that an incarnation has ended. A leader that knows a later session with the
+// worker rejects it for good: that session reports what becomes of the worker.
+func (s *session) sendEnd(ctx context.Context, end *endReport) error {
 	end.addCrashAge(s.d.opts.Now())
-	return s.send(ctx, end.request)
+	resp, err := s.sendNumbered(ctx, end.request)
+	if err == nil && s.needsNewNumber(resp) {
+		return errNumberRejected
+	}
+	return err
 }
 
 // send numbers a report and sends it to the leader. Without the number, the leader would accept a
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -14,8 +14,8 @@
 // leaderState is what the leader of a term keeps outside the replicated log.
 type leaderState struct {
 	term uint64
-	// planInDoubt means that a plan that marks runs lost may still be committed. No plan is made
-	// until its outcome is known.
+	// planInDoubt means that a plan or departure that marks runs lost may still be committed. No plan
+	// is made until its outcome is known.
 	planInDoubt bool
 	planner     *schedule.Planner
 	leases      *leaseTable
@@ -107,7 +107,7 @@
 		planner:          planner,
 		learnedSavedAt:   now,
 		leases:           newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		reports:          newReportOrder(),
+		reports:          newReportOrder(term),
 		observed:         map[jobqueue.RunID]schedule.Observation{},
 		contacts:         newContactTracker(d.opts.ContactTimeout),
 		endsRecorded:     map[string]uint64{},
@@ -154,9 +154,9 @@
 	return l.planner.Learned(now)
 }
 
-// finishExpiries lets the leases of workers whose runs are lost be renewed again. A plan whose
-// outcome is unknown may still be committed, and would then mark runs lost under leases that were
-// renewed meanwhile. In that case this replica confirms its leadership again: that entry commits
+// finishExpiries lets the leases of workers whose runs are lost be renewed again. A plan or departure
+// whose outcome is unknown may still be committed, and would then mark runs lost under leases that
+// were renewed meanwhile. In that case this replica confirms its leadership again: that entry commits
 // only after the outcome of the plan is settled.
 func (d *Dispatcher) finishExpiries(term uint64, workers []string, committed bool) {
 	d.mu.Lock()
@@ -164,11 +164,12 @@
 	if d.leader == nil || d.leader.term != term {
 		return
 	}
-	if !committed {
-		d.leader.planInDoubt = true
-		return
-	}
+	d.leader.planInDoubt = d.leader.planInDoubt || !committed
 	for _, w := range workers {
+		if !committed {
+			d.leader.leases.recordDoubt(w)
+			continue
+		}
 		d.leader.leases.finishExpiry(w)
 	}
 }
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -26,10 +26,12 @@
 	number uint64
 	// reported is set by the first report; before that, nothing is known of the worker.
 	reported bool
-	// expiring means that a plan that marks the worker's runs lost is being committed. The lease
-	// must not be renewed until the plan's outcome is known.
+	// expiring means that a plan that marks the worker's runs lost, or the departure of the worker, is
+	// being committed. The lease must not be renewed until the outcome is known.
 	expiring bool
-	// epoch is the worker's epoch when that plan was made.
+	// inDoubt means that this commit has failed and may still take effect.
+	inDoubt bool
+	// epoch is the worker's epoch when that was decided, 0 if the log did not contain the worker.
 	epoch uint64
 	// expired means that the runs were marked lost; the next report makes the worker usable again.
 	expired bool
@@ -88,29 +90,37 @@
 }
 
 // beginExpiry marks a worker's lease as expiring, and returns false if it is already.
-func (t *leaseTable) beginExpiry(w *jobqueue.Worker) bool {
-	l := t.get(w.Spec.Id)
+func (t *leaseTable) beginExpiry(w *jobqueue.Worker) bool { return t.beginEnd(w.Spec.Id, w.Epoch) }
+
+// beginEnd does the same for a worker that the log may not contain.
+func (t *leaseTable) beginEnd(worker string, epoch uint64) bool {
+	l := t.get(worker)
 	if l.expiring {
 		return false
 	}
-	l.expiring, l.epoch = true, w.Epoch
+	l.expiring, l.epoch = true, epoch
 	return true
 }
 
-// settleExpiries ends the expiries whose plans were in doubt, according to their outcome. The
-// leases of plans that were not applied can expire again.
+// settleExpiries ends the expiries and departures whose commits were in doubt, according to their
+// outcome. The leases of plans that were not applied can expire again.
 func (t *leaseTable) settleExpiries(worker func(id string) *jobqueue.Worker) {
 	for id, l := range t.byWorker {
-		if !l.expiring {
-			continue
+		if !l.inDoubt {
+			continue // A commit in progress may follow the one that settled the others.
 		}
 		w := worker(id)
-		l.expiring = false
-		l.expired = w == nil || w.Epoch != l.epoch
+		l.expiring, l.inDoubt = false, false
+		l.expired = w == nil || w.Departed || w.Epoch != l.epoch
 	}
 }
 
-// finishExpiry ends an expiry whose plan is committed.
+// recordDoubt records that the outcome of an expiry or departure is unknown.
+func (t *leaseTable) recordDoubt(worker string) {
+	t.get(worker).inDoubt = true
+}
+
+// finishExpiry ends an expiry or a departure that is committed.
 func (t *leaseTable) finishExpiry(worker string) {
 	l := t.get(worker)
 	l.expiring = false
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -30,7 +30,14 @@
 			Term: applied.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE, SessionSuperseded: applied.sessionSuperseded,
 		}, nil
 	}
+	if r.Departed {
+		// An agent that cancels its call must not leave the departure in doubt.
+		ctx = context.WithoutCancel(ctx)
+	}
 	outcome, err := d.commitReport(ctx, applied.command)
+	if r.Departed {
+		d.finishExpiries(applied.term, []string{r.Worker.GetId()}, err == nil)
+	}
 	term, leads := d.opts.Replica.Leading()
 	if err != nil || !leads || term != applied.term {
 		event.ReportUnconfirmed.Write(d.logger, event.Worker(r.Worker.GetId()), event.Err(err))
@@ -73,17 +80,17 @@
 	if l == nil {
 		return appliedReport{}
 	}
-	var outdated bool
-	d.opts.Replica.ReadState(func(m *state.Machine) {
-		// A departure is final, so a departure report is never outdated.
-		jobs := m.CallerJobs()
-		outdated = !r.Departed && (l.contestsLiveWorker(jobs, r, d.opts.Now()) || l.reports.outdated(jobs, r))
-	})
-	if outdated {
-		d.metrics.reportsOutdated.Inc(1)
-		event.ReportOutdated.Write(d.logger, event.Term(l.term), event.Worker(r.Worker.GetId()))
+	if d.outdated(l, r) {
+		// All agents report to a new leader under numbers of the previous one at first.
+		if r.Departed || !l.reports.numberedByPreviousLeader(r) {
+			d.metrics.reportsOutdated.Inc(1)
+			event.ReportOutdated.Write(d.logger, event.Term(l.term), event.Worker(r.Worker.GetId()))
+		}
 		return appliedReport{term: l.term, outdated: true, sessionSuperseded: l.reports.superseded(r)}
 	}
+	if r.Departed && !d.beginDeparture(l, r.Worker.GetId()) {
+		return appliedReport{} // The agent repeats the report.
+	}
 	applied := appliedReport{term: l.term}
 	now := d.opts.Now()
 	if !r.Departed {
@@ -109,6 +116,38 @@
 	return applied
 }
 
+// outdated reports whether a report is older than one that was already received. A departure counts
+// only for the runs that its session knew: a worker that was about to leave may run on, and the agent's
+// successor finds it and starts runs on it.
+func (d *Dispatcher) outdated(l *leaderState, r *apiv1.JobsReportRequest) (outdated bool) {
+	if l.reports.numberedByPreviousLeader(r) {
+		return true
+	}
+	if r.Departed {
+		// The end of a previous incarnation is reported too.
+		return l.reports.precedesRecorded(r)
+	}
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		jobs := m.CallerJobs()
+		outdated = l.contestsLiveWorker(jobs, r, d.opts.Now()) || l.reports.outdated(jobs, r)
+	})
+	return outdated
+}
+
+// beginDeparture keeps the worker's lease from being renewed until its departure is committed: a
+// later session could start runs, which the departure would then end in the log. It returns false
+// while the end of the lease is already being committed.
+func (d *Dispatcher) beginDeparture(l *leaderState, worker string) (begun bool) {
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		var epoch uint64
+		if w := m.CallerJobs().Worker(worker); w != nil {
+			epoch = w.Epoch
+		}
+		begun = l.leases.beginEnd(worker, epoch)
+	})
+	return begun
+}
+
 // takeoverTimeout is the time since a worker's last report after which an incarnation that does not
 // name it as its predecessor may replace it on the host. It covers several report intervals.
 const takeoverTimeout = 2 * time.Second
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -19,8 +19,11 @@
 // report that the worker's lease expired: the worker would count as reachable and empty, and all
 // waiting tasks would be ordered to a worker that never responds. A session whose reports all arrive
 // late is distinguished from a newer one by its number: otherwise its late report would supersede the
-// newer session.
+// newer session. A leader accepts only numbers that it issued itself: it knows nothing of the sessions
+// that earlier leaders heard, so the first report that reaches it could be one of a previous session.
 type reportOrder struct {
+	// term is the leader's term.
+	term     uint64
 	byWorker map[string]*sessionState
 	// newestIncarnations are the newest reported incarnations, by host.
 	newestIncarnations map[string]jobqueue.Incarnation
@@ -28,8 +31,8 @@
 	lastSessionNumber uint64
 }
 
-func newReportOrder() *reportOrder {
-	return &reportOrder{byWorker: map[string]*sessionState{}, newestIncarnations: map[string]jobqueue.Incarnation{}}
+func newReportOrder(term uint64) *reportOrder {
+	return &reportOrder{term: term, byWorker: map[string]*sessionState{}, newestIncarnations: map[string]jobqueue.Incarnation{}}
 }
 
 // sessionState is the newest report of a worker and the sessions before its own.
@@ -67,12 +70,21 @@
 	return o.lastSessionNumber
 }
 
+// numberedByPreviousLeader reports whether an earlier leader issued the number of a report's session.
+// Its agent, if it is still running, has this leader issue another one.
+func (o *reportOrder) numberedByPreviousLeader(r *apiv1.JobsReportRequest) bool {
+	return r.SessionNumber != 0 && r.SessionTerm < o.term
+}
+
 // outdated reports whether a newer report of the worker was recorded before this one, and records
 // it otherwise. The same report may arrive twice, through two control hosts.
 func (o *reportOrder) outdated(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
-	if o.fromPreviousIncarnation(m, r) {
-		return true
-	}
+	return o.fromPreviousIncarnation(m, r) || o.precedesRecorded(r)
+}
+
+// precedesRecorded reports whether a report of a later session, or a later one of the same session,
+// was recorded before this one, and records it otherwise.
+func (o *reportOrder) precedesRecorded(r *apiv1.JobsReportRequest) bool {
 	if r.Session == 0 {
 		return false
 	}
@@ -129,6 +141,9 @@
 // superseded reports whether the session of a report has ended for the leader, so that none of its
 // reports will be accepted.
 func (o *reportOrder) superseded(r *apiv1.JobsReportRequest) bool {
+	if o.numberedByPreviousLeader(r) {
+		return true
+	}
 	state := o.byWorker[r.Worker.GetId()]
 	return r.Session != 0 && state != nil && (state.session != r.Session || state.previous[r.Session])
 }
--- a/dispatch/reportorder_test.go
+++ b/dispatch/reportorder_test.go
@@ -12,7 +12,7 @@
 // the agent before it, and from an agent that does not number its reports. An order that knows only
 // one session, or takes a repeated report for an outdated one, fails here.
 func TestReportOrder(t *testing.T) {
-	order, m := newReportOrder(), jobqueue.New()
+	order, m := newReportOrder(1), jobqueue.New()
 	for i, step := range []struct {
 		worker            string
 		session, sequence uint64
@@ -40,7 +40,7 @@
 // Guards against memory that grows with each restart of an agent because sessions are remembered
 // forever.
 func TestPreviousSessionsAreBounded(t *testing.T) {
-	order, m := newReportOrder(), jobqueue.New()
+	order, m := newReportOrder(1), jobqueue.New()
 	for session := range uint64(10 * maxPreviousSessions) {
 		order.outdated(m, &apiv1.JobsReportRequest{Worker: &apiv1.JobWorker{Id: "w1"}, Session: session + 1, Sequence: 1})
 	}
@@ -54,7 +54,7 @@
 // restarted, and reports of the new session arrive; then the network delivers a report of the old
 // session. A session whose first report arrives last must not count as the newer one.
 func TestSessionFirstReportedLateIsOutdated(t *testing.T) {
-	order, m := newReportOrder(), jobqueue.New()
+	order, m := newReportOrder(1), jobqueue.New()
 	for i, step := range []struct {
 		session, began, sequence uint64
 		outdated                 bool
@@ -79,7 +79,7 @@
 // Guards against a healthy worker that stays unreachable: of two sessions that began at the same
 // reading of the worker's clock, the earlier one is reported last and takes the newer one's place.
 func TestSessionNumbersOrderSessionsOfEqualClockReadings(t *testing.T) {
-	order, m := newReportOrder(), jobqueue.New()
+	order, m := newReportOrder(1), jobqueue.New()
 	for i, step := range []struct {
 		session, term, number, sequence uint64
 		outdated, superseded            bool
