dispatch, state, control: a report that a previous leader accepted is void

Cause: a leader judges a report in one term and proposes it a moment later. If it loses the leadership and is elected again in between, the proposal belongs to the later term, in which a later session may have reported and started runs. Plans name their term and are void then; reports did not.

Change: a report is proposed for the term in which it was accepted (clock_term, which each entry of the log has), and the log refuses it if another leader has taken over since. An entry that is appended in the later term before its leader is ready is accepted: no session has a lease of that leader yet.

Seen to fail before: TestDepartureCommittedLateKeepsRunsOfLaterSession/next_term ("the later session got a lease, and its run is lost but continues") and control.TestCommandOfAnotherTermIsNotProposed.

Entries without clock_term are applied as before.

--- a/control/replica.go
+++ b/control/replica.go
@@ -286,11 +286,11 @@
 	return err
 }
 
-// ProposeLocal commits a command if this replica leads. Errors: *NotLeaderError, *UnavailableError,
-// *UnknownError.
+// ProposeLocal commits a command if this replica leads, and in the term that the command names as its
+// clock_term, if any. Errors: *NotLeaderError, *UnavailableError, *UnknownError.
 func (r *Replica) ProposeLocal(ctx context.Context, cmd *apiv1.Command) (*apiv1.Result, error) {
 	term, ok := r.log().Leading()
-	if !ok {
+	if !ok || cmd.ClockTerm != 0 && cmd.ClockTerm != term {
 		return nil, &NotLeaderError{LeaderAddress: r.log().LeaderAddress()}
 	}
 	// The leader's clock sets the timestamp, so that a term uses one clock, not one per host.
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -190,3 +190,18 @@
 		t.Fatalf("%d decisions were logged, want the change only", n)
 	}
 }
+
+// Guards against a command that the leader of a later term commits although an earlier one decided it.
+func TestCommandOfAnotherTermIsNotProposed(t *testing.T) {
+	r := startReplica(t)
+	term, _ := r.Leading()
+	command := &apiv1.Command{ClockTerm: term + 1, Body: &apiv1.Command_Lead{Lead: &apiv1.Lead{Term: term}}}
+	var notLeader *NotLeaderError
+	if _, err := r.ProposeLocal(t.Context(), command); !errors.As(err, &notLeader) {
+		t.Errorf("error %v", err)
+	}
+	command.ClockTerm = term
+	if _, err := r.ProposeLocal(t.Context(), command); err != nil {
+		t.Error(err)
+	}
+}
--- a/dispatch/latedeparture_test.go
+++ b/dispatch/latedeparture_test.go
@@ -50,6 +50,16 @@
 	return r
 }
 
+// refusalOfAll returns a report that returns all runs that the log contains.
+func (s *scriptedSession) refusalOfAll() *apiv1.JobsReportRequest {
+	r := s.next()
+	r.Running = nil
+	for _, id := range s.r.s.runsOn("w1") {
+		r.Refusals = append(r.Refusals, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number, Reason: "unwilling"})
+	}
+	return r
+}
+
 // send sends the next report, under a new number if the leader requires one.
 func (s *scriptedSession) send() *apiv1.JobsReportResponse {
 	s.r.t.Helper()
@@ -128,10 +138,11 @@
 // Guards against a task that runs on two workers: the leader accepts a departure, and commits it after
 // a later session of the worker has got a lease.
 func TestDepartureCommittedLateKeepsRunsOfLaterSession(t *testing.T) {
-	for name, test := range map[string]struct{ unknownWorker, otherInDoubt bool }{
+	for name, test := range map[string]struct{ unknownWorker, otherInDoubt, leaderChanges bool }{
 		"known worker":               {},
 		"first report of the worker": {unknownWorker: true},
 		"another commit is in doubt": {otherInDoubt: true},
+		"next term":                  {leaderChanges: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runSim(t, 1, 0, func(t *testing.T, s *sim) {
@@ -154,6 +165,9 @@
 					r.report(&apiv1.JobsReportRequest{Worker: other, Lapsed: true})
 					s.sleep(500 * time.Millisecond)
 				}
+				if test.leaderChanges {
+					r.changeLeader()
+				}
 				leased := second.send().LeaseMs > 0
 				s.submitLongRunning("q", "set")
 				for range 30 {
@@ -206,11 +220,7 @@
 		first.send()
 		s.submitLongRunning("q", "set")
 		s.waitForRun("set", 1)
-		refusal := first.next()
-		refusal.Running = nil
-		for _, id := range s.runsOn("w1") {
-			refusal.Refusals = append(refusal.Refusals, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number, Reason: "unwilling"})
-		}
+		refusal := first.refusalOfAll()
 		second := r.startSession(2)
 		second.send()
 		r.changeLeader()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -34,7 +34,7 @@
 		// An agent that cancels its call must not leave the departure in doubt.
 		ctx = context.WithoutCancel(ctx)
 	}
-	outcome, err := d.commitReport(ctx, applied.command)
+	outcome, err := d.commitReport(ctx, applied.term, applied.command)
 	if r.Departed {
 		d.finishExpiries(applied.term, []string{r.Worker.GetId()}, err == nil)
 	}
@@ -279,16 +279,17 @@
 	return command
 }
 
-// commitReport commits the command, or without one confirms that this replica still leads.
-func (d *Dispatcher) commitReport(ctx context.Context, command *apiv1.ReportWorker) (apiv1.JobOutcome, error) {
+// commitReport commits the command, which was accepted in the given term, or without one confirms that
+// this replica still leads.
+func (d *Dispatcher) commitReport(ctx context.Context, term uint64, command *apiv1.ReportWorker) (apiv1.JobOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
 	if command == nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_OK, d.opts.Replica.Barrier(ctx)
 	}
-	res, err := d.opts.Replica.ProposeLocal(ctx, jobsCommand(&apiv1.JobsCommand{
-		Body: &apiv1.JobsCommand_Report{Report: command},
-	}))
+	proposal := jobsCommand(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: command}})
+	proposal.ClockTerm = term
+	res, err := d.opts.Replica.ProposeLocal(ctx, proposal)
 	if err != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, err
 	}
--- a/state/machine.go
+++ b/state/machine.go
@@ -136,6 +136,11 @@
 
 // applyJobs applies a command about submitted jobs.
 func (m *Machine) applyJobs(cmd *apiv1.JobsCommand) *apiv1.Result {
+	if cmd.GetReport() != nil && m.clockTerm != 0 && m.clockTerm != m.leaderTerm {
+		// A previous leader accepted the report. A later session of the worker may have reported to
+		// the present one since.
+		return &apiv1.Result{Verdict: apiv1.Verdict_VERDICT_REFUSED, Job: apiv1.JobOutcome_JOB_OUTCOME_STALE}
+	}
 	outcome := m.callerJobs.Apply(cmd, m.timeMs, m.leaderTerm)
 	verdict := apiv1.Verdict_VERDICT_REFUSED
 	if outcome == apiv1.JobOutcome_JOB_OUTCOME_OK {
