dispatch: no lease for a later session while a returned start is being committed

A report returns a start that its session did not make; the leader accepts it, and its commit takes seconds. The agent is restarted, its successor gets a lease and carries the start out, which is still ordered. Then the commit takes the run back, and the task starts elsewhere.

Change: while a report that returns starts is being committed, only its own session gets a lease. The call of its agent may end without ending the commit, and a commit in doubt makes the leader confirm its leadership first, as for expiries and departures.

Seen to fail before: TestRefusalCommittedLateKeepsRunsOfLaterSession ("the later session got a lease, and its run is returned but continues").

--- a/dispatch/latedeparture_test.go
+++ b/dispatch/latedeparture_test.go
@@ -252,3 +252,30 @@
 		}
 	})
 }
+
+// Guards against a task that runs on two workers: the leader accepts a report that returns a start, and
+// commits it after a later session has got a lease and carried the start out.
+func TestRefusalCommittedLateKeepsRunsOfLaterSession(t *testing.T) {
+	runSim(t, 1, 0, func(t *testing.T, s *sim) {
+		s.sleep(time.Second)
+		log := s.injectLogFaults(0, nil)
+		r := &expiryHarness{t, s}
+		first := r.startSession(1)
+		first.send()
+		s.submitLongRunning("q", "set")
+		s.waitForRun("set", 1)
+		refusal := first.refusalOfAll()
+		second := r.startSession(2)
+		log.commitDelay.Store(int64(2 * time.Second))
+		s.loops.Go(func() { r.report(refusal) })
+		s.sleep(100 * time.Millisecond)
+		log.commitDelay.Store(0)
+		if second.send().LeaseMs == 0 {
+			return
+		}
+		s.sleep(3 * time.Second)
+		if len(s.runsOn("w1")) == 0 {
+			t.Error("the later session got a lease, and its run is returned but continues")
+		}
+	})
+}
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -14,8 +14,8 @@
 // leaderState is what the leader of a term keeps outside the replicated log.
 type leaderState struct {
 	term uint64
-	// planInDoubt means that a plan or departure that marks runs lost may still be committed. No plan
-	// is made until its outcome is known.
+	// planInDoubt means that a plan or a report that ends runs may still be committed. No plan is made
+	// until its outcome is known.
 	planInDoubt bool
 	planner     *schedule.Planner
 	leases      *leaseTable
@@ -174,6 +174,18 @@
 	}
 }
 
+// finishReturn lets other sessions of a worker get leases once the commit of a report that returns
+// starts has ended. If its outcome is unknown, this replica confirms its leadership first.
+func (d *Dispatcher) finishReturn(term uint64, r *apiv1.JobsReportRequest, committed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leader == nil || d.leader.term != term {
+		return
+	}
+	d.leader.planInDoubt = d.leader.planInDoubt || !committed
+	d.leader.leases.finishReturn(r.Worker.GetId(), r.Session)
+}
+
 func (l *leaderState) fleet(now time.Time) schedule.Fleet { return fleetView{l, now} }
 
 // checkpoints returns the newest known checkpoints of a worker's runs.
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -33,6 +33,9 @@
 	inDoubt bool
 	// epoch is the worker's epoch when that was decided, 0 if the log did not contain the worker.
 	epoch uint64
+	// returning counts the reports being committed that return starts, by session. The lease must not
+	// be granted to another session meanwhile: it could carry out these starts.
+	returning map[uint64]int
 	// expired means that the runs were marked lost; the next report makes the worker usable again.
 	expired bool
 	// duration is the duration of the last grant.
@@ -52,12 +55,12 @@
 	return l
 }
 
-// renew restarts a worker's lease at now and returns its duration, false while the lease must not
-// be renewed. A bound above 0 is the longest lease that the agent promises to use, for earlier
-// grants too.
-func (t *leaseTable) renew(worker string, now time.Time, bound time.Duration) (time.Duration, bool) {
+// renew restarts a worker's lease at now for a session and returns its duration, false while the lease
+// must not be renewed. A bound above 0 is the longest lease that the agent promises to use, for
+// earlier grants too.
+func (t *leaseTable) renew(worker string, session uint64, now time.Time, bound time.Duration) (time.Duration, bool) {
 	l := t.get(worker)
-	if l.expiring {
+	if l.expiring || len(l.returning) > 1 || len(l.returning) == 1 && l.returning[session] == 0 {
 		return 0, false
 	}
 	l.duration = t.duration
@@ -71,6 +74,24 @@
 	return l.duration, true
 }
 
+// beginReturn records that a report of a session that returns starts is being committed.
+func (t *leaseTable) beginReturn(worker string, session uint64) {
+	l := t.get(worker)
+	if l.returning == nil {
+		l.returning = map[uint64]int{}
+	}
+	l.returning[session]++
+}
+
+// finishReturn records that such a commit has ended.
+func (t *leaseTable) finishReturn(worker string, session uint64) {
+	l := t.get(worker)
+	l.returning[session]--
+	if l.returning[session] == 0 {
+		delete(l.returning, session)
+	}
+}
+
 // expire returns the workers whose leases have certainly expired, and marks them as expiring.
 func (t *leaseTable) expire(workers []*jobqueue.Worker, now time.Time) []string {
 	var ids []string
--- a/dispatch/outages_internal_test.go
+++ b/dispatch/outages_internal_test.go
@@ -42,7 +42,7 @@
 		for id := range m.Worker(name).Runs {
 			l.observed[id] = schedule.Observation{At: now, Percent: 100}
 		}
-		l.leases.renew(name, now, 0)
+		l.leases.renew(name, 0, now, 0)
 	}
 	d := &Dispatcher{logger: zap.NewNop(), metrics: newMetricSet(metrics.NewRegistry())}
 	if n := len(slices.Collect(longRunningTasks(m, now.UnixMilli()))); n != workers*tasksPerWorker {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -30,11 +30,14 @@
 			Term: applied.term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE, SessionSuperseded: applied.sessionSuperseded,
 		}, nil
 	}
-	if r.Departed {
-		// An agent that cancels its call must not leave the departure in doubt.
+	if r.Departed || applied.returnsStarts() {
+		// An agent that cancels its call must not leave the end of runs in doubt.
 		ctx = context.WithoutCancel(ctx)
 	}
 	outcome, err := d.commitReport(ctx, applied.term, applied.command)
+	if applied.returnsStarts() {
+		d.finishReturn(applied.term, r, err == nil)
+	}
 	if r.Departed {
 		d.finishExpiries(applied.term, []string{r.Worker.GetId()}, err == nil)
 	}
@@ -70,6 +73,9 @@
 	outdated, sessionSuperseded bool
 }
 
+// returnsStarts reports whether the report returns starts that the log contains.
+func (a appliedReport) returnsStarts() bool { return len(a.command.GetRefusals()) > 0 }
+
 // applyReport applies a report to the leader's state. A term of 0 means that this replica does not
 // lead. The lease is renewed here, before the commit or the barrier that confirms that this replica
 // still leads.
@@ -94,7 +100,7 @@
 	applied := appliedReport{term: l.term}
 	now := d.opts.Now()
 	if !r.Departed {
-		applied.grantedLease, _ = l.leases.renew(r.Worker.GetId(), now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
+		applied.grantedLease, _ = l.leases.renew(r.Worker.GetId(), r.Session, now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
 	}
 	l.contacts.recordReport(r, now)
 	for _, o := range r.Running {
@@ -108,6 +114,9 @@
 		d.countObjectiveMisses(jobs, r.Running)
 		l.logObjectiveMisses(jobs.Worker(r.Worker.GetId()), r.Running, now)
 		applied.command = l.reportCommand(jobs, r, now)
+		if applied.returnsStarts() {
+			l.leases.beginReturn(r.Worker.GetId(), r.Session)
+		}
 		applied.openJobs = l.openJobs(jobs, applied.command)
 		if l.adjustPaces(jobs.Worker(r.Worker.GetId()), now) {
 			d.metrics.paceOrders.Inc(1)
