dispatch: sessions of all incarnations on a host are ordered by their numbers

What callers would see: a task that runs on two workers. The first report of a previous incarnation, whose start is later because the host's clock was set back, is held up, and arrives while the present incarnation is cut off for 2 s or more: it ended that one in the log, whose runs go on (known gap in docs/INVARIANTS.md).

Change: the numbers that a leader issues order the sessions of a host, whatever incarnation they serve; they were compared within one incarnation only.

Seen to fail before: TestFirstReportOfPreviousIncarnationIsOutdatedByItsNumber ("the run is lost but continues", and the present incarnation gets no lease any more).

--- a/dispatch/latedeparture_test.go
+++ b/dispatch/latedeparture_test.go
@@ -9,15 +9,19 @@
 	"github.com/cairnlift/cairnlift/dispatch"
 )
 
-// scriptedSession is an agent's session with worker "w1" on "h1" whose reports the test sends.
+// scriptedSession is an agent's session with a worker on "h1" whose reports the test sends.
 type scriptedSession struct {
 	r      *expiryHarness
 	report *apiv1.JobsReportRequest
+	// worker is the incarnation that the session serves.
+	worker string
 }
 
-// startSession begins a session under a number that the leader issues.
-func (r *expiryHarness) startSession(id uint64) *scriptedSession {
-	s := &scriptedSession{r, &apiv1.JobsReportRequest{Session: id}}
+// startSession begins a session with worker "w1" under a number that the leader issues.
+func (r *expiryHarness) startSession(id uint64) *scriptedSession { return r.startSessionWith("w1", id) }
+
+func (r *expiryHarness) startSessionWith(worker string, id uint64) *scriptedSession {
+	s := &scriptedSession{r, &apiv1.JobsReportRequest{Session: id}, worker}
 	s.renumber()
 	return s
 }
@@ -35,10 +39,10 @@
 func (s *scriptedSession) next() *apiv1.JobsReportRequest {
 	s.report.Sequence++
 	r := &apiv1.JobsReportRequest{
-		Worker:  &apiv1.JobWorker{Id: "w1", Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000},
+		Worker:  &apiv1.JobWorker{Id: s.worker, Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000},
 		Session: s.report.Session, Sequence: s.report.Sequence, SessionTerm: s.report.SessionTerm, SessionNumber: s.report.SessionNumber,
 	}
-	for _, id := range s.r.s.runsOn("w1") {
+	for _, id := range s.r.s.runsOn(s.worker) {
 		r.Running = append(r.Running, &apiv1.RunObservation{Task: id.Task.Ref(), Run: id.Number, Percent: 100})
 	}
 	return r
@@ -54,7 +58,7 @@
 func (s *scriptedSession) refusalOfAll() *apiv1.JobsReportRequest {
 	r := s.next()
 	r.Running = nil
-	for _, id := range s.r.s.runsOn("w1") {
+	for _, id := range s.r.s.runsOn(s.worker) {
 		r.Refusals = append(r.Refusals, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number, Reason: "unwilling"})
 	}
 	return r
@@ -279,3 +283,27 @@
 		}
 	})
 }
+
+// Guards against a task that runs on two workers: the first report of a previous incarnation, which has
+// the later start time because the clock was set back, arrives while the present one is partitioned.
+func TestFirstReportOfPreviousIncarnationIsOutdatedByItsNumber(t *testing.T) {
+	runSim(t, 1, 0, func(t *testing.T, s *sim) {
+		s.sleep(time.Second)
+		r := &expiryHarness{t, s}
+		previous := r.startSessionWith("w@200", 1)
+		late := previous.next()
+		present := r.startSessionWith("w@150", 2)
+		present.send()
+		s.submitLongRunning("q", "set")
+		s.waitForRun("set", 1)
+		present.send()
+		s.sleep(3 * time.Second)
+		r.report(late)
+		if len(s.runsOn("w@150")) == 0 {
+			t.Error("the run is lost but continues")
+		}
+		if got := present.send(); got.LeaseMs == 0 {
+			t.Errorf("the present incarnation gets no lease: %v", got)
+		}
+	})
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -134,7 +134,7 @@
 	}
 	if r.Departed {
 		// The end of a previous incarnation is reported too.
-		return l.reports.precedesRecorded(r)
+		return l.reports.fromPreviousSession(r) || l.reports.precedesRecorded(r)
 	}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -25,6 +25,9 @@
 	// term is the leader's term.
 	term     uint64
 	byWorker map[string]*sessionState
+	// newestSessions are the starts of the newest reported sessions with a number, by host: the
+	// sessions of a host follow one another, whatever incarnation of the worker they serve.
+	newestSessions map[string]sessionStart
 	// newestIncarnations are the newest reported incarnations, by host.
 	newestIncarnations map[string]jobqueue.Incarnation
 	// lastSessionNumber is the last session number that this leader issued.
@@ -32,7 +35,10 @@
 }
 
 func newReportOrder(term uint64) *reportOrder {
-	return &reportOrder{term: term, byWorker: map[string]*sessionState{}, newestIncarnations: map[string]jobqueue.Incarnation{}}
+	return &reportOrder{
+		term: term, byWorker: map[string]*sessionState{},
+		newestSessions: map[string]sessionStart{}, newestIncarnations: map[string]jobqueue.Incarnation{},
+	}
 }
 
 // sessionState is the newest report of a worker and the sessions before its own.
@@ -79,7 +85,24 @@
 // outdated reports whether a newer report of the worker was recorded before this one, and records
 // it otherwise. The same report may arrive twice, through two control hosts.
 func (o *reportOrder) outdated(m *jobqueue.Machine, r *apiv1.JobsReportRequest) bool {
-	return o.fromPreviousIncarnation(m, r) || o.precedesRecorded(r)
+	return o.fromPreviousSession(r) || o.fromPreviousIncarnation(m, r) || o.precedesRecorded(r)
+}
+
+// fromPreviousSession reports whether a session of the host with a higher number was recorded, and
+// records the session otherwise.
+func (o *reportOrder) fromPreviousSession(r *apiv1.JobsReportRequest) bool {
+	if o.precedesNewestSession(r) {
+		return true
+	}
+	if r.SessionNumber != 0 {
+		o.newestSessions[r.Worker.GetHost()] = sessionStartOf(r)
+	}
+	return false
+}
+
+func (o *reportOrder) precedesNewestSession(r *apiv1.JobsReportRequest) bool {
+	newest := o.newestSessions[r.Worker.GetHost()]
+	return r.SessionNumber != 0 && newest.number != 0 && sessionStartOf(r).before(newest)
 }
 
 // precedesRecorded reports whether a report of a later session, or a later one of the same session,
@@ -141,7 +164,7 @@
 // superseded reports whether the session of a report has ended for the leader, so that none of its
 // reports will be accepted.
 func (o *reportOrder) superseded(r *apiv1.JobsReportRequest) bool {
-	if o.numberedByPreviousLeader(r) {
+	if o.numberedByPreviousLeader(r) || o.precedesNewestSession(r) {
 		return true
 	}
 	state := o.byWorker[r.Worker.GetId()]
