--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -26,11 +26,16 @@
 	number uint64
 	// reported is set by the first report; before that, nothing is known of the worker.
 	reported bool
-	// expiring means that a plan that marks the worker's runs lost is being committed. The lease
-	// must not be renewed until the plan's outcome is known.
+	// expiring means that a plan that marks the worker's runs lost, or the departure of the worker, is
+	// being committed. The lease must not be renewed until the outcome is known.
 	expiring bool
-	// epoch is the worker's epoch when that plan was made.
+	// inDoubt means that this commit has failed and may still take effect.
+	inDoubt bool
+	// epoch is the worker's epoch when that was decided, 0 if the log did not contain the worker.
 	epoch uint64
+	// returning counts the reports being committed that return starts, by session. The lease must not
+	// be granted to another session meanwhile: it could carry out these starts.
+	returning map[uint64]int
 	// expired means that the runs were marked lost; the next report makes the worker usable again.
 	expired bool
 	// duration is the duration of the last grant.
@@ -50,12 +55,12 @@
 	return l
 }
 
-// renew restarts a worker's lease at now and returns its duration, false while the lease must not
-// be renewed. A bound above 0 is the longest lease that the agent promises to use, for earlier
-// grants too.
-func (t *leaseTable) renew(worker string, now time.Time, bound time.Duration) (time.Duration, bool) {
+// renew restarts a worker's lease at now for a session and returns its duration, false while the lease
+// must not be renewed. A bound above 0 is the longest lease that the agent promises to use, for
+// earlier grants too.
+func (t *leaseTable) renew(worker string, session uint64, now time.Time, bound time.Duration) (time.Duration, bool) {
 	l := t.get(worker)
-	if l.expiring {
+	if l.expiring || len(l.returning) > 1 || len(l.returning) == 1 && l.returning[session] == 0 {
 		return 0, false
 	}
 	l.duration = t.duration
@@ -69,6 +74,24 @@
 	return l.duration, true
 }
 
+// beginReturn records that a report of a session that returns starts is being committed.
+func (t *leaseTable) beginReturn(worker string, session uint64) {
+	l := t.get(worker)
+	if l.returning == nil {
+		l.returning = map[uint64]int{}
+	}
+	l.returning[session]++
+}
+
+// finishReturn records that such a commit has ended.
+func (t *leaseTable) finishReturn(worker string, session uint64) {
+	l := t.get(worker)
+	l.returning[session]--
+	if l.returning[session] == 0 {
+		delete(l.returning, session)
+	}
+}
+
 // expire returns the workers whose leases have certainly expired, and marks them as expiring.
 func (t *leaseTable) expire(workers []*jobqueue.Worker, now time.Time) []string {
 	var ids []string
@@ -88,29 +111,37 @@
 }
 
 // beginExpiry marks a worker's lease as expiring, and returns false if it is already.
-func (t *leaseTable) beginExpiry(w *jobqueue.Worker) bool {
-	l := t.get(w.Spec.Id)
+func (t *leaseTable) beginExpiry(w *jobqueue.Worker) bool { return t.beginEnd(w.Spec.Id, w.Epoch) }
+
+// beginEnd does the same for a worker that the log may not contain.
+func (t *leaseTable) beginEnd(worker string, epoch uint64) bool {
+	l := t.get(worker)
 	if l.expiring {
 		return false
 	}
-	l.expiring, l.epoch = true, w.Epoch
+	l.expiring, l.epoch = true, epoch
 	return true
 }
 
-// settleExpiries ends the expiries whose plans were in doubt, according to their outcome. The
-// leases of plans that were not applied can expire again.
+// settleExpiries ends the expiries and departures whose commits were in doubt, according to their
+// outcome. The leases of plans that were not applied can expire again.
 func (t *leaseTable) settleExpiries(worker func(id string) *jobqueue.Worker) {
 	for id, l := range t.byWorker {
-		if !l.expiring {
-			continue
+		if !l.inDoubt {
+			continue // A commit in progress may follow the one that settled the others.
 		}
 		w := worker(id)
-		l.expiring = false
-		l.expired = w == nil || w.Epoch != l.epoch
+		l.expiring, l.inDoubt = false, false
+		l.expired = w == nil || w.Departed || w.Epoch != l.epoch
 	}
 }
 
-// finishExpiry ends an expiry whose plan is committed.
+// recordDoubt records that the outcome of an expiry or departure is unknown.
+func (t *leaseTable) recordDoubt(worker string) {
+	t.get(worker).inDoubt = true
+}
+
+// finishExpiry ends an expiry or a departure that is committed.
 func (t *leaseTable) finishExpiry(worker string) {
 	l := t.get(worker)
 	l.expiring = false
