dispatch: a line and a gauge for runs that outlast their stops

A task of a canceled job that ran on left no line of the leader: that its agent lacked the order, that its worker had the order and listed the run, and that no stop was ever ordered looked alike.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -192,6 +192,7 @@
 		}
 		plan.Learnt = l.learnedToSave(now)
 		d.checkLongRunning(l, jobs, decision.Unplaced, now)
+		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -44,6 +44,7 @@
 	finishLogged map[string]bool
 	moves        *leaderMoves
 	outages      *outages
+	stops        *openStops
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -121,6 +122,7 @@
 		unlogged:         map[string][]jobqueue.RunID{},
 		moves:            newLeaderMoves(now),
 		outages:          newOutages(),
+		stops:            newOpenStops(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -34,6 +34,8 @@
 	reportsOutdated metrics.Counter
 	// unloggedRuns counts the runs that workers listed and the log did not contain.
 	unloggedRuns metrics.Counter
+	// stopsOverdue is the number of runs that outlast their stops.
+	stopsOverdue metrics.Gauge
 	// longRunningNotRunning is the number of long-running tasks that are not known to run, and
 	// longRunningOutage is the length of each of their outages.
 	longRunningNotRunning metrics.Gauge
@@ -61,6 +63,8 @@
 
 		unloggedRuns: metrics.GetOrRegisterCounter("dispatch.runs_unlogged", r),
 
+		stopsOverdue: metrics.GetOrRegisterGauge("dispatch.stops_overdue", r),
+
 		longRunningNotRunning: metrics.GetOrRegisterGauge("dispatch.long_running_away", r),
 		longRunningOutage:     hdrmetric.GetOrRegister("dispatch.long_running_outage_us", r),
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -54,7 +54,10 @@
 		resp.Capacity = &apiv1.WorkerCapacity{
 			CpuMilli: w.Spec.CpuMilli, MemoryMb: w.Spec.MemoryMb, Accelerators: w.Spec.Accelerators,
 		}
-		resp.Sequence = w.Revision + l.orderRevisions[r.Worker]
+		resp.Sequence = l.orderSequence(w)
+		if r.Term == l.term {
+			l.stops.receivedOrders[r.Worker] = r.Sequence
+		}
 		for _, id := range w.SortedRunIDs() {
 			l.addOrder(resp, w, w.Runs[id])
 		}
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -51,6 +51,7 @@
 	JobFailed              = declare(Dispatch, Warning, "job is given up", NameTerm, NameTask, NameRun)
 	LongRunningOutage      = declare(Dispatch, Warning, "long-running tasks are away", NameTerm, NameTasksNotRunning)
 	LongRunningRecovered   = declare(Dispatch, Rare, "long-running tasks are back", NameTerm, NameTasksRunningAgain)
+	RunsOutlastStops       = declare(Dispatch, Warning, "runs outlast their stops", NameTerm, NameOutlasting)
 	WorkerUnresponsive     = declare(Dispatch, Warning, "worker gives no answer", NameTerm, NameWorker)
 	PlacementAdvice        = declare(Dispatch, Routine, "placement advice", NameTerm, NameStep, "asked", "approved", "took", "error")
 	Maintenance            = declare(Dispatch, Rare, "host maintenance", NameTerm, "wave", "host", NameWorker, "state", "taken", "error")
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -33,6 +33,7 @@
 	NameLongRunning       = "long_running"
 	NameTails             = "tails"
 	NameTasksNotRunning   = "tasks_away"
+	NameOutlasting        = "outlasting"
 	NameWorked            = "worked"
 	NameSuspects          = "suspects"
 	NamePassedProbation   = "trials"
@@ -191,6 +192,10 @@
 	return listsField(NameTasksNotRunning, byReasons)
 }
 
+// Outlasting lists the runs that were ordered to stop and are not known to have ended, by reason; each
+// is "TASK RUN WORKER AGE", where AGE is the time since the order in milliseconds.
+func Outlasting(byReason map[string][]string) Field { return listsField(NameOutlasting, byReason) }
+
 // TasksRunningAgain lists the long-running tasks that run again, by worker; each is "TASK RUN
 // AWAY", where AWAY is the duration of the outage in milliseconds.
 func TasksRunningAgain(byWorker map[string][]string) Field {
--- a/trace/aggregated.go
+++ b/trace/aggregated.go
@@ -34,7 +34,9 @@
 	case event.JobsFinished.Name:
 		expanded = jobLines(l)
 	case event.LongRunningOutage.Name:
-		expanded = outageLines(l)
+		expanded = outageLines(l, event.NameTasksNotRunning)
+	case event.RunsOutlastStops.Name:
+		expanded = outageLines(l, event.NameOutlasting)
 	case event.LongRunningRecovered.Name:
 		expanded = durationLines(l, event.NameTasksRunningAgain, event.NameWaited)
 	default:
@@ -174,12 +176,12 @@
 	return lines
 }
 
-// outageLines returns a line for each long-running task that an aggregated line lists as not
-// running, by reason, as "TASK RUN WORKER AWAY HOW" with the duration of the outage, AWAY, in
-// milliseconds.
-func outageLines(l Line) []Line {
+// outageLines returns a line for each run that a field of an aggregated line lists, by reason, as
+// "TASK RUN WORKER TIME HOW": a long-running task that does not run, or a run that does not end. TIME
+// is in milliseconds, and HOW may be missing.
+func outageLines(l Line, field string) []Line {
 	var lines []Line
-	forEachEntry(l, event.NameTasksNotRunning, func(reason, entry string) {
+	forEachEntry(l, field, func(reason, entry string) {
 		fields := strings.SplitN(entry, " ", 5)
 		if len(fields) < 4 {
 			return
