jobqueue: a worker counts on the host whose agent serves it

What callers saw: nothing yet, found by reading. Cause: a report of a known worker from another host changed the worker's description and not which worker counts on which host. A new worker on the former host then ended the one that had moved: its runs were given up while they went on, on a worker whose reports counted for nothing any more, so no stop of a canceled job reached them and their tasks could start elsewhere as well.

The worker is moved to the host that reports it, unless another worker counts there: that one's end is its agent's to report.

--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -54,6 +54,7 @@
 	if w := m.workers.get(spec.Id); w != nil {
 		// A drain is never revoked within an incarnation.
 		draining := w.Spec.Draining || spec.Draining
+		spec.Host = m.setHost(w, spec.Host)
 		w.Spec = spec
 		w.Spec.Draining = draining
 		return w
@@ -68,6 +69,18 @@
 	return w
 }
 
+// setHost records that the agent of a host serves a worker, and returns the host on which the worker
+// counts from now on. While another worker counts on the reported host, the worker keeps its former
+// one, since there is one worker on a host.
+func (m *Machine) setHost(w *Worker, host string) string {
+	if host == w.Spec.Host || m.WorkerOnHost(host) != nil {
+		return w.Spec.Host
+	}
+	delete(m.current, w.Spec.Host)
+	m.current[host] = w.Spec.Id
+	return host
+}
+
 // recordUnknownDeparture records that an unknown worker has left, so that a delayed report does not
 // add it. The worker on its host is kept. Otherwise, if a newly started agent receives an
 // incarnation that another program made up, finds that it does not exist and reports this, the
