jobqueue: a submission that arrives after the cancel of its job starts nothing

What callers saw: nothing yet, found by reading. A caller whose submission got no response cancels the job and is told that there is none (410); then the submission, which the network held up or an entry repeated, is committed and the job runs. Cause: the cancel of a job that is not known left nothing in the log.

The job is not shown until its submission arrives; that is accepted and starts nothing. A late repetition of a submission that was accepted already found its canceled job.

TestSubmissionAfterCancelDoesNotRun fails on the code as it was: the task starts. TestCancelStopsRunsOfAllKinds, TestCanceledJobStartsNoPartOfIt and TestCanceledJobIsKeptUntilItsRunsHaveEnded hold on the code as it was.

--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -124,7 +124,7 @@
 	if q == nil {
 		return nil, outcome
 	}
-	j := m.jobs[id]
+	j := m.Job(id)
 	if j == nil || !strings.EqualFold(j.Queue.Host, q.Host) || j.Queue.PathPrefix != q.PathPrefix {
 		return nil, apiv1.JobOutcome_JOB_OUTCOME_NO_JOB
 	}
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -30,7 +30,9 @@
 	active orderedMap[*Job]
 	// finished lists the IDs of finished jobs, oldest first.
 	finished []string
-	workers  orderedMap[*Worker]
+	// unsubmitted counts the jobs of which only a cancel has arrived.
+	unsubmitted int
+	workers     orderedMap[*Worker]
 	// current maps each host to the incarnation of its worker.
 	current map[string]string
 	// departed lists the departed incarnations, oldest first. They are remembered so that a late
@@ -110,6 +112,9 @@
 		if j.FinishedMs+retentionMs > m.nowMs || j.liveRuns > 0 {
 			return
 		}
+		if j.unsubmitted() {
+			m.unsubmitted--
+		}
 		delete(m.jobs, j.ID())
 		m.finished = m.finished[1:]
 	}
@@ -122,7 +127,12 @@
 func (m *Machine) Learned() *apiv1.Learnt { return m.learned }
 
 // Job returns the job with the given ID, or nil if there is none.
-func (m *Machine) Job(id string) *Job { return m.jobs[id] }
+func (m *Machine) Job(id string) *Job {
+	if j := m.jobs[id]; j != nil && !j.unsubmitted() {
+		return j
+	}
+	return nil
+}
 
 // Active returns the jobs that have tasks to run or runs to stop, ordered by ID.
 func (m *Machine) Active() []*Job {
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -143,6 +143,9 @@
 	if !j.Open() {
 		m.finished = append(m.finished, j.ID())
 	}
+	if j.unsubmitted() {
+		m.unsubmitted++
+	}
 	if j.Open() || j.liveRuns > 0 {
 		m.active.put(j.ID(), j)
 	}
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -54,12 +54,15 @@
 	if q == nil {
 		return outcome
 	}
-	if m.jobs[spec.GetId()] != nil {
+	if m.Job(spec.GetId()) != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_OK
 	}
 	if ValidateJob(spec) != nil || q.PathPrefix+spec.Id != spec.Path {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 	}
+	if m.submitCanceled(spec, q) {
+		return apiv1.JobOutcome_JOB_OUTCOME_OK
+	}
 	if len(m.jobs) >= MaxJobs {
 		return apiv1.JobOutcome_JOB_OUTCOME_FULL
 	}
@@ -95,6 +98,9 @@
 func (m *Machine) cancel(c *apiv1.CancelJob) apiv1.JobOutcome {
 	j, outcome := m.Lookup(c.GetHost(), c.GetPath(), c.GetId())
 	if j == nil {
+		if outcome == apiv1.JobOutcome_JOB_OUTCOME_NO_JOB {
+			m.cancelUnsubmitted(c)
+		}
 		return outcome
 	}
 	if j.State == apiv1.JobState_JOB_STATE_CANCELED {
