dispatch: the runs of a worker that the log takes for departed are stopped

All runs of such a worker were given up, their tasks started elsewhere, and its orders were empty: stops that its agent had not got through yet were withdrawn, and a cancel of a job reached none of its tasks.

Cause: the leader compares what a worker lists with the log only for workers that the log holds. Now a report of a departed incarnation counts as one whose runs the log does not hold: they are ordered to stop, for as long as its reports go on. The sequence of its orders continues, so that its agent sees the change.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -196,7 +196,7 @@
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
-		l.prune(jobs)
+		l.prune(jobs, now)
 		l.batchedLog.flushIfDue(l.term, now)
 	})
 	d.metrics.planning.ObserveSince(started)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -192,7 +192,7 @@
 }
 
 // prune drops what is kept of runs, workers and jobs that the log no longer contains.
-func (l *leaderState) prune(m *jobqueue.Machine) {
+func (l *leaderState) prune(m *jobqueue.Machine, now time.Time) {
 	for id := range l.observed {
 		if m.Run(id) == nil {
 			delete(l.observed, id)
@@ -211,7 +211,8 @@
 		}
 	}
 	for worker := range l.unlogged {
-		if m.Worker(worker) == nil {
+		silent := now.Sub(l.leases.get(worker).renewedAt) >= takeoverTimeout
+		if m.Worker(worker) == nil && (silent || !m.HasDeparted(worker)) {
 			delete(l.unlogged, worker)
 		}
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -46,6 +46,13 @@
 		if r.Host != "" {
 			l.addHost(resp, m.CallerJobs(), r.Host)
 		}
+		for _, id := range l.unlogged[r.Worker] {
+			resp.Stops = append(resp.Stops, &apiv1.StopOrder{Task: id.Task.Ref(), Run: id.Number})
+		}
+		resp.Sequence = l.orderSequence(m.CallerJobs(), r.Worker)
+		if r.Term == l.term {
+			l.stops.receivedOrders[r.Worker] = r.Sequence
+		}
 		w := m.CallerJobs().Worker(r.Worker)
 		if w == nil {
 			return
@@ -54,16 +61,9 @@
 		resp.Capacity = &apiv1.WorkerCapacity{
 			CpuMilli: w.Spec.CpuMilli, MemoryMb: w.Spec.MemoryMb, Accelerators: w.Spec.Accelerators,
 		}
-		resp.Sequence = l.orderSequence(w)
-		if r.Term == l.term {
-			l.stops.receivedOrders[r.Worker] = r.Sequence
-		}
 		for _, id := range w.SortedRunIDs() {
 			l.addOrder(resp, w, w.Runs[id])
 		}
-		for _, id := range l.unlogged[r.Worker] {
-			resp.Stops = append(resp.Stops, &apiv1.StopOrder{Task: id.Task.Ref(), Run: id.Number})
-		}
 	})
 	return resp
 }
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -62,10 +62,10 @@
 	open := map[workerRun]bool{}
 	overdue, logged := 0, 0
 	byReason := map[string][]string{}
-	check := func(w *jobqueue.Worker, id jobqueue.RunID, listed bool) {
-		run := workerRun{w.Spec.Id, id}
+	check := func(worker string, id jobqueue.RunID, listed bool) {
+		run := workerRun{worker, id}
 		open[run] = true
-		stop := s.begin(run, l.orderSequence(w), now)
+		stop := s.begin(run, l.orderSequence(m, worker), now)
 		if now.Sub(stop.since) < stopLogInterval {
 			return
 		}
@@ -80,10 +80,12 @@
 	}
 	for _, w := range m.Workers() {
 		for _, r := range w.RunsMatching(func(r *jobqueue.Run) bool { return r.Stopping }) {
-			check(w, r.ID, now.Sub(l.observed[r.ID].At) < stopLogInterval)
+			check(w.Spec.Id, r.ID, now.Sub(l.observed[r.ID].At) < stopLogInterval)
 		}
-		for _, id := range l.unlogged[w.Spec.Id] {
-			check(w, id, true)
+	}
+	for worker, runs := range l.unlogged {
+		for _, id := range runs {
+			check(worker, id, true)
 		}
 	}
 	s.prune(m, open)
@@ -111,7 +113,7 @@
 		}
 	}
 	for worker := range s.receivedOrders {
-		if m.Worker(worker) == nil {
+		if m.Worker(worker) == nil && !m.HasDeparted(worker) {
 			delete(s.receivedOrders, worker)
 		}
 	}
@@ -132,6 +134,6 @@
 }
 
 // orderSequence returns the sequence of a worker's orders.
-func (l *leaderState) orderSequence(w *jobqueue.Worker) uint64 {
-	return w.Revision + l.orderRevisions[w.Spec.Id]
+func (l *leaderState) orderSequence(m *jobqueue.Machine, worker string) uint64 {
+	return m.Revision(worker) + l.orderRevisions[worker]
 }
--- a/dispatch/unlogged.go
+++ b/dispatch/unlogged.go
@@ -12,18 +12,17 @@
 // recordUnlogged records which runs a worker lists that the log does not contain there, and logs
 // those that are listed for the first time. They were lost, refused or never ordered. Their tasks
 // may run elsewhere, and the capacity that they use is not accounted for, so the worker is ordered
-// to stop them.
+// to stop them. That also holds for all runs of a worker that the log takes for departed.
 func (d *Dispatcher) recordUnlogged(l *leaderState, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	worker := r.Worker.GetId()
-	w := m.Worker(worker)
-	if w == nil {
+	if m.Worker(worker) == nil && !m.HasDeparted(worker) {
 		return // This report adds the worker to the log; the next one is compared with the log.
 	}
 	var unlogged []jobqueue.RunID
 	var added []runEntry
 	for _, o := range r.Running {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
-		if w.Runs[id] != nil {
+		if w := m.Worker(worker); w != nil && w.Runs[id] != nil {
 			continue
 		}
 		unlogged = append(unlogged, id)
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -158,6 +158,14 @@
 	return nil
 }
 
+// Revision returns the revision of an incarnation, also of one that has departed; 0 if it is unknown.
+func (m *Machine) Revision(worker string) uint64 {
+	if w := m.workers.get(worker); w != nil {
+		return w.Revision
+	}
+	return 0
+}
+
 // WorkerOnHost returns the current worker of a host, or nil if there is none.
 func (m *Machine) WorkerOnHost(host string) *Worker { return m.Worker(m.current[host]) }
 
