dispatch: a partial list withdraws no stop of a run that the log does not hold

What callers saw: nothing yet, found by reading. A run that the log does not hold is ordered to stop while its worker lists it. Where the worker had not carried the stop out and the run's row could not be read in the next list, the stop was withdrawn and the run went on for as long as its row could not be read. Runs that the log holds were not affected: their stops are in the log.

TestUnloggedRunIsStoppedUntilACompleteListLacksIt fails on the code as it was: no stop after a partial list. Now only a complete list ends the order.

--- a/dispatch/unlogged.go
+++ b/dispatch/unlogged.go
@@ -13,6 +13,7 @@
 // those that are listed for the first time. They were lost, refused or never ordered. Their tasks
 // may run elsewhere, and the capacity that they use is not accounted for, so the worker is ordered
 // to stop them. That also holds for all runs of a worker that the log takes for departed.
+// A run that is missing in a partial list may be in the part that could not be read.
 func (d *Dispatcher) recordUnlogged(l *leaderState, m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) {
 	worker := r.Worker.GetId()
 	if m.Worker(worker) == nil && !m.HasDeparted(worker) {
@@ -30,6 +31,9 @@
 			added = append(added, runEntry{id, now})
 		}
 	}
+	if r.Partial {
+		unlogged = appendMissing(unlogged, l.unlogged[worker])
+	}
 	if len(unlogged) != len(l.unlogged[worker]) || len(added) > 0 {
 		l.orderRevisions[worker]++
 	}
@@ -45,3 +49,13 @@
 	event.UnloggedRuns.Write(d.logger, event.Term(l.term), event.Worker(worker),
 		event.Unlogged(formatRuns(map[string][]runEntry{worker: added}, now)))
 }
+
+// appendMissing appends the runs that a list does not contain.
+func appendMissing(list, others []jobqueue.RunID) []jobqueue.RunID {
+	for _, id := range others {
+		if !slices.Contains(list, id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
--- a/dispatch/unlogged_test.go
+++ b/dispatch/unlogged_test.go
@@ -23,6 +23,23 @@
 	})
 }
 
+// Guards against a run that has to end and goes on, because its row in the worker's list can't be read and
+// the order to stop it is withdrawn.
+func TestUnloggedRunIsStoppedUntilACompleteListLacksIt(t *testing.T) {
+	runExpirySim(t, func(r *expiryHarness) {
+		r.expectExpiry(r.expiryReport(), apiv1.JobOutcome_JOB_OUTCOME_OK, 0)
+		r.renew()
+		r.report(&apiv1.JobsReportRequest{Partial: true})
+		if stops := r.orders().Stops; len(stops) != 1 || stops[0].Run != 1 {
+			t.Errorf("the stops are %v after a partial list, want the stop of run 1", stops)
+		}
+		r.report(&apiv1.JobsReportRequest{})
+		if stops := r.orders().Stops; len(stops) != 0 {
+			t.Errorf("the stops are %v once no run is listed", stops)
+		}
+	})
+}
+
 func (r *expiryHarness) orders() *apiv1.JobsOrdersResponse {
 	r.t.Helper()
 	resp, err := r.s.dispatcher.Orders(r.s.ctx, &apiv1.JobsOrdersRequest{Worker: "w1"})
