--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -44,6 +44,7 @@
 	finishLogged map[string]bool
 	moves        *leaderMoves
 	outages      *outages
+	stops        *openStops
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -121,6 +122,7 @@
 		unlogged:         map[string][]jobqueue.RunID{},
 		moves:            newLeaderMoves(now),
 		outages:          newOutages(),
+		stops:            newOpenStops(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -203,7 +205,7 @@
 }
 
 // prune drops what is kept of runs, workers and jobs that the log no longer contains.
-func (l *leaderState) prune(m *jobqueue.Machine) {
+func (l *leaderState) prune(m *jobqueue.Machine, now time.Time) {
 	for id := range l.observed {
 		if m.Run(id) == nil {
 			delete(l.observed, id)
@@ -222,7 +224,8 @@
 		}
 	}
 	for worker := range l.unlogged {
-		if m.Worker(worker) == nil {
+		silent := now.Sub(l.leases.get(worker).renewedAt) >= takeoverTimeout
+		if m.Worker(worker) == nil && (silent || !m.HasDeparted(worker)) {
 			delete(l.unlogged, worker)
 		}
 	}
