--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -59,6 +59,9 @@
 	ClockRatePPM int64
 	// ClockStartMs is the reading of its clock at its start; 0 means defaultClockStartMs.
 	ClockStartMs int64
+	// LeaseDecidesDeadline makes the worker execute a start whose own deadline has passed as long as
+	// its lease has not expired. Otherwise such a start is refused whatever the lease.
+	LeaseDecidesDeadline bool
 	// Fault returns the fault to apply to a call; nil means no faults.
 	Fault func(call string) OrderFault
 	// Duration returns how long a task works; 0 means until it is stopped.
--- a/fakes/runworker_calls.go
+++ b/fakes/runworker_calls.go
@@ -65,7 +65,7 @@
 	if a := w.check(o); a != runs.AnswerDone {
 		return a
 	}
-	if s.DeadlineMs <= w.clockMs(time.Now()) {
+	if w.isLate(s) {
 		return runs.AnswerDeadlinePassed
 	}
 	w.deadlineMs = max(w.deadlineMs, w.limitDeadline(s.DeadlineMs))
@@ -95,6 +95,15 @@
 	return runs.AnswerDone
 }
 
+// isLate reports whether a start arrives too late to be executed. The caller must hold w.mu.
+func (w *RunWorker) isLate(s runs.Start) bool {
+	deadline := s.DeadlineMs
+	if w.LeaseDecidesDeadline {
+		deadline = max(deadline, w.deadlineMs)
+	}
+	return deadline <= w.clockMs(time.Now())
+}
+
 // Stop implements runs.Worker.
 func (w *RunWorker) Stop(ctx context.Context, o runs.Order, run jobqueue.RunID) (runs.Answer, error) {
 	return w.call(ctx, "stop", func() runs.Answer { return w.stop(o, run) })
