agent/runs: the end of a start's own deadline settles nothing

Cause: a start without an answer counted as settled once its own deadline, a second ahead, had passed on the worker's clock.

Change: what settles a start is an answer to each try, a stop answered "done", a listed run, or 15 s since the last try (lateCallBound, as for paces). - starts of a previous agent: 15 s instead of the longest lease; those in the first orders are kept as in flight; - a lease of a new epoch is taken only once the worker has confirmed a stop of each unsettled start of an earlier one: no late start is executed while the lease has expired, and none later; - a departing worker is told to stop its unsettled starts; its end is believed then, or once its lease has run out, as before.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -100,8 +100,9 @@
 		workerAnnounced: make(chan struct{}, 1), departed: map[string]bool{},
 	}
 	// A previous agent may have renewed the worker's lease until this moment.
-	d.previousCallsUntil = o.Now().Add(maxLeaseOnHostClock(o.MaxLease))
-	d.lease.extend(d.previousCallsUntil)
+	previousLease := maxLeaseOnHostClock(o.MaxLease)
+	d.lease.extend(o.Now().Add(previousLease))
+	d.previousCallsUntil = o.Now().Add(max(previousLease, lateCallBound))
 	return d
 }
 
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -30,14 +30,17 @@
 		event.WorkerClockWentBack.Write(s.d.logger, event.Worker(s.incarnation), event.ClockMs(status.ClockMs),
 			event.PreviousClockMs(before), event.Acknowledged(s.acknowledged))
 	}
-	// A start whose deadline had passed when this status was requested is listed in it, or was
-	// never carried out.
-	s.startsInFlight.expire(s.clock.ms)
+	s.startsInFlight.expire(requested)
 	s.previousCallsSettled = s.previousCallsSettled || requested.After(s.d.previousCallsUntil)
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
+	for _, r := range status.Running {
+		delete(s.startsInFlight, jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run})
+	}
 	for _, e := range status.Ended {
-		s.callHistory.recordEnded(jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run})
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}
+		delete(s.startsInFlight, id)
+		s.callHistory.recordEnded(id)
 	}
 }
 
@@ -58,8 +61,8 @@
 
 // startWindow is the time in which a start must reach the worker, longer than callTimeout. The
 // renewals keep the run active after that. With the whole lease as its deadline, a start without
-// an answer could take effect for seconds, and its task would have to wait for that long before it
-// may start elsewhere.
+// an answer would take effect seconds later at every worker, also at one that refuses a start whose own
+// deadline has passed.
 const startWindow = time.Second
 
 // startDeadline returns the deadline of a start that is sent now. The caller must hold s.mu.
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -84,6 +84,9 @@
 			known.capacity, known.notOrderedBefore = resp.Capacity, s.ordersReceived
 		}
 		known.start, known.epoch, known.withdrawn = o, resp.Epoch, false
+		if now := s.d.opts.Now(); !s.ordersReceived && now.Before(s.d.previousCallsUntil) {
+			s.startsInFlight.add(id, resp.Epoch, now)
+		}
 	}
 	for _, o := range resp.Stops {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -43,6 +43,7 @@
 // call that is refused or lost proves nothing.
 func (s *session) awaitWorkerEnd() {
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
+		s.barAllStarts()
 		requested := s.d.opts.Now()
 		status, answer, err := s.renew(s.alive, 0)
 		switch {
@@ -198,6 +199,10 @@
 	if resp.LeaseMs == 0 || clockMs == 0 {
 		return
 	}
+	if resp.Epoch > s.epoch && s.barStarts(resp.Epoch) {
+		// The leader has recorded these runs as lost. Under a new lease they could still begin.
+		return
+	}
 	left := sent.Sub(received).Milliseconds() + resp.LeaseMs
 	s.leaseDeadlineMs = max(s.leaseDeadlineMs, clockMs+left*(ppm-clockRateErrorPPM)/ppm)
 	s.epoch = max(s.epoch, resp.Epoch)
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -45,7 +45,7 @@
 	start Start
 	try   int
 	// inFlightBefore is what startsInFlight held for the run before the call.
-	inFlightBefore int64
+	inFlightBefore startInFlight
 }
 
 // awaitStart waits until a start may be sent and returns the call, which holds one of startSlots;
@@ -94,7 +94,7 @@
 	}
 	o.maybeSent = true
 	s.callHistory.recordStartRequest(id, s.d.opts.Now())
-	call.inFlightBefore = s.startsInFlight.add(id, call.start.DeadlineMs)
+	call.inFlightBefore = s.startsInFlight.add(id, o.epoch, s.d.opts.Now())
 	return call, true, false
 }
 
@@ -130,7 +130,9 @@
 	case AnswerDone:
 		s.d.metrics.starts.Inc(1)
 		o.startConfirmed = true
-		s.callHistory.recordConfirmed(id, s.d.opts.Now())
+		now := s.d.opts.Now()
+		s.startsInFlight.settle(id, now)
+		s.callHistory.recordConfirmed(id, now)
 		return true
 	case AnswerEnded:
 		// The end of the run is listed until it is recorded. If none is listed, the run never
--- a/agent/runs/stops.go
+++ b/agent/runs/stops.go
@@ -40,6 +40,17 @@
 func (s *session) handleStopAnswer(id jobqueue.RunID, o *order, try int, answer Answer, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordStopAnswer(id, try, answer, err)
+	if err == nil && answer == AnswerDone {
+		o.stopConfirmedAt = s.d.opts.Now()
+		if o.barredAt.IsZero() {
+			o.barredAt = o.stopConfirmedAt
+		}
+	}
+}
+
+// recordStopAnswer records the answer to a stop. The caller must hold s.mu.
+func (s *session) recordStopAnswer(id jobqueue.RunID, try int, answer Answer, err error) {
 	if err != nil {
 		s.d.metrics.callsUnanswered.Inc(1)
 		event.StopUnanswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Try(try), event.Err(err))
@@ -49,10 +60,7 @@
 		event.StartPending(s.startMayArrive(id)))
 	switch answer {
 	case AnswerDone:
-		o.stopConfirmedAt = s.d.opts.Now()
-		if o.barredAt.IsZero() {
-			o.barredAt = o.stopConfirmedAt
-		}
+		s.startsInFlight.settle(id, s.d.opts.Now())
 	case AnswerOtherIncarnation:
 		s.endAlive()
 	}
