agent/runs: a refused run is returned behind an unreadable row

What callers saw: a task waits for as long as its worker lives, which refused its start and confirmed the stop, while one row of the worker's status can't be read. Such a row is never acknowledged, so each later status is partial.

Cause: a partial status never counted as proof that a run is not there, also for a run of which each start was refused.

Change: the agent keeps which runs may be in a row that it can't read: those that the last complete status lists as running, and those that may have begun since. Others are returned as behind a complete status.

--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -30,18 +30,40 @@
 		event.WorkerClockWentBack.Write(s.d.logger, event.Worker(s.incarnation), event.ClockMs(status.ClockMs),
 			event.PreviousClockMs(before), event.Acknowledged(s.acknowledged))
 	}
-	s.startsInFlight.expire(requested)
 	s.previousCallsSettled = s.previousCallsSettled || requested.After(s.d.previousCallsUntil)
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
+	s.recordRuns(status, requested)
+}
+
+// recordRuns records the runs in a status. The caller must hold s.mu.
+func (s *session) recordRuns(status Status, requested time.Time) {
+	if !status.Partial {
+		clear(s.runsPresent)
+		s.allRunsKnown = s.previousCallsSettled
+	}
 	for _, r := range status.Running {
-		delete(s.startsInFlight, jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run})
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}
+		delete(s.startsInFlight, id)
+		s.runsPresent[id] = true
 	}
 	for _, e := range status.Ended {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}
 		delete(s.startsInFlight, id)
+		delete(s.runsPresent, id)
 		s.callHistory.recordEnded(id)
 	}
+	for _, id := range s.startsInFlight.expire(requested) {
+		if status.Partial {
+			s.runsPresent[id] = true
+		}
+	}
+}
+
+// mayBeUnreadable reports whether a run that no start may begin any more may be in a row that can't be
+// read, of a status that does not list it. The caller must hold s.mu.
+func (s *session) mayBeUnreadable(id jobqueue.RunID) bool {
+	return !s.allRunsKnown || s.runsPresent[id]
 }
 
 // nextDeadline returns the deadline for the next call: the end of the leader's lease, but at most
--- a/agent/runs/partialstatus_test.go
+++ b/agent/runs/partialstatus_test.go
@@ -71,6 +71,92 @@
 	})
 }
 
+// checkStoppedUnreadableRun has the worker accept the stop of a run whose row can't be read, and checks
+// that the run is not returned, and that its end is reported once it can be read.
+func checkStoppedUnreadableRun(t *testing.T, l *leader, w *partialWorker) {
+	t.Helper()
+	w.refusedCalls.Store("start")
+	time.Sleep(lateCallBound + 4*statusInterval)
+	if len(w.Running()) > 0 || w.stopCalls.Load() == 0 {
+		t.Fatalf("%d tasks run after %d stops", len(w.Running()), w.stopCalls.Load())
+	}
+	w.unreadable.Store(false)
+	time.Sleep(4 * statusInterval)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.reports {
+		if len(r.Refusals) > 0 {
+			t.Fatal("the run is returned although it began")
+		}
+		if len(r.Ends) > 0 {
+			return
+		}
+	}
+	t.Error("the end of the run is not reported")
+}
+
+// Guards against a task that runs again after its end: the row of its run can't be read, and a
+// confirmed stop is taken for the proof that the run never began.
+func TestStoppedRunThatMayBeUnreadableIsNotReturned(t *testing.T) {
+	for name, begin := range map[string]func(*leader, *partialWorker){
+		"start without an answer": func(l *leader, w *partialWorker) {
+			time.Sleep(previousCallsExpired)
+			w.unreadable.Store(true)
+			time.Sleep(2 * statusInterval)
+			w.nextDelay.Store(&delayedCall{"start", 300 * time.Millisecond})
+			w.refusedCalls.Store("start stop")
+			l.update(func() { l.orders = startOrders(2, 1) })
+			time.Sleep(2 * statusInterval)
+		},
+		"forgotten order": func(l *leader, w *partialWorker) {
+			time.Sleep(previousCallsExpired)
+			l.update(func() { l.orders = startOrders(2, 1) })
+			time.Sleep(2 * statusInterval)
+			w.unreadable.Store(true)
+			time.Sleep(2 * statusInterval)
+			w.refusedCalls.Store("start stop")
+			l.withdrawAndRepeat(startOrders(5, 1))
+			time.Sleep(2 * statusInterval)
+		},
+		"confirmed start in a partial status": func(l *leader, w *partialWorker) {
+			time.Sleep(previousCallsExpired)
+			w.unreadable.Store(true)
+			time.Sleep(2 * statusInterval)
+			l.update(func() { l.orders = startOrders(2, 1) })
+			time.Sleep(4 * statusInterval)
+			w.refusedCalls.Store("start stop")
+			l.withdrawAndRepeat(startOrders(5, 1))
+			time.Sleep(2 * statusInterval)
+		},
+		"previous agent": func(l *leader, w *partialWorker) {
+			w.refusedCalls.Store("start stop")
+			time.Sleep(2 * statusInterval)
+			l.update(func() { l.orders = startOrders(2, 1) })
+			time.Sleep(previousCallsExpired)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &leader{epoch: 1, orders: idleOrders()}
+				watch := fakes.NewRunChecker()
+				watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+				w := &partialWorker{countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}}
+				w.Fault = w.fault
+				if name == "previous agent" {
+					id := jobqueue.RunID{Task: firstTask, Number: 1}
+					_, _ = w.RunWorker.Start(t.Context(), runs.Order{Incarnation: "w1", Term: term}, runs.Start{Run: id, DeadlineMs: w.ClockMs() + leaseMs})
+					w.unreadable.Store(true)
+				}
+				d := runs.New(runs.Options{Worker: w, Leader: promptLeader{l}})
+				defer runDriver(d)()
+				announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+				begin(l, w)
+				checkStoppedUnreadableRun(t, l, w)
+			})
+		})
+	}
+}
+
 // Guards against a task that waits forever: its worker refused the start and confirmed the stop, and
 // one row of its status can never be read.
 func TestRefusedRunIsReturnedInSpiteOfPartialStatus(t *testing.T) {
--- a/agent/runs/refusedcalls_test.go
+++ b/agent/runs/refusedcalls_test.go
@@ -22,7 +22,7 @@
 
 // previousCallsExpired is the time after the start of an agent until the status shows all calls of
 // a previous one.
-const previousCallsExpired = lateCallBound + 2*statusInterval
+const previousCallsExpired = lateCallBound + 3*statusInterval
 
 // startExpired is the sum of a poll for orders, the time in which a start may be carried out, and
 // three renewals of the lease.
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -70,6 +70,11 @@
 	startsInFlight startsInFlight
 	// previousCallsSettled: the status shows all starts that a previous agent sent.
 	previousCallsSettled bool
+	// runsPresent are the runs that the last complete status listed as running, and those that may
+	// have begun since and whose end no status listed. allRunsKnown: there was such a status after the
+	// calls of a previous agent were settled.
+	runsPresent  map[jobqueue.RunID]bool
+	allRunsKnown bool
 }
 
 // matchesWithoutStartTime reports whether a name is that of the session's worker without its
@@ -93,7 +98,7 @@
 		announced: a, id: rand.Uint64(), term: d.term.Load(),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 		orders:     map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
-		startsInFlight: startsInFlight{},
+		startsInFlight: startsInFlight{}, runsPresent: map[jobqueue.RunID]bool{},
 	}
 }
 
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -184,7 +184,7 @@
 	}
 	s.d.metrics.startsRefused.Inc(1)
 	o.refusalReason = reason
-	if s.status.Partial || s.startMayArrive(id) {
+	if s.status.Partial && s.mayBeUnreadable(id) || s.startMayArrive(id) {
 		o.stop = true
 		return
 	}
--- a/agent/runs/stops.go
+++ b/agent/runs/stops.go
@@ -79,8 +79,8 @@
 
 // reviewStops determines from a status what became of the runs that must end. One that is listed
 // neither as running nor as ended is returned to the leader, if the status was requested when no
-// start of it could arrive any more. A partial status is no proof of that, since the run may be in
-// the part that could not be read. The status must have been recorded.
+// start of it could arrive any more. A partial status is proof only for a run that can't be in the part
+// that could not be read. The status must have been recorded.
 func (s *session) reviewStops(status Status, requestedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,7 +89,8 @@
 		case !o.stop:
 		case isRunning(status, id):
 			s.reviewRunning(id, o, requestedAt)
-		case o.returned || status.Partial || hasEnded(status, id):
+		case o.returned || hasEnded(status, id):
+		case status.Partial && s.mayBeUnreadable(id):
 		case !s.startMayArrive(id):
 			s.returnRun(id, o)
 		case !o.barredAt.IsZero() && requestedAt.After(o.barredAt):
