--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -30,15 +30,40 @@
 		event.WorkerClockWentBack.Write(s.d.logger, event.Worker(s.incarnation), event.ClockMs(status.ClockMs),
 			event.PreviousClockMs(before), event.Acknowledged(s.acknowledged))
 	}
-	// A start whose deadline had passed when this status was requested is listed in it, or was
-	// never carried out.
-	s.startsInFlight.expire(s.clock.ms)
 	s.previousCallsSettled = s.previousCallsSettled || requested.After(s.d.previousCallsUntil)
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
+	s.recordRuns(status, requested)
+}
+
+// recordRuns records the runs in a status. The caller must hold s.mu.
+func (s *session) recordRuns(status Status, requested time.Time) {
+	if !status.Partial {
+		clear(s.runsPresent)
+		s.allRunsKnown = s.previousCallsSettled
+	}
+	for _, r := range status.Running {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}
+		delete(s.startsInFlight, id)
+		s.runsPresent[id] = true
+	}
 	for _, e := range status.Ended {
-		s.callHistory.recordEnded(jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run})
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}
+		delete(s.startsInFlight, id)
+		delete(s.runsPresent, id)
+		s.callHistory.recordEnded(id)
 	}
+	for _, id := range s.startsInFlight.expire(requested) {
+		if status.Partial {
+			s.runsPresent[id] = true
+		}
+	}
+}
+
+// mayBeUnreadable reports whether a run that no start may begin any more may be in a row that can't be
+// read, of a status that does not list it. The caller must hold s.mu.
+func (s *session) mayBeUnreadable(id jobqueue.RunID) bool {
+	return !s.allRunsKnown || s.runsPresent[id]
 }
 
 // nextDeadline returns the deadline for the next call: the end of the leader's lease, but at most
@@ -58,8 +83,8 @@
 
 // startWindow is the time in which a start must reach the worker, longer than callTimeout. The
 // renewals keep the run active after that. With the whole lease as its deadline, a start without
-// an answer could take effect for seconds, and its task would have to wait for that long before it
-// may start elsewhere.
+// an answer would take effect seconds later at every worker, also at one that refuses a start whose own
+// deadline has passed.
 const startWindow = time.Second
 
 // startDeadline returns the deadline of a start that is sent now. The caller must hold s.mu.
