agent/runs: starts count only from orders that were asked for under a lease

What callers would see: a task that runs on two workers. A report of the agent before, which returns a start, is held up. Its successor asks for orders and gets that start; then the report arrives and is accepted, since the successor has not reported yet. The successor gets its first lease, of the same epoch, and carries the start out before its next orders arrive.

Cause: an old message is believed. Orders carry no proof that they were made after the leader had heard the session.

Change: before the session's first lease only the stops among its orders are carried out; under the lease the orders are asked for anew, and answers of a term lower than the highest one that the session knows are ignored.

--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"context"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -45,35 +46,72 @@
 	pace          pace
 }
 
-// ordersLoop fetches the leader's orders and has them carried out.
+// ordersLoop fetches the leader's orders and has them carried out. Before the session's first lease,
+// these are only the stops: until the leader has heard this session, it still accepts a report of the
+// previous agent, which may return starts of these orders.
 func (s *session) ordersLoop() {
+	s.fetchOrders(s.unleased, s.applyStops)
+	s.fetchOrders(s.ctx, s.applyOrders)
+}
+
+// fetchOrders fetches the leader's orders and applies them until ctx ends.
+func (s *session) fetchOrders(ctx context.Context, apply func(*apiv1.JobsOrdersResponse)) {
 	var term, sequence uint64
-	for s.ctx.Err() == nil {
-		resp, err := s.d.opts.Leader.Orders(s.ctx, &apiv1.JobsOrdersRequest{
+	for ctx.Err() == nil {
+		resp, err := s.d.opts.Leader.Orders(ctx, &apiv1.JobsOrdersRequest{
 			Worker: s.incarnation, Term: term, Sequence: sequence,
 		})
 		if err != nil {
-			s.sleep(retryInterval)
+			sleep(ctx, retryInterval)
 			continue
 		}
-		if resp.Term < term {
+		if resp.Term < s.currentTerm() {
 			// The answer is from a previous leader.
-			s.sleep(retryInterval)
+			sleep(ctx, retryInterval)
 			continue
 		}
 		changed := resp.Term != term || resp.Sequence != sequence
 		term, sequence = resp.Term, resp.Sequence
 		if changed {
-			s.applyOrders(resp)
+			apply(resp)
 		}
 	}
 }
 
-// applyOrders updates the known orders from the leader's open ones and starts the work that is
-// new. It drops an order that the leader no longer lists, unless a call for it is in progress.
+// applyStops updates the known orders from the stops among the leader's open ones.
+func (s *session) applyStops(resp *apiv1.JobsOrdersResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordPreviousStarts(resp)
+	s.updateOrders(&apiv1.JobsOrdersResponse{Term: resp.Term, Epoch: resp.Epoch, Stops: resp.Stops})
+}
+
+// applyOrders updates the known orders from the leader's open ones.
 func (s *session) applyOrders(resp *apiv1.JobsOrdersResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.ordersReceived {
+		s.recordPreviousStarts(resp)
+	}
+	s.updateOrders(resp)
+	s.ordersReceived = true
+}
+
+// recordPreviousStarts records the starts that a previous agent may have sent. The caller must hold
+// s.mu.
+func (s *session) recordPreviousStarts(resp *apiv1.JobsOrdersResponse) {
+	now := s.d.opts.Now()
+	if !now.Before(s.d.previousCallsUntil) {
+		return
+	}
+	for _, o := range resp.Starts {
+		s.startsInFlight.add(jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}, resp.Epoch, now)
+	}
+}
+
+// updateOrders updates the known orders and starts the work that is new. It drops an order that the
+// leader no longer lists, unless a call for it is in progress. The caller must hold s.mu.
+func (s *session) updateOrders(resp *apiv1.JobsOrdersResponse) {
 	s.recordTerm(resp.Term)
 	open := map[jobqueue.RunID]bool{}
 	for _, o := range resp.Starts {
@@ -84,9 +122,6 @@
 			known.capacity, known.notOrderedBefore = resp.Capacity, s.ordersReceived
 		}
 		known.start, known.epoch, known.withdrawn = o, resp.Epoch, false
-		if now := s.d.opts.Now(); !s.ordersReceived && now.Before(s.d.previousCallsUntil) {
-			s.startsInFlight.add(id, resp.Epoch, now)
-		}
 	}
 	for _, o := range resp.Stops {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
@@ -107,7 +142,6 @@
 		o.withdrawn = !open[id]
 		s.advance(id, o)
 	}
-	s.ordersReceived = true
 }
 
 func (s *session) orderFor(id jobqueue.RunID) *order {
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -231,6 +231,7 @@
 	left := sent.Sub(received).Milliseconds() + resp.LeaseMs
 	s.leaseDeadlineMs = max(s.leaseDeadlineMs, clockMs+left*(ppm-clockRateErrorPPM)/ppm)
 	s.epoch = max(s.epoch, resp.Epoch)
+	s.endUnleased()
 }
 
 func (s *session) pendingRefusals() []*apiv1.RunRefusal {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -22,9 +22,12 @@
 	cancel      context.CancelFunc
 	// alive ends when another incarnation of the worker has answered in place of this one, or the
 	// worker has reported its departure.
-	alive      context.Context
-	endAlive   context.CancelFunc
-	startSlots chan struct{}
+	alive    context.Context
+	endAlive context.CancelFunc
+	// unleased ends when the session gets its first lease.
+	unleased    context.Context
+	endUnleased context.CancelFunc
+	startSlots  chan struct{}
 	// calls are the calls of the worker in progress. They are started with mu held.
 	calls conc.WaitGroup
 	// id distinguishes the session from others of the same worker, and reportCount counts the
@@ -93,8 +96,10 @@
 func (d *Driver) newSession(a Announcement) *session {
 	ctx, cancel := context.WithCancel(context.Background())
 	alive, endAlive := context.WithCancel(ctx)
+	unleased, endUnleased := context.WithCancel(ctx)
 	return &session{
 		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, alive: alive, endAlive: endAlive,
+		unleased: unleased, endUnleased: endUnleased,
 		announced: a, id: rand.Uint64(), term: d.term.Load(),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 		orders:     map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
@@ -155,6 +160,13 @@
 	s.d.term.Record(term)
 }
 
+// currentTerm returns the highest term that a leader reported to the session.
+func (s *session) currentTerm() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
 func (s *session) announcement() Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -277,11 +289,14 @@
 	event.LeaseNotRenewed.Write(s.d.logger, event.Worker(s.incarnation), event.Answer(answer), event.Err(err))
 }
 
-func (s *session) sleep(d time.Duration) {
+func (s *session) sleep(d time.Duration) { sleep(s.ctx, d) }
+
+// sleep returns after a time, or when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-s.ctx.Done():
+	case <-ctx.Done():
 	case <-t.C:
 	}
 }
--- /dev/null
+++ b/agent/runs/staleorders_test.go
@@ -0,0 +1,55 @@
+package runs_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// slowLeader gets each report, and each request for further orders, after a delay.
+type slowLeader struct {
+	*leader
+	reportDelay, ordersDelay time.Duration
+}
+
+func (l *slowLeader) Report(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
+	if err := sleepUntilCanceled(ctx, l.reportDelay); err != nil {
+		return nil, err
+	}
+	return l.leader.Report(ctx, r)
+}
+
+func (l *slowLeader) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
+	if r.Sequence != 0 {
+		if err := sleepUntilCanceled(ctx, l.ordersDelay); err != nil {
+			return nil, err
+		}
+	}
+	return l.leader.Orders(ctx, r)
+}
+
+func sleepUntilCanceled(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Guards against a task that runs on two workers: an agent receives the order of a start, which a late
+// report of the agent before it then returns, and carries it out under its first lease.
+func TestStartReturnedByPreviousAgentIsNotSent(t *testing.T) {
+	l := &slowLeader{&leader{epoch: 1, orders: startOrders(1, 1)}, 100 * time.Millisecond, 500 * time.Millisecond}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(50 * time.Millisecond)
+		l.update(func() { l.orders = &apiv1.JobsOrdersResponse{Term: term, Sequence: 2, Epoch: 1} })
+		time.Sleep(2 * time.Second)
+		if n := w.startCalls.Load(); n != 0 {
+			t.Errorf("the worker got %d starts of a run that is no longer ordered", n)
+		}
+	})
+}
