schedule, platform: a worker that is missing in partial advice is not refused

What callers would see: a task of an advised queue that waits although a worker may run it. A row of the advisor's answer can't be read; its worker has no ticket then, which counted as a refusal for as long as the incarnation lives.

Change: advice tells whether a part of it can't be read; workers without a ticket are asked about again after adviceRetryDelay.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -34,6 +34,9 @@
 type Advice struct {
 	Tickets map[string]string
 	Valid   time.Duration
+	// Partial means that a part of the response can't be read, so a worker without a ticket is not
+	// refused.
+	Partial bool
 }
 
 // approvals holds the responses of the placement advisor by step and worker.
@@ -80,10 +83,14 @@
 		byWorker = map[string]approval{}
 		p.approvals.byStep[request.Step] = byWorker
 	}
+	delete(p.approvals.nextRequestAt, request.Step)
 	for _, w := range request.Workers {
+		if advice.Partial && advice.Tickets[w] == "" {
+			p.approvals.nextRequestAt[request.Step] = requestedAt.Add(adviceRetryDelay)
+			continue
+		}
 		byWorker[w] = approval{ticket: advice.Tickets[w], until: requestedAt.Add(advice.Valid)}
 	}
-	delete(p.approvals.nextRequestAt, request.Step)
 }
 
 // RecordAdviceFailure records that a request got no response. The request may be sent again after
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -60,3 +60,21 @@
 		t.Fatal("a ticket that a worker refused is used again")
 	}
 }
+
+// Guards against a worker that never gets the tasks of a step, since the row of its approval can't be
+// read.
+func TestWorkerMissingInPartialAdviceIsNotRefused(t *testing.T) {
+	r := newHarness(t)
+	r.enableAdvice()
+	r.addWorker("w1", 1000, 64_000)
+	r.submit("batch", "b1", &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000})
+	q := r.plan().AdviceRequests[0]
+	r.planner.RecordAdvice(q, Advice{Partial: true, Valid: 2 * time.Second}, r.now)
+	if d := r.plan(); len(d.AdviceRequests) > 0 {
+		t.Error("the request is sent again at once")
+	}
+	r.advance(adviceRetryDelay)
+	if d := r.plan(); len(d.AdviceRequests) != 1 {
+		t.Errorf("the task waits because of %s", d.Unplaced[0].ReasonSummary())
+	}
+}
