schedule: a move of a host whose entry can't be read is not forgotten

What callers would see: a requested move that was acknowledged and never happens, or tasks that end because a move which counts as over is executed late. The entry of the host in the list of hosts can't be read, not even its name; a host missing from the list counts as gone, and its move as finished. Waves leave hosts alone while such an entry is listed; moves did not.

Seen to fail before, on this code and on: TestMoveOfHostWithUnreadableEntryIsNotGone (a step to MOVE_STATE_GONE).

--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -22,7 +22,7 @@
 
 // UnnamedHost is the key in a list for hosts whose names can't be read. While it is present, no
 // host is considered missing from the list. Otherwise a host whose entry is corrupt would count as
-// gone, and its wave would finish without the maintenance of that host.
+// gone: its wave would finish without the maintenance of that host, and its move would be forgotten.
 const UnnamedHost = ""
 
 // NextMaintenance returns the next steps of the hosts of all waves, given a complete list of hosts.
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -175,9 +175,10 @@
 // hosts.
 func (p *Mover) NextSteps(m *jobqueue.Machine, hosts map[string]HostView, now time.Time) []*apiv1.MoveHost {
 	var steps []*apiv1.MoveHost
+	_, unnamed := hosts[UnnamedHost]
 	for _, v := range m.Moves() {
 		view, listed := hosts[v.Host]
-		if step := nextMoveStep(m, v, view, listed); step != nil {
+		if step := nextMoveStep(m, v, view, listed || unnamed); step != nil {
 			steps = append(steps, step)
 		}
 	}
--- a/schedule/pools_test.go
+++ b/schedule/pools_test.go
@@ -224,6 +224,21 @@
 	expectMoves(t, r.runFor(20*time.Second), "s2 to pool")
 }
 
+// Guards against a requested move that is forgotten, since the entry of its host in the list can't be
+// read, not even its name.
+func TestMoveOfHostWithUnreadableEntryIsNotGone(t *testing.T) {
+	r := newMoverHarness(t)
+	r.addHost("a", testPool)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_RequestMove{RequestMove: &apiv1.RequestMove{Host: "a", Pool: batchPool}}})
+	if steps := r.mover.NextSteps(r.machine, map[string]HostView{UnnamedHost: {}}, r.now); len(steps) > 0 {
+		t.Errorf("steps %v", steps)
+	}
+	steps := r.mover.NextSteps(r.machine, map[string]HostView{}, r.now)
+	if len(steps) != 1 || steps[0].State != apiv1.MoveState_MOVE_STATE_GONE {
+		t.Errorf("a host that left: steps %v", steps)
+	}
+}
+
 // Guards against moves that begin because a leader has no information yet, or for workers that are
 // only unreachable. A leader begins to lead while tasks wait, or most workers are unreachable, and
 // it took missing information for missing workers.
