dispatch: an unanswered move order is remembered while a plan is in doubt

What callers would see: tasks that end because their host goes to another pool after its move was abandoned. The first call of the move gets no answer while the outcome of a plan or report is unknown; the leader decides nothing then, and the call was not recorded either. The next call is refused, nothing earlier seems to be under way, and the move counts as refused; the first call is executed seconds later.

Change: what a call showed is recorded whether or not a plan is in doubt.

Seen to fail before, on this code and on: TestMoveWithCallUnansweredInDoubtIsNotAbandoned ("the move is abandoned while its first call may still be executed").

--- a/dispatch/moves.go
+++ b/dispatch/moves.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// recordMoves calls f if this replica is the leader of the term, also while a plan is in doubt and
+// nothing is decided: what a call showed must not be lost.
+func (d *Dispatcher) recordMoves(term uint64, f func(*leaderMoves)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leader != nil && d.leader.term == term {
+		f(d.leader.moves)
+	}
+}
+
 // isFenced reports whether orders about a host were refused because another holder has a
 // higher token, or this replica no longer leads.
 func (d *Dispatcher) isFenced(term uint64, host string) bool {
@@ -104,7 +114,7 @@
 }
 
 func (d *Dispatcher) recordFenced(term uint64, host string) {
-	d.withMoves(term, func(l *leaderMoves) { l.fencedHosts[host] = true })
+	d.recordMoves(term, func(l *leaderMoves) { l.fencedHosts[host] = true })
 	event.HostFenced.Write(d.logger, event.Term(term), event.Host(host))
 }
 
@@ -189,7 +199,7 @@
 		}
 	}
 	settled := false
-	d.withMoves(term, func(l *leaderMoves) {
+	d.recordMoves(term, func(l *leaderMoves) {
 		if err != nil {
 			l.unansweredAt[v.Host] = d.opts.Now()
 		}
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -117,6 +118,43 @@
 	})
 }
 
+// Guards against ending tasks that were started on a host after its move was abandoned: the first call
+// of the move gets no answer while a plan of the leader is in doubt, and the next one is refused.
+func TestMoveWithCallUnansweredInDoubtIsNotAbandoned(t *testing.T) {
+	runSim(t, 1, 2, func(t *testing.T, s *sim) {
+		s.stopFaults()
+		log := s.injectLogFaults(1, func(p *apiv1.PlanRuns) bool { return slices.Contains(p.Lapsed, "w9") })
+		r := &expiryHarness{t, s}
+		other := &apiv1.JobWorker{Id: "w9", Host: "h9", Pool: simPool}
+		f := s.setUpPools(map[string]string{"host0": simPool, "host1": simPool})
+		calls := 0
+		f.Fault = func(string) fakes.OrderFault {
+			switch calls++; calls {
+			case 1:
+				s.loops.Go(func() {
+					s.sleep(1500 * time.Millisecond)
+					r.report(&apiv1.JobsReportRequest{Worker: other})
+					log.commitDelay.Store(int64(time.Second))
+					r.report(&apiv1.JobsReportRequest{Worker: other, Lapsed: true})
+					s.sleep(time.Second)
+					log.commitDelay.Store(0)
+				})
+				return fakes.OrderFault{Late: 10 * time.Second}
+			case 2:
+				return fakes.OrderFault{Refused: true}
+			}
+			return fakes.OrderFault{}
+		}
+		s.sleep(moverSettleTime)
+		s.requestMove("host0", otherPool)
+		for f.PoolOf("host0") != otherPool {
+			if s.sleep(100 * time.Millisecond); s.moveOf("host0").State == apiv1.MoveState_MOVE_STATE_REFUSED {
+				t.Fatal("the move is abandoned while its first call may still be executed")
+			}
+		}
+	})
+}
+
 // Guards against two leaders that alternately give orders about a host or use one token, and
 // against abandoning a move that a previous leader's call may still execute. The leader is lost
 // right after it ordered the move, and its call is not answered. The next leader's first call is
