agent/runs, platform: ends listed after an unreadable one are held back

What callers saw: a task that had succeeded ran again, or its job stayed running. A worker listed the end of a run in a row that could not be read, and a later end in one that could. The agent reported the later one, the leader acknowledged up to its number, and the worker discarded both. Nobody ever read the first; its run counted as running until its worker left or its lease expired, and then started again.

Cause: an acknowledgement is a number up to which all ends are forgotten, and rows are read one by one.

The ends that a worker lists after an unreadable one are held back now for at most 2 s, half of the time within which an end has to be recorded. A row that stays unreadable is given up then, as before, so that it holds back the others only once.

Evidence: agent/runs.TestEndIsReportedOnceItCanBeRead failed before ("the reported ends are map[2:true], want 1 and 2"); TestUnreadableEndHoldsOthersBackForLimitedTime guards the bound (it held before).

--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -34,6 +34,9 @@
 	startedMs int64
 	// number orders the sessions of the host's agents; zero until a leader has issued it.
 	number sessionNumber
+	// unreadableEndSince is since when each status has had an end that can't be read; zero if the
+	// last one had none. Only leaseLoop uses it.
+	unreadableEndSince time.Time
 	// admitted: the worker may be reported to the leader. Only leaseLoop uses it.
 	admitted bool
 	// notRenewedLoggedAt is when a failed renewal of the lease was last logged. Only leaseLoop
@@ -201,7 +204,7 @@
 		}
 		s.reviewStops(status, requestedAt)
 		endWatch := s.watchWorker()
-		reported := s.report(status, received)
+		reported := s.report(s.withoutUnconfirmedEnds(status, received), received)
 		endWatch()
 		wait = renewalWait
 		if !reported || status.Partial {
@@ -212,6 +215,28 @@
 	}
 }
 
+// unreadableEndWait is how long the ends after one that can't be read are held back: half of the time
+// within which the end of a run has to be recorded.
+const unreadableEndWait = 2 * time.Second
+
+// withoutUnconfirmedEnds returns a status without the ends that the worker listed after one that
+// can't be read. The leader would acknowledge them, and the worker would discard the unreadable one
+// with them before it was ever read: its task would run again although it may have succeeded. An end
+// that stays unreadable is given up, so that it holds the others back only once.
+func (s *session) withoutUnconfirmedEnds(status Status, received time.Time) Status {
+	if status.EndsAfterUnreadable == 0 {
+		s.unreadableEndSince = time.Time{}
+		return status
+	}
+	if s.unreadableEndSince.IsZero() {
+		s.unreadableEndSince = received
+	}
+	if received.Sub(s.unreadableEndSince) < unreadableEndWait {
+		status.Ended = status.Ended[:len(status.Ended)-status.EndsAfterUnreadable]
+	}
+	return status
+}
+
 // statusPollInterval is the time between two reads of the worker's status during a report.
 const statusPollInterval = 100 * time.Millisecond
 
--- /dev/null
+++ b/agent/runs/unreadableends_test.go
@@ -0,0 +1,86 @@
+package runs_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// firstEndUnreadableWorker has an end that can't be read while unreadable is set: the first one.
+type firstEndUnreadableWorker struct {
+	*fakes.RunWorker
+	unreadable atomic.Bool
+}
+
+func (w *firstEndUnreadableWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+	s, a, err := w.RunWorker.Renew(ctx, o, r)
+	if w.unreadable.Load() && len(s.Ended) > 0 && s.Ended[0].Sequence == 1 {
+		s.Ended, s.Partial = s.Ended[1:], true
+		s.EndsAfterUnreadable = len(s.Ended)
+	}
+	return s, a, err
+}
+
+// withUnreadableEnd runs two tasks that succeed, of which the end of the first can't be read.
+func withUnreadableEnd(t *testing.T, f func(*leader, *firstEndUnreadableWorker)) {
+	orders := &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}
+	for i := range uint32(2) {
+		task := jobqueue.TaskID{Job: firstTask.Job, Index: i}
+		orders.Starts = append(orders.Starts, &apiv1.StartOrder{Task: task.Ref(), Run: 1})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		watch := fakes.NewRunChecker()
+		watch.AddJob(&apiv1.JobSpec{Id: firstTask.Job, Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &firstEndUnreadableWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}
+		w.Duration = func(id jobqueue.TaskID) time.Duration { return time.Duration(500+100*id.Index) * time.Millisecond }
+		w.unreadable.Store(true)
+		l := &leader{epoch: 1, orders: orders}
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		defer runDriver(d)()
+		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+		f(l, w)
+	})
+}
+
+// reportedEnds returns the sequence numbers of the ends that an agent reported.
+func (l *leader) reportedEnds() map[uint64]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := map[uint64]bool{}
+	for _, r := range l.reports {
+		for _, e := range r.Ends {
+			ends[e.Sequence] = true
+		}
+	}
+	return ends
+}
+
+// Guards against a task that runs again after it succeeded: its end could not be read at first, and
+// the worker discarded it because a later end was acknowledged.
+func TestEndIsReportedOnceItCanBeRead(t *testing.T) {
+	withUnreadableEnd(t, func(l *leader, w *firstEndUnreadableWorker) {
+		time.Sleep(2 * time.Second)
+		w.unreadable.Store(false)
+		time.Sleep(2 * time.Second)
+		if ends := l.reportedEnds(); !ends[1] || !ends[2] {
+			t.Errorf("the reported ends are %v, want 1 and 2", ends)
+		}
+	})
+}
+
+// Guards against ends that are never reported because an earlier one can never be read.
+func TestUnreadableEndHoldsOthersBackForLimitedTime(t *testing.T) {
+	withUnreadableEnd(t, func(l *leader, _ *firstEndUnreadableWorker) {
+		time.Sleep(5 * time.Second)
+		if ends := l.reportedEnds(); !ends[2] {
+			t.Errorf("the reported ends are %v, want 2", ends)
+		}
+	})
+}
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -68,6 +68,9 @@
 	// Partial: a part of what the worker listed could not be read, so runs that are missing here
 	// may be running or have ended.
 	Partial bool
+	// EndsAfterUnreadable is how many of the ends, the last ones, were listed after one that could
+	// not be read.
+	EndsAfterUnreadable int
 }
 
 // Answer is the worker's answer to a call.
