--- a/control/controltest/log.go
+++ b/control/controltest/log.go
@@ -19,6 +19,10 @@
 
 // Log is the log of a single replica whose leadership changes on demand.
 type Log struct {
+	// CommitsUnconfirmed reports whether a proposal whose leader was deposed is committed all the
+	// same; nil means that none is.
+	CommitsUnconfirmed func() bool
+
 	mu      sync.Mutex
 	machine *control.Replica
 	index   uint64
@@ -40,6 +44,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.leading || l.term != before {
+		if l.CommitsUnconfirmed != nil && l.CommitsUnconfirmed() {
+			l.index++
+			l.machine.Apply(l.index, command)
+		}
 		return nil, 0, &control.UnknownError{Cause: errLeadershipChanged.Error()}
 	}
 	l.index++
--- a/fakes/runchecker.go
+++ b/fakes/runchecker.go
@@ -262,7 +262,7 @@
 }
 
 // reservedOn returns the sum of the resources reserved for the runs on a worker. The
-// caller must hold the worker's lock.
+// caller must hold the worker's lock and rc.mu.
 func (rc *RunChecker) reservedOn(w *RunWorker) jobqueue.Resources {
 	var sum jobqueue.Resources
 	for task := range w.running {
@@ -273,6 +273,21 @@
 	return sum
 }
 
+// hasCapacityFor reports whether the worker has the capacity for one more task; only its checker
+// knows that. The caller must hold the worker's lock.
+func (w *RunWorker) hasCapacityFor(task jobqueue.TaskID) bool {
+	if w.Checker == nil {
+		return true
+	}
+	w.Checker.mu.Lock()
+	defer w.Checker.mu.Unlock()
+	used := w.Checker.reservedOn(w)
+	if spec := w.Checker.jobs[task.Job]; spec != nil {
+		used = used.Add(jobqueue.Reserved(spec.Steps[task.Step]))
+	}
+	return used.Fits(capacityOf(w.Spec))
+}
+
 // isRunning reports whether the worker currently runs a task.
 func (w *RunWorker) isRunning(task jobqueue.TaskID) bool {
 	w.mu.Lock()
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -23,6 +23,8 @@
 	Late time.Duration
 	// Refused calls are not executed; a RunWorker answers AnswerUnhealthy and Hosts HostRefused.
 	Refused bool
+	// Repeated executes a late call at once too. Only a RunWorker does so.
+	Repeated bool
 }
 
 // Work describes what a run does.
@@ -72,6 +74,10 @@
 	// Work, if set, determines what a run does from its payload. It replaces Duration,
 	// Fails and CrashAfter.
 	Work func(run jobqueue.RunID, payload string) Work
+	// StopTime returns how long a run that is stopped takes to end; nil means no time.
+	StopTime func() time.Duration
+	// GuardsCapacity makes it refuse starts that exceed its capacity.
+	GuardsCapacity bool
 	// Observer, if set, is notified of the start and end of every run and of expired
 	// leases. The worker's lock is held during the call.
 	Observer RunObserver
@@ -110,13 +116,17 @@
 	checkpoint string
 	// pace is the share at which the run may work, in percent.
 	pace uint32
+	// stopsAt is when a run that was stopped ends; zero if it was not stopped.
+	stopsAt time.Time
 }
 
 const (
 	// defaultClockStartMs is the default reading of a new worker's clock.
 	defaultClockStartMs = 1_000_000
 	// maxLeaseMs is the longest lease that a worker accepts.
-	maxLeaseMs            = 6000
+	maxLeaseMs = 6000
+	// maxListedEnds is the greatest number of ends that a status lists.
+	maxListedEnds         = 500
 	checkpointIntervalSec = 1
 	partsPerMillion       = 1_000_000
 )
@@ -245,7 +255,10 @@
 		end := r.startedAt.Add(r.work.Duration)
 		finished := r.work.Duration > 0 && !end.After(now)
 		expired := !expiry.After(now)
+		stopped := !r.stopsAt.IsZero() && !r.stopsAt.After(now)
 		switch {
+		case stopped && !(finished && end.Before(r.stopsAt)) && !(expired && expiry.Before(r.stopsAt)):
+			w.end(task, r, apiv1.RunEndKind_RUN_END_KIND_STOPPED, r.stopsAt)
 		case finished && (!expired || end.Before(expiry)):
 			kind := apiv1.RunEndKind_RUN_END_KIND_DONE
 			if r.work.Fails {
--- a/fakes/runworker_calls.go
+++ b/fakes/runworker_calls.go
@@ -30,6 +30,9 @@
 	if fault.Late > 0 {
 		time.AfterFunc(fault.Late, func() { execute() })
 	}
+	if fault.Late > 0 && fault.Repeated {
+		execute()
+	}
 	if fault.Lost || fault.Late > 0 {
 		<-ctx.Done()
 		return 0, ctx.Err()
@@ -79,6 +82,9 @@
 	if w.Advisor != nil && !w.Advisor.Valid(s.Run.Task.StepID(), w.Spec.Id, s.Ticket) {
 		return runs.AnswerNoTicket
 	}
+	if w.GuardsCapacity && !w.hasCapacityFor(task) {
+		return runs.AnswerNoCapacity
+	}
 	r := &workerRun{id: s.Run, startedAt: time.Now(), checkpoint: s.Checkpoint, work: w.workOf(s), pace: fullPercent}
 	w.running[task] = r
 	if !w.registered {
@@ -105,12 +111,27 @@
 		return a
 	}
 	w.newestRun[run.Task] = max(w.newestRun[run.Task], run.Number)
-	if r := w.running[run.Task]; r != nil && r.id.Number <= run.Number {
+	r := w.running[run.Task]
+	switch {
+	case r == nil || r.id.Number > run.Number:
+	case w.StopTime != nil:
+		if r.stopsAt.IsZero() {
+			r.stopsAt = time.Now().Add(w.StopTime())
+			time.AfterFunc(time.Until(r.stopsAt), w.endStopped)
+		}
+	default:
 		w.end(run.Task, r, apiv1.RunEndKind_RUN_END_KIND_STOPPED, time.Now())
 	}
 	return runs.AnswerDone
 }
 
+// endStopped ends the runs that were stopped and have ended by now.
+func (w *RunWorker) endStopped() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+}
+
 // Pace implements runs.Worker.
 func (w *RunWorker) Pace(ctx context.Context, o runs.Order, run jobqueue.RunID, percent uint32) (runs.Answer, error) {
 	return w.call(ctx, "pace", func() runs.Answer { return w.setPace(o, run, percent) })
@@ -196,7 +217,8 @@
 }
 
 func (w *RunWorker) status() runs.Status {
-	s := runs.Status{ClockMs: w.clockMs(time.Now()), Ended: append([]*apiv1.RunEnd(nil), w.ended...)}
+	listed := w.ended[:min(len(w.ended), maxListedEnds)]
+	s := runs.Status{ClockMs: w.clockMs(time.Now()), Ended: append([]*apiv1.RunEnd(nil), listed...)}
 	for task, r := range w.running {
 		s.Running = append(s.Running, &apiv1.RunObservation{
 			Task: task.Ref(), Run: r.id.Number, Percent: r.percent(), Checkpoint: r.lastCheckpoint(),
