agent/runs: an overdue renewal is repeated beside the first

Callers saw a job of short tasks that crash nothing fail by the crash limit: a run had ended by itself before another task crashed its worker, and the agent did not know. A renewal without an answer blocked all reads of the worker's status for its wait and its timeout, 0.9 s.

Now a renewal that is 0.1 s overdue is repeated without a wait, and the first result of either counts; so are the reads during a report. TestEndDuringLostRenewalIsNoticed failed before ("began:true", no end).

--- a/agent/runs/callhistory_test.go
+++ b/agent/runs/callhistory_test.go
@@ -83,6 +83,39 @@
 	})
 }
 
+// Guards against a job that reaches its crash limit through crashes of workers on which its run had
+// ended by itself, while the agent waited for an answer that was lost.
+func TestEndDuringLostRenewalIsNoticed(t *testing.T) {
+	l := &leader{epoch: 1, orders: idleOrders()}
+	withDriver(t, promptLeader{l}, func(_ *runs.Driver, w *countingWorker) {
+		w.Duration = func(jobqueue.TaskID) time.Duration { return 2 * time.Second }
+		time.Sleep(2 * time.Second)
+		l.update(func() { l.orders = startOrders(2, 1) })
+		for len(w.Running()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for lost := w.renewals.Load() + 1; w.renewals.Load() < lost; {
+			w.lostCall.Store("renew")
+			time.Sleep(time.Millisecond)
+		}
+		w.lostCall.Store("")
+		time.Sleep(renewalWait + 2*renewalOverdue)
+		w.Crash()
+		time.Sleep(4 * time.Second)
+		if worked, ok := l.workedAtCrash(); !ok || len(worked) != 1 || !worked[0].Ended {
+			t.Errorf("work reported with the crash: %v", worked)
+		}
+	})
+}
+
+const (
+	// renewalWait is how long the worker may wait for a run to end before it answers a renewal, and
+	// renewalOverdue the time after that from which on the agent repeats the call.
+	renewalWait    = 500 * time.Millisecond
+	renewalOverdue = 100 * time.Millisecond
+)
+
 // statusPollInterval is how often the agent reads the worker's status during a report.
 const statusPollInterval = 100 * time.Millisecond
 
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -162,9 +162,8 @@
 	wait := time.Duration(0)
 	for s.ctx.Err() == nil {
 		s.reportPreviousEnd()
-		requestedAt := s.d.opts.Now()
-		status, answer, err := s.renew(s.alive, wait)
-		received := s.d.opts.Now()
+		r := s.renewRepeatedly(s.alive, wait)
+		status, answer, err := r.status, r.answer, r.err
 		if answer == AnswerOtherIncarnation {
 			s.endAlive()
 		}
@@ -189,9 +188,9 @@
 			s.sleep(retryInterval)
 			continue
 		}
-		s.recordStatus(status, requestedAt, received)
+		s.recordStatus(status, r.requestedAt, r.receivedAt)
 		if s.startedMs == 0 {
-			s.recordListedRuns(status, received)
+			s.recordListedRuns(status, r.receivedAt)
 		}
 		s.startedMs = cmp.Or(s.startedMs, status.ClockMs)
 		if !s.admit(status) {
@@ -199,9 +198,9 @@
 			s.sleep(admissionRetryInterval)
 			continue
 		}
-		s.reviewStops(status, requestedAt)
+		s.reviewStops(status, r.requestedAt)
 		endWatch := s.watchWorker()
-		reported := s.report(status, received)
+		reported := s.report(status, r.receivedAt)
 		endWatch()
 		wait = renewalWait
 		if !reported || status.Partial {
@@ -230,10 +229,8 @@
 				return
 			case <-ticker.C:
 			}
-			requested := s.d.opts.Now()
-			status, answer, err := s.renew(ctx, 0)
-			if err == nil && answer == AnswerDone {
-				s.recordStatus(status, requested, s.d.opts.Now())
+			if r := s.renewRepeatedly(ctx, 0); r.err == nil && r.answer == AnswerDone {
+				s.recordStatus(r.status, r.requestedAt, r.receivedAt)
 			}
 		}
 	})
@@ -243,6 +240,48 @@
 	}
 }
 
+// renewalResult is the result of a renewal, and when it was sent and answered.
+type renewalResult struct {
+	status                  Status
+	answer                  Answer
+	err                     error
+	requestedAt, receivedAt time.Time
+}
+
+// renewalOverdue is how long after its wait a renewal without an answer is repeated. The worker runs
+// on the same host and answers within a millisecond or not at all.
+const renewalOverdue = 100 * time.Millisecond
+
+// renewRepeatedly renews the lease. If the answer is overdue, it makes a second call beside the first
+// and returns the first result of either. Otherwise an answer that was lost would hide for the whole
+// timeout which runs have ended, and a run that ended in that time would count as crashed if its
+// worker crashes.
+func (s *session) renewRepeatedly(ctx context.Context, wait time.Duration) renewalResult {
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan renewalResult, 2)
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	call := func(wait time.Duration) {
+		calls.Go(func() {
+			r := renewalResult{requestedAt: s.d.opts.Now()}
+			r.status, r.answer, r.err = s.renew(ctx, wait)
+			r.receivedAt = s.d.opts.Now()
+			results <- r
+		})
+	}
+	call(wait)
+	overdue := time.NewTimer(wait + renewalOverdue)
+	defer overdue.Stop()
+	select {
+	case r := <-results:
+		return r
+	case <-overdue.C:
+	}
+	call(0)
+	return <-results
+}
+
 func (s *session) renew(ctx context.Context, wait time.Duration) (Status, Answer, error) {
 	s.mu.Lock()
 	o := Order{Incarnation: s.incarnation, Term: s.term}
