agent/runs: a call that breaks off shows how long the runs had worked

The lower bound of a run's time was the worker's last answer, up to half a second and more before the crash: a run that crashed after 3.0 s "had worked 2.5 s or more", similar to many others. A renewal is in progress most of the time and breaks off when the worker crashes, so the runs had worked until then. A call that was not sent, or got no answer, still shows nothing.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -22,6 +22,8 @@
 	// after that failed at once because no process was listening; zero if none did. A call
 	// without any answer proves nothing, since it may have been lost.
 	lastAnsweredAt, failedAt time.Time
+	// brokeOff: the call that failed at failedAt had been sent, so that the worker ran until then.
+	brokeOff bool
 }
 
 // startRecord is the history of the start of one run. requestedAt is when the start was first
@@ -97,9 +99,9 @@
 func (c *callHistory) recordResult(answer Answer, err error, now time.Time) {
 	switch {
 	case err == nil && answer != AnswerOtherIncarnation && answer != AnswerFenced:
-		c.lastAnsweredAt, c.failedAt = now, time.Time{}
+		c.lastAnsweredAt, c.failedAt, c.brokeOff = now, time.Time{}, false
 	case err != nil && !isUnanswered(err) && c.failedAt.IsZero():
-		c.failedAt = now
+		c.failedAt, c.brokeOff = now, !errors.IsAny(err, ErrNotSent, ErrNotListening)
 	}
 }
 
@@ -107,10 +109,13 @@
 // long they had worked, and the runs that were certainly not there: their start never reached it, or
 // it listed their end.
 func (c *callHistory) workAtCrash(now time.Time) []*apiv1.RunWork {
-	crashed := now
+	crashed, ranUntil := now, c.lastAnsweredAt
 	if !c.failedAt.IsZero() {
 		crashed = c.failedAt
 	}
+	if c.brokeOff {
+		ranUntil = c.failedAt
+	}
 	var list []*apiv1.RunWork
 	for id, s := range c.starts {
 		if s.neverSent || s.ended {
@@ -123,7 +128,7 @@
 		}
 		work := &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, AtMostMs: jobqueue.UnknownMs, Began: began}
 		if began {
-			work.WorkedMs = max(0, c.lastAnsweredAt.Sub(s.confirmedAt)).Milliseconds()
+			work.WorkedMs = max(0, ranUntil.Sub(s.confirmedAt)).Milliseconds()
 		}
 		if !s.requestedAt.IsZero() {
 			work.AtMostMs = max(0, crashed.Sub(s.requestedAt)).Milliseconds()
