jobqueue: workers that crash at the same moment are judged together

Callers saw long-running sets fail after power failures of racks or of all hosts: a short task that had just started explained the crash of its worker, and a set on the remaining ones was blamed for an earlier crash after a similar time; so was a set on all workers whose runs had worked for different times; and a verdict did not wait for silent workers if another crash of the same moment had told of them. Hosts that went down with their agents leave no upper bound of a runtime, so that any two such crashes were similar.

Now a group of crashes is explained by starts on all of the workers, by one step whose runs had worked for similar times, or by a common cause. Two hosts that go down with their agents are a group as well.

TestStartsOnAllWorkersExplainSimultaneousCrashes holds the other side.

--- a/crashloop/commoncause.go
+++ b/crashloop/commoncause.go
@@ -6,9 +6,9 @@
 	// simultaneityTolerance is the largest difference between the exactly observed times of crashes
 	// with a common cause.
 	simultaneityTolerance = 50 * time.Millisecond
-	// minCommonCauseHosts is the number of hosts whose workers crash at the same moment from which on
+	// MinCommonCauseHosts is the number of hosts whose workers crash at the same moment from which on
 	// a common cause is assumed.
-	minCommonCauseHosts = 3
+	MinCommonCauseHosts = 3
 )
 
 // Moment is an estimate of when a worker crashed.
@@ -29,5 +29,5 @@
 // at its start or has crashed others after a similar runtime: if it ran on all of the hosts, that may
 // be the reason for all of the crashes.
 func HaveCommonCause(hosts, unrelated int, suspect bool) bool {
-	return hosts >= minCommonCauseHosts && (unrelated > 0 || !suspect)
+	return hosts >= MinCommonCauseHosts && (unrelated > 0 || !suspect)
 }
--- a/crashloop/history.go
+++ b/crashloop/history.go
@@ -306,6 +306,23 @@
 	return c.Began && c.MaxRuntime != UnknownRuntime && max(c.MinRuntime, c.MaxRuntime) <= ImmediateCrashMax
 }
 
+// Crash returns the crash of an event, the zero value if it is not known.
+func (h *History) Crash(event uint64) Crash {
+	for _, c := range h.Crashes {
+		if c.Event == event {
+			return c
+		}
+	}
+	return Crash{}
+}
+
+// SimilarRuntimes reports whether two runs may have crashed their workers after the same runtime.
+func SimilarRuntimes(a, b Crash) bool {
+	leastA, mostA := a.window()
+	leastB, mostB := b.window()
+	return leastA <= mostB && leastB <= mostA
+}
+
 // window returns the range of runtimes after which a run that crashes its worker similarly may do so.
 func (c Crash) window() (least, most time.Duration) {
 	if c.MinRuntime > ImmediateCrashMax {
--- a/jobqueue/crashevent.go
+++ b/jobqueue/crashevent.go
@@ -18,6 +18,9 @@
 	// verdictDelayMs is how long a job is not failed while workers that may have crashed at the same
 	// moment are silent, in milliseconds. Workers are back some seconds after a crash.
 	verdictDelayMs = 3000
+	// minHostFailures is the number of hosts that go down at the same moment, with their agents, from
+	// which on a common cause is assumed.
+	minHostFailures = 2
 )
 
 // crashEvent is the crash of a worker.
@@ -57,8 +60,10 @@
 	return crashloop.Moment{At: time.UnixMilli(atMs), Uncertainty: milliseconds(uncertaintyMs)}
 }
 
-// excuseCommonCause excuses the tasks on workers that crashed at the same moment as others without a
-// task in common.
+// excuseCommonCause excuses the tasks on workers that crashed at the same moment as others for a reason
+// that none of the tasks explains. One step may explain crashes of several workers, and so may starts
+// of several steps just before. Several steps whose runs had worked for different times do not crash
+// their workers at the same moment.
 func (m *Machine) excuseCommonCause(newest *crashEvent) {
 	together := m.simultaneousCrashes(newest)
 	numbers := map[uint64]bool{}
@@ -66,20 +71,32 @@
 		numbers[e.number] = true
 	}
 	var unexplained []*crashEvent
+	allAtStarts := true
 	for _, e := range together {
 		if !m.isExplained(e, numbers) {
 			unexplained = append(unexplained, e)
+			allAtStarts = allAtStarts && m.hasImmediate(e)
 		}
 	}
 	hosts := countHosts(together)
+	if hosts >= minHostFailures && !slices.ContainsFunc(together, m.agentSurvived) {
+		hosts = max(hosts, crashloop.MinCommonCauseHosts)
+	}
 	for _, e := range together {
 		for _, id := range e.runs {
 			t, _ := m.task(id.Task)
 			if t == nil {
 				continue
 			}
-			suspect := t.Crashes.Immediate(e.number) || t.Crashes.SimilarExcept(numbers) > 0
-			if crashloop.HaveCommonCause(hosts, countHosts(withoutStep(unexplained, id.Task.StepID())), suspect) {
+			crash := t.Crashes.Crash(e.number)
+			immediate := t.Crashes.Immediate(e.number)
+			unrelated := 0
+			if !immediate || !allAtStarts {
+				unrelated = countHosts(m.withoutSimilarRun(unexplained, id.Task.StepID(), crash))
+			}
+			// Without an upper bound, a runtime is similar to most others.
+			similar := crash.MaxRuntime != crashloop.UnknownRuntime && t.Crashes.SimilarExcept(numbers) > 0
+			if crashloop.HaveCommonCause(hosts, unrelated, immediate || similar) {
 				t.Crashes.Excuse(e.number)
 			}
 		}
@@ -101,17 +118,41 @@
 	return together
 }
 
-// isExplained reports whether a task on a crashed worker probably crashed it.
+// isExplained reports whether crashes at other moments show that a task on a crashed worker probably
+// crashed it.
 func (m *Machine) isExplained(e *crashEvent, together map[uint64]bool) bool {
 	return slices.ContainsFunc(e.runs, func(id RunID) bool {
 		t, _ := m.task(id.Task)
-		return t != nil && t.Crashes.ProbablyCaused(e.number, together)
+		return t != nil && t.Crashes.MayHaveCaused(e.number) && t.Crashes.SimilarExcept(together) >= crashloop.RepeatedCrashes
 	})
 }
 
-// withoutStep returns the crashes of workers without a run of a step.
-func withoutStep(events []*crashEvent, step StepID) []*crashEvent {
-	return slices.DeleteFunc(slices.Clone(events), func(e *crashEvent) bool { return e.hasStep(step) })
+// agentSurvived reports whether the agent of a crashed worker told how long the runs had worked. If it
+// did not, the whole host was probably down, which no task is suspected of.
+func (m *Machine) agentSurvived(e *crashEvent) bool {
+	return len(e.runs) == 0 || slices.ContainsFunc(e.runs, func(id RunID) bool {
+		t, _ := m.task(id.Task)
+		return t != nil && t.Crashes.Crash(e.number).MaxRuntime != crashloop.UnknownRuntime
+	})
+}
+
+// hasImmediate reports whether the crash of a worker coincided with the start of a task on it.
+func (m *Machine) hasImmediate(e *crashEvent) bool {
+	return slices.ContainsFunc(e.runs, func(id RunID) bool {
+		t, _ := m.task(id.Task)
+		return t != nil && t.Crashes.Immediate(e.number)
+	})
+}
+
+// withoutSimilarRun returns the crashes of workers without a run of a step that had worked for a time
+// similar to that of the given one.
+func (m *Machine) withoutSimilarRun(events []*crashEvent, step StepID, c crashloop.Crash) []*crashEvent {
+	return slices.DeleteFunc(slices.Clone(events), func(e *crashEvent) bool {
+		return slices.ContainsFunc(e.runs, func(id RunID) bool {
+			t, _ := m.task(id.Task)
+			return id.Task.StepID() == step && t != nil && crashloop.SimilarRuntimes(c, t.Crashes.Crash(e.number))
+		})
+	})
 }
 
 func countHosts(events []*crashEvent) int {
@@ -171,13 +212,25 @@
 func (m *Machine) verdictDueMs(t *Task) int64 {
 	due := int64(0)
 	for _, c := range t.Crashes.Crashes {
-		if e := m.crashEvent(c.Event); e != nil && e.othersSilent && !c.Excused {
-			due = max(due, e.recordedMs+verdictDelayMs)
+		if e := m.crashEvent(c.Event); e != nil && !c.Excused {
+			for _, other := range m.crashesAtMomentOf(e) {
+				if other.othersSilent {
+					due = max(due, other.recordedMs+verdictDelayMs)
+				}
+			}
 		}
 	}
 	return due
 }
 
+// crashesAtMomentOf returns the given crash and those that may have occurred at the same moment.
+func (m *Machine) crashesAtMomentOf(e *crashEvent) []*crashEvent {
+	if together := m.simultaneousCrashes(e); together != nil {
+		return together
+	}
+	return []*crashEvent{e}
+}
+
 func (m *Machine) crashEvent(number uint64) *crashEvent {
 	for _, e := range m.crashEvents {
 		if e.number == number {
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -105,3 +105,125 @@
 		t.Errorf("%d crashes count against the bystander", n)
 	}
 }
+
+// startTogether starts the given steps' tasks on hosts 0, 1 and so on.
+func (r *crashHarness) startTogether(steps ...uint32) {
+	r.t.Helper()
+	for host, step := range steps {
+		if !r.start(step, host) {
+			r.t.Fatalf("step %d does not start", step)
+		}
+	}
+}
+
+// Guards against a common cause that is hidden by tasks that had just started on some of the workers, and
+// against blaming another task that crashed before after a similar time.
+func TestStartsOnSomeWorkersDoNotHideCommonCause(t *testing.T) {
+	r := newCrashHarness(t)
+	r.start(2, 2)
+	r.crashAt(2, 1000, 2, 3*time.Second)
+	r.startTogether(0, 1, 2)
+	r.crashAt(0, 20_000, 0, time.Millisecond)
+	r.crashAt(1, 20_001, 1, time.Millisecond)
+	r.crashAt(2, 20_002, 2, 3*time.Second)
+	if n := r.m.Task(r.task(2)).Crashes.Similar(); n != 1 {
+		t.Errorf("%d crashes count against the task that had worked for seconds", n)
+	}
+}
+
+// Guards against excusing tasks that start together and crash their workers at once.
+func TestStartsOnAllWorkersExplainSimultaneousCrashes(t *testing.T) {
+	r := newCrashHarness(t)
+	r.startTogether(0, 1, 2)
+	for step := range uint32(3) {
+		r.crashAt(int(step), 20_000+int64(step), step, time.Millisecond)
+	}
+	for step := range uint32(3) {
+		if n := r.m.Task(r.task(step)).Crashes.Similar(); n != 1 {
+			t.Errorf("%d crashes count against step %d", n, step)
+		}
+	}
+}
+
+// Guards against blaming a step for a common cause although its runs on the workers had worked for
+// different times.
+func TestStepWithDifferentRuntimesDoesNotExplainSimultaneousCrashes(t *testing.T) {
+	for name, c := range map[string]struct {
+		worked [3]time.Duration
+		want   int
+	}{
+		"different": {[3]time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second}, 1},
+		"similar":   {[3]time.Duration{2 * time.Second, 2 * time.Second, 2 * time.Second}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashHarness(t)
+			const job = "wide"
+			r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+				Id: job, Host: "h", Path: "/q/" + job, Steps: []*apiv1.JobStep{{Count: 3, CpuMilli: 1, MemoryMb: 1, LongRunning: true}},
+			}}}})
+			crash := func(index uint32, atMs int64, worked time.Duration) {
+				id := TaskID{Job: job, Index: index}
+				r.incarnations[index]++
+				r.report(int(index), &apiv1.WorkerCrash{AtMs: atMs, Worked: []*apiv1.RunWork{{
+					Task: id.Ref(), Run: r.m.Task(id).LastRun, WorkedMs: worked.Milliseconds(), AtMostMs: worked.Milliseconds(), Began: true,
+				}}})
+			}
+			start := func(run uint64, index uint32) {
+				id := TaskID{Job: job, Index: index}
+				r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: id.Ref(), Run: run, Worker: r.worker(int(index))}}})
+			}
+			start(1, 0)
+			crash(0, 1000, 2*time.Second)
+			start(2, 0)
+			start(1, 1)
+			start(1, 2)
+			for index, worked := range c.worked {
+				crash(uint32(index), 20_000, worked)
+			}
+			if n := r.m.Task(TaskID{Job: job}).Crashes.Similar(); n != c.want {
+				t.Errorf("%d crashes count against the task", n)
+			}
+		})
+	}
+}
+
+// Guards against blaming tasks for crashes of two hosts at the same moment, whose agents went down as well.
+func TestHostsThatGoDownTogetherHaveCommonCause(t *testing.T) {
+	for name, atMost := range map[string]int64{"hosts": UnknownMs, "workers": 3000} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashHarness(t)
+			r.startTogether(0, 1)
+			for host := range 2 {
+				r.incarnations[host]++
+				r.report(host, &apiv1.WorkerCrash{AtMs: 1000, Worked: []*apiv1.RunWork{{
+					Task: r.task(uint32(host)).Ref(), Run: 1, WorkedMs: 2900, AtMostMs: atMost, Began: true,
+				}}})
+			}
+			excused := atMost == UnknownMs
+			if n := r.m.Task(r.task(0)).Crashes.Similar(); (n == 0) != excused {
+				t.Errorf("%d crashes count against the task", n)
+			}
+		})
+	}
+}
+
+// Guards against a job that fails although another worker that crashed at the same moment was reported
+// while further ones were silent.
+func TestVerdictWaitsWhileOthersOfTheMomentAreSilent(t *testing.T) {
+	r := newCrashHarness(t)
+	r.start(0, 0)
+	r.crashAt(0, 1000, 0, time.Millisecond)
+	r.startTogether(0, 1)
+	r.incarnations[1]++
+	r.report(1, &apiv1.WorkerCrash{AtMs: 20_000, OthersSilent: true, Worked: []*apiv1.RunWork{{
+		Task: r.task(1).Ref(), Run: 1, WorkedMs: 2000, AtMostMs: 2000, Began: true,
+	}}})
+	r.crashAt(0, 20_000, 0, time.Millisecond)
+	if !r.m.Job(crashedJob).Open() {
+		t.Fatal("the job has failed at once")
+	}
+	r.m.Apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{Term: 1}}}, 1+verdictDelayMs, 1)
+	if r.m.Job(crashedJob).Open() {
+		t.Error("the job has not failed when its verdict is due")
+	}
+}
