crashloop, jobqueue: excused crashes do not give a task extra starts

Now a crash that counts ends a task that has had two starts since its third crash, of whatever cause, if an earlier crash came after a similar time and no other step's task on the worker has as many such. TestStartsAreLimitedAfterCrashesWithOtherCauses failed before ("the job is open after two starts since the third crash").

--- a/crashloop/history.go
+++ b/crashloop/history.go
@@ -180,6 +180,23 @@
 	return starts >= MaxStartsAfterRepeatedCrashes
 }
 
+// StartsExhausted reports whether the last crash counts, an earlier one occurred after a similar
+// runtime, even if it has another cause, and the task has had all its starts since the last crash that
+// callers allow for.
+func (h *History) StartsExhausted() bool {
+	if len(h.Crashes) == 0 {
+		return false
+	}
+	last := h.Crashes[len(h.Crashes)-1]
+	if !h.mayHaveCaused(last) || h.startsAfter(RepeatedCrashes+1, func(Crash) bool { return true }) < MaxStartsAfterRepeatedCrashes {
+		return false
+	}
+	return slices.ContainsFunc(h.Crashes[:len(h.Crashes)-1], func(c Crash) bool {
+		c.Excused = false
+		return h.mayHaveCaused(c) && SimilarRuntimes(c, last)
+	})
+}
+
 // crashedOnProbation reports whether a worker crashed under a run on probation.
 func (h *History) crashedOnProbation() bool {
 	return slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.OnProbation && c.isEvidence() })
--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -97,7 +97,7 @@
 // While workers that may have crashed at the same moment are silent, the job is not failed yet.
 func (m *Machine) failIfCrashLimitReached(id TaskID) {
 	t, _ := m.task(id)
-	if t == nil || t.Done || len(t.Runs) > 0 || !t.Crashes.LimitReached() || !m.jobs[id.Job].Open() {
+	if t == nil || t.Done || len(t.Runs) > 0 || !m.jobs[id.Job].Open() || !t.Crashes.LimitReached() && !m.startsExhausted(id) {
 		return
 	}
 	if due := m.verdictDueMs(t); due > m.nowMs {
--- a/jobqueue/crashevent.go
+++ b/jobqueue/crashevent.go
@@ -186,6 +186,29 @@
 	}
 }
 
+// isStrongestSuspect reports whether a task has more crashes after similar runtimes, apart from the
+// crash of an event, than every task of another step on the crashed worker.
+func (m *Machine) isStrongestSuspect(id TaskID, e *crashEvent) bool {
+	this := map[uint64]bool{e.number: true}
+	t, _ := m.task(id)
+	similar := t.Crashes.SimilarExcept(this)
+	return !slices.ContainsFunc(e.runs, func(other RunID) bool {
+		o, _ := m.task(other.Task)
+		return o != nil && other.Task.StepID() != id.StepID() && o.Crashes.SimilarExcept(this) >= similar
+	})
+}
+
+// startsExhausted reports whether a task that has crashed a worker is out of starts, although too few
+// of its crashes count to reach the limit.
+func (m *Machine) startsExhausted(id TaskID) bool {
+	t, _ := m.task(id)
+	if !t.Crashes.StartsExhausted() {
+		return false
+	}
+	e := m.crashEvent(t.Crashes.Crashes[len(t.Crashes.Crashes)-1].Event)
+	return e != nil && m.isStrongestSuspect(id, e)
+}
+
 // excuseOthers excuses the tasks whose workers crashed under a step that has failed its job by the
 // crash limit. A task that has crashes after similar runtimes without that step is not excused.
 func (m *Machine) excuseOthers(guilty StepID) {
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -227,3 +227,22 @@
 		t.Error("the job has not failed when its verdict is due")
 	}
 }
+
+// Guards against extra starts of a task whose first crashes coincided with those of other workers.
+func TestStartsAreLimitedAfterCrashesWithOtherCauses(t *testing.T) {
+	r := newCrashHarness(t)
+	for i, worked := range [][3]time.Duration{{1, 9, 4}, {3, 7, 6}, {2, 5, 8}, {2, 4, 3}} {
+		r.startTogether(0, 1, 2)
+		for _, host := range []int{1, 2, 0} {
+			r.crashAt(host, int64(1000+10_000*i), uint32(host), worked[host]*time.Second)
+		}
+	}
+	if !r.m.Job(crashedJob).Open() {
+		t.Fatal("the job failed by crashes with another cause")
+	}
+	r.start(0, 0)
+	r.crashAt(0, 50_000, 0, 3*time.Second)
+	if r.m.Job(crashedJob).Open() {
+		t.Error("the job is open after two starts since the third crash, and two similar crashes")
+	}
+}
