jobqueue: a job does not fail for crashes that another step explains

Both crashes came beside a task of another step that had crashed a further worker without it.

Now a task at the limit is excused if each crash that counts came beside another step that crashed a worker without this one after a similar time. Crashes on probation, and those with no other recent start, are never excused by that. TestCrashesThatAnotherStepExplainsDoNotFailJob failed before.

--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -100,6 +100,9 @@
 	if t == nil || t.Done || len(t.Runs) > 0 || !m.jobs[id.Job].Open() || !t.Crashes.LimitReached() && !m.startsExhausted(id) {
 		return
 	}
+	if m.excuseExplained(id) {
+		return
+	}
 	if due := m.verdictDueMs(t); due > m.nowMs {
 		m.pendingVerdicts[id] = due
 		return
--- a/jobqueue/crashevent.go
+++ b/jobqueue/crashevent.go
@@ -209,6 +209,55 @@
 	return e != nil && m.isStrongestSuspect(id, e)
 }
 
+// excuseExplained excuses a task from its crashes if another step on the worker explains each of them. It
+// reports whether it did.
+func (m *Machine) excuseExplained(id TaskID) bool {
+	t, _ := m.task(id)
+	var events []uint64
+	for _, c := range t.Crashes.Crashes {
+		if c.Excused || !t.Crashes.MayHaveCaused(c.Event) {
+			continue
+		}
+		e := m.crashEvent(c.Event)
+		if e == nil || c.OnProbation || c.SoleCause || !m.hasOtherSuspect(e, id.StepID()) {
+			return false
+		}
+		events = append(events, c.Event)
+	}
+	for _, e := range events {
+		t.Crashes.Excuse(e)
+	}
+	return len(events) > 0
+}
+
+// hasOtherSuspect reports whether a step other than the given one may have caused a crash, and has crashed
+// another worker after a similar time without the given one.
+func (m *Machine) hasOtherSuspect(e *crashEvent, step StepID) bool {
+	return slices.ContainsFunc(e.runs, func(id RunID) bool {
+		t, _ := m.task(id.Task)
+		if t == nil || id.Task.StepID() == step || !t.Crashes.MayHaveCaused(e.number) {
+			return false
+		}
+		crash := t.Crashes.Crash(e.number)
+		return slices.ContainsFunc(m.crashEvents, func(other *crashEvent) bool {
+			return other != e && !other.hasStep(step) && m.hasSuspect(other, id.Task.StepID(), crash)
+		})
+	})
+}
+
+// hasSuspect reports whether a run of a step may have caused a crash after a time similar to that of the
+// given one.
+func (m *Machine) hasSuspect(e *crashEvent, step StepID, similarTo crashloop.Crash) bool {
+	return slices.ContainsFunc(e.runs, func(id RunID) bool {
+		t, _ := m.task(id.Task)
+		if t == nil || id.Task.StepID() != step || !t.Crashes.MayHaveCaused(e.number) {
+			return false
+		}
+		c := t.Crashes.Crash(e.number)
+		return !c.Excused && crashloop.SimilarRuntimes(c, similarTo)
+	})
+}
+
 // excuseOthers excuses the tasks whose workers crashed under a step that has failed its job by the
 // crash limit. A task that has crashes after similar runtimes without that step is not excused.
 func (m *Machine) excuseOthers(guilty StepID) {
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -246,3 +246,40 @@
 		t.Error("the job is open after two starts since the third crash, and two similar crashes")
 	}
 }
+
+// Guards against failing a job for crashes that another step explains, which crashed a worker without it:
+// its own runs had ended, unnoticed.
+func TestCrashesThatAnotherStepExplainsDoNotFailJob(t *testing.T) {
+	r := newCrashHarness(t)
+	const guilty = "g1"
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+		Id: guilty, Host: "h", Path: "/q/" + guilty, Steps: []*apiv1.JobStep{{Count: 3, CpuMilli: 1, MemoryMb: 1}},
+	}}}})
+	crash := func(host int, atMs int64, runs ...TaskID) {
+		r.incarnations[host]++
+		report := &apiv1.WorkerCrash{AtMs: atMs}
+		for _, id := range runs {
+			report.Worked = append(report.Worked, &apiv1.RunWork{
+				Task: id.Ref(), Run: r.m.Task(id).LastRun, WorkedMs: 1000, AtMostMs: 1000, Began: true,
+			})
+		}
+		r.report(host, report)
+	}
+	for host := range uint32(3) {
+		id := TaskID{Job: guilty, Index: host}
+		r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: id.Ref(), Run: 1, Worker: r.worker(int(host))}}})
+	}
+	crash(2, 1000, TaskID{Job: guilty, Index: 2})
+	for host := range 2 {
+		r.start(0, host)
+		crash(host, int64(10_000*(host+1)), r.task(0), TaskID{Job: guilty, Index: uint32(host)})
+	}
+	for range crashloop.MaxStartsAfterRepeatedCrashes {
+		r.start(0, 0)
+		r.plan(&apiv1.PlanRuns{Lapsed: []string{r.worker(0)}})
+		r.report(0, nil)
+	}
+	if !r.m.Job(crashedJob).Open() {
+		t.Error("the job has failed")
+	}
+}
