--- a/crashloop/history.go
+++ b/crashloop/history.go
@@ -180,6 +180,23 @@
 	return starts >= MaxStartsAfterRepeatedCrashes
 }
 
+// StartsExhausted reports whether the last crash counts, an earlier one occurred after a similar
+// runtime, even if it has another cause, and the task has had all its starts since the last crash that
+// callers allow for.
+func (h *History) StartsExhausted() bool {
+	if len(h.Crashes) == 0 {
+		return false
+	}
+	last := h.Crashes[len(h.Crashes)-1]
+	if !h.mayHaveCaused(last) || h.startsAfter(RepeatedCrashes+1, func(Crash) bool { return true }) < MaxStartsAfterRepeatedCrashes {
+		return false
+	}
+	return slices.ContainsFunc(h.Crashes[:len(h.Crashes)-1], func(c Crash) bool {
+		c.Excused = false
+		return h.mayHaveCaused(c) && SimilarRuntimes(c, last)
+	})
+}
+
 // crashedOnProbation reports whether a worker crashed under a run on probation.
 func (h *History) crashedOnProbation() bool {
 	return slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.OnProbation && c.isEvidence() })
@@ -306,6 +323,23 @@
 	return c.Began && c.MaxRuntime != UnknownRuntime && max(c.MinRuntime, c.MaxRuntime) <= ImmediateCrashMax
 }
 
+// Crash returns the crash of an event, the zero value if it is not known.
+func (h *History) Crash(event uint64) Crash {
+	for _, c := range h.Crashes {
+		if c.Event == event {
+			return c
+		}
+	}
+	return Crash{}
+}
+
+// SimilarRuntimes reports whether two runs may have crashed their workers after the same runtime.
+func SimilarRuntimes(a, b Crash) bool {
+	leastA, mostA := a.window()
+	leastB, mostB := b.window()
+	return leastA <= mostB && leastB <= mostA
+}
+
 // window returns the range of runtimes after which a run that crashes its worker similarly may do so.
 func (c Crash) window() (least, most time.Duration) {
 	if c.MinRuntime > ImmediateCrashMax {
