agent/runs: a start ordered before the first lease is this agent's own

What callers would see: a job that fails by the crash limit through crashes of workers that never received a start of its task. A regression of: since the orders are asked for anew under the first lease, a start that was ordered meanwhile counted as one that a previous agent may have sent too.

Change: the first answer of the session decides which starts a previous agent may have received. TestStartOrderedBeforeFirstLeaseIsOfThisAgent failed before (no never_sent in the report of the crash).

--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -82,7 +82,7 @@
 func (s *session) applyStops(resp *apiv1.JobsOrdersResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordPreviousStarts(resp)
+	s.recordFirstOrders(resp)
 	s.updateOrders(&apiv1.JobsOrdersResponse{Term: resp.Term, Epoch: resp.Epoch, Stops: resp.Stops})
 }
 
@@ -90,22 +90,24 @@
 func (s *session) applyOrders(resp *apiv1.JobsOrdersResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ordersReceived {
-		s.recordPreviousStarts(resp)
-	}
+	s.recordFirstOrders(resp)
 	s.updateOrders(resp)
-	s.ordersReceived = true
 }
 
-// recordPreviousStarts records the starts that a previous agent may have sent. The caller must hold
-// s.mu.
-func (s *session) recordPreviousStarts(resp *apiv1.JobsOrdersResponse) {
-	now := s.d.opts.Now()
-	if !now.Before(s.d.previousCallsUntil) {
+// recordFirstOrders records the starts in the first orders of the session: a previous agent may have
+// sent them. The caller must hold s.mu.
+func (s *session) recordFirstOrders(resp *apiv1.JobsOrdersResponse) {
+	if s.orderedBefore != nil {
 		return
 	}
+	s.orderedBefore = map[jobqueue.RunID]bool{}
+	now := s.d.opts.Now()
 	for _, o := range resp.Starts {
-		s.startsInFlight.add(jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}, resp.Epoch, now)
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
+		s.orderedBefore[id] = true
+		if now.Before(s.d.previousCallsUntil) {
+			s.startsInFlight.add(id, resp.Epoch, now)
+		}
 	}
 }
 
@@ -119,7 +121,7 @@
 		open[id] = true
 		known := s.orderFor(id)
 		if known.start == nil {
-			known.capacity, known.notOrderedBefore = resp.Capacity, s.ordersReceived
+			known.capacity, known.notOrderedBefore = resp.Capacity, !s.orderedBefore[id]
 		}
 		known.start, known.epoch, known.withdrawn = o, resp.Epoch, false
 	}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -68,9 +68,9 @@
 	clock        clockReading
 	acknowledged uint64
 	orders       map[jobqueue.RunID]*order
-	// ordersReceived is set with the first orders of the session. A previous agent may have
-	// received those too.
-	ordersReceived bool
+	// orderedBefore are the starts in the first orders of the session, which a previous agent may have
+	// received too; nil before.
+	orderedBefore  map[jobqueue.RunID]bool
 	refusals       map[jobqueue.RunID]string
 	callHistory    callHistory
 	startsInFlight startsInFlight
--- a/agent/runs/staleorders_test.go
+++ b/agent/runs/staleorders_test.go
@@ -53,3 +53,20 @@
 		}
 	})
 }
+
+// Guards against a start that counts as one that a previous agent may have sent, though it was ordered
+// after the session's first request for orders.
+func TestStartOrderedBeforeFirstLeaseIsOfThisAgent(t *testing.T) {
+	l := &slowLeader{&leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}, 300 * time.Millisecond, 0}
+	withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(100 * time.Millisecond)
+		w.startError.Store(&errNotListening)
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(2 * time.Second)
+		w.Crash()
+		time.Sleep(2 * time.Second)
+		if worked, ok := l.workedAtCrash(); !ok || len(worked) != 1 || !worked[0].NeverSent {
+			t.Errorf("work reported with the crash: %v", worked)
+		}
+	})
+}
