agent/runs: each unreadable end is given up by its own time

Cause: ends behind one that can't be read are held back for 2 s, counted from the first status that had any such end. Where different rows can't be read in turn, a row that could have been read in the next status was given up.

Change: the time begins anew when another end is the first one that can't be read. TestEndsThatCantBeReadInTurnAreReported failed before ("the reported ends are map[1:true 3:true], want 1 to 3"); the two tests beside it have a third end.

--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -37,9 +37,8 @@
 	startedMs int64
 	// number orders the sessions of the host's agents; zero until a leader has issued it.
 	number sessionNumber
-	// unreadableEndSince is since when each status has had an end that can't be read; zero if the
-	// last one had none. Only leaseLoop uses it.
-	unreadableEndSince time.Time
+	// unreadableEnd is the first end that can't be read in the last status. Only leaseLoop uses it.
+	unreadableEnd unreadableEnd
 	// admitted: the worker may be reported to the leader. Only leaseLoop uses it.
 	admitted bool
 	// notRenewedLoggedAt is when a failed renewal of the lease was last logged. Only leaseLoop
@@ -235,24 +234,42 @@
 // within which the end of a run has to be recorded.
 const unreadableEndWait = 2 * time.Second
 
+// unreadableEnd is an end that can't be read: the sequence number of the one before it, and since when
+// each status has had it; since is zero if there is none.
+type unreadableEnd struct {
+	after uint64
+	since time.Time
+}
+
 // withoutUnconfirmedEnds returns a status without the ends that the worker listed after one that
 // can't be read. The leader would acknowledge them, and the worker would discard the unreadable one
 // with them before it was ever read: its task would run again although it may have succeeded. An end
 // that stays unreadable is given up, so that it holds the others back only once.
 func (s *session) withoutUnconfirmedEnds(status Status, received time.Time) Status {
 	if status.EndsAfterUnreadable == 0 {
-		s.unreadableEndSince = time.Time{}
+		s.unreadableEnd = unreadableEnd{}
 		return status
 	}
-	if s.unreadableEndSince.IsZero() {
-		s.unreadableEndSince = received
+	confirmed := status.Ended[:len(status.Ended)-status.EndsAfterUnreadable]
+	after := s.lastAcknowledged()
+	if n := len(confirmed); n > 0 {
+		after = max(after, confirmed[n-1].Sequence)
 	}
-	if received.Sub(s.unreadableEndSince) < unreadableEndWait {
-		status.Ended = status.Ended[:len(status.Ended)-status.EndsAfterUnreadable]
+	if s.unreadableEnd.since.IsZero() || s.unreadableEnd.after != after {
+		s.unreadableEnd = unreadableEnd{after, received}
+	}
+	if received.Sub(s.unreadableEnd.since) < unreadableEndWait {
+		status.Ended = confirmed
 	}
 	return status
 }
 
+func (s *session) lastAcknowledged() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acknowledged
+}
+
 // statusPollInterval is the time between two reads of the worker's status during a report.
 const statusPollInterval = 100 * time.Millisecond
 
--- a/agent/runs/unreadableends_test.go
+++ b/agent/runs/unreadableends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,34 +14,37 @@
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
-// firstEndUnreadableWorker has an end that can't be read while unreadable is set: the first one.
-type firstEndUnreadableWorker struct {
+// unreadableEndWorker has an end that can't be read: the one with the sequence number in unreadable.
+type unreadableEndWorker struct {
 	*fakes.RunWorker
-	unreadable atomic.Bool
+	unreadable atomic.Uint64
 }
 
-func (w *firstEndUnreadableWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
+func (w *unreadableEndWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
 	s, a, err := w.RunWorker.Renew(ctx, o, r)
-	if w.unreadable.Load() && len(s.Ended) > 0 && s.Ended[0].Sequence == 1 {
-		s.Ended, s.Partial = s.Ended[1:], true
-		s.EndsAfterUnreadable = len(s.Ended)
+	unreadable := w.unreadable.Load()
+	for i, e := range s.Ended {
+		if e.Sequence == unreadable {
+			s.Ended, s.Partial, s.EndsAfterUnreadable = slices.Delete(s.Ended, i, i+1), true, len(s.Ended)-i-1
+			break
+		}
 	}
 	return s, a, err
 }
 
-// withUnreadableEnd runs two tasks that succeed, of which the end of the first can't be read.
-func withUnreadableEnd(t *testing.T, f func(*leader, *firstEndUnreadableWorker)) {
+// withUnreadableEnd runs three tasks that succeed, of which the end of the first can't be read.
+func withUnreadableEnd(t *testing.T, f func(*leader, *unreadableEndWorker)) {
 	orders := &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}
-	for i := range uint32(2) {
+	for i := range uint32(3) {
 		task := jobqueue.TaskID{Job: firstTask.Job, Index: i}
 		orders.Starts = append(orders.Starts, &apiv1.StartOrder{Task: task.Ref(), Run: 1})
 	}
 	synctest.Test(t, func(t *testing.T) {
 		watch := fakes.NewRunChecker()
-		watch.AddJob(&apiv1.JobSpec{Id: firstTask.Job, Steps: []*apiv1.JobStep{{Count: 2}}})
-		w := &firstEndUnreadableWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}
+		watch.AddJob(&apiv1.JobSpec{Id: firstTask.Job, Steps: []*apiv1.JobStep{{Count: 3}}})
+		w := &unreadableEndWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}
 		w.Duration = func(id jobqueue.TaskID) time.Duration { return time.Duration(500+100*id.Index) * time.Millisecond }
-		w.unreadable.Store(true)
+		w.unreadable.Store(1)
 		l := &leader{epoch: 1, orders: orders}
 		d := runs.New(runs.Options{Worker: w, Leader: l})
 		defer runDriver(d)()
@@ -65,22 +69,37 @@
 // Guards against a task that runs again after it succeeded: its end could not be read at first, and
 // the worker discarded it because a later end was acknowledged.
 func TestEndIsReportedOnceItCanBeRead(t *testing.T) {
-	withUnreadableEnd(t, func(l *leader, w *firstEndUnreadableWorker) {
+	withUnreadableEnd(t, func(l *leader, w *unreadableEndWorker) {
+		time.Sleep(2 * time.Second)
+		w.unreadable.Store(0)
+		time.Sleep(2 * time.Second)
+		if ends := l.reportedEnds(); !ends[1] || !ends[2] || !ends[3] {
+			t.Errorf("the reported ends are %v, want 1 to 3", ends)
+		}
+	})
+}
+
+// Guards against a task that runs again after it succeeded: its end counts as one that stays unreadable,
+// since another one could not be read before.
+func TestEndsThatCantBeReadInTurnAreReported(t *testing.T) {
+	withUnreadableEnd(t, func(l *leader, w *unreadableEndWorker) {
 		time.Sleep(2 * time.Second)
-		w.unreadable.Store(false)
+		w.unreadable.Store(2)
+		time.Sleep(1500 * time.Millisecond)
+		w.unreadable.Store(0)
 		time.Sleep(2 * time.Second)
-		if ends := l.reportedEnds(); !ends[1] || !ends[2] {
-			t.Errorf("the reported ends are %v, want 1 and 2", ends)
+		if ends := l.reportedEnds(); !ends[1] || !ends[2] || !ends[3] {
+			t.Errorf("the reported ends are %v, want 1 to 3", ends)
 		}
 	})
 }
 
 // Guards against ends that are never reported because an earlier one can never be read.
 func TestUnreadableEndHoldsOthersBackForLimitedTime(t *testing.T) {
-	withUnreadableEnd(t, func(l *leader, _ *firstEndUnreadableWorker) {
+	withUnreadableEnd(t, func(l *leader, _ *unreadableEndWorker) {
 		time.Sleep(5 * time.Second)
-		if ends := l.reportedEnds(); !ends[2] {
-			t.Errorf("the reported ends are %v, want 2", ends)
+		if ends := l.reportedEnds(); !ends[2] || !ends[3] {
+			t.Errorf("the reported ends are %v, want 2 and 3", ends)
 		}
 	})
 }
