--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -190,7 +190,7 @@
 var errNumberRejected = errors.New("leader did not issue the session's number")
 
 // sendEnd sends a report that an incarnation has ended. A leader that knows a later session with the
-// worker rejects it for good: that session reports what becomes of the worker.
+// worker always rejects it: that session reports what becomes of the worker.
 func (s *session) sendEnd(ctx context.Context, end *endReport) error {
 	end.addCrashAge(s.d.opts.Now())
 	resp, err := s.sendNumbered(ctx, end.request)
--- a/fakes/runworker_calls.go
+++ b/fakes/runworker_calls.go
@@ -134,7 +134,7 @@
 	return runs.AnswerDone
 }
 
-// endStopped ends the runs that were stopped and have ended by now.
+// endStopped ends the runs whose stop has taken effect.
 func (w *RunWorker) endStopped() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
