agent/runs: few statuses do not show that an end stays unreadable

Cause: an end that can't be read is given up after 2 s, and while reports got no response these were two or three statuses. Now at least ten in a row have to show it. TestEndUnreadableInFewStatusesIsReported failed before ("map[2:true 3:true], want 1 to 3", for reports without a response for 4, 5 and 6 s).

--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -234,11 +234,16 @@
 // within which the end of a run has to be recorded.
 const unreadableEndWait = 2 * time.Second
 
+// minUnreadableStatuses is the number of statuses in a row from which on an end counts as one that stays
+// unreadable. While no leader responds, a few statuses take longer than unreadableEndWait.
+const minUnreadableStatuses = 10
+
 // unreadableEnd is an end that can't be read: the sequence number of the one before it, and since when
-// each status has had it; since is zero if there is none.
+// and in how many statuses in a row it was listed.
 type unreadableEnd struct {
-	after uint64
-	since time.Time
+	after    uint64
+	since    time.Time
+	statuses int
 }
 
 // withoutUnconfirmedEnds returns a status without the ends that the worker listed after one that
@@ -255,10 +260,11 @@
 	if n := len(confirmed); n > 0 {
 		after = max(after, confirmed[n-1].Sequence)
 	}
-	if s.unreadableEnd.since.IsZero() || s.unreadableEnd.after != after {
-		s.unreadableEnd = unreadableEnd{after, received}
+	if s.unreadableEnd.statuses == 0 || s.unreadableEnd.after != after {
+		s.unreadableEnd = unreadableEnd{after: after, since: received}
 	}
-	if received.Sub(s.unreadableEnd.since) < unreadableEndWait {
+	s.unreadableEnd.statuses++
+	if received.Sub(s.unreadableEnd.since) < unreadableEndWait || s.unreadableEnd.statuses < minUnreadableStatuses {
 		status.Ended = confirmed
 	}
 	return status
--- a/agent/runs/unreadableends_test.go
+++ b/agent/runs/unreadableends_test.go
@@ -53,6 +53,12 @@
 	})
 }
 
+func (l *leader) reportCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.reports)
+}
+
 // reportedEnds returns the sequence numbers of the ends that an agent reported.
 func (l *leader) reportedEnds() map[uint64]bool {
 	l.mu.Lock()
@@ -94,6 +100,29 @@
 	})
 }
 
+// Guards against a task that runs again after it succeeded: its end counts as one that stays unreadable
+// after the few statuses that were requested while reports got no response.
+func TestEndUnreadableInFewStatusesIsReported(t *testing.T) {
+	for _, hang := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second, 6 * time.Second} {
+		t.Run(hang.String(), func(t *testing.T) {
+			withUnreadableEnd(t, func(l *leader, w *unreadableEndWorker) {
+				time.Sleep(300 * time.Millisecond)
+				l.update(func() { l.reportsHang = true })
+				time.Sleep(hang)
+				l.update(func() { l.reportsHang = false })
+				for before := l.reportCount(); l.reportCount() == before; {
+					time.Sleep(10 * time.Millisecond)
+				}
+				w.unreadable.Store(0)
+				time.Sleep(3 * time.Second)
+				if ends := l.reportedEnds(); !ends[1] || !ends[2] || !ends[3] {
+					t.Errorf("the reported ends are %v, want 1 to 3", ends)
+				}
+			})
+		})
+	}
+}
+
 // Guards against ends that are never reported because an earlier one can never be read.
 func TestUnreadableEndHoldsOthersBackForLimitedTime(t *testing.T) {
 	withUnreadableEnd(t, func(l *leader, _ *unreadableEndWorker) {
