scenario: each process is in a process group of its own

The shell that had started the run in the background ended while entry1 was frozen: its process group became orphaned with a stopped member, and the kernel ends such members with SIGHUP and SIGCONT. The product has no part in it.

--- a/scenario/process.go
+++ b/scenario/process.go
@@ -32,7 +32,8 @@
 	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Dir, cmd.Env = dir, env
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// In the group of the test, a frozen process would end with SIGHUP if the shell that started the test exits.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Wrapf(err, "%s", name)
 	}
