--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -189,8 +189,8 @@
 // errNumberRejected means that the leader changed again while a session obtained its number.
 var errNumberRejected = errors.New("leader did not issue the session's number")
 
-// sendEnd sends a report that an incarnation has ended. A leader that knows a later session with the
-// worker always rejects it: that session reports what becomes of the worker.
+// sendEnd sends a report that an incarnation has ended. It is not repeated if a leader rejects it because
+// it knows a later session with the worker, which reports the worker's end itself.
 func (s *session) sendEnd(ctx context.Context, end *endReport) error {
 	end.addCrashAge(s.d.opts.Now())
 	resp, err := s.sendNumbered(ctx, end.request)
