agent/runs: a run whose end was listed may be in an unreadable row

Cause: behind a partial status a run is returned if it can't be in the part that could not be read. A run whose end had been listed was taken for gone, though its end stays listed until it is acknowledged: where a later status could not read that row, the run was returned and its task started again.

Change: a run counts as possibly unreadable until a complete status lists it no more, neither as running nor as ended. TestRunWhoseListedEndCantBeReadIsNotReturned failed before ("the run is returned although it began").

--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -50,7 +50,7 @@
 	for _, e := range status.Ended {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(e.Task), Number: e.Run}
 		delete(s.startsInFlight, id)
-		delete(s.runsPresent, id)
+		s.runsPresent[id] = true
 		s.callHistory.recordEnded(id)
 	}
 	for _, id := range s.startsInFlight.expire(requested) {
--- a/agent/runs/partialstatus_test.go
+++ b/agent/runs/partialstatus_test.go
@@ -82,6 +82,12 @@
 	}
 	w.unreadable.Store(false)
 	time.Sleep(4 * statusInterval)
+	checkEndIsReportedFirst(t, l)
+}
+
+// checkEndIsReportedFirst checks that the end of a run is reported, and that the run is not returned before.
+func checkEndIsReportedFirst(t *testing.T, l *leader) {
+	t.Helper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.reports {
@@ -157,6 +163,36 @@
 	}
 }
 
+// Guards against a task that runs again after it succeeded: its end was listed and not yet reported, and
+// then its row can't be read.
+func TestRunWhoseListedEndCantBeReadIsNotReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{epoch: 1, orders: idleOrders()}
+		watch := fakes.NewRunChecker()
+		watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &partialWorker{countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}}
+		w.Fault = w.fault
+		w.Duration = func(jobqueue.TaskID) time.Duration { return 2 * time.Second }
+		d := runs.New(runs.Options{Worker: w, Leader: promptLeader{l}})
+		defer runDriver(d)()
+		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+		time.Sleep(previousCallsExpired)
+		l.update(func() { l.orders = startOrders(2, 1) })
+		time.Sleep(time.Second)
+		l.update(func() { l.reportsFail = true })
+		time.Sleep(2 * time.Second)
+		w.unreadable.Store(true)
+		w.refusedCalls.Store("stop")
+		l.update(func() { l.orders = stopOrders(3, 1) })
+		time.Sleep(2 * time.Second)
+		l.update(func() { l.reportsFail = false })
+		time.Sleep(time.Second)
+		w.unreadable.Store(false)
+		time.Sleep(2 * time.Second)
+		checkEndIsReportedFirst(t, l)
+	})
+}
+
 // Guards against a task that waits forever: its worker refused the start and confirmed the stop, and
 // one row of its status can never be read.
 func TestRefusedRunIsReturnedInSpiteOfPartialStatus(t *testing.T) {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -75,9 +75,9 @@
 	startsInFlight startsInFlight
 	// previousCallsSettled: the status shows all starts that a previous agent sent.
 	previousCallsSettled bool
-	// runsPresent are the runs that the last complete status listed as running, and those that may
-	// have begun since and whose end no status listed. allRunsKnown: there was such a status after the
-	// calls of a previous agent were settled.
+	// runsPresent are the runs that the last complete status listed, as running or ended, and those that
+	// may have begun since. allRunsKnown: there was such a status after the calls of a previous agent
+	// were settled.
 	runsPresent  map[jobqueue.RunID]bool
 	allRunsKnown bool
 }
