jobqueue, schedule: a pending verdict holds the task that it is about

Callers saw a task that crashes its workers start a third time after three crashes, and with it a further worker crash.

Cause: a task that is out of starts (startsExhausted) has not reached the limit by its history alone, and mayRun asked only for that. While its verdict waited up to three seconds for silent workers, the planner ordered it again.

Why it works: starts ask HeldByCrashLimit, which covers both ways to the limit. The verdict is settled three seconds later: the job fails, or the task may start again. The planner leaves such tasks out, as those without attempts: their starts were proposed in each round, and reserved room there.

TestPendingVerdictHoldsTaskThatIsOutOfStarts and TestTaskHeldByCrashLimitIsNotProposed failed before ("the task starts while its verdict is pending"; "run:3 worker:w2 is proposed").

--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -111,6 +111,13 @@
 	m.excuseOthers(id.StepID())
 }
 
+// HeldByCrashLimit reports whether a task must not be started because its job fails, or may fail, by the
+// crash limit. A task that is out of starts has not reached the limit by its history alone.
+func (m *Machine) HeldByCrashLimit(id TaskID, t *Task) bool {
+	_, pending := m.pendingVerdicts[id]
+	return pending || t.Crashes.LimitReached()
+}
+
 // undoRefusedStart reverts a start that the worker refused, so that it never began.
 func (m *Machine) undoRefusedStart(r *Run) {
 	if r == nil {
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -247,6 +247,31 @@
 	}
 }
 
+// Guards against a further start of a task that is out of starts, while its verdict waits for silent workers.
+func TestPendingVerdictHoldsTaskThatIsOutOfStarts(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		r := newCrashHarness(t)
+		r.restoreEachTime = restored
+		for i, worked := range [][3]time.Duration{{1, 9, 4}, {3, 7, 6}, {2, 5, 8}, {2, 4, 3}} {
+			r.startTogether(0, 1, 2)
+			for _, host := range []int{1, 2, 0} {
+				r.crashAt(host, int64(1000+10_000*i), uint32(host), worked[host]*time.Second)
+			}
+		}
+		r.start(0, 0)
+		r.incarnations[0]++
+		r.report(0, &apiv1.WorkerCrash{AtMs: 50_000, OthersSilent: true, Worked: []*apiv1.RunWork{{
+			Task: r.task(0).Ref(), Run: r.m.Task(r.task(0)).LastRun, WorkedMs: 3000, AtMostMs: 3000, Began: true,
+		}}})
+		if len(r.m.VerdictsDue(1+verdictDelayMs)) != 1 {
+			t.Fatalf("restored %v: no verdict is pending", restored)
+		}
+		if r.start(0, 0) {
+			t.Errorf("restored %v: the task starts while its verdict is pending", restored)
+		}
+	}
+}
+
 // Guards against failing a job for crashes that another step explains, which crashed a worker without it:
 // its own runs had ended, unnoticed.
 func TestCrashesThatAnotherStepExplainsDoNotFailJob(t *testing.T) {
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -138,7 +138,7 @@
 	if !j.Occurrences[id.Occurrence].StepReady(int(id.Step)) {
 		return false
 	}
-	if !m.AttemptsLeft(j, s.Spec, t) || t.Crashes.LimitReached() {
+	if !m.AttemptsLeft(j, s.Spec, t) || m.HeldByCrashLimit(id, t) {
 		return false
 	}
 	copies := 1
--- a/schedule/probation_test.go
+++ b/schedule/probation_test.go
@@ -6,15 +6,19 @@
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/crashloop"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // crash ends a worker without notice just after its runs have started, and begins its next
 // incarnation.
-func (r *harness) crash(id, next string) {
+func (r *harness) crash(id, next string) { r.crashBesideSilentWorkers(id, next, false) }
+
+// crashBesideSilentWorkers is like crash, while several other workers are silent or not.
+func (r *harness) crashBesideSilentWorkers(id, next string, othersSilent bool) {
 	r.t.Helper()
 	w := r.machine.Worker(id)
-	crash := &apiv1.WorkerCrash{}
+	crash := &apiv1.WorkerCrash{OthersSilent: othersSilent}
 	for _, run := range w.SortedRunIDs() {
 		crash.Worked = append(crash.Worked, &apiv1.RunWork{Task: run.Task.Ref(), Run: run.Number, Began: true})
 	}
@@ -55,6 +59,24 @@
 	}
 }
 
+// Guards against starts that are proposed in each round although the machine rejects them: the task's job
+// may fail by the crash limit once silent workers have reported.
+func TestTaskHeldByCrashLimitIsNotProposed(t *testing.T) {
+	r := newHarness(t)
+	r.addWorker("w0", 32_000, 64_000)
+	r.submit("batch", "suspect", shortTasks(1))
+	for i := range crashloop.MaxSoleCauseCrashes {
+		r.plan()
+		r.crashBesideSilentWorkers(fmt.Sprint("w", i), fmt.Sprint("w", i+1), true)
+	}
+	if !r.machine.Job("suspect").Open() {
+		t.Fatal("the job has failed")
+	}
+	if d := r.plan(); len(d.Starts) > 0 {
+		t.Errorf("%v is proposed", d.Starts)
+	}
+}
+
 // Guards against probations that use more than their share of a pool, at two sizes of fleet.
 func TestProbationsUseLimitedShareOfPool(t *testing.T) {
 	for _, workers := range []int{6, 60} {
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -111,7 +111,7 @@
 				if s.FullyScheduled() && !s.Spec.AllowDuplicates || s.Succeeded() || !o.StepReady(i) {
 					continue
 				}
-				tasks, suspects := splitSuspects(s, r.waitingTasks(j, s))
+				tasks, suspects := splitSuspects(s, r.waitingTasks(j, k, i))
 				if len(tasks) > 0 {
 					found = append(found, r.newCandidate(j, k, i, s, tasks))
 				}
@@ -126,14 +126,17 @@
 	return found
 }
 
-// waitingTasks returns the tasks that have no run, and those that may have a second run because the
-// worker of the first is unreachable. Tasks without attempts left are excluded: the state machine
-// rejects their starts, which would reserve capacity in each round. For a gang it returns all tasks
-// or none.
-func (r *round) waitingTasks(j *jobqueue.Job, s *jobqueue.Step) []int {
+// waitingTasks returns the tasks of a step that have no run, and those that may have a second run because
+// the worker of the first is unreachable. Tasks without attempts left, or held by the crash limit, are
+// excluded: the state machine rejects their starts, which would reserve capacity in each round. For a
+// gang it returns all tasks or none.
+func (r *round) waitingTasks(j *jobqueue.Job, occurrence, stepIndex int) []int {
+	s := j.Occurrences[occurrence].Steps[stepIndex]
 	var tasks []int
 	for i, t := range s.Tasks {
-		if !t.Done && (len(t.Runs) == 0 || r.mayDuplicate(s, t)) && r.machine.AttemptsLeft(j, s.Spec, t) {
+		id := jobqueue.TaskID{Job: j.ID(), Occurrence: uint32(occurrence), Step: uint32(stepIndex), Index: uint32(i)}
+		runnable := len(t.Runs) == 0 || r.mayDuplicate(s, t)
+		if !t.Done && runnable && r.machine.AttemptsLeft(j, s.Spec, t) && !r.machine.HeldByCrashLimit(id, t) {
 			tasks = append(tasks, i)
 		}
 	}
