dispatch: each job that fails by the crash limit is logged

Callers saw a job `failed`; on call there was no line that said so, and dispatch.jobs_at_crash_limit did not count it.

Cause: `job is given up` was written after a report with a crash and after a verdict that was due. A job also fails where lost runs are released, without a crash in the command.

TestJobThatFailsWithLostRunIsLogged failed before (0 lines).

Why it works: each round of the leader looks through the jobs that have finished since the last one, whichever command finished them. The record of a failed job keeps the last run of the task that failed it, which the line names; the task itself is discarded. A new leader starts five seconds back, since its predecessor may have lost the leadership before it logged. A job with a verdict that was due now has its run in the line as well.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -11,7 +11,6 @@
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/event"
-	"github.com/cairnlift/cairnlift/state"
 )
 
 // reportedCrash returns the worker that a report shows to have crashed and its crash, nil if there is
@@ -118,20 +117,14 @@
 		event.Worked(map[string][]string{w.Spec.Id: names}))
 }
 
-// logSuspects logs the tasks that are suspect after a crash, and the jobs that failed at the crash
-// limit.
+// logSuspects logs the tasks that are suspect after a crash.
 func (d *Dispatcher) logSuspects(m *jobqueue.Machine, applied appliedReport) {
 	var suspects []string
 	for _, w := range applied.command.GetCrash().GetWorked() {
 		id := jobqueue.TaskIDOf(w.Task)
-		j := m.Job(id.Job)
-		if _, wasOpen := applied.openJobs[id.Job]; !wasOpen || j == nil {
+		if _, wasOpen := applied.openJobs[id.Job]; !wasOpen {
 			continue
 		}
-		if j.Failure == apiv1.JobFailure_JOB_FAILURE_CRASHES && j.FailedTask == id && !d.leader.finishLogged[id.Job] {
-			d.metrics.jobsAtCrashLimit.Inc(1)
-			event.JobFailed.Write(d.logger, event.Term(applied.term), event.Task(id), event.Run(w.Run))
-		}
 		if task := m.Task(id); task != nil && task.Crashes.Suspect() {
 			suspects = append(suspects, fmt.Sprintf("%s %d %d", id, task.Crashes.Similar(), task.Crashes.SoleCauses()))
 		}
@@ -141,20 +134,22 @@
 	}
 }
 
-// logVerdicts logs the tasks that have failed their jobs by the crash limit some time after the last
-// crash.
-func (d *Dispatcher) logVerdicts(term uint64, verdicts []jobqueue.TaskID) {
-	if len(verdicts) == 0 {
-		return
-	}
-	d.opts.Replica.ReadState(func(m *state.Machine) {
-		for _, id := range verdicts {
-			if j := m.CallerJobs().Job(id.Job); j != nil && j.Failure == apiv1.JobFailure_JOB_FAILURE_CRASHES && j.FailedTask == id {
-				d.metrics.jobsAtCrashLimit.Inc(1)
-				event.JobFailed.Write(d.logger, event.Term(term), event.Task(id))
-			}
+// takeoverLogOverlap is how long before a leader took over jobs may have failed that its predecessor did
+// not log, because it had lost the leadership.
+const takeoverLogOverlap = 5 * time.Second
+
+// logJobsAtCrashLimit logs, once each, the jobs that have failed by the crash limit, whichever command
+// failed them: the report of a crash, the loss of a run, or a verdict that was due.
+func (d *Dispatcher) logJobsAtCrashLimit(l *leaderState, m *jobqueue.Machine) {
+	for _, j := range m.FinishedSince(l.crashLimitLoggedMs) {
+		l.crashLimitLoggedMs = j.FinishedMs
+		if j.Failure != apiv1.JobFailure_JOB_FAILURE_CRASHES || l.crashLimitLogged[j.ID()] {
+			continue
 		}
-	})
+		l.crashLimitLogged[j.ID()] = true
+		d.metrics.jobsAtCrashLimit.Inc(1)
+		event.JobFailed.Write(d.logger, event.Term(l.term), event.Task(j.FailedTask), event.Run(j.FailedRun))
+	}
 }
 
 // logProbationsPassed logs the tasks whose probation succeeded.
--- /dev/null
+++ b/dispatch/crashlimit_test.go
@@ -0,0 +1,139 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/crashloop"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+const (
+	// crashedJobID is the job of a crashLimitHarness, and crashedRuntime how long its runs work until
+	// their worker crashes.
+	crashedJobID   = "crashed"
+	crashedRuntime = 2 * time.Second
+)
+
+// crashLimitHarness is a leader with one host, whose agent and worker the test plays, and a job with one
+// task.
+type crashLimitHarness struct {
+	t *testing.T
+	s *sim
+	// incarnation counts the incarnations of the worker.
+	incarnation int
+}
+
+func runCrashLimitSim(t *testing.T, test func(*crashLimitHarness)) {
+	runSim(t, 1, 0, func(t *testing.T, s *sim) {
+		r := &crashLimitHarness{t: t, s: s, incarnation: 1}
+		s.sleep(time.Second)
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+		s.submitJob(&apiv1.JobSpec{Id: crashedJobID, Host: simHost, Path: "/q/" + crashedJobID, Steps: []*apiv1.JobStep{
+			{Count: 1, CpuMilli: 100, MemoryMb: 10, EstimatedMs: 500},
+		}})
+		test(r)
+	})
+}
+
+func (r *crashLimitHarness) worker() *apiv1.JobWorker {
+	return &apiv1.JobWorker{
+		Id: fmt.Sprintf("w@%d", r.incarnation), Host: "h1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000,
+	}
+}
+
+func (r *crashLimitHarness) report(q *apiv1.JobsReportRequest) *apiv1.JobsReportResponse {
+	r.t.Helper()
+	resp, err := r.s.dispatcher.Report(r.s.ctx, q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return resp
+}
+
+// awaitRun waits until the leader has ordered a run.
+func (r *crashLimitHarness) awaitRun() *apiv1.RunWork {
+	r.t.Helper()
+	for range 100 {
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+		if ids := r.s.runsOn(r.worker().Id); len(ids) > 0 {
+			return &apiv1.RunWork{Task: ids[0].Task.Ref(), Run: ids[0].Number}
+		}
+		r.s.sleep(100 * time.Millisecond)
+	}
+	r.t.Fatal("no run is ordered")
+	return nil
+}
+
+// worked returns the account of a run that had worked until its worker crashed.
+func worked(run *apiv1.RunWork) *apiv1.RunWork {
+	run.Began, run.WorkedMs, run.AtMostMs = true, crashedRuntime.Milliseconds(), crashedRuntime.Milliseconds()
+	return run
+}
+
+// crash reports that the worker has crashed with the given runs, and starts its next incarnation.
+func (r *crashLimitHarness) crash(runs ...*apiv1.RunWork) {
+	r.t.Helper()
+	r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Departed: true, Crashed: true, Worked: runs})
+	r.incarnation++
+	r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+}
+
+// crashRepeatedly crashes the worker under as many runs as it takes for the starts to be counted.
+func (r *crashLimitHarness) crashRepeatedly() {
+	r.t.Helper()
+	for range crashloop.RepeatedCrashes {
+		r.crash(worked(r.awaitRun()))
+	}
+}
+
+// loseRun has the worker's lease expire.
+func (r *crashLimitHarness) loseRun() {
+	r.t.Helper()
+	r.awaitRun()
+	lease, err := r.s.dispatcher.Orders(r.s.ctx, &apiv1.JobsOrdersRequest{Host: "h1"})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Lapsed: true, LeaseTerm: lease.Term, LeaseNumber: lease.LeaseNumber})
+}
+
+func (r *crashLimitHarness) job() (j *jobqueue.Job) {
+	r.s.replica.ReadState(func(m *state.Machine) { j = m.CallerJobs().Job(crashedJobID) })
+	return j
+}
+
+// Guards against a job that fails by the crash limit without a line in the log: it fails by the loss of a
+// run, not by the report of a crash.
+func TestJobThatFailsWithLostRunIsLogged(t *testing.T) {
+	runCrashLimitSim(t, func(r *crashLimitHarness) {
+		r.crashRepeatedly()
+		for range crashloop.MaxStartsAfterRepeatedCrashes {
+			r.loseRun()
+		}
+		r.s.sleep(time.Second)
+		if j := r.job(); j.Failure != apiv1.JobFailure_JOB_FAILURE_CRASHES {
+			t.Fatalf("the job is %v for %v", j.State, j.Failure)
+		}
+		if n := strings.Count(r.s.logBuffer.String(), "job is given up"); n != 1 {
+			t.Errorf("%d lines say that the job is given up", n)
+		}
+	})
+}
+
+// Guards against two lines for a job that fails by the report of a crash.
+func TestJobThatFailsWithCrashIsLoggedOnce(t *testing.T) {
+	runCrashLimitSim(t, func(r *crashLimitHarness) {
+		for range crashloop.RepeatedCrashes + crashloop.MaxStartsAfterRepeatedCrashes {
+			r.crash(worked(r.awaitRun()))
+		}
+		r.s.sleep(time.Second)
+		if n := strings.Count(r.s.logBuffer.String(), "job is given up"); n != 1 {
+			t.Errorf("%d lines say that the job is given up", n)
+		}
+	})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
-	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/logging/dependency"
 	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/state"
@@ -141,12 +140,11 @@
 
 // round decides and commits one plan.
 func (d *Dispatcher) round(ctx context.Context) {
-	plan, expired, verdicts := d.decide()
+	plan, expired := d.decide()
 	if plan == nil {
 		return
 	}
 	committed := d.commitPlan(ctx, plan)
-	d.logVerdicts(plan.Term, verdicts)
 	if len(expired) > 0 {
 		d.finishExpiries(plan.Term, expired, committed)
 	}
@@ -165,20 +163,21 @@
 	return err == nil && res.Job == apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
-// decide returns the plan to commit, nil if there is nothing to do, the workers whose leases expire
-// with it, and the tasks whose jobs may fail with it by the crash limit.
-func (d *Dispatcher) decide() (plan *apiv1.PlanRuns, expired []string, verdicts []jobqueue.TaskID) {
+// decide returns the plan to commit, nil if there is nothing to do, and the workers whose leases expire
+// with it.
+func (d *Dispatcher) decide() (plan *apiv1.PlanRuns, expired []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.readyLeader()
 	if l == nil {
-		return nil, nil, nil
+		return nil, nil
 	}
+	verdictsDue := false
 	now := d.opts.Now()
 	started := time.Now()
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
-		verdicts = jobs.VerdictsDue(now.UnixMilli())
+		verdictsDue = len(jobs.VerdictsDue(now.UnixMilli())) > 0
 		plan = &apiv1.PlanRuns{Term: l.term}
 		plan.Lapsed = l.leases.expire(jobs.Workers(), now)
 		for _, id := range plan.Lapsed {
@@ -196,14 +195,15 @@
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
+		d.logJobsAtCrashLimit(l, jobs)
 		l.prune(jobs, now)
 		l.batchedLog.flushIfDue(l.term, now)
 	})
 	d.metrics.planning.ObserveSince(started)
-	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed)+len(plan.TrialsOver)+len(verdicts) == 0 && plan.Learnt == nil {
-		return nil, nil, nil
+	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed)+len(plan.TrialsOver) == 0 && !verdictsDue && plan.Learnt == nil {
+		return nil, nil
 	}
-	return plan, plan.Lapsed, verdicts
+	return plan, plan.Lapsed
 }
 
 func jobsCommand(c *apiv1.JobsCommand) *apiv1.Command {
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -42,9 +42,13 @@
 	unlogged map[string][]jobqueue.RunID
 	// finishLogged are the jobs whose end was logged.
 	finishLogged map[string]bool
-	moves        *leaderMoves
-	outages      *outages
-	stops        *openStops
+	// crashLimitLogged are the jobs whose failure by the crash limit was logged, and crashLimitLoggedMs
+	// the time of the log up to which jobs were looked through for such failures.
+	crashLimitLogged   map[string]bool
+	crashLimitLoggedMs int64
+	moves              *leaderMoves
+	outages            *outages
+	stops              *openStops
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -104,25 +108,27 @@
 	planner := schedule.New()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.RestoreLearned(m.CallerJobs().Learned(), now) })
 	d.leader = &leaderState{
-		term:             term,
-		planner:          planner,
-		learnedSavedAt:   now,
-		leases:           newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
-		reports:          newReportOrder(term),
-		observed:         map[jobqueue.RunID]schedule.Observation{},
-		contacts:         newContactTracker(d.opts.ContactTimeout),
-		endsRecorded:     map[string]uint64{},
-		refusalsRecorded: map[jobqueue.RunID]bool{},
-		orderRevisions:   map[string]uint64{},
-		loggedWaits:      map[jobqueue.StepID]loggedWait{},
-		batchedLog:       newBatchedLog(d.logger),
-		savedCheckpoints: map[jobqueue.RunID]savedCheckpoint{},
-		lossLoggedEpoch:  map[string]uint64{},
-		finishLogged:     map[string]bool{},
-		unlogged:         map[string][]jobqueue.RunID{},
-		moves:            newLeaderMoves(now),
-		outages:          newOutages(),
-		stops:            newOpenStops(),
+		term:               term,
+		planner:            planner,
+		learnedSavedAt:     now,
+		leases:             newLeaseTable(now, d.opts.LeaseDuration, d.opts.ContactTimeout),
+		reports:            newReportOrder(term),
+		observed:           map[jobqueue.RunID]schedule.Observation{},
+		contacts:           newContactTracker(d.opts.ContactTimeout),
+		endsRecorded:       map[string]uint64{},
+		refusalsRecorded:   map[jobqueue.RunID]bool{},
+		orderRevisions:     map[string]uint64{},
+		loggedWaits:        map[jobqueue.StepID]loggedWait{},
+		batchedLog:         newBatchedLog(d.logger),
+		savedCheckpoints:   map[jobqueue.RunID]savedCheckpoint{},
+		lossLoggedEpoch:    map[string]uint64{},
+		finishLogged:       map[string]bool{},
+		crashLimitLogged:   map[string]bool{},
+		crashLimitLoggedMs: now.Add(-takeoverLogOverlap).UnixMilli(),
+		unlogged:           map[string][]jobqueue.RunID{},
+		moves:              newLeaderMoves(now),
+		outages:            newOutages(),
+		stops:              newOpenStops(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -229,9 +235,11 @@
 			delete(l.unlogged, worker)
 		}
 	}
-	for id := range l.finishLogged {
-		if m.Job(id) == nil {
-			delete(l.finishLogged, id)
+	for _, logged := range []map[string]bool{l.finishLogged, l.crashLimitLogged} {
+		for id := range logged {
+			if m.Job(id) == nil {
+				delete(logged, id)
+			}
 		}
 	}
 }
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -134,6 +134,21 @@
 	return nil
 }
 
+// FinishedSince returns the jobs that finished at the given time of the log or later, oldest first.
+func (m *Machine) FinishedSince(ms int64) []*Job {
+	first := len(m.finished)
+	for first > 0 && m.jobs[m.finished[first-1]].FinishedMs >= ms {
+		first--
+	}
+	var jobs []*Job
+	for _, id := range m.finished[first:] {
+		if j := m.Job(id); j != nil {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
 // Active returns the jobs that have tasks to run or runs to stop, ordered by ID.
 func (m *Machine) Active() []*Job {
 	return slices.Clone(m.active.values)
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -38,7 +38,7 @@
 func (j *Job) Record() *apiv1.SubmittedJobRecord {
 	r := &apiv1.SubmittedJobRecord{
 		Spec: j.Spec, Queue: j.Queue, State: j.State, Started: j.Started,
-		AcceptedMs: j.AcceptedMs, FinishedMs: j.FinishedMs, Failure: j.Failure,
+		AcceptedMs: j.AcceptedMs, FinishedMs: j.FinishedMs, Failure: j.Failure, FailedRun: j.FailedRun,
 	}
 	if j.Failure != apiv1.JobFailure_JOB_FAILURE_UNSPECIFIED {
 		r.FailedTask = j.FailedTask.Ref()
@@ -122,7 +122,7 @@
 func (m *Machine) restoreJob(r *apiv1.SubmittedJobRecord) error {
 	j := &Job{
 		Spec: r.Spec, Queue: r.Queue, State: r.State, Started: r.Started,
-		AcceptedMs: r.AcceptedMs, FinishedMs: r.FinishedMs, Failure: r.Failure,
+		AcceptedMs: r.AcceptedMs, FinishedMs: r.FinishedMs, Failure: r.Failure, FailedRun: r.FailedRun,
 	}
 	if r.FailedTask != nil {
 		j.FailedTask = TaskIDOf(r.FailedTask)
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -131,6 +131,9 @@
 // failJob fails a job because one of its tasks cannot be completed.
 func (m *Machine) failJob(j *Job, task TaskID, why apiv1.JobFailure) {
 	j.Failure, j.FailedTask = why, task
+	if t, _ := m.task(task); t != nil {
+		j.FailedRun = t.LastRun
+	}
 	m.finish(j, apiv1.JobState_JOB_STATE_FAILED)
 }
 
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -94,10 +94,11 @@
 	AcceptedMs  int64
 	FinishedMs  int64
 	Occurrences []*Occurrence
-	// Failure is the reason why the job failed, and FailedTask the task that caused it. Both are
-	// unset unless the job failed.
+	// Failure is the reason why the job failed, FailedTask the task that caused it, and FailedRun the
+	// last run of that task. All are unset unless the job failed.
 	Failure    apiv1.JobFailure
 	FailedTask TaskID
+	FailedRun  uint64
 	// openSteps counts the steps with unfinished tasks, and liveRuns the runs that reserve
 	// resources on a worker.
 	openSteps int
