agent/runs, dispatch, jobqueue: a start that never reached its worker does not count towards the crash limit

Callers saw a short job `failed` by the crash limit that crashes nothing: after two crashes near it, two starts went to workers that had just crashed.

Cause: the agent knew that its calls were never sent (connection refused), and told it with the account of the crash; the leader used that only to leave the run out of the account. The start still counted (MaxStartsAfterRepeatedCrashes), and the job failed when the runs of the worker were released. Only a start that a living worker refused was undone.

Why it works: the reports that end the runs of a worker, of its end and of its expired lease, return the starts that never began, as the agent returns refused ones. The machine undoes them before it releases the runs; a run that was lost with its lease before is undone too. A call that may have reached the worker returns nothing, and no call starts once the report is drawn up.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -63,6 +63,9 @@
 	c.starts[id] = s
 }
 
+// neverSent reports whether no start call for a run has reached the worker.
+func (c *callHistory) neverSent(id jobqueue.RunID) bool { return c.starts[id].neverSent }
+
 // recordConfirmed records that the worker reported a run as present.
 func (c *callHistory) recordConfirmed(id jobqueue.RunID, now time.Time) {
 	s := c.starts[id]
@@ -180,12 +183,13 @@
 	r.request.CrashedAgoMs, r.request.CrashUncertaintyMs = &ago, r.crashed.uncertainty.Milliseconds()
 }
 
-// departureReport returns the report that the incarnation has ended. An incarnation that neither
-// drained nor reported its departure has crashed.
+// departureReport returns the report that the incarnation has ended, and ends the session's calls. An
+// incarnation that neither drained nor reported its departure has crashed.
 func (s *session) departureReport() *endReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &endReport{request: &apiv1.JobsReportRequest{Worker: s.announced.Worker, Departed: true}}
+	s.finished = true
+	r := &endReport{request: &apiv1.JobsReportRequest{Worker: s.announced.Worker, Departed: true, Refusals: s.startsNotBegun()}}
 	if s.announced.Departed || s.announced.Worker.Draining {
 		return r
 	}
--- a/agent/runs/expiry.go
+++ b/agent/runs/expiry.go
@@ -109,7 +109,7 @@
 	}
 	resp, err := d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{
 		Worker: &apiv1.JobWorker{Id: counted.LeaseWorker, Host: d.opts.Host}, Lapsed: true,
-		LeaseTerm: counted.Term, LeaseNumber: counted.LeaseNumber,
+		LeaseTerm: counted.Term, LeaseNumber: counted.LeaseNumber, Refusals: d.startsNotBegun(counted.LeaseWorker),
 	})
 	if err == nil && resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
 		err = errLeaseRenewed
@@ -120,6 +120,18 @@
 	return err
 }
 
+// startsNotBegun returns the starts that never began on a worker whose lease has expired. Without a lease
+// no start is sent, and under a later one these orders are void.
+func (d *Driver) startsNotBegun(worker string) []*apiv1.RunRefusal {
+	s := d.current()
+	if s == nil || s.incarnation != worker {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.startsNotBegun()
+}
+
 // unconfirmedStarts returns how long ago a worker last answered, and how many ordered starts are
 // not confirmed; 0 where the agent has no session with that worker.
 func (d *Driver) unconfirmedStarts(worker string) (sinceAnswer time.Duration, starts int) {
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -237,6 +237,11 @@
 func (s *session) pendingRefusals() []*apiv1.RunRefusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.returnedStarts()
+}
+
+// returnedStarts returns the runs that are returned to the leader. The caller must hold s.mu.
+func (s *session) returnedStarts() []*apiv1.RunRefusal {
 	var list []*apiv1.RunRefusal
 	for id, reason := range s.refusals {
 		list = append(list, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number, Reason: reason})
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -74,7 +74,7 @@
 	defer s.mu.Unlock()
 	leased := s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 	switch {
-	case o.stop || s.isVoid(o):
+	case s.finished || o.stop || s.isVoid(o):
 		return startCall{}, false, true
 	case !leased:
 		return startCall{}, false, false
--- a/agent/runs/startsinflight.go
+++ b/agent/runs/startsinflight.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -82,6 +83,23 @@
 	return inFlight || !s.previousCallsSettled
 }
 
+// notSentReason is why a start is returned that never reached its worker.
+const notSentReason = "never sent"
+
+// startsNotBegun returns the ordered starts that never reached the worker, and those that are returned to
+// the leader anyway, in a session that sends no more starts. The caller must hold s.mu.
+func (s *session) startsNotBegun() []*apiv1.RunRefusal {
+	list := s.returnedStarts()
+	for id, o := range s.orders {
+		_, returned := s.refusals[id]
+		neverSent := o.notOrderedBefore && (!o.maybeSent || s.callHistory.neverSent(id))
+		if o.start != nil && neverSent && !returned {
+			list = append(list, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number, Reason: notSentReason})
+		}
+	}
+	return list
+}
+
 // startsSettled reports whether the last status shows all runs that were ever started, in a session
 // that sends no more starts.
 func (s *session) startsSettled() bool {
--- a/dispatch/crashlimit_test.go
+++ b/dispatch/crashlimit_test.go
@@ -91,15 +91,21 @@
 	}
 }
 
-// loseRun has the worker's lease expire.
+// loseRun has the worker's lease expire while it has a run.
 func (r *crashLimitHarness) loseRun() {
 	r.t.Helper()
 	r.awaitRun()
+	r.loseRunAndReturn(nil)
+}
+
+// loseRunAndReturn has the worker's lease expire. The report of that returns some starts.
+func (r *crashLimitHarness) loseRunAndReturn(refusals []*apiv1.RunRefusal) {
+	r.t.Helper()
 	lease, err := r.s.dispatcher.Orders(r.s.ctx, &apiv1.JobsOrdersRequest{Host: "h1"})
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Lapsed: true, LeaseTerm: lease.Term, LeaseNumber: lease.LeaseNumber})
+	r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Lapsed: true, LeaseTerm: lease.Term, LeaseNumber: lease.LeaseNumber, Refusals: refusals})
 }
 
 func (r *crashLimitHarness) job() (j *jobqueue.Job) {
@@ -137,3 +143,33 @@
 		}
 	})
 }
+
+// Guards against a job that crashes nothing and fails by starts that never reached their workers.
+func TestStartsThatNeverReachedWorkersDoNotFailJob(t *testing.T) {
+	lapse := func(r *crashLimitHarness, refusals []*apiv1.RunRefusal) {
+		r.loseRunAndReturn(refusals)
+		r.incarnation++
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+	}
+	depart := func(r *crashLimitHarness, refusals []*apiv1.RunRefusal) {
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Departed: true, Crashed: true, Refusals: refusals})
+		r.incarnation++
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+	}
+	for name, end := range map[string]func(*crashLimitHarness, []*apiv1.RunRefusal){"worker crashed": depart, "lease expired": lapse} {
+		t.Run(name, func(t *testing.T) {
+			runCrashLimitSim(t, func(r *crashLimitHarness) {
+				r.crashRepeatedly()
+				for range crashloop.MaxStartsAfterRepeatedCrashes {
+					run := r.awaitRun()
+					end(r, []*apiv1.RunRefusal{{Task: run.Task, Run: run.Run, Reason: "never sent"}})
+				}
+				r.s.sleep(time.Second)
+				if j := r.job(); !j.Open() {
+					t.Errorf("the job is %v for %v", j.State, j.Failure)
+				}
+				r.awaitRun()
+			})
+		})
+	}
+}
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -57,12 +57,20 @@
 		if r.LeaseTerm != 0 {
 			l.reports.endSession(id)
 		}
-		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w)}
+		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w), NeverSent: neverSent(r.Refusals)}
 		d.recordLostRuns(l, w, lostWorkerUnresponsive, nil, d.opts.Now())
 	})
 	return l.term, plan
 }
 
+func neverSent(refusals []*apiv1.RunRefusal) []*apiv1.RunRef {
+	var refs []*apiv1.RunRef
+	for _, r := range refusals {
+		refs = append(refs, &apiv1.RunRef{Task: r.Task, Run: r.Run})
+	}
+	return refs
+}
+
 // differentLease reports whether an expiry report is about another lease than the one that the
 // leader tracks. Agents of the previous release name no lease; for them the order of the reports
 // decides.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -276,7 +276,7 @@
 		}
 	}
 	command.Refusals = slices.DeleteFunc(slices.Clone(r.Refusals), func(refusal *apiv1.RunRefusal) bool {
-		return w.Runs[jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run}] == nil
+		return !w.HasOrLost(jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run})
 	})
 	if r.Departed {
 		command.Checkpoints = l.checkpoints(w)
--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -43,7 +43,7 @@
 		id := RunID{TaskIDOf(work.Task), work.Run}
 		run := w.Runs[id]
 		t, _ := m.task(id.Task)
-		if run == nil && !w.lostRuns[id] || t == nil || t.Done || !m.jobs[id.Task.Job].Open() {
+		if !w.HasOrLost(id) || t == nil || t.Done || !m.jobs[id.Task.Job].Open() {
 			continue
 		}
 		c := crashloop.Crash{
@@ -132,6 +132,19 @@
 	}
 }
 
+// undoLostStart reverts a start that never began although its run was counted as lost when the worker's
+// lease expired.
+func (m *Machine) undoLostStart(w *Worker, id RunID) {
+	if !w.lostRuns[id] {
+		return
+	}
+	delete(w.lostRuns, id)
+	if t, _ := m.task(id.Task); t != nil {
+		t.Crashes.DropLost(id.Number)
+		t.Crashes.UndoStart(id.Number)
+	}
+}
+
 // endProbation ends the probation of a run that has worked for long enough.
 func (m *Machine) endProbation(id RunID, worked time.Duration) {
 	r := m.Run(id)
@@ -188,6 +201,10 @@
 	return ids
 }
 
+// HasOrLost reports whether the log contains a run on the worker, or lost it when the worker's lease
+// expired and does not know yet what ended it.
+func (w *Worker) HasOrLost(id RunID) bool { return w.Runs[id] != nil || w.lostRuns[id] }
+
 func (w *Worker) lostRunRefs() []*apiv1.RunRef { return runRefs(w.LostRuns()) }
 
 func runRefs(ids []RunID) []*apiv1.RunRef {
--- a/jobqueue/crash_test.go
+++ b/jobqueue/crash_test.go
@@ -158,6 +158,31 @@
 	}
 }
 
+// Guards against counting a start that never reached its worker, where the run was lost before that is
+// known.
+func TestLostStartThatNeverBeganDoesNotCount(t *testing.T) {
+	for name, departed := range map[string]bool{"the worker reports again": false, "the worker has ended": true} {
+		for _, restored := range []bool{false, true} {
+			r := newCrashHarness(t)
+			r.restoreEachTime = restored
+			for range crashloop.RepeatedCrashes {
+				r.start(0, 0)
+				r.crash(0, map[uint32]time.Duration{0: 2 * time.Second})
+			}
+			r.start(0, 0)
+			r.plan(&apiv1.PlanRuns{Lapsed: []string{r.worker(0)}})
+			r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+				Worker:   &apiv1.JobWorker{Id: r.worker(0), Host: "h0", Pool: "p", CpuMilli: 1000, MemoryMb: 1000},
+				Departed: departed, Refusals: []*apiv1.RunRefusal{{Task: r.task(0).Ref(), Run: r.m.Task(r.task(0)).LastRun}},
+			}}})
+			history := r.m.Task(r.task(0)).Crashes
+			if last := history.Crashes[len(history.Crashes)-1]; last.Starts != 0 || len(history.Crashes) != crashloop.RepeatedCrashes {
+				t.Errorf("%s, restored %v: the history is %+v", name, restored, history)
+			}
+		}
+	}
+}
+
 // TestUnrelatedCrashesDoNotFailJob guards against failing a job although its workers crash for
 // other reasons.
 func TestUnrelatedCrashesDoNotFailJob(t *testing.T) {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -26,6 +26,9 @@
 	}
 	m.recordCheckpoints(r.Checkpoints)
 	w := m.upsertWorker(spec, r.Crash)
+	for _, refusal := range r.Refusals {
+		m.undoLostStart(w, RunID{TaskIDOf(refusal.Task), refusal.Run})
+	}
 	if !r.Departed {
 		m.forgetLostRuns(w)
 	}
