agent/runs, dispatch: the account of a crash is kept until a leader has it

Callers saw a task that crashes its workers start a third time after three crashes.

Cause: a crash without bounds on how long its runs had worked is no evidence. The report of the worker's end has them. It was lost, or came after the first report of the next incarnation, from which the leader learned only that the previous one had ended; the late report is then dropped, since the worker has departed. Where a further incarnation came before any report got through, the first one's account was forgotten by the agent as well.

Tests that failed before: agent/runs.TestReportOfNextIncarnationCarriesLostAccountOfCrash (no account), dispatch.TestReportOfNextIncarnationDescribesCrash (no bounds; a departure with notice counted as a crash).

Why it works: each report of a session carries the reports of the ends of all previous incarnations that no leader has acknowledged. The leader judges the end of the replaced incarnation by that one, whichever arrives first, and commits the starts that never reached it. The account is drawn up once, when the end is noticed, so that its bounds don't widen with time.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
@@ -174,13 +175,14 @@
 	crashed *crashMoment
 }
 
-// addCrashAge states how long ago the crash was, as of now.
-func (r endReport) addCrashAge(now time.Time) {
-	if r.crashed == nil {
-		return
+// requestAt returns the request, which states how long ago the crash was, as of now.
+func (r endReport) requestAt(now time.Time) *apiv1.JobsReportRequest {
+	request := proto.CloneOf(r.request)
+	if r.crashed != nil {
+		request.CrashedAgoMs = proto.Int64(now.Sub(r.crashed.at).Milliseconds())
+		request.CrashUncertaintyMs = r.crashed.uncertainty.Milliseconds()
 	}
-	ago := now.Sub(r.crashed.at).Milliseconds()
-	r.request.CrashedAgoMs, r.request.CrashUncertaintyMs = &ago, r.crashed.uncertainty.Milliseconds()
+	return request
 }
 
 // departureReport returns the report that the incarnation has ended, and ends the session's calls. An
@@ -188,8 +190,12 @@
 func (s *session) departureReport() *endReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.end != nil {
+		return s.end
+	}
 	s.finished = true
-	r := &endReport{request: &apiv1.JobsReportRequest{Worker: s.announced.Worker, Departed: true, Refusals: s.startsNotBegun()}}
+	r := &endReport{request: &apiv1.JobsReportRequest{Worker: proto.CloneOf(s.announced.Worker), Departed: true, Refusals: s.startsNotBegun()}}
+	s.end = r
 	if s.announced.Departed || s.announced.Worker.Draining {
 		return r
 	}
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -129,7 +129,8 @@
 		if s != nil {
 			d.recordDeparted(s.incarnation)
 			s.cancel()
-			d.session.previousEndReport = s.departureReport()
+			ends := append(s.pendingEnds(), s.departureReport())
+			d.session.previousEnds = ends[max(0, len(ends)-maxServedIncarnations):]
 		}
 	}
 	d.signalAnnounced()
@@ -165,7 +166,7 @@
 	return nil
 }
 
-// maxServedIncarnations bounds the length of servedIncarnations.
+// maxServedIncarnations bounds the length of servedIncarnations, and the reports of their ends.
 const maxServedIncarnations = 16
 
 // recordServed records that a session serves an incarnation, and returns the incarnations served
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -33,6 +33,8 @@
 	reportsUntilUnavailable int
 	// ordersFail makes only the calls for orders fail, and reportsFail only the reports.
 	ordersFail, reportsFail bool
+	// departuresFail makes only the reports of departures fail.
+	departuresFail bool
 	// reportsHang leaves reports without a response.
 	reportsHang bool
 	// ordersNeedFound: calls for orders fail until a report or a CurrentOrders call has found the
@@ -57,7 +59,7 @@
 		l.mu.Lock()
 		return nil, errUnavailable
 	}
-	if l.unavailable || l.reportsFail {
+	if l.unavailable || l.reportsFail || l.departuresFail && r.Departed {
 		return nil, errUnavailable
 	}
 	l.found = true
--- /dev/null
+++ b/agent/runs/previousends_test.go
@@ -0,0 +1,64 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+)
+
+// Guards against a crash of which the leader learns nothing but that it occurred: the reports of the
+// worker's end are lost, and those of the next incarnations arrive.
+func TestReportOfNextIncarnationCarriesLostAccountOfCrash(t *testing.T) {
+	for name, incarnations := range map[string][]string{
+		"next incarnation":   {"w1b"},
+		"after a short life": {"w1b", "w1c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1), departuresFail: true}
+			withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+				time.Sleep(2 * time.Second)
+				if len(w.Running()) != 1 {
+					t.Fatal("the run has not begun")
+				}
+				for i, id := range incarnations {
+					l.update(func() { l.reportsFail = i < len(incarnations)-1 })
+					w.Spec.Id = id
+					announce(t, d, runs.Announcement{Worker: workerSpec(id), Sequence: 1})
+					time.Sleep(2 * time.Second)
+				}
+				first := l.firstReportOf(incarnations[len(incarnations)-1])
+				if first == nil || len(first.PreviousEnds) != len(incarnations) {
+					t.Errorf("the first report is %v", first)
+					return
+				}
+				end := first.PreviousEnds[0]
+				if end.Worker.Id != "w1" || !end.Crashed || len(end.Worked) != 1 || !end.Worked[0].Began || end.CrashedAgoMs == nil {
+					t.Errorf("the report carries %v", end)
+				}
+				if last := l.lastReport(); len(last.PreviousEnds) > 0 {
+					t.Errorf("the end is reported again once it is acknowledged: %v", last.PreviousEnds)
+				}
+			})
+		})
+	}
+}
+
+// firstReportOf returns the first report of an incarnation, other than that of its end.
+func (l *leader) firstReportOf(incarnation string) *apiv1.JobsReportRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.reports {
+		if r.Worker.Id == incarnation && !r.Departed {
+			return r
+		}
+	}
+	return nil
+}
+
+func (l *leader) lastReport() *apiv1.JobsReportRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reports[len(l.reports)-1]
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -61,16 +61,38 @@
 	}
 }
 
-// reportPreviousEnd reports to the leader that the previous incarnation has ended. The first
-// report of this incarnation would imply that too, but the incarnation may end before it.
-func (s *session) reportPreviousEnd() {
-	if s.previousEndReport == nil {
-		return
-	}
+// reportPreviousEnds reports to the leader that previous incarnations have ended. The first report of this
+// incarnation would imply that too, but the incarnation may end before it.
+func (s *session) reportPreviousEnds() {
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
-	if err := s.sendEnd(ctx, s.previousEndReport); err == nil {
-		s.previousEndReport = nil
+	for _, end := range s.pendingEnds() {
+		if err := s.sendEnd(ctx, end); err != nil {
+			return
+		}
+		s.dropEnds([]*endReport{end})
+	}
+}
+
+// pendingEnds returns the reports of the ends of previous incarnations that no leader has acknowledged.
+func (s *session) pendingEnds() []*endReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.previousEnds)
+}
+
+func (s *session) dropEnds(acknowledged []*endReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.previousEnds = slices.DeleteFunc(s.previousEnds, func(e *endReport) bool { return slices.Contains(acknowledged, e) })
+}
+
+// addEnd adds the report of the end of a previous incarnation, unless there is one.
+func (s *session) addEnd(end *endReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.ContainsFunc(s.previousEnds, func(e *endReport) bool { return e.request.Worker.Id == end.request.Worker.Id }) {
+		s.previousEnds = append(s.previousEnds, end)
 	}
 }
 
@@ -112,9 +134,9 @@
 	}
 	if counted.LeaseWorker != "" && counted.LeaseWorker != s.incarnation {
 		s.addPreviousIncarnation(counted.LeaseWorker)
-		s.previousEndReport = &endReport{request: &apiv1.JobsReportRequest{
+		s.addEnd(&endReport{request: &apiv1.JobsReportRequest{
 			Worker: &apiv1.JobWorker{Id: counted.LeaseWorker, Host: s.d.opts.Host}, Departed: true, Crashed: true,
-		}}
+		}})
 	}
 }
 
@@ -133,6 +155,10 @@
 		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.pendingRefusals(),
 		Partial: status.Partial, ClockMs: status.ClockMs,
 	}
+	ends := s.pendingEnds()
+	for _, end := range ends {
+		r.PreviousEnds = append(r.PreviousEnds, end.requestAt(s.d.opts.Now()))
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
 	sent := s.d.opts.Now()
@@ -160,6 +186,7 @@
 	}
 	s.applyLease(resp, status.ClockMs, received, sent)
 	s.dropRefusals(r.Refusals)
+	s.dropEnds(ends)
 	return true
 }
 
@@ -192,8 +219,7 @@
 // sendEnd sends a report that an incarnation has ended. It is not repeated if a leader rejects it because
 // it knows a later session with the worker, which reports the worker's end itself.
 func (s *session) sendEnd(ctx context.Context, end *endReport) error {
-	end.addCrashAge(s.d.opts.Now())
-	resp, err := s.sendNumbered(ctx, end.request)
+	resp, err := s.sendNumbered(ctx, end.requestAt(s.d.opts.Now()))
 	if err == nil && s.needsNewNumber(resp) {
 		return errNumberRejected
 	}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -47,12 +47,13 @@
 	// previousIncarnations are the incarnations of the worker before this one. Only leaseLoop
 	// uses it once the session runs.
 	previousIncarnations []string
-	// previousEndReport is the report that the previous incarnation has ended, kept until the
-	// leader has received it; nil when there is none.
-	previousEndReport *endReport
 
-	mu        sync.Mutex
-	announced Announcement
+	mu sync.Mutex
+	// previousEnds are the reports that previous incarnations have ended, oldest first, kept until a
+	// leader has acknowledged them. end is that of this incarnation; nil until it has ended.
+	previousEnds []*endReport
+	end          *endReport
+	announced    Announcement
 	// finished is set at the end of the session. No call is started after that.
 	finished bool
 	term     uint64
@@ -180,7 +181,7 @@
 	defer s.cancel()
 	wait := time.Duration(0)
 	for s.ctx.Err() == nil {
-		s.reportPreviousEnd()
+		s.reportPreviousEnds()
 		r := s.renewRepeatedly(s.alive, wait)
 		status, answer, err := r.status, r.answer, r.err
 		if answer == AnswerOtherIncarnation {
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -19,21 +19,41 @@
 func (l *leaderState) reportedCrash(m *jobqueue.Machine, r *apiv1.JobsReportRequest, now time.Time) (*jobqueue.Worker, *apiv1.WorkerCrash) {
 	worker, previous := m.Worker(r.Worker.GetId()), m.WorkerOnHost(r.Worker.GetHost())
 	switch {
-	case worker != nil && r.Departed:
-		if !r.Crashed || worker.Spec.Draining {
-			return nil, nil
-		}
-		crash := l.crashOf(m, worker, r.Worked, now)
-		if r.CrashedAgoMs != nil {
-			crash.AtMs, crash.UncertaintyMs = now.UnixMilli()-r.GetCrashedAgoMs(), r.CrashUncertaintyMs
-		}
-		return worker, crash
+	case worker != nil && r.Departed && !worker.Spec.Draining:
+		return l.crashAtEnd(m, worker, r, now)
 	case worker == nil && !r.Departed && previous != nil && !previous.Spec.Draining:
+		if end := reportedEnd(r, previous); end != nil {
+			return l.crashAtEnd(m, previous, end, now)
+		}
 		return previous, l.crashOf(m, previous, nil, now)
 	}
 	return nil, nil
 }
 
+// reportedEnd returns the report of the end of a previous incarnation that a report carries, nil if there
+// is none.
+func reportedEnd(r *apiv1.JobsReportRequest, previous *jobqueue.Worker) *apiv1.JobsReportRequest {
+	for _, end := range r.PreviousEnds {
+		if end.Worker.GetId() == previous.Spec.Id {
+			return end
+		}
+	}
+	return nil
+}
+
+// crashAtEnd returns the worker and its crash, as the report of its end describes it, nil if it ended
+// with notice.
+func (l *leaderState) crashAtEnd(m *jobqueue.Machine, w *jobqueue.Worker, end *apiv1.JobsReportRequest, now time.Time) (*jobqueue.Worker, *apiv1.WorkerCrash) {
+	if !end.Crashed {
+		return nil, nil
+	}
+	crash := l.crashOf(m, w, end.Worked, now)
+	if end.CrashedAgoMs != nil {
+		crash.AtMs, crash.UncertaintyMs = now.UnixMilli()-end.GetCrashedAgoMs(), end.CrashUncertaintyMs
+	}
+	return w, crash
+}
+
 // crashTimeUncertainty is the largest error of the time of a crash that is estimated from the last
 // report: a worker is reported every half second.
 const crashTimeUncertainty = 250 * time.Millisecond
--- a/dispatch/crashlimit_test.go
+++ b/dispatch/crashlimit_test.go
@@ -113,6 +113,17 @@
 	return j
 }
 
+// crashes returns the history of the job's task.
+func (r *crashLimitHarness) crashes() crashloop.History {
+	var h crashloop.History
+	r.s.replica.ReadState(func(m *state.Machine) {
+		if task := m.CallerJobs().Task(jobqueue.TaskID{Job: crashedJobID}); task != nil {
+			h = task.Crashes
+		}
+	})
+	return h
+}
+
 // Guards against a job that fails by the crash limit without a line in the log: it fails by the loss of a
 // run, not by the report of a crash.
 func TestJobThatFailsWithLostRunIsLogged(t *testing.T) {
@@ -173,3 +184,38 @@
 		})
 	}
 }
+
+// Guards against a crash without bounds on how long its runs had worked, which is no evidence: the report
+// of the worker's end is lost, and that of the next incarnation carries it.
+func TestReportOfNextIncarnationDescribesCrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(run *apiv1.RunWork) *apiv1.JobsReportRequest
+		want int
+	}{
+		"crash": {func(run *apiv1.RunWork) *apiv1.JobsReportRequest {
+			return &apiv1.JobsReportRequest{Crashed: true, Worked: []*apiv1.RunWork{worked(run)}}
+		}, 1},
+		"departure": {func(*apiv1.RunWork) *apiv1.JobsReportRequest { return &apiv1.JobsReportRequest{} }, 0},
+		"never sent": {func(run *apiv1.RunWork) *apiv1.JobsReportRequest {
+			run.NeverSent = true
+			return &apiv1.JobsReportRequest{
+				Crashed: true, Worked: []*apiv1.RunWork{run}, Refusals: []*apiv1.RunRefusal{{Task: run.Task, Run: run.Run}},
+			}
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCrashLimitSim(t, func(r *crashLimitHarness) {
+				end := test.end(r.awaitRun())
+				end.Worker, end.Departed = r.worker(), true
+				r.incarnation++
+				r.report(&apiv1.JobsReportRequest{
+					Worker: r.worker(), Follows: []string{end.Worker.Id}, PreviousEnds: []*apiv1.JobsReportRequest{end},
+				})
+				history := r.crashes()
+				if history.Similar() != test.want || history.Count() != test.want {
+					t.Errorf("the history is %+v", history)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -267,6 +267,7 @@
 		command.Replaces = proto.String("")
 		if replaced != nil {
 			command.Replaces = proto.String(replaced.Spec.Id)
+			command.NeverSent = neverSent(reportedEnd(r, replaced).GetRefusals())
 		}
 		return command
 	}
--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -132,6 +132,15 @@
 	}
 }
 
+// undoStarts reverts the starts of the given runs, which never reached the worker.
+func (m *Machine) undoStarts(w *Worker, neverSent []*apiv1.RunRef) {
+	for _, ref := range neverSent {
+		id := RunID{TaskIDOf(ref.Task), ref.Run}
+		m.undoRefusedStart(w.Runs[id])
+		m.undoLostStart(w, id)
+	}
+}
+
 // undoLostStart reverts a start that never began although its run was counted as lost when the worker's
 // lease expired.
 func (m *Machine) undoLostStart(w *Worker, id RunID) {
--- a/jobqueue/incarnation_test.go
+++ b/jobqueue/incarnation_test.go
@@ -45,7 +45,7 @@
 func TestNewestIncarnations(t *testing.T) {
 	m := New()
 	for i, id := range []string{"w1@5", "w1@7", "w2", "w1@6"} {
-		m.upsertWorker(&apiv1.JobWorker{Id: id, Host: fmt.Sprint("h", i)}, nil)
+		m.upsertWorker(&apiv1.ReportWorker{Worker: &apiv1.JobWorker{Id: id, Host: fmt.Sprint("h", i)}})
 	}
 	got := m.NewestIncarnations()
 	if len(got) != 2 || got["w1"] != "w1@7" || got["w2"] != "w2" {
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
@@ -17,9 +16,9 @@
 		m.learned = p.Learnt
 	}
 	m.recordCheckpoints(p.Checkpoints)
-	m.undoNeverSent(p)
 	for _, id := range p.Lapsed {
 		if w := m.Worker(id); w != nil {
+			m.undoStarts(w, p.NeverSent)
 			m.expireLease(w)
 		}
 	}
@@ -37,16 +36,6 @@
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
-// undoNeverSent reverts the starts that never reached the workers whose leases have expired.
-func (m *Machine) undoNeverSent(p *apiv1.PlanRuns) {
-	for _, ref := range p.NeverSent {
-		r := m.Run(RunID{TaskIDOf(ref.Task), ref.Run})
-		if r != nil && slices.Contains(p.Lapsed, r.Worker) {
-			m.undoRefusedStart(r)
-		}
-	}
-}
-
 func (m *Machine) stopRun(s *apiv1.StopRun) {
 	t, _ := m.task(TaskIDOf(s.Task))
 	if t == nil {
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -25,7 +25,7 @@
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
 	}
 	m.recordCheckpoints(r.Checkpoints)
-	w := m.upsertWorker(spec, r.Crash)
+	w := m.upsertWorker(r)
 	for _, refusal := range r.Refusals {
 		m.undoLostStart(w, RunID{TaskIDOf(refusal.Task), refusal.Run})
 	}
@@ -50,10 +50,10 @@
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
-// upsertWorker adds a worker or updates its description. A new incarnation on a host ends the
-// previous one, because the two cannot be there together. crash is set if the previous one ended
-// without notice.
-func (m *Machine) upsertWorker(spec *apiv1.JobWorker, crash *apiv1.WorkerCrash) *Worker {
+// upsertWorker adds the worker of a report or updates its description. A new incarnation on a host ends
+// the previous one, because the two cannot be there together.
+func (m *Machine) upsertWorker(r *apiv1.ReportWorker) *Worker {
+	spec := r.Worker
 	if w := m.workers.get(spec.Id); w != nil {
 		// A drain is never revoked within an incarnation.
 		draining := w.Spec.Draining || spec.Draining
@@ -63,7 +63,8 @@
 		return w
 	}
 	if previous := m.workers.get(m.current[spec.Host]); previous != nil {
-		m.endIncarnation(previous, crash)
+		m.undoStarts(previous, r.NeverSent)
+		m.endIncarnation(previous, r.Crash)
 	}
 	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
 	m.workers.put(spec.Id, w)
