jobqueue: another step may explain a crash under a run on probation

Callers saw a short job that crashes nothing `failed` beside jobs that crash their workers.

Cause: at the limit a task is excused if another step explains each of its crashes, but not from a crash under a run on probation or under the only recent start. Such a run was held to be alone. Probation holds back starts of other steps only: a run that began before is beside it.

TestCrashOnProbationThatAnotherStepExplainsDoesNotFailJob failed before.

Why it works: hasOtherSuspect asks what is true of each run on the worker, also of one that began before: that it may have caused the crash, and that its step has crashed another worker, without the task, after a similar time. A task alone on its worker has no such run beside it.

--- a/jobqueue/crashevent.go
+++ b/jobqueue/crashevent.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		e := m.crashEvent(c.Event)
-		if e == nil || c.OnProbation || c.SoleCause || !m.hasOtherSuspect(e, id.StepID()) {
+		if e == nil || !m.hasOtherSuspect(e, id.StepID()) {
 			return false
 		}
 		events = append(events, c.Event)
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -272,10 +272,11 @@
 	}
 }
 
-// Guards against failing a job for crashes that another step explains, which crashed a worker without it:
-// its own runs had ended, unnoticed.
-func TestCrashesThatAnotherStepExplainsDoNotFailJob(t *testing.T) {
-	r := newCrashHarness(t)
+// crashBesideGuiltyStep crashes two workers under the task of step 0, each beside a run of another step
+// that began before and has crashed a third worker without it, all after the same time. Then it starts the
+// task on workers that become unreachable, until it is out of starts.
+func (r *crashHarness) crashBesideGuiltyStep(worked time.Duration) {
+	r.t.Helper()
 	const guilty = "g1"
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
 		Id: guilty, Host: "h", Path: "/q/" + guilty, Steps: []*apiv1.JobStep{{Count: 3, CpuMilli: 1, MemoryMb: 1}},
@@ -285,7 +286,7 @@
 		report := &apiv1.WorkerCrash{AtMs: atMs}
 		for _, id := range runs {
 			report.Worked = append(report.Worked, &apiv1.RunWork{
-				Task: id.Ref(), Run: r.m.Task(id).LastRun, WorkedMs: 1000, AtMostMs: 1000, Began: true,
+				Task: id.Ref(), Run: r.m.Task(id).LastRun, WorkedMs: worked.Milliseconds(), AtMostMs: worked.Milliseconds(), Began: true,
 			})
 		}
 		r.report(host, report)
@@ -296,7 +297,9 @@
 	}
 	crash(2, 1000, TaskID{Job: guilty, Index: 2})
 	for host := range 2 {
-		r.start(0, host)
+		if !r.start(0, host) {
+			r.t.Fatal("the task does not start")
+		}
 		crash(host, int64(10_000*(host+1)), r.task(0), TaskID{Job: guilty, Index: uint32(host)})
 	}
 	for range crashloop.MaxStartsAfterRepeatedCrashes {
@@ -304,7 +307,27 @@
 		r.plan(&apiv1.PlanRuns{Lapsed: []string{r.worker(0)}})
 		r.report(0, nil)
 	}
+}
+
+// Guards against failing a job for crashes that another step explains, which crashed a worker without it:
+// its own runs had ended, unnoticed.
+func TestCrashesThatAnotherStepExplainsDoNotFailJob(t *testing.T) {
+	r := newCrashHarness(t)
+	r.crashBesideGuiltyStep(time.Second)
 	if !r.m.Job(crashedJob).Open() {
 		t.Error("the job has failed")
 	}
 }
+
+// Guards against the same where a run was on probation: only the starts of other steps are held back then,
+// and a run that began before it may have crashed the worker.
+func TestCrashOnProbationThatAnotherStepExplainsDoesNotFailJob(t *testing.T) {
+	r := newCrashHarness(t)
+	r.crashBesideGuiltyStep(300 * time.Millisecond)
+	if !r.m.Job(crashedJob).Open() {
+		t.Fatal("the job has failed")
+	}
+	if crashes := r.m.Task(r.task(0)).Crashes.Crashes; !crashes[1].OnProbation {
+		t.Errorf("the second crash did not come on probation: %+v", crashes)
+	}
+}
