jobqueue: a failed step excuses others only from crashes that it may have caused

Cause: once a step has failed its job by the crash limit, every task on the workers that crashed beside it was excused, also where its run had worked for too short a time to be the cause. A task that crashes its workers lost a crash that way, and was started again.

TestTaskBesideYoungRunOfFailedStepIsNotExcused failed before (0 crashes count).

Why it works: the crash is excused where a run of the step may have caused it by its bounds. The question is put before the job fails, since the histories of its tasks are discarded with it.

--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -107,8 +107,8 @@
 		m.pendingVerdicts[id] = due
 		return
 	}
-	m.failJob(m.jobs[id.Job], id, apiv1.JobFailure_JOB_FAILURE_CRASHES)
 	m.excuseOthers(id.StepID())
+	m.failJob(m.jobs[id.Job], id, apiv1.JobFailure_JOB_FAILURE_CRASHES)
 }
 
 // HeldByCrashLimit reports whether a task must not be started because its job fails, or may fail, by the
--- a/jobqueue/crashevent.go
+++ b/jobqueue/crashevent.go
@@ -258,28 +258,36 @@
 	})
 }
 
-// excuseOthers excuses the tasks whose workers crashed under a step that has failed its job by the
-// crash limit. A task that has crashes after similar runtimes without that step is not excused.
+// excuseOthers excuses the tasks on workers that a step may have crashed which fails its job by the crash
+// limit. A task that has crashes after similar runtimes without that step is not excused.
 func (m *Machine) excuseOthers(guilty StepID) {
-	crashed := map[uint64]bool{}
+	withGuilty := map[uint64]bool{}
 	for _, e := range m.crashEvents {
 		if e.hasStep(guilty) {
-			crashed[e.number] = true
+			withGuilty[e.number] = true
 		}
 	}
 	for _, e := range m.crashEvents {
-		if !crashed[e.number] {
+		if !m.mayHaveCrashed(guilty, e) {
 			continue
 		}
 		for _, id := range e.runs {
 			t, _ := m.task(id.Task)
-			if id.Task.StepID() != guilty && t != nil && t.Crashes.SimilarExcept(crashed) == 0 {
+			if id.Task.StepID() != guilty && t != nil && t.Crashes.SimilarExcept(withGuilty) == 0 {
 				t.Crashes.Excuse(e.number)
 			}
 		}
 	}
 }
 
+// mayHaveCrashed reports whether a run of a step may have crashed a worker.
+func (m *Machine) mayHaveCrashed(step StepID, e *crashEvent) bool {
+	return slices.ContainsFunc(e.runs, func(id RunID) bool {
+		t, _ := m.task(id.Task)
+		return t != nil && id.Task.StepID() == step && t.Crashes.MayHaveCaused(e.number)
+	})
+}
+
 // verdictDueMs returns the time of the log at which the job of a task at its crash limit fails.
 func (m *Machine) verdictDueMs(t *Task) int64 {
 	due := int64(0)
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -80,32 +80,77 @@
 	}
 }
 
+// bystanderTask is the only task of a long-running job that crashes nothing.
+var bystanderTask = TaskID{Job: "b1"}
+
+func (r *crashHarness) submitBystander() {
+	r.t.Helper()
+	job := bystanderTask.Job
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+		Id: job, Host: "h", Path: "/q/" + job, Steps: []*apiv1.JobStep{{Count: 1, CpuMilli: 1, MemoryMb: 1, LongRunning: true}},
+	}}}})
+}
+
+func (r *crashHarness) startBystander(host int) {
+	r.t.Helper()
+	r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: bystanderTask.Ref(), Run: 1, Worker: r.worker(host)}}})
+}
+
 // Guards against crashes that still count against a task after the one beside it has failed its job by
 // the crash limit.
 func TestTaskBesideFailedOneIsExcused(t *testing.T) {
 	r := newCrashHarness(t)
-	const bystander = "b1"
-	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
-		Id: bystander, Host: "h", Path: "/q/" + bystander, Steps: []*apiv1.JobStep{{Count: 1, CpuMilli: 1, MemoryMb: 1, LongRunning: true}},
-	}}}})
-	task := TaskID{Job: bystander}
-	r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: task.Ref(), Run: 1, Worker: r.worker(1)}}})
+	r.submitBystander()
+	r.startBystander(1)
 	r.start(0, 0)
 	r.crash(0, map[uint32]time.Duration{0: time.Millisecond})
 	r.start(0, 1)
 	r.incarnations[1]++
 	r.report(1, &apiv1.WorkerCrash{Worked: []*apiv1.RunWork{
 		{Task: r.task(0).Ref(), Run: 2, AtMostMs: 1, Began: true},
-		{Task: task.Ref(), Run: 1, WorkedMs: 3000, AtMostMs: 3000, Began: true},
+		{Task: bystanderTask.Ref(), Run: 1, WorkedMs: 3000, AtMostMs: 3000, Began: true},
 	}})
 	if r.m.Job(crashedJob).Open() {
 		t.Fatal("the crashing task has not failed its job")
 	}
-	if n := r.m.Task(task).Crashes.Similar(); n != 0 {
+	if n := r.m.Task(bystanderTask).Crashes.Similar(); n != 0 {
 		t.Errorf("%d crashes count against the bystander", n)
 	}
 }
 
+// Guards against excusing a task from a crash that the failed step cannot have caused: its run had worked for
+// less than the time after which it crashes its workers.
+func TestTaskBesideYoungRunOfFailedStepIsNotExcused(t *testing.T) {
+	for name, test := range map[string]struct {
+		guiltyWorked time.Duration
+		want         int
+	}{
+		"younger": {300 * time.Millisecond, 1},
+		"as old":  {2 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashHarness(t)
+			r.submitBystander()
+			r.start(0, 0)
+			r.crash(0, map[uint32]time.Duration{0: 2 * time.Second})
+			r.start(0, 1)
+			r.startBystander(1)
+			r.incarnations[1]++
+			r.report(1, &apiv1.WorkerCrash{Worked: []*apiv1.RunWork{
+				{Task: r.task(0).Ref(), Run: 2, WorkedMs: test.guiltyWorked.Milliseconds(), AtMostMs: test.guiltyWorked.Milliseconds(), Began: true},
+				{Task: bystanderTask.Ref(), Run: 1, WorkedMs: 3000, AtMostMs: 3000, Began: true},
+			}})
+			for i := 0; r.m.Job(crashedJob).Open(); i++ {
+				r.start(0, 0)
+				r.crash(0, map[uint32]time.Duration{0: 2 * time.Second})
+			}
+			if n := r.m.Task(bystanderTask).Crashes.Similar(); n != test.want {
+				t.Errorf("%d crashes count against the bystander", n)
+			}
+		})
+	}
+}
+
 // startTogether starts the given steps' tasks on hosts 0, 1 and so on.
 func (r *crashHarness) startTogether(steps ...uint32) {
 	r.t.Helper()
