jobqueue: tests that each rule of evidence for crashes of another step matters

Left out one by one on a copy, several conditions of excuseExplained and excuseWeakerSuspects, and the one that a sole cause has no other start beside it, failed no test. Each has one now: what another step does not explain fails the job, and a task is excused only beside one that has repeated crashes and may have caused this one. The scenario of the two tests that were there is shared.

--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -317,35 +317,45 @@
 	}
 }
 
-// crashBesideGuiltyStep crashes two workers under the task of step 0, each beside a run of another step
-// that began before and has crashed a third worker without it, all after the same time. Then it starts the
-// task on workers that become unreachable, until it is out of starts.
-func (r *crashHarness) crashBesideGuiltyStep(worked time.Duration) {
+// guiltyTask returns a task of a step that crashes its workers, of another job than crashedJob.
+func guiltyTask(index uint32) TaskID { return TaskID{Job: "g1", Index: index} }
+
+func (r *crashHarness) submitGuilty() {
 	r.t.Helper()
-	const guilty = "g1"
+	job := guiltyTask(0).Job
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
-		Id: guilty, Host: "h", Path: "/q/" + guilty, Steps: []*apiv1.JobStep{{Count: 3, CpuMilli: 1, MemoryMb: 1}},
+		Id: job, Host: "h", Path: "/q/" + job, Steps: []*apiv1.JobStep{{Count: 3, CpuMilli: 1, MemoryMb: 1}},
 	}}}})
-	crash := func(host int, atMs int64, runs ...TaskID) {
-		r.incarnations[host]++
-		report := &apiv1.WorkerCrash{AtMs: atMs}
-		for _, id := range runs {
-			report.Worked = append(report.Worked, &apiv1.RunWork{
-				Task: id.Ref(), Run: r.m.Task(id).LastRun, WorkedMs: worked.Milliseconds(), AtMostMs: worked.Milliseconds(), Began: true,
-			})
+}
+
+// crashUnderGuilty starts a guilty task on a host, and then the task of step 0 if beside is set. Both have
+// worked for the same time when the worker crashes.
+func (r *crashHarness) crashUnderGuilty(host int, index uint32, beside bool, atMs int64, worked time.Duration) {
+	r.t.Helper()
+	runs := []TaskID{guiltyTask(index)}
+	r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: runs[0].Ref(), Run: r.m.Task(runs[0]).LastRun + 1, Worker: r.worker(host)}}})
+	if beside {
+		runs = append(runs, r.task(0))
+		if !r.start(0, host) {
+			r.t.Fatal("the task does not start")
 		}
-		r.report(host, report)
 	}
-	for host := range uint32(3) {
-		id := TaskID{Job: guilty, Index: host}
-		r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: id.Ref(), Run: 1, Worker: r.worker(int(host))}}})
+	crash := &apiv1.WorkerCrash{AtMs: atMs}
+	for _, id := range runs {
+		crash.Worked = append(crash.Worked, &apiv1.RunWork{
+			Task: id.Ref(), Run: r.m.Task(id).LastRun, WorkedMs: worked.Milliseconds(), AtMostMs: worked.Milliseconds(), Began: true,
+		})
 	}
-	crash(2, 1000, TaskID{Job: guilty, Index: 2})
+	r.incarnations[host]++
+	r.report(host, crash)
+}
+
+// crashTwiceUnderGuilty crashes two workers under the task of step 0, each beside a guilty run that began
+// before. Then the task starts on workers that become unreachable, until it is out of starts.
+func (r *crashHarness) crashTwiceUnderGuilty(worked time.Duration) {
+	r.t.Helper()
 	for host := range 2 {
-		if !r.start(0, host) {
-			r.t.Fatal("the task does not start")
-		}
-		crash(host, int64(10_000*(host+1)), r.task(0), TaskID{Job: guilty, Index: uint32(host)})
+		r.crashUnderGuilty(host, uint32(host), true, int64(50_000+10_000*host), worked)
 	}
 	for range crashloop.MaxStartsAfterRepeatedCrashes {
 		r.start(0, 0)
@@ -358,7 +368,9 @@
 // its own runs had ended, unnoticed.
 func TestCrashesThatAnotherStepExplainsDoNotFailJob(t *testing.T) {
 	r := newCrashHarness(t)
-	r.crashBesideGuiltyStep(time.Second)
+	r.submitGuilty()
+	r.crashUnderGuilty(2, 2, false, 1000, time.Second)
+	r.crashTwiceUnderGuilty(time.Second)
 	if !r.m.Job(crashedJob).Open() {
 		t.Error("the job has failed")
 	}
@@ -368,7 +380,9 @@
 // and a run that began before it may have crashed the worker.
 func TestCrashOnProbationThatAnotherStepExplainsDoesNotFailJob(t *testing.T) {
 	r := newCrashHarness(t)
-	r.crashBesideGuiltyStep(300 * time.Millisecond)
+	r.submitGuilty()
+	r.crashUnderGuilty(2, 2, false, 1000, 300*time.Millisecond)
+	r.crashTwiceUnderGuilty(300 * time.Millisecond)
 	if !r.m.Job(crashedJob).Open() {
 		t.Fatal("the job has failed")
 	}
@@ -376,3 +390,75 @@
 		t.Errorf("the second crash did not come on probation: %+v", crashes)
 	}
 }
+
+// Guards against excusing a task that crashes its workers from crashes that the step beside it does not
+// explain.
+func TestCrashesThatAnotherStepDoesNotExplainFailJob(t *testing.T) {
+	for name, before := range map[string]func(*crashHarness){
+		"no crash without the task":  func(*crashHarness) {},
+		"a crash after another time": func(r *crashHarness) { r.crashUnderGuilty(2, 2, false, 1000, 3*time.Second) },
+		"the crash has another cause": func(r *crashHarness) {
+			r.crashUnderGuilty(2, 2, false, 1000, time.Second)
+			r.m.Task(guiltyTask(2)).Crashes.Excuse(r.m.lastCrashEvent)
+		},
+		"its run has worked for longer before": func(r *crashHarness) {
+			r.crashUnderGuilty(2, 2, false, 1000, 3*time.Second)
+			r.crashUnderGuilty(2, 2, false, 10_000, time.Second)
+		},
+		"the runs beside it have worked for longer before": func(r *crashHarness) {
+			r.crashUnderGuilty(2, 2, false, 1000, time.Second)
+			r.crashUnderGuilty(2, 0, false, 10_000, 3*time.Second)
+			r.crashUnderGuilty(2, 1, false, 20_000, 3*time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashHarness(t)
+			r.submitGuilty()
+			before(r)
+			r.crashTwiceUnderGuilty(time.Second)
+			if r.m.Job(crashedJob).Open() {
+				t.Error("the job is open")
+			}
+		})
+	}
+}
+
+// Guards against suspecting a task without other crashes beside one that has crashed several workers.
+func TestTaskBesideRepeatedlySuspectedOneIsExcused(t *testing.T) {
+	for name, test := range map[string]struct {
+		guiltyWorked time.Duration
+		crashes      int
+		want         int
+	}{
+		"several crashes":              {2 * time.Second, 2, 0},
+		"one crash":                    {2 * time.Second, 1, 1},
+		"several, after a longer time": {300 * time.Millisecond, 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashHarness(t)
+			for range test.crashes {
+				r.start(0, 0)
+				r.crash(0, map[uint32]time.Duration{0: 2 * time.Second})
+			}
+			r.start(1, 1)
+			r.start(0, 1)
+			r.crash(1, map[uint32]time.Duration{0: test.guiltyWorked, 1: 3 * time.Second})
+			if n := r.m.Task(r.task(1)).Crashes.Similar(); n != test.want {
+				t.Errorf("%d crashes count", n)
+			}
+		})
+	}
+}
+
+// Guards against failing a job by two crashes at the starts of its task at which another step started too.
+func TestCrashAtStartsOfTwoStepsIsNotSoleCause(t *testing.T) {
+	r := newCrashHarness(t)
+	r.start(0, 0)
+	r.start(1, 0)
+	r.crash(0, map[uint32]time.Duration{0: time.Millisecond, 1: time.Millisecond})
+	r.start(0, 0)
+	r.crash(0, map[uint32]time.Duration{0: time.Millisecond})
+	if !r.m.Job(crashedJob).Open() {
+		t.Error("the job has failed")
+	}
+}
