agent/runs, dispatch, jobqueue: the end of a run that was listed before its worker crashed is delivered

Callers saw a job `failed` by the crash limit whose task had succeeded, and tasks that ran again after they had succeeded.

Cause: an end that the worker had listed, and no leader had been told of yet, was lost with the worker. The agent reported only that the run had ended, so that the crash does not count against it; not how. The task ran again, and that start counted.

Tests that failed before: agent/runs.TestEndListedBeforeCrashIsReportedWithIt (no ends), dispatch.TestEndInReportOfNextIncarnationCompletesTask (the job runs on, the run counts as lost).

Why it works: the report of a worker's end has the ends that are not acknowledged, and so has the report of the next incarnation that carries it. They are recorded before the incarnation ends in the log, by their sequence numbers, so twice does no harm.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -185,6 +186,12 @@
 	return request
 }
 
+// unacknowledgedEnds returns the ends in the last status that the leader has not acknowledged. The caller
+// must hold s.mu.
+func (s *session) unacknowledgedEnds() []*apiv1.RunEnd {
+	return slices.DeleteFunc(slices.Clone(s.status.Ended), func(e *apiv1.RunEnd) bool { return e.Sequence <= s.acknowledged })
+}
+
 // departureReport returns the report that the incarnation has ended, and ends the session's calls. An
 // incarnation that neither drained nor reported its departure has crashed.
 func (s *session) departureReport() *endReport {
@@ -194,7 +201,9 @@
 		return s.end
 	}
 	s.finished = true
-	r := &endReport{request: &apiv1.JobsReportRequest{Worker: proto.CloneOf(s.announced.Worker), Departed: true, Refusals: s.startsNotBegun()}}
+	r := &endReport{request: &apiv1.JobsReportRequest{
+		Worker: proto.CloneOf(s.announced.Worker), Departed: true, Ends: s.unacknowledgedEnds(), Refusals: s.startsNotBegun(),
+	}}
 	s.end = r
 	if s.announced.Departed || s.announced.Worker.Draining {
 		return r
--- a/agent/runs/previousends_test.go
+++ b/agent/runs/previousends_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // Guards against a crash of which the leader learns nothing but that it occurred: the reports of the
@@ -62,3 +63,46 @@
 	defer l.mu.Unlock()
 	return l.reports[len(l.reports)-1]
 }
+
+// Guards against a task that runs again, and counts as having crashed its worker, although it succeeded: its
+// end was listed, and the worker crashed before a leader was told.
+func TestEndListedBeforeCrashIsReportedWithIt(t *testing.T) {
+	for name, replaced := range map[string]bool{"report of the crash": false, "next incarnation": true} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: idleOrders()}
+			withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+				w.Duration = func(jobqueue.TaskID) time.Duration { return 3 * time.Second }
+				time.Sleep(2 * time.Second)
+				l.update(func() { l.orders = startOrders(2, 1) })
+				time.Sleep(2500 * time.Millisecond)
+				l.update(func() { l.unavailable = true })
+				time.Sleep(2500 * time.Millisecond)
+				if replaced {
+					w.Spec.Id = "w1b"
+					announce(t, d, runs.Announcement{Worker: workerSpec("w1b"), Sequence: 1})
+				} else {
+					w.Crash()
+				}
+				time.Sleep(time.Second)
+				l.update(func() { l.unavailable = false })
+				time.Sleep(2 * time.Second)
+				ends, found := l.endsInDeparture()
+				if !found || len(ends) != 1 || ends[0].Run != 1 || ends[0].Kind != apiv1.RunEndKind_RUN_END_KIND_DONE {
+					t.Errorf("reported %v, with the ends %v", found, ends)
+				}
+			})
+		})
+	}
+}
+
+// endsInDeparture returns the ends in the first report of a departure.
+func (l *leader) endsInDeparture() ([]*apiv1.RunEnd, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.reports {
+		if r.Departed {
+			return r.Ends, true
+		}
+	}
+	return nil, false
+}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -22,7 +22,7 @@
 	case worker != nil && r.Departed && !worker.Spec.Draining:
 		return l.crashAtEnd(m, worker, r, now)
 	case worker == nil && !r.Departed && previous != nil && !previous.Spec.Draining:
-		if end := reportedEnd(r, previous); end != nil {
+		if end := replacedEnd(m, r); end != nil {
 			return l.crashAtEnd(m, previous, end, now)
 		}
 		return previous, l.crashOf(m, previous, nil, now)
@@ -30,9 +30,13 @@
 	return nil, nil
 }
 
-// reportedEnd returns the report of the end of a previous incarnation that a report carries, nil if there
-// is none.
-func reportedEnd(r *apiv1.JobsReportRequest, previous *jobqueue.Worker) *apiv1.JobsReportRequest {
+// replacedEnd returns the report of the end of the incarnation that the sender of a report replaces, nil if
+// it replaces none or carries no such report.
+func replacedEnd(m *jobqueue.Machine, r *apiv1.JobsReportRequest) *apiv1.JobsReportRequest {
+	previous := m.WorkerOnHost(r.Worker.GetHost())
+	if previous == nil || m.Worker(r.Worker.GetId()) != nil {
+		return nil
+	}
 	for _, end := range r.PreviousEnds {
 		if end.Worker.GetId() == previous.Spec.Id {
 			return end
--- a/dispatch/crashlimit_test.go
+++ b/dispatch/crashlimit_test.go
@@ -219,3 +219,27 @@
 		})
 	}
 }
+
+// Guards against a task that runs again although it succeeded: the report of its worker's end, which lists
+// the end of the run, is lost, and that of the next incarnation carries it.
+func TestEndInReportOfNextIncarnationCompletesTask(t *testing.T) {
+	runCrashLimitSim(t, func(r *crashLimitHarness) {
+		run := r.awaitRun()
+		end := &apiv1.JobsReportRequest{
+			Worker: r.worker(), Departed: true, Crashed: true,
+			Ends:   []*apiv1.RunEnd{{Sequence: 1, Task: run.Task, Run: run.Run, Kind: apiv1.RunEndKind_RUN_END_KIND_DONE}},
+			Worked: []*apiv1.RunWork{{Task: run.Task, Run: run.Run, Ended: true}},
+		}
+		r.incarnation++
+		r.report(&apiv1.JobsReportRequest{
+			Worker: r.worker(), Follows: []string{end.Worker.Id}, PreviousEnds: []*apiv1.JobsReportRequest{end},
+		})
+		if j := r.job(); j.State != apiv1.JobState_JOB_STATE_SUCCEEDED {
+			t.Errorf("the job is %v", j.State)
+		}
+		r.s.sleep(2 * time.Second)
+		if log := r.s.logBuffer.String(); !strings.Contains(log, "jobs are over") || strings.Contains(log, "runs are lost") {
+			t.Errorf("the log has no line on the end of the job, or one on a lost run:\n%s", log)
+		}
+	})
+}
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -39,7 +39,7 @@
 		d.logCrash(l, crashed, crash.Worked)
 	}
 	if previous := m.WorkerOnHost(r.Worker.GetHost()); previous != nil && (worker == nil || previous != worker && !worker.Departed) {
-		d.recordLostRuns(l, previous, lostWorkerReplaced, nil, now)
+		d.recordLostRuns(l, previous, lostWorkerReplaced, replacedEnd(m, r).GetEnds(), now)
 	}
 	switch {
 	case worker == nil || worker.Departed:
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -52,7 +53,7 @@
 // committed, since a finished job no longer contains its steps.
 func (l *leaderState) openJobs(m *jobqueue.Machine, r *apiv1.ReportWorker) map[string]openJob {
 	ids := map[string]bool{}
-	for _, e := range r.GetEnds() {
+	for _, e := range slices.Concat(r.GetEnds(), r.GetReplacedEnds()) {
 		ids[e.Task.GetJob()] = true
 	}
 	for _, w := range r.GetCrash().GetWorked() {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -109,6 +109,9 @@
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
 		d.recordEnds(l, jobs, r, now)
+		if end := replacedEnd(jobs, r); end != nil && !r.Departed {
+			d.recordEnds(l, jobs, end, now)
+		}
 		d.recordReportedLosses(l, jobs, r, now)
 		d.recordUnlogged(l, jobs, r, now)
 		d.countObjectiveMisses(jobs, r.Running)
@@ -267,7 +270,8 @@
 		command.Replaces = proto.String("")
 		if replaced != nil {
 			command.Replaces = proto.String(replaced.Spec.Id)
-			command.NeverSent = neverSent(reportedEnd(r, replaced).GetRefusals())
+			end := replacedEnd(m, r)
+			command.NeverSent, command.ReplacedEnds = neverSent(end.GetRefusals()), end.GetEnds()
 		}
 		return command
 	}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -32,12 +32,7 @@
 	if !r.Departed {
 		m.forgetLostRuns(w)
 	}
-	for _, end := range r.Ends {
-		if end.Sequence > w.Acknowledged {
-			w.Acknowledged = end.Sequence
-			m.recordEnd(w, end)
-		}
-	}
+	m.recordEnds(w, r.Ends)
 	for _, refusal := range r.Refusals {
 		m.undoRefusedStart(w.Runs[RunID{TaskIDOf(refusal.Task), refusal.Run}])
 	}
@@ -63,6 +58,7 @@
 		return w
 	}
 	if previous := m.workers.get(m.current[spec.Host]); previous != nil {
+		m.recordEnds(previous, r.ReplacedEnds)
 		m.undoStarts(previous, r.NeverSent)
 		m.endIncarnation(previous, r.Crash)
 	}
@@ -181,6 +177,16 @@
 	return s.Tasks[id.Index], s
 }
 
+// recordEnds records the ends of a worker's runs that the log does not contain yet.
+func (m *Machine) recordEnds(w *Worker, ends []*apiv1.RunEnd) {
+	for _, end := range ends {
+		if end.Sequence > w.Acknowledged {
+			w.Acknowledged = end.Sequence
+			m.recordEnd(w, end)
+		}
+	}
+}
+
 // recordEnd records the end of a run that a worker reported. The end of a lost run still counts: a
 // success completes the task unless the task is already running again, and a failure uses up an
 // attempt.
