agent/runs, dispatch: a start whose order never reached the agent does not count either

Callers saw a short job `failed` by the crash limit that crashes nothing: its second start after two crashes was ordered to a worker that had just crashed, and whose agent had no lease, so that it never got the order.

Cause: an agent returns the starts that it knows. Of an order that it never got it says nothing, and the start counted.

Tests that failed before: agent/runs.TestWorkerThatGotNoStartIsReported, dispatch.TestStartsThatNeverReachedWorkersDoNotFailJob (order unheard of).

Why it works: an agent that has called for no start, and whose worker listed nothing once the calls of a previous agent were settled, says with the end of the worker or of its lease that no run has begun. The leader returns all starts of that worker. An agent that was started less than a call's lateness ago does not say so.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -203,6 +203,7 @@
 	s.finished = true
 	r := &endReport{request: &apiv1.JobsReportRequest{
 		Worker: proto.CloneOf(s.announced.Worker), Departed: true, Ends: s.unacknowledgedEnds(), Refusals: s.startsNotBegun(),
+		NoRunBegan: s.noRunBegan(),
 	}}
 	s.end = r
 	if s.announced.Departed || s.announced.Worker.Draining {
--- a/agent/runs/expiry.go
+++ b/agent/runs/expiry.go
@@ -107,10 +107,12 @@
 		// The leader treats reports sent before the expiry as outdated.
 		s.resetID()
 	}
-	resp, err := d.opts.Leader.Report(ctx, &apiv1.JobsReportRequest{
+	report := &apiv1.JobsReportRequest{
 		Worker: &apiv1.JobWorker{Id: counted.LeaseWorker, Host: d.opts.Host}, Lapsed: true,
-		LeaseTerm: counted.Term, LeaseNumber: counted.LeaseNumber, Refusals: d.startsNotBegun(counted.LeaseWorker),
-	})
+		LeaseTerm: counted.Term, LeaseNumber: counted.LeaseNumber,
+	}
+	d.addStartsNotBegun(report)
+	resp, err := d.opts.Leader.Report(ctx, report)
 	if err == nil && resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
 		err = errLeaseRenewed
 	}
@@ -120,16 +122,16 @@
 	return err
 }
 
-// startsNotBegun returns the starts that never began on a worker whose lease has expired. Without a lease
-// no start is sent, and under a later one these orders are void.
-func (d *Driver) startsNotBegun(worker string) []*apiv1.RunRefusal {
+// addStartsNotBegun adds the starts that never began to the report that a worker's lease has expired.
+// Without a lease no start is sent, and under a later one these orders are void.
+func (d *Driver) addStartsNotBegun(report *apiv1.JobsReportRequest) {
 	s := d.current()
-	if s == nil || s.incarnation != worker {
-		return nil
+	if s == nil || s.incarnation != report.Worker.Id {
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.startsNotBegun()
+	report.Refusals, report.NoRunBegan = s.startsNotBegun(), s.noRunBegan()
 }
 
 // unconfirmedStarts returns how long ago a worker last answered, and how many ordered starts are
--- a/agent/runs/neversent_test.go
+++ b/agent/runs/neversent_test.go
@@ -68,3 +68,39 @@
 	}
 	return nil, false
 }
+
+// Guards against the same where the order of the start never reached the agent.
+func TestWorkerThatGotNoStartIsReported(t *testing.T) {
+	for name, started := range map[string]bool{"no start": false, "a start": true} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: idleOrders()}
+			withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+				time.Sleep(30 * time.Second) // A previous agent's calls are settled.
+				if started {
+					l.update(func() { l.orders = startOrders(2, 1) })
+				}
+				time.Sleep(2 * time.Second)
+				w.Crash()
+				time.Sleep(2 * time.Second)
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				if last := l.reports[len(l.reports)-1]; !last.Departed || last.NoRunBegan == started {
+					t.Errorf("the last report is %v", last)
+				}
+			})
+		})
+	}
+	t.Run("new agent", func(t *testing.T) {
+		l := &leader{epoch: 1, orders: idleOrders()}
+		withDriver(t, l, func(_ *runs.Driver, w *countingWorker) {
+			time.Sleep(2 * time.Second)
+			w.Crash()
+			time.Sleep(2 * time.Second)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if last := l.reports[len(l.reports)-1]; !last.Departed || last.NoRunBegan {
+				t.Errorf("the last report is %v", last)
+			}
+		})
+	})
+}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -81,6 +81,8 @@
 	// were settled.
 	runsPresent  map[jobqueue.RunID]bool
 	allRunsKnown bool
+	// anyStartSent: a start call was made.
+	anyStartSent bool
 }
 
 // matchesWithoutStartTime reports whether a name is that of the session's worker without its
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -92,7 +92,7 @@
 			DeadlineMs: s.startDeadline(),
 		},
 	}
-	o.maybeSent = true
+	o.maybeSent, s.anyStartSent = true, true
 	s.callHistory.recordStartRequest(id, s.d.opts.Now())
 	call.inFlightBefore = s.startsInFlight.add(id, o.epoch, s.d.opts.Now())
 	return call, true, false
--- a/agent/runs/startsinflight.go
+++ b/agent/runs/startsinflight.go
@@ -100,6 +100,13 @@
 	return list
 }
 
+// noRunBegan reports whether no run that the leader has not heard of can have begun on the worker, in a
+// session that sends no more starts: the worker listed nothing once the calls of a previous agent were
+// settled, and this session has called for no start. The caller must hold s.mu.
+func (s *session) noRunBegan() bool {
+	return s.allRunsKnown && len(s.runsPresent) == 0 && !s.anyStartSent
+}
+
 // startsSettled reports whether the last status shows all runs that were ever started, in a session
 // that sends no more starts.
 func (s *session) startsSettled() bool {
--- a/dispatch/crashlimit_test.go
+++ b/dispatch/crashlimit_test.go
@@ -95,17 +95,19 @@
 func (r *crashLimitHarness) loseRun() {
 	r.t.Helper()
 	r.awaitRun()
-	r.loseRunAndReturn(nil)
+	r.expireLease(&apiv1.JobsReportRequest{})
 }
 
-// loseRunAndReturn has the worker's lease expire. The report of that returns some starts.
-func (r *crashLimitHarness) loseRunAndReturn(refusals []*apiv1.RunRefusal) {
+// expireLease completes and sends the report that the worker's lease has expired.
+func (r *crashLimitHarness) expireLease(report *apiv1.JobsReportRequest) {
 	r.t.Helper()
 	lease, err := r.s.dispatcher.Orders(r.s.ctx, &apiv1.JobsOrdersRequest{Host: "h1"})
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Lapsed: true, LeaseTerm: lease.Term, LeaseNumber: lease.LeaseNumber, Refusals: refusals})
+	report.Worker, report.Lapsed = r.worker(), true
+	report.LeaseTerm, report.LeaseNumber = lease.Term, lease.LeaseNumber
+	r.report(report)
 }
 
 func (r *crashLimitHarness) job() (j *jobqueue.Job) {
@@ -158,7 +160,7 @@
 // Guards against a job that crashes nothing and fails by starts that never reached their workers.
 func TestStartsThatNeverReachedWorkersDoNotFailJob(t *testing.T) {
 	lapse := func(r *crashLimitHarness, refusals []*apiv1.RunRefusal) {
-		r.loseRunAndReturn(refusals)
+		r.expireLease(&apiv1.JobsReportRequest{Refusals: refusals})
 		r.incarnation++
 		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
 	}
@@ -167,7 +169,20 @@
 		r.incarnation++
 		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
 	}
-	for name, end := range map[string]func(*crashLimitHarness, []*apiv1.RunRefusal){"worker crashed": depart, "lease expired": lapse} {
+	lapseUnheard := func(r *crashLimitHarness, _ []*apiv1.RunRefusal) {
+		r.expireLease(&apiv1.JobsReportRequest{NoRunBegan: true})
+		r.incarnation++
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+	}
+	departUnheard := func(r *crashLimitHarness, _ []*apiv1.RunRefusal) {
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker(), Departed: true, Crashed: true, NoRunBegan: true})
+		r.incarnation++
+		r.report(&apiv1.JobsReportRequest{Worker: r.worker()})
+	}
+	for name, end := range map[string]func(*crashLimitHarness, []*apiv1.RunRefusal){
+		"worker crashed": depart, "lease expired": lapse,
+		"worker crashed, order unheard of": departUnheard, "lease expired, order unheard of": lapseUnheard,
+	} {
 		t.Run(name, func(t *testing.T) {
 			runCrashLimitSim(t, func(r *crashLimitHarness) {
 				r.crashRepeatedly()
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
@@ -57,20 +58,35 @@
 		if r.LeaseTerm != 0 {
 			l.reports.endSession(id)
 		}
-		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w), NeverSent: neverSent(r.Refusals)}
+		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w), NeverSent: neverSent(w, r)}
 		d.recordLostRuns(l, w, lostWorkerUnresponsive, nil, d.opts.Now())
 	})
 	return l.term, plan
 }
 
-func neverSent(refusals []*apiv1.RunRefusal) []*apiv1.RunRef {
+// neverSent returns the runs whose starts never reached a worker, by the report that it has ended or that
+// its lease has expired.
+func neverSent(w *jobqueue.Worker, end *apiv1.JobsReportRequest) []*apiv1.RunRef {
 	var refs []*apiv1.RunRef
-	for _, r := range refusals {
+	for _, r := range returnedStarts(w, end) {
 		refs = append(refs, &apiv1.RunRef{Task: r.Task, Run: r.Run})
 	}
 	return refs
 }
 
+// returnedStarts returns the starts that a report returns. A worker on which no run has begun returns all
+// that the log contains.
+func returnedStarts(w *jobqueue.Worker, r *apiv1.JobsReportRequest) []*apiv1.RunRefusal {
+	if !r.GetNoRunBegan() {
+		return r.GetRefusals()
+	}
+	var list []*apiv1.RunRefusal
+	for _, id := range slices.Concat(w.SortedRunIDs(), w.LostRuns()) {
+		list = append(list, &apiv1.RunRefusal{Task: id.Task.Ref(), Run: id.Number})
+	}
+	return list
+}
+
 // differentLease reports whether an expiry report is about another lease than the one that the
 // leader tracks. Agents of the previous release name no lease; for them the order of the reports
 // decides.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -271,7 +271,7 @@
 		if replaced != nil {
 			command.Replaces = proto.String(replaced.Spec.Id)
 			end := replacedEnd(m, r)
-			command.NeverSent, command.ReplacedEnds = neverSent(end.GetRefusals()), end.GetEnds()
+			command.NeverSent, command.ReplacedEnds = neverSent(replaced, end), end.GetEnds()
 		}
 		return command
 	}
@@ -280,7 +280,7 @@
 			command.Ends = append(command.Ends, e)
 		}
 	}
-	command.Refusals = slices.DeleteFunc(slices.Clone(r.Refusals), func(refusal *apiv1.RunRefusal) bool {
+	command.Refusals = slices.DeleteFunc(slices.Clone(returnedStarts(w, r)), func(refusal *apiv1.RunRefusal) bool {
 		return !w.HasOrLost(jobqueue.RunID{Task: jobqueue.TaskIDOf(refusal.Task), Number: refusal.Run})
 	})
 	if r.Departed {
