jobqueue, crashloop: tests of five more rules of evidence

Left out one by one on a copy, these conditions failed no unit test; each does now: the strongest suspect of a worker, a task with a crash of its own beside a failed step and beside a repeated suspect, crashes in sequence of one event, and a last crash that is no evidence.

--- a/crashloop/history_test.go
+++ b/crashloop/history_test.go
@@ -98,6 +98,26 @@
 	if !h.LimitReached() {
 		t.Errorf("the limit is not reached: %+v", h)
 	}
+	if !h.MayHaveCaused(5) {
+		t.Errorf("the task may not have caused the last crash: %+v", h)
+	}
+}
+
+// Guards against failing a job by a last crash of which it is not known whether the run was there.
+func TestUnknownLastCrashDoesNotExhaustStarts(t *testing.T) {
+	for name, began := range map[string]bool{"known": true, "unknown": false} {
+		var h History
+		for event := uint64(1); event <= RepeatedCrashes+MaxStartsAfterRepeatedCrashes; event++ {
+			startAndCrash(&h, crashOf(event, 2*second))
+			h.Excuse(event)
+		}
+		last := crashOf(9, 2*second)
+		last.Began = began
+		startAndCrash(&h, last)
+		if h.StartsExhausted() != began {
+			t.Errorf("%s: the starts are exhausted: %v", name, h.StartsExhausted())
+		}
+	}
 }
 
 // Guards against a lost run that counts as a crash after its worker was heard of again.
--- a/jobqueue/crashevent_test.go
+++ b/jobqueue/crashevent_test.go
@@ -93,7 +93,8 @@
 
 func (r *crashHarness) startBystander(host int) {
 	r.t.Helper()
-	r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: bystanderTask.Ref(), Run: 1, Worker: r.worker(host)}}})
+	run := r.m.Task(bystanderTask).LastRun + 1
+	r.plan(&apiv1.PlanRuns{Starts: []*apiv1.StartRun{{Task: bystanderTask.Ref(), Run: run, Worker: r.worker(host)}}})
 }
 
 // Guards against crashes that still count against a task after the one beside it has failed its job by
@@ -118,6 +119,30 @@
 	}
 }
 
+// Guards against excusing a task that has crashed a worker without the failed step.
+func TestTaskWithCrashOfItsOwnIsNotExcusedBesideFailedOne(t *testing.T) {
+	r := newCrashHarness(t)
+	r.submitBystander()
+	r.startBystander(2)
+	r.incarnations[2]++
+	r.report(2, &apiv1.WorkerCrash{Worked: []*apiv1.RunWork{{Task: bystanderTask.Ref(), Run: 1, WorkedMs: 3000, AtMostMs: 3000, Began: true}}})
+	r.start(0, 0)
+	r.crash(0, map[uint32]time.Duration{0: time.Millisecond})
+	r.startBystander(1)
+	r.start(0, 1)
+	r.incarnations[1]++
+	r.report(1, &apiv1.WorkerCrash{Worked: []*apiv1.RunWork{
+		{Task: r.task(0).Ref(), Run: 2, AtMostMs: 1, Began: true},
+		{Task: bystanderTask.Ref(), Run: 2, WorkedMs: 3000, AtMostMs: 3000, Began: true},
+	}})
+	if r.m.Job(crashedJob).Open() {
+		t.Fatal("the crashing task has not failed its job")
+	}
+	if n := r.m.Task(bystanderTask).Crashes.Similar(); n != 2 {
+		t.Errorf("%d crashes count against the task", n)
+	}
+}
+
 // Guards against excusing a task from a crash that the failed step cannot have caused: its run had worked for
 // less than the time after which it crashes its workers.
 func TestTaskBesideYoungRunOfFailedStepIsNotExcused(t *testing.T) {
@@ -292,6 +317,24 @@
 	}
 }
 
+// Guards against failing the job of a task that is out of starts although another step on the worker is
+// as much a suspect.
+func TestTaskOutOfStartsBesideEqualSuspectDoesNotFailJob(t *testing.T) {
+	r := newCrashHarness(t)
+	for i, worked := range [][3]time.Duration{{1, 9, 4}, {3, 7, 6}, {2, 5, 8}, {2, 4, 3}} {
+		r.startTogether(0, 1, 2)
+		for _, host := range []int{1, 2, 0} {
+			r.crashAt(host, int64(1000+10_000*i), uint32(host), worked[host]*time.Second)
+		}
+	}
+	r.start(1, 0)
+	r.start(0, 0)
+	r.crash(0, map[uint32]time.Duration{0: 3 * time.Second, 1: 9 * time.Second})
+	if !r.m.Job(crashedJob).Open() {
+		t.Error("the job has failed")
+	}
+}
+
 // Guards against a further start of a task that is out of starts, while its verdict waits for silent workers.
 func TestPendingVerdictHoldsTaskThatIsOutOfStarts(t *testing.T) {
 	for _, restored := range []bool{false, true} {
@@ -428,11 +471,13 @@
 	for name, test := range map[string]struct {
 		guiltyWorked time.Duration
 		crashes      int
+		ownCrash     bool
 		want         int
 	}{
-		"several crashes":              {2 * time.Second, 2, 0},
-		"one crash":                    {2 * time.Second, 1, 1},
-		"several, after a longer time": {300 * time.Millisecond, 2, 1},
+		"several crashes":              {2 * time.Second, 2, false, 0},
+		"one crash":                    {2 * time.Second, 1, false, 1},
+		"several, after a longer time": {300 * time.Millisecond, 2, false, 1},
+		"one without it":               {2 * time.Second, 2, true, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newCrashHarness(t)
@@ -440,6 +485,10 @@
 				r.start(0, 0)
 				r.crash(0, map[uint32]time.Duration{0: 2 * time.Second})
 			}
+			if test.ownCrash {
+				r.start(1, 1)
+				r.crash(1, map[uint32]time.Duration{1: 3 * time.Second})
+			}
 			r.start(1, 1)
 			r.start(0, 1)
 			r.crash(1, map[uint32]time.Duration{0: test.guiltyWorked, 1: 3 * time.Second})
