--- a/dispatch/crashlimit_test.go
+++ b/dispatch/crashlimit_test.go
@@ -157,6 +157,21 @@
 	})
 }
 
+// Guards against a job that fails without a line because its leader loses the leadership right after.
+func TestNewLeaderLogsJobThatFailedBeforeItTookOver(t *testing.T) {
+	runCrashLimitSim(t, func(r *crashLimitHarness) {
+		for range crashloop.RepeatedCrashes + crashloop.MaxStartsAfterRepeatedCrashes {
+			r.crash(worked(r.awaitRun()))
+		}
+		before := strings.Count(r.s.logBuffer.String(), "job is given up")
+		leaders := &expiryHarness{t, r.s}
+		leaders.changeLeader()
+		if n := strings.Count(r.s.logBuffer.String(), "job is given up"); n <= before {
+			t.Errorf("%d lines say that the job is given up, as many as before the change of leader", n)
+		}
+	})
+}
+
 // Guards against a job that crashes nothing and fails by starts that never reached their workers.
 func TestStartsThatNeverReachedWorkersDoNotFailJob(t *testing.T) {
 	lapse := func(r *crashLimitHarness, refusals []*apiv1.RunRefusal) {
