dispatch, agent/runs: a worker over its capacity is logged, with the capacity, its age and what was counted

Before any change of logic: of a start that brought a worker over its capacity there was no line, and none told by which capacity it was made. The agent's report now says how old the worker's announcement of its capacity is, by the worker's clock where that is known; `start answered` names capacity and age; the leader writes `worker is over its capacity` with capacity, age, the sum, each run that counts (logged, unlogged, unknown) and those that began.

--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
@@ -153,7 +154,7 @@
 	r := &apiv1.JobsReportRequest{
 		Worker: a.Worker, Ends: status.Ended, Running: status.Running,
 		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.pendingRefusals(),
-		Partial: status.Partial, ClockMs: status.ClockMs,
+		Partial: status.Partial, ClockMs: status.ClockMs, CapacityAgeMs: proto.Int64(s.currentCapacityAge().Milliseconds()),
 	}
 	ends := s.pendingEnds()
 	for _, end := range ends {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -54,6 +54,8 @@
 	previousEnds []*endReport
 	end          *endReport
 	announced    Announcement
+	// announcedAt is when the first announcement with this sequence number arrived.
+	announcedAt time.Time
 	// finished is set at the end of the session. No call is started after that.
 	finished bool
 	term     uint64
@@ -105,7 +107,7 @@
 	return &session{
 		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, alive: alive, endAlive: endAlive,
 		unleased: unleased, endUnleased: endUnleased,
-		announced: a, id: rand.Uint64(), term: d.term.Load(),
+		announced: a, announcedAt: d.opts.Now(), id: rand.Uint64(), term: d.term.Load(),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 		orders:     map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
 		startsInFlight: startsInFlight{}, runsPresent: map[jobqueue.RunID]bool{},
@@ -145,6 +147,9 @@
 	}
 	departed := s.announced.Departed
 	draining := s.announced.Worker.Draining || a.Worker.Draining
+	if a.Sequence > s.announced.Sequence {
+		s.announcedAt = s.d.opts.Now()
+	}
 	if a.Sequence >= s.announced.Sequence {
 		s.announced = a
 	}
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -44,6 +45,9 @@
 	order Order
 	start Start
 	try   int
+	// capacity and capacityAge are the capacity of the worker by which the start was allowed.
+	capacity    jobqueue.Resources
+	capacityAge time.Duration
 	// inFlightBefore is what startsInFlight held for the run before the call.
 	inFlightBefore startInFlight
 }
@@ -87,6 +91,7 @@
 	}
 	call = startCall{
 		try: try, order: Order{Incarnation: s.incarnation, Term: s.term},
+		capacity: jobqueue.CapacityOf(s.announced.Worker), capacityAge: s.capacityAge(s.d.opts.Now()),
 		start: Start{
 			Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
 			DeadlineMs: s.startDeadline(),
@@ -125,7 +130,7 @@
 		return false
 	}
 	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer),
-		event.Try(c.try))
+		event.Try(c.try), event.Capacity(c.capacity), event.CapacityAge(c.capacityAge))
 	switch answer {
 	case AnswerDone:
 		s.d.metrics.starts.Inc(1)
--- a/agent/runs/worker.go
+++ b/agent/runs/worker.go
@@ -130,6 +130,8 @@
 	Remaining time.Duration
 	// Sequence grows with each announcement of an incarnation.
 	Sequence uint64
+	// ClockMs is the reading of the worker's clock when it sent the announcement; 0 if it is unknown.
+	ClockMs int64
 	// Departed: the worker reports that it is ending.
 	Departed bool
 }
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -40,6 +40,9 @@
 	lossLoggedEpoch  map[string]uint64
 	// unlogged are the runs that each worker listed last and the log does not contain there.
 	unlogged map[string][]jobqueue.RunID
+	// overcommitted are the workers that were last logged to be over their capacity, with the runs that
+	// they listed then.
+	overcommitted map[string]map[jobqueue.RunID]bool
 	// finishLogged are the jobs whose end was logged.
 	finishLogged map[string]bool
 	// crashLimitLogged are the jobs whose failure by the crash limit was logged, and crashLimitLoggedMs
@@ -126,6 +129,7 @@
 		crashLimitLogged:   map[string]bool{},
 		crashLimitLoggedMs: now.Add(-takeoverLogOverlap).UnixMilli(),
 		unlogged:           map[string][]jobqueue.RunID{},
+		overcommitted:      map[string]map[jobqueue.RunID]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
 		stops:              newOpenStops(),
@@ -224,6 +228,11 @@
 			delete(l.refusalsRecorded, id)
 		}
 	}
+	for worker := range l.overcommitted {
+		if m.Worker(worker) == nil {
+			delete(l.overcommitted, worker)
+		}
+	}
 	for worker := range l.endsRecorded {
 		if m.Worker(worker) == nil {
 			delete(l.endsRecorded, worker)
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -34,6 +34,8 @@
 	reportsOutdated metrics.Counter
 	// unloggedRuns counts the runs that workers listed and the log did not contain.
 	unloggedRuns metrics.Counter
+	// overcommitted counts the lines about workers over their capacity.
+	overcommitted metrics.Counter
 	// stopsOverdue is the number of runs that outlast their stops.
 	stopsOverdue metrics.Gauge
 	// longRunningNotRunning is the number of long-running tasks that are not known to run, and
@@ -63,6 +65,8 @@
 
 		unloggedRuns: metrics.GetOrRegisterCounter("dispatch.runs_unlogged", r),
 
+		overcommitted: metrics.GetOrRegisterCounter("dispatch.workers_overcommitted", r),
+
 		stopsOverdue: metrics.GetOrRegisterGauge("dispatch.stops_overdue", r),
 
 		longRunningNotRunning: metrics.GetOrRegisterGauge("dispatch.long_running_away", r),
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -114,6 +114,7 @@
 		}
 		d.recordReportedLosses(l, jobs, r, now)
 		d.recordUnlogged(l, jobs, r, now)
+		d.logOvercommitted(l, jobs, r, now)
 		d.countObjectiveMisses(jobs, r.Running)
 		l.logObjectiveMisses(jobs.Worker(r.Worker.GetId()), r.Running, now)
 		applied.command = l.reportCommand(jobs, r, now)
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -73,6 +73,11 @@
 	return r.CPUMilli <= o.CPUMilli && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
 }
 
+// String returns the resources as they appear in logs.
+func (r Resources) String() string {
+	return fmt.Sprintf("%d %d %d", r.CPUMilli, r.MemoryMB, r.Accelerators)
+}
+
 // Reserved returns the resources that a task of the step reserves on a worker. A backfill task runs
 // on the processor time that other tasks leave unused, so it reserves no CPU.
 func Reserved(s *apiv1.JobStep) Resources {
@@ -243,8 +248,11 @@
 }
 
 // Capacity returns the worker's total resources.
-func (w *Worker) Capacity() Resources {
-	return Resources{CPUMilli: w.Spec.CpuMilli, MemoryMB: w.Spec.MemoryMb, Accelerators: w.Spec.Accelerators}
+func (w *Worker) Capacity() Resources { return CapacityOf(w.Spec) }
+
+// CapacityOf returns the total resources in a worker's description.
+func CapacityOf(w *apiv1.JobWorker) Resources {
+	return Resources{CPUMilli: w.CpuMilli, MemoryMB: w.MemoryMb, Accelerators: w.Accelerators}
 }
 
 // Free returns the resources that no run reserves.
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -26,6 +26,8 @@
 	NameLost              = "lost"
 	NameReason            = "reason"
 	NameUnlogged          = "unlogged"
+	NameCounted           = "counted"
+	NameBegan             = "began"
 	NameWaitingSteps      = "waits"
 	NameTasks             = "tasks"
 	NameWorkers           = "workers"
@@ -174,6 +176,22 @@
 // format of Started.
 func Unlogged(byWorker map[string][]string) Field { return listsField(NameUnlogged, byWorker) }
 
+// Counted lists the runs that count towards the use of a worker's capacity, by whether the replicated log
+// contains them; each is "TASK RUN RESERVED".
+func Counted(byKind map[string][]string) Field { return listsField(NameCounted, byKind) }
+
+// Began lists the runs that a worker lists for the first time; each is "TASK RUN".
+func Began(runs []string) Field { return Field{zap.Strings(NameBegan, runs)} }
+
+// Capacity is the capacity of a worker: "CPU MEMORY ACCELERATORS", in thousandths of a core, MB and units.
+func Capacity(r fmt.Stringer) Field { return Field{zap.Stringer("capacity", r)} }
+
+// CapacityAge is the time since the worker announced its capacity.
+func CapacityAge(d time.Duration) Field { return durationField("capacity_age", d) }
+
+// Reserved is the total that runs reserve on a worker, in the format of Capacity.
+func Reserved(r fmt.Stringer) Field { return Field{zap.Stringer("reserved", r)} }
+
 // Worked lists the most recently started runs of a worker, by worker; each is "TASK RUN WORKED",
 // where WORKED is the least time that the run had worked, in milliseconds.
 func Worked(byWorker map[string][]string) Field { return listsField(NameWorked, byWorker) }
