--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -162,13 +162,20 @@
 	w.draining = true
 }
 
-// Resize changes the capacity of the running worker.
+// Resize changes the processors and the memory of the running worker.
 func (w *RunWorker) Resize(cpuMilli, memoryMB int64) {
+	capacity := capacityOf(w.Description())
+	capacity.CPUMilli, capacity.MemoryMB = cpuMilli, memoryMB
+	w.SetCapacity(capacity)
+}
+
+// SetCapacity changes the capacity of the running worker.
+func (w *RunWorker) SetCapacity(r jobqueue.Resources) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	spec := proto.CloneOf(w.Spec)
 	w.previousCapacities = append(w.previousCapacities, previousCapacity{capacityOf(spec), time.Now()})
-	spec.CpuMilli, spec.MemoryMb = cpuMilli, memoryMB
+	spec.CpuMilli, spec.MemoryMb, spec.Accelerators = r.CPUMilli, r.MemoryMB, r.Accelerators
 	w.Spec = spec
 }
 
