agent/runs, dispatch, schedule: a capacity counts only while its announcement is recent

Cause: the agent kept the last announcement, of any age, and reported it with each report as if it were new. Now the announcement has an age, by the worker's clock where it is known, so that one which the network delayed is as old as it is; beyond the contact time and one announcement, less the time of a call, nothing starts by it. jobqueue.Availability answers what may start on a worker now: the planner, the leader's orders and the stops of overcommitted workers go by it, and the agent asks for the age right before each call. What runs goes on. A worker of which only the announcements are lost does not starve silently: `dependency lost`, runs.capacity_outdated, `capacity outdated` in `tasks wait`.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -55,6 +55,9 @@
 	// worker's lease through network partitions and elections. If the agent dies, the worker
 	// stops after this time.
 	MaxLease time.Duration
+	// MaxCapacityAge is the age of the worker's announcement of its capacity from which on nothing is
+	// started; 0 means none.
+	MaxCapacityAge time.Duration
 	// Now reads the clock; it defaults to time.Now.
 	Now func() time.Time
 }
@@ -66,6 +69,7 @@
 	metrics         metricSet
 	workerAnnounced chan struct{}
 	workerWatch     *dependency.Watch
+	capacityWatch   *dependency.Watch
 	// term is the highest term that a leader has reported. All sessions share it: a worker that
 	// received a call under this term refuses calls under a lower one.
 	term  highest.Number
@@ -97,6 +101,7 @@
 	d := &Driver{
 		opts: o, logger: event.Runs.Named(o.Logger), metrics: newMetricSet(o.Metrics),
 		workerWatch:     dependency.New("worker", o.Logger, o.Now),
+		capacityWatch:   dependency.New("announcements of capacity", o.Logger, o.Now),
 		workerAnnounced: make(chan struct{}, 1), departed: map[string]bool{},
 	}
 	// A previous agent may have renewed the worker's lease until this moment.
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -255,6 +255,12 @@
 
 // withDriverAfter does the same, and calls before before the driver starts.
 func withDriverAfter(t *testing.T, l runs.Leader, before func(*countingWorker), f func(d *runs.Driver, w *countingWorker)) {
+	t.Helper()
+	withDriverOf(t, runs.Options{Leader: l}, before, f)
+}
+
+// withDriverOf does the same for a driver of given options.
+func withDriverOf(t *testing.T, o runs.Options, before func(*countingWorker), f func(d *runs.Driver, w *countingWorker)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		watch := fakes.NewRunChecker()
@@ -262,7 +268,8 @@
 		w := &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}
 		w.Fault = w.fault
 		before(w)
-		d := runs.New(runs.Options{Worker: w, Leader: l})
+		o.Worker = w
+		d := runs.New(o)
 		defer runDriver(d)()
 		announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
 		f(d, w)
--- a/agent/runs/metrics.go
+++ b/agent/runs/metrics.go
@@ -21,13 +21,16 @@
 	starts          metrics.Counter
 	callsUnanswered metrics.Counter
 	startsRefused   metrics.Counter
+	// capacityOutdated counts the statuses of a worker whose capacity was outdated.
+	capacityOutdated metrics.Counter
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
 	return metricSet{
-		reportsLost:     metrics.GetOrRegisterCounter("runs.reports_lost", r),
-		starts:          metrics.GetOrRegisterCounter("runs.starts", r),
-		callsUnanswered: metrics.GetOrRegisterCounter("runs.calls_unanswered", r),
-		startsRefused:   metrics.GetOrRegisterCounter("runs.starts_refused", r),
+		reportsLost:      metrics.GetOrRegisterCounter("runs.reports_lost", r),
+		starts:           metrics.GetOrRegisterCounter("runs.starts", r),
+		callsUnanswered:  metrics.GetOrRegisterCounter("runs.calls_unanswered", r),
+		startsRefused:    metrics.GetOrRegisterCounter("runs.starts_refused", r),
+		capacityOutdated: metrics.GetOrRegisterCounter("runs.capacity_outdated", r),
 	}
 }
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -154,7 +154,7 @@
 	r := &apiv1.JobsReportRequest{
 		Worker: a.Worker, Ends: status.Ended, Running: status.Running,
 		RemainingMs: a.Remaining.Milliseconds(), Refusals: s.pendingRefusals(),
-		Partial: status.Partial, ClockMs: status.ClockMs, CapacityAgeMs: proto.Int64(s.currentCapacityAge().Milliseconds()),
+		Partial: status.Partial, ClockMs: status.ClockMs, CapacityAgeMs: proto.Int64(s.reviewCapacityAge().Milliseconds()),
 	}
 	ends := s.pendingEnds()
 	for _, end := range ends {
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -45,9 +44,8 @@
 	order Order
 	start Start
 	try   int
-	// capacity and capacityAge are the capacity of the worker by which the start was allowed.
-	capacity    jobqueue.Resources
-	capacityAge time.Duration
+	// available is what might start on the worker before the call.
+	available jobqueue.Availability
 	// inFlightBefore is what startsInFlight held for the run before the call.
 	inFlightBefore startInFlight
 }
@@ -76,6 +74,7 @@
 func (s *session) prepareStart(id jobqueue.RunID, o *order, try int) (call startCall, ready, void bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	available := s.availability()
 	leased := s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 	switch {
 	case s.finished || o.stop || s.isVoid(o):
@@ -88,10 +87,13 @@
 	case s.hasLessCapacity(o):
 		s.refuseRun(id, o, "worker shrank")
 		return startCall{}, false, true
+	case available.ShortageFor(jobqueue.Resources{}) == jobqueue.ShortageOutdated:
+		s.refuseRun(id, o, jobqueue.ShortageOutdated.String())
+		return startCall{}, false, true
 	}
 	call = startCall{
 		try: try, order: Order{Incarnation: s.incarnation, Term: s.term},
-		capacity: jobqueue.CapacityOf(s.announced.Worker), capacityAge: s.capacityAge(s.d.opts.Now()),
+		available: available,
 		start: Start{
 			Run: id, Payload: o.start.Payload, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
 			DeadlineMs: s.startDeadline(),
@@ -130,7 +132,7 @@
 		return false
 	}
 	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer),
-		event.Try(c.try), event.Capacity(c.capacity), event.CapacityAge(c.capacityAge))
+		event.Try(c.try), event.Capacity(c.available.Capacity), event.CapacityAge(c.available.CapacityAge))
 	switch answer {
 	case AnswerDone:
 		s.d.metrics.starts.Inc(1)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -39,7 +39,8 @@
 	savedCheckpoints map[jobqueue.RunID]savedCheckpoint
 	lossLoggedEpoch  map[string]uint64
 	// unlogged are the runs that each worker listed last and the log does not contain there.
-	unlogged map[string][]jobqueue.RunID
+	unlogged       map[string][]jobqueue.RunID
+	maxCapacityAge time.Duration
 	// overcommitted are the workers that were last logged to be over their capacity, with the runs that
 	// they listed then.
 	overcommitted map[string]map[jobqueue.RunID]bool
@@ -129,6 +130,7 @@
 		crashLimitLogged:   map[string]bool{},
 		crashLimitLoggedMs: now.Add(-takeoverLogOverlap).UnixMilli(),
 		unlogged:           map[string][]jobqueue.RunID{},
+		maxCapacityAge:     d.opts.MaxCapacityAge,
 		overcommitted:      map[string]map[jobqueue.RunID]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
@@ -267,6 +269,11 @@
 	return v.l.contacts.since(worker, v.now)
 }
 
+// Availability implements schedule.Fleet.
+func (v fleetView) Availability(w *jobqueue.Worker) jobqueue.Availability {
+	return v.l.availability(w, v.now)
+}
+
 // Observed implements schedule.Fleet.
 func (v fleetView) Observed(id jobqueue.RunID) (schedule.Observation, bool) {
 	o, ok := v.l.observed[id]
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -40,6 +40,8 @@
 	expired bool
 	// duration is the duration of the last grant.
 	duration time.Duration
+	// capacityAnnouncedAt is when the worker announced the capacity that was last reported.
+	capacityAnnouncedAt time.Time
 }
 
 func newLeaseTable(now time.Time, duration, contact time.Duration) *leaseTable {
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -40,6 +40,9 @@
 	LeaseDuration time.Duration
 	// ContactTimeout is the time after a worker's last report from which on it gets no new work.
 	ContactTimeout time.Duration
+	// MaxCapacityAge is the age of a worker's announcement of its capacity from which on the worker
+	// gets no new work; 0 means none.
+	MaxCapacityAge time.Duration
 	Logger         *zap.Logger
 	Metrics        metrics.Registry
 	// Now returns the current time; the default is time.Now.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -61,22 +61,21 @@
 		resp.Capacity = &apiv1.WorkerCapacity{
 			CpuMilli: w.Spec.CpuMilli, MemoryMb: w.Spec.MemoryMb, Accelerators: w.Spec.Accelerators,
 		}
+		// An overcommitted worker starts nothing until the surplus is released.
+		mayStart := !l.availability(w, d.opts.Now()).Overcommitted()
 		for _, id := range w.SortedRunIDs() {
-			l.addOrder(resp, w, w.Runs[id])
+			l.addOrder(resp, w.Runs[id], mayStart)
 		}
 	})
 	return resp
 }
 
-func (l *leaderState) addOrder(resp *apiv1.JobsOrdersResponse, w *jobqueue.Worker, r *jobqueue.Run) {
+func (l *leaderState) addOrder(resp *apiv1.JobsOrdersResponse, r *jobqueue.Run, mayStart bool) {
 	if r.Stopping {
 		resp.Stops = append(resp.Stops, &apiv1.StopOrder{Task: r.ID.Task.Ref(), Run: r.ID.Number})
 		return
 	}
-	// A worker whose capacity shrank below what its runs reserve starts nothing until the surplus
-	// is released.
-	shrunk := !(jobqueue.Resources{}).Fits(w.Free())
-	if _, running := l.observed[r.ID]; !running && !shrunk {
+	if _, running := l.observed[r.ID]; !running && mayStart {
 		resp.Starts = append(resp.Starts, &apiv1.StartOrder{
 			Task: r.ID.Task.Ref(), Run: r.ID.Number, Checkpoint: r.Checkpoint, Payload: r.Job().Spec.Payload,
 			Ticket: r.Ticket,
--- a/dispatch/overcommitted.go
+++ b/dispatch/overcommitted.go
@@ -82,8 +82,3 @@
 	}
 	return lists
 }
-
-// reportedCapacityAge returns the age of the capacity in a report; 0 if the report does not tell it.
-func reportedCapacityAge(r *apiv1.JobsReportRequest) time.Duration {
-	return time.Duration(r.GetCapacityAgeMs()) * time.Millisecond
-}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -103,6 +103,9 @@
 		applied.grantedLease, _ = l.leases.renew(r.Worker.GetId(), r.Session, now, time.Duration(r.LeaseBoundMs)*time.Millisecond)
 	}
 	l.contacts.recordReport(r, now)
+	if !r.Departed {
+		l.recordCapacityAge(r, now)
+	}
 	for _, o := range r.Running {
 		l.recordObservation(o, r.ClockMs, now)
 	}
@@ -251,7 +254,7 @@
 
 // workerUnable reports whether a refusal means that the worker can't start any task for now.
 func workerUnable(reason string) bool {
-	return reason == jobqueue.RefusedNoCapacity || reason == jobqueue.RefusedUnwilling
+	return reason == jobqueue.RefusedNoCapacity || reason == jobqueue.RefusedUnwilling || reason == jobqueue.ShortageOutdated.String()
 }
 
 // endKindName returns the name of a kind of end in logs.
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -97,6 +97,11 @@
 	return r.unresponsiveAt[worker], !r.unresponsive[worker]
 }
 
+// Availability implements Fleet.
+func (r *harness) Availability(w *jobqueue.Worker) jobqueue.Availability {
+	return jobqueue.Availability{Capacity: w.Capacity(), Reserved: w.Used}
+}
+
 // Observed implements Fleet.
 func (r *harness) Observed(id jobqueue.RunID) (Observation, bool) {
 	o, ok := r.observations[id]
--- a/schedule/overcommitted.go
+++ b/schedule/overcommitted.go
@@ -11,20 +11,20 @@
 // further ones may begin.
 func (r *round) stopOvercommitted() {
 	for _, s := range r.slots {
-		if (jobqueue.Resources{}).Fits(s.free) {
+		available := s.available
+		if !available.Overcommitted() {
 			continue
 		}
-		free := s.free
 		unobserved := s.worker.RunsMatching(func(run *jobqueue.Run) bool {
 			_, seen := r.fleet.Observed(run.ID)
 			return !seen && !run.Stopping
 		})
 		for _, run := range slices.Backward(unobserved) {
-			if (jobqueue.Resources{}).Fits(free) {
+			if !available.Overcommitted() {
 				break
 			}
 			r.stop(run.ID, "worker shrank")
-			free = free.Add(jobqueue.Reserved(run.Step))
+			available.Reserved = available.Reserved.Sub(jobqueue.Reserved(run.Step))
 		}
 	}
 }
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -47,12 +47,14 @@
 	// same round or has runs that were not yet observed, any of which could be the cause of a
 	// crash.
 	ReasonProbation
+	// ReasonCapacityOutdated means that the worker announced its capacity too long ago.
+	ReasonCapacityOutdated
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
-	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial",
+	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated",
 }
 
 // String returns the reason's name in logs.
@@ -77,15 +79,11 @@
 	return strings.Join(parts, ", ")
 }
 
-// capacityReason returns which resource is short, ReasonNone if the need fits.
-func capacityReason(need, free jobqueue.Resources) Reason {
-	switch {
-	case need.CPUMilli > free.CPUMilli:
-		return ReasonProcessors
-	case need.MemoryMB > free.MemoryMB:
-		return ReasonMemory
-	case need.Accelerators > free.Accelerators:
-		return ReasonAccelerators
-	}
-	return ReasonNone
+// shortageReasons are the reasons for the shortages of a worker.
+var shortageReasons = [...]Reason{
+	jobqueue.ShortageNone:         ReasonNone,
+	jobqueue.ShortageOutdated:     ReasonCapacityOutdated,
+	jobqueue.ShortageProcessors:   ReasonProcessors,
+	jobqueue.ShortageMemory:       ReasonMemory,
+	jobqueue.ShortageAccelerators: ReasonAccelerators,
 }
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -332,7 +332,7 @@
 	case !s.worker.HasLabel(spec.RequiredLabel):
 		return ReasonLabel
 	}
-	if reason := capacityReason(jobqueue.Reserved(spec), s.free); reason != ReasonNone {
+	if reason := shortageReasons[s.available.ShortageFor(jobqueue.Reserved(spec))]; reason != ReasonNone {
 		return reason
 	}
 	key := c.key()
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -49,6 +49,8 @@
 	// ReportingSince returns the time since which a worker has sent reports that list all of its
 	// runs without a gap. It returns false while no such reports arrive.
 	ReportingSince(worker string) (time.Time, bool)
+	// Availability returns what may start on a worker before this round's starts.
+	Availability(w *jobqueue.Worker) jobqueue.Availability
 }
 
 // Decision is the set of changes to commit, with what the leader does beside them.
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -58,7 +58,7 @@
 	case spec.LongRunning:
 		return servingScore(spec, s, capacity), ReasonNone
 	}
-	return float64(s.free.CPUMilli-s.backfillMilli) / capacity, ReasonNone
+	return float64(s.available.Free().CPUMilli-s.backfillMilli) / capacity, ReasonNone
 }
 
 // servingScore packs serving tasks and colocates those of one image. The workers that remain
@@ -68,7 +68,7 @@
 	for _, n := range s.servingByImage {
 		total += n
 	}
-	score := -float64(s.free.CPUMilli) / capacity
+	score := -float64(s.available.Free().CPUMilli) / capacity
 	if total > 0 {
 		score += sameImageBonus * float64(same) / float64(total)
 	}
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -10,7 +10,8 @@
 // slot is a worker with the tasks that this round starts on it.
 type slot struct {
 	worker *jobqueue.Worker
-	free   jobqueue.Resources
+	// available is initially what may start on the worker and shrinks with this round's starts.
+	available jobqueue.Availability
 	// use is initially the use of the worker's runs and grows with this round's starts.
 	use
 	// servingCloned is set once servingByImage is a copy that this round may change.
@@ -119,7 +120,7 @@
 		health := r.planner.health.byWorker[w.Spec.Id]
 		r.slots = append(r.slots, &slot{
 			worker:         w,
-			free:           w.Free(),
+			available:      r.fleet.Availability(w),
 			use:            r.useOf(w),
 			usable:         !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
 			leaving:        r.machine.Leaving(w.Spec.Id),
@@ -144,11 +145,12 @@
 // reserve reserves capacity for n tasks of a candidate. With n = -1 it releases the capacity of one
 // task.
 func (s *slot) reserve(c *candidate, n int) {
+	reserved := &s.available.Reserved
 	for range max(n, -n) {
 		if n > 0 {
-			s.free = s.free.Sub(jobqueue.Reserved(c.step.Spec))
+			*reserved = reserved.Add(jobqueue.Reserved(c.step.Spec))
 		} else {
-			s.free = s.free.Add(jobqueue.Reserved(c.step.Spec))
+			*reserved = reserved.Sub(jobqueue.Reserved(c.step.Spec))
 		}
 	}
 	s.addUse(c.step.Spec, n)
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -69,8 +69,8 @@
 		if s.worker.Spec.Pool != pool || !s.usable {
 			continue
 		}
-		used = used.Add(s.worker.Capacity().Sub(s.free))
-		capacity = capacity.Add(s.worker.Capacity())
+		used = used.Add(s.available.Reserved)
+		capacity = capacity.Add(s.available.Capacity)
 	}
 	exceeded := func(used, capacity int64) bool { return float64(used) > crowdedUtilization*float64(capacity) }
 	return exceeded(used.CPUMilli, capacity.CPUMilli) || exceeded(used.MemoryMB, capacity.MemoryMB)
