agent/runs, dispatch, schedule: what is on a worker counts, whether or not the log holds it

What callers saw: LIMIT; a worker that lists a run which the log does not hold got starts as if the run were not there (6,600 of 4,000; two seconds after the leader had ordered its stop). The log releases a run whose start was given back, lost or undone; if it begins or goes on after all, nobody counted it.

Cause: room was counted from what we had decided. Now jobqueue.Availability also holds the runs that a worker lists and the log lacks: their reservation is that of their job, and while one is there whose job the log has forgotten too, nothing starts. The planner, the leader's orders and the stops of overcommitted workers go by it. The agent counts what is on its worker right before each call: what the worker lists, what may begin there at any time and what may be in a row that can't be read, against the newest announcement. For that, starts carry what they reserve, and the leader lists the reservations on the worker when the agent asks: at the start of a session, and when the worker lists a run that it has not been told of; until then a start waits. This takes the place of hasLessCapacity, which compared two announcements and knew of no runs. A leader of an earlier release lists nothing and holds nothing back.

Cost: a worker with a run that nobody knows gets nothing until its stop is carried out, a second or so, or as long as its stops are lost; what was ordered there is taken back and starts elsewhere.

`start is not sent` tells why.

--- a/agent/runs/availability.go
+++ b/agent/runs/availability.go
@@ -8,13 +8,57 @@
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
-// availability returns what may start on the worker now. The caller must hold s.mu.
-func (s *session) availability() jobqueue.Availability {
+// availability returns what may start on the worker now, beside a given run. complete means that the
+// leader has told what each run on the worker reserves, or that nobody knows. A leader of an earlier
+// release tells nothing; then no run counts. The caller must hold s.mu.
+func (s *session) availability(beside jobqueue.RunID) (a jobqueue.Availability, complete bool) {
+	a = s.announcedCapacity()
+	if !s.reservations.listed {
+		return a, true
+	}
+	complete = true
+	for id := range s.runsOnWorker() {
+		r, told := s.reservations.byRun[id]
+		switch {
+		case id == beside:
+		case !told:
+			complete = false
+		case r.unknown:
+			a.UnknownRuns++
+		default:
+			a.Reserved = a.Reserved.Add(r.reserved)
+		}
+	}
+	return a, complete
+}
+
+// announcedCapacity returns the worker's capacity, with nothing reserved. The caller must hold s.mu.
+func (s *session) announcedCapacity() jobqueue.Availability {
 	return jobqueue.Availability{
 		Capacity: jobqueue.CapacityOf(s.announced.Worker), CapacityAge: s.capacityAge(s.d.opts.Now()), MaxCapacityAge: s.d.opts.MaxCapacityAge,
 	}
 }
 
+// runsOnWorker returns the runs that the worker lists, those that may begin there at any time, and those
+// that may be in a row of its list that can't be read. The caller must hold s.mu.
+func (s *session) runsOnWorker() map[jobqueue.RunID]bool {
+	found := map[jobqueue.RunID]bool{}
+	for _, r := range s.status.Running {
+		found[jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}] = true
+	}
+	for id := range s.startsInFlight {
+		found[id] = true
+	}
+	if s.status.Partial {
+		for id := range s.reservations.byRun {
+			if s.mayBeUnreadable(id) && !hasEnded(s.status, id) {
+				found[id] = true
+			}
+		}
+	}
+	return found
+}
+
 // capacityAge returns the time since the worker announced its capacity. An announcement that was
 // delayed is as old as the worker's clock tells. The caller must hold s.mu.
 func (s *session) capacityAge(now time.Time) time.Duration {
@@ -33,7 +77,7 @@
 // gets no starts. It returns the age of the capacity.
 func (s *session) reviewCapacityAge() time.Duration {
 	s.mu.Lock()
-	available := s.availability()
+	available := s.announcedCapacity()
 	s.mu.Unlock()
 	if available.ShortageFor(jobqueue.Resources{}) != jobqueue.ShortageOutdated {
 		s.d.capacityWatch.Record(nil)
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/fakes"
@@ -43,6 +45,10 @@
 	// supersededSession is a session whose reports the leader rejects.
 	supersededSession uint64
 	reports           []*apiv1.JobsReportRequest
+	// reservations are listed on request; nil makes it a leader that lists none.
+	reservations []*apiv1.RunReservation
+	// reservationRequests counts the requests for them.
+	reservationRequests int
 }
 
 var (
@@ -81,10 +87,20 @@
 func (l *leader) Orders(ctx context.Context, r *apiv1.JobsOrdersRequest) (*apiv1.JobsOrdersResponse, error) {
 	l.mu.Lock()
 	orders, unavailable := l.orders, l.unavailable || l.ordersFail || l.ordersNeedFound && !l.found
+	if r.ListReservations {
+		l.reservationRequests++
+	}
+	if r.ListReservations && l.reservations != nil {
+		orders = proto.CloneOf(orders)
+		orders.Reservations, orders.ReservationsListed = l.reservations, true
+	}
 	l.mu.Unlock()
 	if unavailable {
 		return nil, errUnavailable
 	}
+	if orders.ReservationsListed {
+		return orders, nil
+	}
 	if r.Term == orders.Term && r.Sequence == orders.Sequence {
 		select {
 		case <-time.After(time.Second):
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -15,9 +15,6 @@
 	// the agent is partitioned until the leader records the run as lost and starts it elsewhere,
 	// then receives a new lease before new orders, and would start the old run under that lease.
 	epoch uint64
-	// capacity is the worker capacity known to the leader when it first gave the order; nil from
-	// a leader that does not report it.
-	capacity *apiv1.WorkerCapacity
 	// notOrderedBefore: no previous agent can have received the order.
 	notOrderedBefore bool
 	// withdrawn: the leader no longer lists the order.
@@ -59,7 +56,7 @@
 	var term, sequence uint64
 	for ctx.Err() == nil {
 		resp, err := s.d.opts.Leader.Orders(ctx, &apiv1.JobsOrdersRequest{
-			Worker: s.incarnation, Term: term, Sequence: sequence,
+			Worker: s.incarnation, Term: term, Sequence: sequence, ListReservations: s.needsReservations(),
 		})
 		if err != nil {
 			sleep(ctx, retryInterval)
@@ -70,6 +67,7 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
+		s.recordReservations(resp)
 		changed := resp.Term != term || resp.Sequence != sequence
 		term, sequence = resp.Term, resp.Sequence
 		if changed {
@@ -121,7 +119,7 @@
 		open[id] = true
 		known := s.orderFor(id)
 		if known.start == nil {
-			known.capacity, known.notOrderedBefore = resp.Capacity, !s.orderedBefore[id]
+			known.notOrderedBefore = !s.orderedBefore[id]
 		}
 		known.start, known.epoch, known.withdrawn = o, resp.Epoch, false
 	}
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -74,6 +74,7 @@
 	// received too; nil before.
 	orderedBefore  map[jobqueue.RunID]bool
 	refusals       map[jobqueue.RunID]string
+	reservations   reservations
 	callHistory    callHistory
 	startsInFlight startsInFlight
 	// previousCallsSettled: the status shows all starts that a previous agent sent.
@@ -110,7 +111,7 @@
 		announced: a, announcedAt: d.opts.Now(), id: rand.Uint64(), term: d.term.Load(),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 		orders:     map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
-		startsInFlight: startsInFlight{}, runsPresent: map[jobqueue.RunID]bool{},
+		startsInFlight: startsInFlight{}, reservations: newReservations(), runsPresent: map[jobqueue.RunID]bool{},
 	}
 }
 
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -74,7 +74,8 @@
 func (s *session) prepareStart(id jobqueue.RunID, o *order, try int) (call startCall, ready, void bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	available := s.availability()
+	available, complete := s.availability(id)
+	shortage := available.ShortageFor(jobqueue.ResourcesOf(o.start.GetReserved()))
 	leased := s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
 	switch {
 	case s.finished || o.stop || s.isVoid(o):
@@ -84,11 +85,11 @@
 	case s.announced.Worker.Draining && !o.maybeSent:
 		s.refuseRun(id, o, "worker drains")
 		return startCall{}, false, true
-	case s.hasLessCapacity(o):
-		s.refuseRun(id, o, "worker shrank")
-		return startCall{}, false, true
-	case available.ShortageFor(jobqueue.Resources{}) == jobqueue.ShortageOutdated:
-		s.refuseRun(id, o, jobqueue.ShortageOutdated.String())
+	case !complete:
+		return startCall{}, false, false
+	case shortage != jobqueue.ShortageNone:
+		s.logShortage(id, shortage, available)
+		s.refuseRun(id, o, shortage.Refusal())
 		return startCall{}, false, true
 	}
 	call = startCall{
@@ -132,7 +133,8 @@
 		return false
 	}
 	event.StartAnswered.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Epoch(o.epoch), event.Answer(answer),
-		event.Try(c.try), event.Capacity(c.available.Capacity), event.CapacityAge(c.available.CapacityAge))
+		event.Try(c.try), event.Capacity(c.available.Capacity), event.CapacityAge(c.available.CapacityAge),
+		event.Reserved(c.available.Reserved))
 	switch answer {
 	case AnswerDone:
 		s.d.metrics.starts.Inc(1)
@@ -172,12 +174,10 @@
 // task would wait for another worker.
 const maxUnhealthyAnswers = 5
 
-// hasLessCapacity reports whether the worker has less capacity than the leader knew when it gave
-// the order. The caller must hold s.mu.
-func (s *session) hasLessCapacity(o *order) bool {
-	now := s.announced.Worker
-	return now.CpuMilli < o.capacity.GetCpuMilli() || now.MemoryMb < o.capacity.GetMemoryMb() ||
-		now.Accelerators < o.capacity.GetAccelerators()
+// logShortage logs why a start is not sent.
+func (s *session) logShortage(id jobqueue.RunID, shortage jobqueue.Shortage, a jobqueue.Availability) {
+	event.StartNotSent.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Reason(shortage.String()),
+		event.Capacity(a.Capacity), event.CapacityAge(a.CapacityAge), event.Reserved(a.Reserved))
 }
 
 // refuseRun refuses a run whose start the worker refused or must no longer receive. A run that the
--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -20,9 +20,41 @@
 
 // availability returns what may start on a worker now. The capacity of a worker that has not reported to
 // this leader counts as outdated.
-func (l *leaderState) availability(w *jobqueue.Worker, now time.Time) jobqueue.Availability {
-	return jobqueue.Availability{
+func (l *leaderState) availability(m *jobqueue.Machine, w *jobqueue.Worker, now time.Time) jobqueue.Availability {
+	a := jobqueue.Availability{
 		Capacity: w.Capacity(), CapacityAge: now.Sub(l.leases.get(w.Spec.Id).capacityAnnouncedAt), MaxCapacityAge: l.maxCapacityAge,
 		Reserved: w.Used,
 	}
+	for _, id := range l.unlogged[w.Spec.Id] {
+		if step := m.StepSpec(id.Task); step != nil {
+			a.Reserved = a.Reserved.Add(jobqueue.Reserved(step))
+		} else {
+			a.UnknownRuns++
+		}
+	}
+	return a
+}
+
+// reservations returns the reservations of the runs that the log contains on a worker, and of those that
+// the worker listed and the log does not contain.
+func (l *leaderState) reservations(m *jobqueue.Machine, worker string) []*apiv1.RunReservation {
+	var list []*apiv1.RunReservation
+	if w := m.Worker(worker); w != nil {
+		for _, id := range w.SortedRunIDs() {
+			list = append(list, runReservation(id, w.Runs[id].Step))
+		}
+	}
+	for _, id := range l.unlogged[worker] {
+		list = append(list, runReservation(id, m.StepSpec(id.Task)))
+	}
+	return list
+}
+
+// runReservation returns what a run reserves. Its step is nil if the log does not contain its job.
+func runReservation(id jobqueue.RunID, step *apiv1.JobStep) *apiv1.RunReservation {
+	r := &apiv1.RunReservation{Task: id.Task.Ref(), Run: id.Number}
+	if step != nil {
+		r.Reserved = jobqueue.Reserved(step).Message()
+	}
+	return r
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -183,7 +183,7 @@
 		for _, id := range plan.Lapsed {
 			plan.Checkpoints = append(plan.Checkpoints, l.checkpoints(jobs.Worker(id))...)
 		}
-		decision := l.planner.Plan(jobs, l.fleet(now), now, now.UnixMilli())
+		decision := l.planner.Plan(jobs, l.fleet(jobs, now), now, now.UnixMilli())
 		plan.Starts, plan.Stops, plan.TrialsOver = decision.Starts, decision.Stops, decision.EndedProbations
 		for _, w := range decision.RepacedWorkers {
 			l.orderRevisions[w]++
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -200,7 +200,9 @@
 	d.leader.leases.finishReturn(r.Worker.GetId(), r.Session)
 }
 
-func (l *leaderState) fleet(now time.Time) schedule.Fleet { return fleetView{l, now} }
+func (l *leaderState) fleet(m *jobqueue.Machine, now time.Time) schedule.Fleet {
+	return fleetView{l, m, now}
+}
 
 // checkpoints returns the newest known checkpoints of a worker's runs.
 func (l *leaderState) checkpoints(w *jobqueue.Worker) []*apiv1.RunCheckpoint {
@@ -257,8 +259,9 @@
 
 // fleetView implements schedule.Fleet.
 type fleetView struct {
-	l   *leaderState
-	now time.Time
+	l       *leaderState
+	machine *jobqueue.Machine
+	now     time.Time
 }
 
 // Reachable implements schedule.Fleet.
@@ -271,7 +274,7 @@
 
 // Availability implements schedule.Fleet.
 func (v fleetView) Availability(w *jobqueue.Worker) jobqueue.Availability {
-	return v.l.availability(w, v.now)
+	return v.l.availability(v.machine, w, v.now)
 }
 
 // Observed implements schedule.Fleet.
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -91,7 +91,7 @@
 		for _, w := range jobs.Waves() {
 			work.openWaves = work.openWaves || !w.Finished()
 		}
-		work.pendingMoves = l.moves.updatePending(jobs, l.fleet(now), l.waits, now)
+		work.pendingMoves = l.moves.updatePending(jobs, l.fleet(jobs, now), l.waits, now)
 	})
 	return work
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -19,7 +19,7 @@
 	for {
 		changed := d.stateChanged.wait()
 		resp := d.orders(r)
-		updated := resp.NotLeader || resp.Term != r.Term || resp.Sequence != r.Sequence
+		updated := resp.NotLeader || resp.ReservationsListed || resp.Term != r.Term || resp.Sequence != r.Sequence
 		if updated {
 			return resp, nil
 		}
@@ -46,6 +46,9 @@
 		if r.Host != "" {
 			l.addHost(resp, m.CallerJobs(), r.Host)
 		}
+		if r.ListReservations {
+			resp.Reservations, resp.ReservationsListed = l.reservations(m.CallerJobs(), r.Worker), true
+		}
 		for _, id := range l.unlogged[r.Worker] {
 			resp.Stops = append(resp.Stops, &apiv1.StopOrder{Task: id.Task.Ref(), Run: id.Number})
 		}
@@ -58,11 +61,9 @@
 			return
 		}
 		resp.Epoch = w.Epoch
-		resp.Capacity = &apiv1.WorkerCapacity{
-			CpuMilli: w.Spec.CpuMilli, MemoryMb: w.Spec.MemoryMb, Accelerators: w.Spec.Accelerators,
-		}
+		resp.Capacity = w.Capacity().Message()
 		// An overcommitted worker starts nothing until the surplus is released.
-		mayStart := !l.availability(w, d.opts.Now()).Overcommitted()
+		mayStart := !l.availability(m.CallerJobs(), w, d.opts.Now()).Overcommitted()
 		for _, id := range w.SortedRunIDs() {
 			l.addOrder(resp, w.Runs[id], mayStart)
 		}
@@ -78,7 +79,7 @@
 	if _, running := l.observed[r.ID]; !running && mayStart {
 		resp.Starts = append(resp.Starts, &apiv1.StartOrder{
 			Task: r.ID.Task.Ref(), Run: r.ID.Number, Checkpoint: r.Checkpoint, Payload: r.Job().Spec.Payload,
-			Ticket: r.Ticket,
+			Ticket: r.Ticket, Reserved: jobqueue.Reserved(r.Step).Message(),
 		})
 	}
 	if percent, set := l.planner.Pace(r.Worker, r.ID); set {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -125,7 +125,7 @@
 			l.leases.beginReturn(r.Worker.GetId(), r.Session)
 		}
 		applied.openJobs = l.openJobs(jobs, applied.command)
-		if l.adjustPaces(jobs.Worker(r.Worker.GetId()), now) {
+		if l.adjustPaces(jobs, jobs.Worker(r.Worker.GetId()), now) {
 			d.metrics.paceOrders.Inc(1)
 		}
 	})
@@ -254,7 +254,11 @@
 
 // workerUnable reports whether a refusal means that the worker can't start any task for now.
 func workerUnable(reason string) bool {
-	return reason == jobqueue.RefusedNoCapacity || reason == jobqueue.RefusedUnwilling || reason == jobqueue.ShortageOutdated.String()
+	switch reason {
+	case jobqueue.RefusedNoCapacity, jobqueue.RefusedUnwilling, jobqueue.ShortageOutdated.Refusal(), jobqueue.ShortageUnknownRun.Refusal():
+		return true
+	}
+	return false
 }
 
 // endKindName returns the name of a kind of end in logs.
--- a/jobqueue/availability.go
+++ b/jobqueue/availability.go
@@ -13,6 +13,8 @@
 	// Reserved is the total of the runs on the worker, including those that are being stopped and
 	// those that may begin at any time.
 	Reserved Resources
+	// UnknownRuns is the number of runs on the worker whose reservations nobody knows.
+	UnknownRuns int
 }
 
 // Shortage is why a task may not start on a worker.
@@ -23,13 +25,15 @@
 	ShortageNone Shortage = iota
 	// ShortageOutdated: the worker announced its capacity too long ago.
 	ShortageOutdated
+	// ShortageUnknownRun: the worker has a run whose reservation nobody knows.
+	ShortageUnknownRun
 	ShortageProcessors
 	ShortageMemory
 	ShortageAccelerators
 	shortageCount
 )
 
-var shortageNames = [shortageCount]string{"none", "capacity outdated", "processors", "memory", "accelerators"}
+var shortageNames = [shortageCount]string{"none", "capacity outdated", "unknown run", "processors", "memory", "accelerators"}
 
 // String returns the shortage's name in logs.
 func (s Shortage) String() string { return shortageNames[s] }
@@ -43,6 +47,8 @@
 	switch {
 	case a.isOutdated():
 		return ShortageOutdated
+	case a.UnknownRuns > 0:
+		return ShortageUnknownRun
 	case need.CPUMilli > free.CPUMilli:
 		return ShortageProcessors
 	case need.MemoryMB > free.MemoryMB:
@@ -53,8 +59,10 @@
 	return ShortageNone
 }
 
-// Overcommitted reports whether the runs exceed the capacity.
-func (a Availability) Overcommitted() bool { return !(Resources{}).Fits(a.Free()) }
+// Overcommitted reports whether the runs exceed the capacity, or may exceed it.
+func (a Availability) Overcommitted() bool {
+	return a.UnknownRuns > 0 || !(Resources{}).Fits(a.Free())
+}
 
 func (a Availability) isOutdated() bool {
 	return a.MaxCapacityAge > 0 && a.CapacityAge > a.MaxCapacityAge
--- a/jobqueue/refusal.go
+++ b/jobqueue/refusal.go
@@ -6,3 +6,12 @@
 	RefusedNoCapacity = "no room"
 	RefusedUnwilling  = "unwilling"
 )
+
+// Refusal returns the reason for which a start is refused.
+func (s Shortage) Refusal() string {
+	switch s {
+	case ShortageOutdated, ShortageUnknownRun:
+		return s.String()
+	}
+	return RefusedNoCapacity
+}
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -73,6 +73,16 @@
 	return r.CPUMilli <= o.CPUMilli && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
 }
 
+// Message returns the resources as a message.
+func (r Resources) Message() *apiv1.JobResources {
+	return &apiv1.JobResources{CpuMilli: r.CPUMilli, MemoryMb: r.MemoryMB, Accelerators: r.Accelerators}
+}
+
+// ResourcesOf returns the resources in a message.
+func ResourcesOf(m *apiv1.JobResources) Resources {
+	return Resources{CPUMilli: m.GetCpuMilli(), MemoryMB: m.GetMemoryMb(), Accelerators: m.GetAccelerators()}
+}
+
 // String returns the resources as they appear in logs.
 func (r Resources) String() string {
 	return fmt.Sprintf("%d %d %d", r.CPUMilli, r.MemoryMB, r.Accelerators)
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -49,12 +49,14 @@
 	ReasonProbation
 	// ReasonCapacityOutdated means that the worker announced its capacity too long ago.
 	ReasonCapacityOutdated
+	// ReasonUnknownRun means that the worker has a run whose reservation nobody knows.
+	ReasonUnknownRun
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
-	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated",
+	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated", "unknown run",
 }
 
 // String returns the reason's name in logs.
@@ -83,6 +85,7 @@
 var shortageReasons = [...]Reason{
 	jobqueue.ShortageNone:         ReasonNone,
 	jobqueue.ShortageOutdated:     ReasonCapacityOutdated,
+	jobqueue.ShortageUnknownRun:   ReasonUnknownRun,
 	jobqueue.ShortageProcessors:   ReasonProcessors,
 	jobqueue.ShortageMemory:       ReasonMemory,
 	jobqueue.ShortageAccelerators: ReasonAccelerators,
