--- a/agent/runs/reservations.go
+++ b/agent/runs/reservations.go
@@ -41,9 +41,12 @@
 func (s *session) needsReservations() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.reservations.listed {
+		return true
+	}
 	_, complete := s.availability(jobqueue.RunID{})
 	now := s.d.opts.Now()
-	if s.reservations.listed && complete || now.Sub(s.reservations.requestedAt) < reservationsInterval {
+	if complete || now.Sub(s.reservations.requestedAt) < reservationsInterval {
 		return false
 	}
 	s.reservations.requestedAt = now
--- a/agent/runs/reservations_test.go
+++ b/agent/runs/reservations_test.go
@@ -121,3 +121,22 @@
 		}
 	})
 }
+
+// Guards against starts that are not checked, because the first requests for the reservations on the worker
+// failed.
+func TestFailedRequestForReservationsIsRepeated(t *testing.T) {
+	orders := startOrders(1, 1)
+	orders.Starts[0].Reserved = reserved(500)
+	l := &leader{
+		epoch: 1, orders: orders, ordersFail: true,
+		reservations: []*apiv1.RunReservation{{Task: otherRun.Task.Ref(), Run: otherRun.Number, Reserved: reserved(501)}},
+	}
+	withDriverAfter(t, l, startOtherRun(t), func(_ *runs.Driver, w *countingWorker) {
+		time.Sleep(120 * time.Millisecond)
+		l.update(func() { l.ordersFail = false })
+		time.Sleep(3 * time.Second)
+		if n := w.startCalls.Load(); n != 0 {
+			t.Errorf("%d starts that do not fit", n)
+		}
+	})
+}
