agent/runs, dispatch: starts that the log gave up are barred by the worker's next agent

Cause: a start that may still be carried out was known to the agent that sent it only. The log keeps the runs lost with a lease until the worker's next report, which the next agent sends. Now the leader tells each new agent of them (lost_runs), from the log and for 15 s from that report; the agent takes them for starts on their way, which count towards the capacity, and takes no lease before the worker has confirmed their stops. It asks before its first report, in admit, which costs a new session one call.

platform.TestLateStartOfPreviousAgentIsBarred failed before with both rules, and dispatch.TestLostRunsAreToldWhileTheirStartsMayBegin. Not covered: the leader changes between that report and the agent after the next one.

--- a/agent/runs/admission.go
+++ b/agent/runs/admission.go
@@ -20,15 +20,16 @@
 	if s.admitted {
 		return true
 	}
+	orders, err := s.findLeader()
+	if err != nil {
+		return false
+	}
+	s.recordOrdersOfPreviousAgent(orders)
 	if len(status.Running) == 0 && !status.Partial {
 		s.admitted = s.barFormerStarts()
 		return s.admitted
 	}
-	known, err := s.knownToLeader()
-	if err != nil {
-		return false
-	}
-	if !known {
+	if !knowsWorker(orders) {
 		s.stopUnknownRuns(status.Running)
 		return false
 	}
@@ -71,13 +72,19 @@
 	return former != current && f.WorkerID == c.WorkerID && (f.StartedMs == 0 || c.StartedMs == 0)
 }
 
-// knownToLeader queries the leader and reports whether the log knows the incarnation. A known
-// incarnation has an epoch.
-func (s *session) knownToLeader() (bool, error) {
-	resp, err := s.findLeader()
-	return err == nil && resp.Epoch != 0, err
+// recordOrdersOfPreviousAgent records the starts that a previous agent may have sent. It is called before
+// the first report, so that no lease is granted before they are known.
+func (s *session) recordOrdersOfPreviousAgent(orders *apiv1.JobsOrdersResponse) {
+	s.recordReservations(orders)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordFirstOrders(orders)
 }
 
+// knowsWorker reports whether the log knows the incarnation that a leader's orders are for. A known
+// incarnation has an epoch.
+func knowsWorker(orders *apiv1.JobsOrdersResponse) bool { return orders.Epoch != 0 }
+
 // findLeader looks for the leader and records its term. No other call of a session that is not
 // admitted looks for the leader: such a session sends no reports, and waits for orders only once
 // the leader is known.
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -92,8 +92,8 @@
 	s.updateOrders(resp)
 }
 
-// recordFirstOrders records the starts in the first orders of the session: a previous agent may have
-// sent them. The caller must hold s.mu.
+// recordFirstOrders records the starts in the first orders of the session, and those that the leader has
+// given up: a previous agent may have sent them. The caller must hold s.mu.
 func (s *session) recordFirstOrders(resp *apiv1.JobsOrdersResponse) {
 	if s.orderedBefore != nil {
 		return
@@ -107,8 +107,17 @@
 			s.startsInFlight.add(id, resp.Epoch, now)
 		}
 	}
+	for _, lost := range resp.LostRuns {
+		if now.Before(s.d.previousCallsUntil) {
+			s.startsInFlight.add(jobqueue.RunID{Task: jobqueue.TaskIDOf(lost.Task), Number: lost.Run}, lostEpoch, now)
+		}
+	}
 }
 
+// lostEpoch is earlier than the epoch of any lease, so that no lease is taken before the starts of lost
+// runs are barred.
+const lostEpoch = 0
+
 // updateOrders updates the known orders and starts the work that is new. It drops an order that the
 // leader no longer lists, unless a call for it is in progress. The caller must hold s.mu.
 func (s *session) updateOrders(resp *apiv1.JobsOrdersResponse) {
--- a/agent/runs/reservations.go
+++ b/agent/runs/reservations.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -57,7 +58,7 @@
 func (s *session) recordReservations(resp *apiv1.JobsOrdersResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range resp.Reservations {
+	for _, r := range slices.Concat(resp.Reservations, resp.LostRuns) {
 		s.reservations.record(jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}, r.Reserved)
 	}
 	s.reservations.listed = s.reservations.listed || resp.ReservationsListed
--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -35,8 +35,8 @@
 	return a
 }
 
-// reservations returns the reservations of the runs that the log contains on a worker, and of those that
-// the worker listed and the log does not contain.
+// reservations returns the reservations of the runs that the log contains on a worker, of those that the
+// worker listed and the log does not contain, and of those that were lost and may still begin.
 func (l *leaderState) reservations(m *jobqueue.Machine, worker string) []*apiv1.RunReservation {
 	var list []*apiv1.RunReservation
 	if w := m.Worker(worker); w != nil {
@@ -47,7 +47,7 @@
 	for _, id := range l.unlogged[worker] {
 		list = append(list, runReservation(id, m.StepSpec(id.Task)))
 	}
-	return list
+	return append(list, l.lostRuns(m, worker)...)
 }
 
 // runReservation returns what a run reserves. Its step is nil if the log does not contain its job.
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -41,6 +41,7 @@
 	// unlogged are the runs that each worker listed last and the log does not contain there.
 	unlogged       map[string][]jobqueue.RunID
 	maxCapacityAge time.Duration
+	lostStarts     lostStarts
 	// overcommitted are the workers that were last logged to be over their capacity, with the runs that
 	// they listed then.
 	overcommitted map[string]map[jobqueue.RunID]bool
@@ -131,6 +132,7 @@
 		crashLimitLoggedMs: now.Add(-takeoverLogOverlap).UnixMilli(),
 		unlogged:           map[string][]jobqueue.RunID{},
 		maxCapacityAge:     d.opts.MaxCapacityAge,
+		lostStarts:         lostStarts{},
 		overcommitted:      map[string]map[jobqueue.RunID]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
@@ -232,6 +234,7 @@
 			delete(l.refusalsRecorded, id)
 		}
 	}
+	l.lostStarts.prune(now)
 	for worker := range l.overcommitted {
 		if m.Worker(worker) == nil {
 			delete(l.overcommitted, worker)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -46,6 +46,7 @@
 		if r.Host != "" {
 			l.addHost(resp, m.CallerJobs(), r.Host)
 		}
+		resp.LostRuns = l.lostRuns(m.CallerJobs(), r.Worker)
 		if r.ListReservations {
 			resp.Reservations, resp.ReservationsListed = l.reservations(m.CallerJobs(), r.Worker), true
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -116,6 +116,7 @@
 			d.recordEnds(l, jobs, end, now)
 		}
 		d.recordReportedLosses(l, jobs, r, now)
+		l.lostStarts.record(jobs.Worker(r.Worker.GetId()), now)
 		d.recordUnlogged(l, jobs, r, now)
 		d.logOvercommitted(l, jobs, r, now)
 		d.countObjectiveMisses(jobs, r.Running)
--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -206,7 +206,7 @@
 	for id := range w.lostRuns {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, compareRunIDs)
+	slices.SortFunc(ids, CompareRunIDs)
 	return ids
 }
 
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -173,7 +173,8 @@
 	return true
 }
 
-func compareRunIDs(a, b RunID) int {
+// CompareRunIDs orders runs by their tasks, then by their numbers.
+func CompareRunIDs(a, b RunID) int {
 	return cmp.Or(compareTaskIDs(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
 }
 
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -270,7 +270,7 @@
 
 // SortedRunIDs returns the IDs of the worker's runs in order.
 func (w *Worker) SortedRunIDs() []RunID {
-	return slices.SortedFunc(maps.Keys(w.Runs), compareRunIDs)
+	return slices.SortedFunc(maps.Keys(w.Runs), CompareRunIDs)
 }
 
 // RunsMatching returns the matching runs in order. Callers query every worker and few runs match,
@@ -282,7 +282,7 @@
 			found = append(found, r)
 		}
 	}
-	slices.SortFunc(found, func(a, b *Run) int { return compareRunIDs(a.ID, b.ID) })
+	slices.SortFunc(found, func(a, b *Run) int { return CompareRunIDs(a.ID, b.ID) })
 	return found
 }
 
