--- a/agent/runs/reservations_test.go
+++ b/agent/runs/reservations_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -140,3 +142,36 @@
 		}
 	})
 }
+
+// Guards against a start beside a run whose row in the worker's list can't be read: one that this agent has
+// listed before, and one that it has not.
+func TestUnreadableRunUsesCapacity(t *testing.T) {
+	for name, readableFor := range map[string]time.Duration{"never read": 0, "read before": previousCallsExpired} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &leader{
+					epoch: 1, orders: idleOrders(),
+					reservations: []*apiv1.RunReservation{{Task: otherRun.Task.Ref(), Run: otherRun.Number, Reserved: reserved(501)}},
+				}
+				watch := fakes.NewRunChecker()
+				watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+				w := &partialWorker{countingWorker: &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1"), watch)}}
+				startOtherRun(t)(w.countingWorker)
+				w.unreadable.Store(readableFor == 0)
+				d := runs.New(runs.Options{Worker: w, Leader: l})
+				defer runDriver(d)()
+				announce(t, d, runs.Announcement{Worker: workerSpec("w1"), Sequence: 1})
+				time.Sleep(readableFor)
+				w.unreadable.Store(true)
+				time.Sleep(time.Second)
+				orders := startOrders(2, 1)
+				orders.Starts[0].Reserved = reserved(500)
+				l.update(func() { l.orders = orders })
+				time.Sleep(3 * time.Second)
+				if n := w.startCalls.Load(); n != 0 {
+					t.Errorf("%d starts beside a run that can't be read", n)
+				}
+			})
+		})
+	}
+}
