dispatch, agent/runs: two losses within 15 s are both told; plainer words

lostStarts kept only the last loss of a worker; a start of the one before may still begin. Named plainly: the run that an agent leaves out of its account.

--- a/agent/runs/availability.go
+++ b/agent/runs/availability.go
@@ -8,10 +8,10 @@
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
-// availability returns what may start on the worker now, beside a given run. complete means that the
-// leader has told what each run on the worker reserves, or that nobody knows. A leader of an earlier
-// release tells nothing; then no run counts. The caller must hold s.mu.
-func (s *session) availability(beside jobqueue.RunID) (a jobqueue.Availability, complete bool) {
+// availability returns what may start on the worker now; the run except does not count. complete means
+// that the leader has told what each run on the worker reserves, or that it does not know. A leader of an
+// earlier release tells nothing; then no run counts. The caller must hold s.mu.
+func (s *session) availability(except jobqueue.RunID) (a jobqueue.Availability, complete bool) {
 	a = s.announcedCapacity()
 	if !s.reservations.listed {
 		return a, true
@@ -20,7 +20,7 @@
 	for id := range s.runsOnWorker() {
 		r, told := s.reservations.byRun[id]
 		switch {
-		case id == beside:
+		case id == except:
 		case !told:
 			complete = false
 		case r.unknown:
--- a/dispatch/lostruns.go
+++ b/dispatch/lostruns.go
@@ -28,7 +28,7 @@
 		return
 	}
 	if lost := w.LostRuns(); len(lost) > 0 {
-		s[w.Spec.Id] = lostWorkerStarts{runs: lost, reportedAt: now}
+		s[w.Spec.Id] = lostWorkerStarts{runs: sortedUnion(s[w.Spec.Id].runs, lost), reportedAt: now}
 	}
 }
 
@@ -44,12 +44,16 @@
 func (l *leaderState) lostRuns(m *jobqueue.Machine, worker string) []*apiv1.RunReservation {
 	runs := l.lostStarts[worker].runs
 	if w := m.Worker(worker); w != nil {
-		runs = append(slices.Clone(runs), w.LostRuns()...)
+		runs = sortedUnion(runs, w.LostRuns())
 	}
-	slices.SortFunc(runs, jobqueue.CompareRunIDs)
 	var list []*apiv1.RunReservation
-	for _, id := range slices.Compact(runs) {
+	for _, id := range runs {
 		list = append(list, runReservation(id, m.StepSpec(id.Task)))
 	}
 	return list
 }
+
+// sortedUnion returns the runs in either list, in order.
+func sortedUnion(a, b []jobqueue.RunID) []jobqueue.RunID {
+	return slices.Compact(slices.SortedFunc(slices.Values(slices.Concat(a, b)), jobqueue.CompareRunIDs))
+}
