agent/lease: a start that no longer fits is not tried again

The attempt counts already, so only the worker's total is checked; an attempt that no try has begun ends with its deadline and is given back. The new case of TestOrders failed before.

--- a/agent/lease/orders.go
+++ b/agent/lease/orders.go
@@ -124,6 +124,8 @@
 		switch {
 		case m.inferredEnds[k] != nil || m.hasOtherAttempt(k):
 		case state != nil && (state.status != nil || state.startTries >= maxStartTries):
+		case state != nil && m.overcommitted():
+			// The attempt counts already. Unless an earlier try begins it, it ends with its deadline.
 		case state != nil:
 			m.addStart(a, state, s)
 		case m.fits(s.Grant):
@@ -157,20 +159,30 @@
 // fits checks a grant against the attempts that are actually on the worker. The leader has
 // checked too, but it may not know yet that the worker restarted with less capacity.
 func (m *Manager) fits(grant *apiv1.Resources) bool {
-	if !validResources(grant) || m.info.GetCapacity() == nil {
-		return false
-	}
-	sum := m.reserved
+	sum, known := m.occupied()
+	return known && validResources(grant) && sum.Add(grant).fitsIn(amountOf(m.info.GetCapacity()))
+}
+
+// overcommitted reports whether the attempts on the worker exceed its capacity, or may exceed it.
+func (m *Manager) overcommitted() bool {
+	sum, known := m.occupied()
+	return !known || !sum.fitsIn(amountOf(m.info.GetCapacity()))
+}
+
+// occupied returns what the attempts and the targets on the worker use; known is false if that or the
+// worker's capacity is unknown.
+func (m *Manager) occupied() (sum Amount, known bool) {
+	sum = m.reserved
 	for _, state := range m.attempts {
 		if state.ended() {
 			continue
 		}
 		if state.grant == nil {
-			return false
+			return sum, false
 		}
 		sum = sum.Add(state.grant)
 	}
-	return sum.Add(grant).fitsIn(amountOf(m.info.Capacity))
+	return sum, m.info.GetCapacity() != nil
 }
 
 // StartResult is the result of a start call to the worker.
--- a/agent/lease/orders_test.go
+++ b/agent/lease/orders_test.go
@@ -20,18 +20,19 @@
 	instance         string
 	wallClock        uint64
 	namedIncarnation uint64
+	capacity         *apiv1.Resources
 }
 
 func newHarness() *harness {
 	h := &harness{m: New(boot), now: boot + startWindow, instance: "one", wallClock: 1 << 60}
+	h.capacity = &apiv1.Resources{MilliProcessors: 3000, MemoryBytes: 3 << 30, Accelerators: 3}
 	h.tasks = []*apiv1.TaskStatus{{Task: Attempt{"a", 1}.proto(), Phase: running, Grant: unitGrant}}
 	h.observe()
 	return h
 }
 
 func (h *harness) observe() {
-	info := &apiv1.WorkerInfo{Incarnation: h.namedIncarnation}
-	info.Capacity = &apiv1.Resources{MilliProcessors: 3000, MemoryBytes: 3 << 30, Accelerators: 3}
+	info := &apiv1.WorkerInfo{Incarnation: h.namedIncarnation, Capacity: h.capacity}
 	h.m.Observe(h.now, Observation{Info: info, Instance: h.instance, Tasks: h.tasks, WallClock: h.wallClock})
 }
 
@@ -127,6 +128,15 @@
 			h.tryStart(StartRefused)
 			return h.reported("n") == nil
 		},
+		"a start that no longer fits is not tried again, and is given back": func(h *harness) bool {
+			h.tryStart(StartUnknown)
+			h.capacity = &apiv1.Resources{MilliProcessors: 3000, MemoryBytes: 3 << 30, Accelerators: 1}
+			h.observe()
+			retries := len(h.tryStart(StartUnknown).Start)
+			h.now += startWindow
+			h.observe()
+			return retries == 0 && h.reported("n").GetCheckpoint() == "from"
+		},
 		"a stopped attempt is not started again": func(h *harness) bool {
 			h.tryStart(StartUnknown)
 			h.exchange(0, stopOrders(true, "n"))
