agent/runs: a reservation is kept from the response that tells it until its order is known

By reading: a status that arrived between the recording of a start's reservation and that of its order dropped the reservation, since the run was neither on the worker nor ordered; the worker's other starts then waited until the leader had listed it again, up to the length of a poll. Both are recorded under one lock now.

--- a/agent/runs/admission.go
+++ b/agent/runs/admission.go
@@ -75,10 +75,10 @@
 // recordOrdersOfPreviousAgent records the starts that a previous agent may have sent. It is called before
 // the first report, so that no lease is granted before they are known.
 func (s *session) recordOrdersOfPreviousAgent(orders *apiv1.JobsOrdersResponse) {
-	s.recordReservations(orders)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordFirstOrders(orders)
+	s.recordReservations(orders)
 }
 
 // knowsWorker reports whether the log knows the incarnation that a leader's orders are for. A known
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -67,11 +67,12 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
-		s.recordReservations(resp)
 		changed := resp.Term != term || resp.Sequence != sequence
 		term, sequence = resp.Term, resp.Sequence
 		if changed {
 			apply(resp)
+		} else {
+			s.recordReservationsOnly(resp)
 		}
 	}
 }
@@ -81,6 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordFirstOrders(resp)
+	s.recordReservations(resp)
 	s.updateOrders(&apiv1.JobsOrdersResponse{Term: resp.Term, Epoch: resp.Epoch, Stops: resp.Stops})
 }
 
@@ -89,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordFirstOrders(resp)
+	s.recordReservations(resp)
 	s.updateOrders(resp)
 }
 
--- a/agent/runs/reservations.go
+++ b/agent/runs/reservations.go
@@ -54,10 +54,16 @@
 	return true
 }
 
-// recordReservations records what the leader tells about the reservations of runs.
-func (s *session) recordReservations(resp *apiv1.JobsOrdersResponse) {
+// recordReservationsOnly records a response that has no orders which the session does not know.
+func (s *session) recordReservationsOnly(resp *apiv1.JobsOrdersResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordReservations(resp)
+}
+
+// recordReservations records what the leader tells about the reservations of runs. The caller must hold
+// s.mu, until the orders in the response are recorded too: pruneReservations drops what has no order.
+func (s *session) recordReservations(resp *apiv1.JobsOrdersResponse) {
 	for _, r := range slices.Concat(resp.Reservations, resp.LostRuns) {
 		s.reservations.record(jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}, r.Reserved)
 	}
