jobqueue: cordons of availability zones in the replicated state

Each accepted order raises the zone's revision; one that would change the zone is accepted only at the revision that its sender read, so that a delayed copy has no effect after a later order was acknowledged. A plan that was made before a cordon starts nothing there.

--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -43,6 +43,8 @@
 	// service or move it.
 	moves      map[string]*apiv1.HostMove
 	hostOrders uint64
+	// cordons maps each availability zone to the newest order about it.
+	cordons map[string]*apiv1.ZoneCordon
 	// leaving contains the workers that are drained for maintenance or a move of their hosts.
 	leaving map[string]bool
 	// learned is the data that the leader last stored for its successors.
@@ -66,6 +68,7 @@
 		current:       map[string]string{},
 		waves:         map[uint64]*Wave{},
 		moves:         map[string]*apiv1.HostMove{},
+		cordons:       map[string]*apiv1.ZoneCordon{},
 
 		lastCrashEvent:  legacyCrashEvent,
 		pendingVerdicts: map[TaskID]int64{},
@@ -97,6 +100,8 @@
 		return m.requestMove(body.RequestMove)
 	case *apiv1.JobsCommand_MoveHost:
 		return m.advanceMove(body.MoveHost, leaderTerm)
+	case *apiv1.JobsCommand_SetCordon:
+		return m.setCordon(body.SetCordon)
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 }
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -155,11 +155,11 @@
 }
 
 // MayRunOn validates a start against the state of the worker: its pool, label, spread and free
-// capacity, and that it is not about to leave. Memory and accelerators of runs that are being
+// capacity, that its availability zone is not cordoned and that it is not about to leave. Memory and accelerators of runs that are being
 // stopped still count as used.
 func (m *Machine) MayRunOn(j *Job, id TaskID, s *apiv1.JobStep, w *Worker) bool {
 	switch {
-	case w.Departed || w.Spec.Draining || m.leaving[w.Spec.Id]:
+	case w.Departed || w.Spec.Draining || m.leaving[w.Spec.Id] || m.Cordoned(w.Spec.AvailabilityZone):
 		return false
 	case w.Spec.Pool != m.QueueOf(j).Pool:
 		return false
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -30,6 +30,7 @@
 	for _, e := range m.crashEvents {
 		out.Crashes = append(out.Crashes, e.record())
 	}
+	out.Cordons = m.Cordons()
 	out.LastCrash, out.PendingVerdicts = m.lastCrashEvent, m.pendingVerdictRecords()
 	return out
 }
@@ -86,6 +87,7 @@
 		m.moves[v.Host] = proto.CloneOf(v)
 	}
 	m.hostOrders = s.GetHostOrders()
+	m.restoreCordons(s.GetCordons())
 	m.rebuildLeaving()
 	slices.SortStableFunc(m.departed, func(a, b string) int {
 		return cmp.Compare(m.workers.get(a).DepartedMs, m.workers.get(b).DepartedMs)
