schedule: nothing starts in a cordoned availability zone

A worker in a cordoned zone is ruled out with a reason of its own, before any score, for first runs, retries, starving tasks, gangs, copies, probations and moves; no host of standby is moved there. What runs there goes on, and stuck runs there are still found.

--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -11,6 +11,8 @@
 	Worker string
 	// Pool is the pool of workers that the host belongs to.
 	Pool string
+	// AvailabilityZone is that of the host.
+	AvailabilityZone string
 	// Up is set unless the host is down, in maintenance or being moved.
 	Up bool
 	// Down is set for a host that is switched off or lost.
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -115,7 +115,7 @@
 		}
 		return n
 	}
-	temporary := count(ReasonUnreachable, ReasonDraining, ReasonMaintenance, ReasonAvoided)
+	temporary := count(ReasonUnreachable, ReasonDraining, ReasonMaintenance, ReasonAvoided, ReasonCordoned)
 	full := count(ReasonProcessors, ReasonMemory, ReasonAccelerators, ReasonSpread, ReasonLabel)
 	others := count(ReasonRefused, ReasonSlow, ReasonInterference)
 	if count(ReasonNone, ReasonNotAdvised) > 0 || temporary > full+others {
@@ -323,7 +323,7 @@
 	var standby, idle []string
 	for _, name := range slices.Sorted(maps.Keys(hosts)) {
 		view := hosts[name]
-		if view.Pool == pool || !hostUsable(m, view) || label != "" && !slices.Contains(view.Labels, label) {
+		if view.Pool == pool || m.Cordoned(view.AvailabilityZone) || !hostUsable(m, view) || label != "" && !slices.Contains(view.Labels, label) {
 			continue
 		}
 		_, short := p.shortageSince[view.Pool]
--- a/schedule/probation.go
+++ b/schedule/probation.go
@@ -97,7 +97,7 @@
 	if r.usableByPool == nil {
 		r.usableByPool = map[string]int{}
 		for _, s := range r.slots {
-			if s.usable {
+			if s.acceptsStarts() {
 				r.usableByPool[s.worker.Spec.Pool]++
 			}
 		}
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -51,12 +51,15 @@
 	ReasonCapacityOutdated
 	// ReasonUnknownRun means that the worker has a run whose reservation nobody knows.
 	ReasonUnknownRun
+	// ReasonCordoned means that the worker's availability zone is cordoned.
+	ReasonCordoned
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
 	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated", "unknown run",
+	"zone cordoned",
 }
 
 // String returns the reason's name in logs.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -319,6 +319,8 @@
 	switch {
 	case s.worker.Spec.Pool != c.queue.Pool:
 		return ReasonPool
+	case s.cordoned:
+		return ReasonCordoned
 	case s.worker.Spec.Draining:
 		return ReasonDraining
 	case s.leaving:
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -22,8 +22,10 @@
 	// servingStarts are the serving steps of which this round starts tasks here, with their images.
 	servingStarts map[jobqueue.StepID]string
 	usable        bool
-	leaving       bool
-	avoided       bool
+	// cordoned is set if the worker's availability zone is cordoned.
+	cordoned bool
+	leaving  bool
+	avoided  bool
 	// mayRetry is set if a task that finds no other worker may start here though the worker is
 	// avoided.
 	mayRetry       bool
@@ -123,6 +125,7 @@
 			available:      r.fleet.Availability(w),
 			use:            r.useOf(w),
 			usable:         !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
+			cordoned:       r.machine.Cordoned(w.Spec.AvailabilityZone),
 			leaving:        r.machine.Leaving(w.Spec.Id),
 			avoided:        health.avoided(r.now),
 			mayRetry:       health.mayRetry(r.now),
@@ -133,6 +136,9 @@
 	r.planner.pruneDeparted(r.machine, r.now)
 }
 
+// acceptsStarts reports whether the worker is usable and its availability zone is not cordoned.
+func (s *slot) acceptsStarts() bool { return s.usable && !s.cordoned }
+
 // addUse adds n tasks of a step to the expected use of the worker.
 func (s *slot) addUse(spec *apiv1.JobStep, n int) {
 	if !s.servingCloned {
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -66,7 +66,7 @@
 func (r *round) crowded(pool string) bool {
 	var used, capacity jobqueue.Resources
 	for _, s := range r.slots {
-		if s.worker.Spec.Pool != pool || !s.usable {
+		if s.worker.Spec.Pool != pool || !s.acceptsStarts() {
 			continue
 		}
 		used = used.Add(s.available.Reserved)
