agent/runs, dispatch: starts on their way into a cordoned zone are withdrawn

Answers to reports and to calls for orders carry the newest order about the worker's zone, ordered by term and revision, since answers overtake one another. The agent checks right before each call, also before a repeated one, and gives the run back. An agent that no leader has answered for MaxCordonAge sends nothing; the age is taken from the worker's clock too. An announcement can't change the zone of an incarnation. The leader writes a line for each change and a gauge.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -58,6 +58,9 @@
 	// MaxCapacityAge is the age of the worker's announcement of its capacity from which on nothing is
 	// started; 0 means none.
 	MaxCapacityAge time.Duration
+	// MaxCordonAge is how long after the last answered report nothing may be started any more, because
+	// the worker's availability zone may have been cordoned since; 0 means never.
+	MaxCordonAge time.Duration
 	// Now reads the clock; it defaults to time.Now.
 	Now func() time.Time
 }
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -49,6 +49,8 @@
 	reservations []*apiv1.RunReservation
 	// reservationRequests counts the requests for them.
 	reservationRequests int
+	// cordon is the order about the worker's availability zone in the answers to reports.
+	cordon *apiv1.ZoneCordon
 }
 
 var (
@@ -77,7 +79,7 @@
 	if l.supersededSession != 0 && r.Session == l.supersededSession {
 		return &apiv1.JobsReportResponse{Term: term, Outcome: apiv1.JobOutcome_JOB_OUTCOME_STALE, SessionSuperseded: true}, nil
 	}
-	resp := &apiv1.JobsReportResponse{Term: term, LeaseMs: leaseMs, Epoch: l.epoch, Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
+	resp := &apiv1.JobsReportResponse{Term: term, LeaseMs: leaseMs, Epoch: l.epoch, Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK, Cordon: l.cordon}
 	for _, e := range r.Ends {
 		resp.Acknowledged = max(resp.Acknowledged, e.Sequence)
 	}
--- a/agent/runs/metrics.go
+++ b/agent/runs/metrics.go
@@ -23,6 +23,8 @@
 	startsRefused   metrics.Counter
 	// capacityOutdated counts the statuses of a worker whose capacity was outdated.
 	capacityOutdated metrics.Counter
+	// startsCordoned counts the starts that were not sent because the availability zone is cordoned.
+	startsCordoned metrics.Counter
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -31,6 +33,7 @@
 		starts:           metrics.GetOrRegisterCounter("runs.starts", r),
 		callsUnanswered:  metrics.GetOrRegisterCounter("runs.calls_unanswered", r),
 		startsRefused:    metrics.GetOrRegisterCounter("runs.starts_refused", r),
+		startsCordoned:   metrics.GetOrRegisterCounter("runs.starts_cordoned", r),
 		capacityOutdated: metrics.GetOrRegisterCounter("runs.capacity_outdated", r),
 	}
 }
--- a/agent/runs/orders.go
+++ b/agent/runs/orders.go
@@ -83,7 +83,7 @@
 	defer s.mu.Unlock()
 	s.recordFirstOrders(resp)
 	s.recordReservations(resp)
-	s.updateOrders(&apiv1.JobsOrdersResponse{Term: resp.Term, Epoch: resp.Epoch, Stops: resp.Stops})
+	s.updateOrders(&apiv1.JobsOrdersResponse{Term: resp.Term, Epoch: resp.Epoch, Stops: resp.Stops, Cordon: resp.Cordon})
 }
 
 // applyOrders updates the known orders from the leader's open ones.
@@ -125,6 +125,7 @@
 // leader no longer lists, unless a call for it is in progress. The caller must hold s.mu.
 func (s *session) updateOrders(resp *apiv1.JobsOrdersResponse) {
 	s.recordTerm(resp.Term)
+	s.cordon.record(resp.Term, resp.Cordon)
 	open := map[jobqueue.RunID]bool{}
 	for _, o := range resp.Starts {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -247,6 +247,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordTerm(resp.Term)
+	s.cordon.record(resp.Term, resp.Cordon)
+	s.cordon.confirm(sent, clockMs)
 	s.acknowledged = max(s.acknowledged, resp.Acknowledged)
 	if resp.LeaseMs == 0 || clockMs == 0 {
 		return
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -75,6 +75,7 @@
 	orderedBefore  map[jobqueue.RunID]bool
 	refusals       map[jobqueue.RunID]string
 	reservations   reservations
+	cordon         cordonState
 	callHistory    callHistory
 	startsInFlight startsInFlight
 	// previousCallsSettled: the status shows all starts that a previous agent sent.
@@ -138,14 +139,17 @@
 }
 
 // updateAnnouncement records a further announcement of the incarnation. It refuses one that names
-// another pool, because an incarnation stays in its pool: otherwise an announcement forged by
-// another program would take a healthy worker out of use.
+// another pool or availability zone, because an incarnation stays in both: otherwise an announcement
+// forged by another program would take a healthy worker out of use, or its starts past a cordon.
 func (s *session) updateAnnouncement(a Announcement) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if pool := s.announced.Worker.Pool; a.Worker.Pool != pool {
 		return errors.Newf("worker %.60q belongs to pool %.40q, not to %.40q", s.incarnation, pool, a.Worker.Pool)
 	}
+	if zone := s.announced.Worker.AvailabilityZone; a.Worker.AvailabilityZone != zone {
+		return errors.Newf("worker %.60q belongs to availability zone %.40q, not to %.40q", s.incarnation, zone, a.Worker.AvailabilityZone)
+	}
 	departed := s.announced.Departed
 	draining := s.announced.Worker.Draining || a.Worker.Draining
 	if a.Sequence > s.announced.Sequence {
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -82,13 +82,20 @@
 		return startCall{}, false, true
 	case !leased:
 		return startCall{}, false, false
+	case s.cordon.cordoned:
+		s.logStartNotSent(id, jobqueue.RefusedCordoned, available)
+		s.d.metrics.startsCordoned.Inc(1)
+		s.refuseRun(id, o, jobqueue.RefusedCordoned)
+		return startCall{}, false, true
+	case s.cordonMayBeUnknown(s.d.opts.Now()):
+		return startCall{}, false, false
 	case s.announced.Worker.Draining && !o.maybeSent:
 		s.refuseRun(id, o, "worker drains")
 		return startCall{}, false, true
 	case !complete:
 		return startCall{}, false, false
 	case shortage != jobqueue.ShortageNone:
-		s.logShortage(id, shortage, available)
+		s.logStartNotSent(id, shortage.String(), available)
 		s.refuseRun(id, o, shortage.Refusal())
 		return startCall{}, false, true
 	}
@@ -174,9 +181,9 @@
 // task would wait for another worker.
 const maxUnhealthyAnswers = 5
 
-// logShortage logs why a start is not sent.
-func (s *session) logShortage(id jobqueue.RunID, shortage jobqueue.Shortage, a jobqueue.Availability) {
-	event.StartNotSent.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Reason(shortage.String()),
+// logStartNotSent logs why a start is not sent.
+func (s *session) logStartNotSent(id jobqueue.RunID, reason string, a jobqueue.Availability) {
+	event.StartNotSent.Write(s.d.logger, event.Task(id.Task), event.Run(id.Number), event.Reason(reason),
 		event.Capacity(a.Capacity), event.CapacityAge(a.CapacityAge), event.Reserved(a.Reserved))
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -196,6 +196,7 @@
 		d.recordWaits(l, decision.Unplaced, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
 		d.logJobsAtCrashLimit(l, jobs)
+		d.logCordons(l, jobs)
 		l.prune(jobs, now)
 		l.batchedLog.flushIfDue(l.term, now)
 	})
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -51,9 +51,11 @@
 	// the time of the log up to which jobs were looked through for such failures.
 	crashLimitLogged   map[string]bool
 	crashLimitLoggedMs int64
-	moves              *leaderMoves
-	outages            *outages
-	stops              *openStops
+	// loggedCordons tells for each availability zone whether it was last logged to be cordoned.
+	loggedCordons map[string]bool
+	moves         *leaderMoves
+	outages       *outages
+	stops         *openStops
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -134,6 +136,7 @@
 		maxCapacityAge:     d.opts.MaxCapacityAge,
 		lostStarts:         lostStarts{},
 		overcommitted:      map[string]map[jobqueue.RunID]bool{},
+		loggedCordons:      map[string]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
 		stops:              newOpenStops(),
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -30,6 +30,8 @@
 	// jobsAtCrashLimit counts the jobs that failed because their tasks crash workers.
 	jobsAtCrashLimit metrics.Counter
 	paceOrders       metrics.Counter
+	// zonesCordoned is the number of cordoned availability zones.
+	zonesCordoned metrics.Gauge
 	// reportsOutdated counts the reports that arrived after newer ones of the same worker.
 	reportsOutdated metrics.Counter
 	// unloggedRuns counts the runs that workers listed and the log did not contain.
@@ -56,6 +58,7 @@
 		advice:        hdrmetric.GetOrRegister("dispatch.advice_us", r),
 
 		readyToStart:     hdrmetric.GetOrRegister("dispatch.ready_to_start_us", r),
+		zonesCordoned:    metrics.GetOrRegisterGauge("dispatch.zones_cordoned", r),
 		workLost:         metrics.GetOrRegisterCounter("dispatch.work_lost_core_ms", r),
 		jobsAtCrashLimit: metrics.GetOrRegisterCounter("dispatch.jobs_given_up", r),
 		workerCrashes:    metrics.GetOrRegisterCounter("dispatch.workers_crashed", r),
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -61,7 +61,7 @@
 		if w == nil {
 			return
 		}
-		resp.Epoch = w.Epoch
+		resp.Epoch, resp.Cordon = w.Epoch, m.CallerJobs().Cordon(w.Spec.AvailabilityZone)
 		resp.Capacity = w.Capacity().Message()
 		// An overcommitted worker starts nothing until the surplus is released.
 		mayStart := !l.availability(m.CallerJobs(), w, d.opts.Now()).Overcommitted()
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -26,7 +26,13 @@
 		return d.readQueue(r), nil
 	}
 	resp := &apiv1.JobsReadResponse{}
-	d.opts.Replica.ReadState(func(m *state.Machine) { read(m.CallerJobs(), r, resp) })
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_ZONES {
+			readZones(m, resp)
+			return
+		}
+		read(m.CallerJobs(), r, resp)
+	})
 	return resp, nil
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -53,6 +53,7 @@
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if w := m.CallerJobs().Worker(r.Worker.GetId()); w != nil {
 			resp.Acknowledged, resp.Epoch = w.Acknowledged, w.Epoch
+			resp.Cordon = m.CallerJobs().Cordon(w.Spec.AvailabilityZone)
 		}
 	})
 	d.logReportOutcome(applied)
@@ -256,7 +257,7 @@
 // workerUnable reports whether a refusal means that the worker can't start any task for now.
 func workerUnable(reason string) bool {
 	switch reason {
-	case jobqueue.RefusedNoCapacity, jobqueue.RefusedUnwilling, jobqueue.ShortageOutdated.Refusal(), jobqueue.ShortageUnknownRun.Refusal():
+	case jobqueue.RefusedNoCapacity, jobqueue.RefusedUnwilling, jobqueue.RefusedCordoned, jobqueue.ShortageOutdated.Refusal(), jobqueue.ShortageUnknownRun.Refusal():
 		return true
 	}
 	return false
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -245,6 +245,21 @@
 // State is the state of a host in a maintenance wave or a move.
 func State(s fmt.Stringer) Field { return Field{zap.Stringer("state", s)} }
 
+// Cordoned reports whether an availability zone is cordoned, or is to be.
+func Cordoned(yes bool) Field { return Field{zap.Bool("cordoned", yes)} }
+
+// Revision is the number of an order among those about the same availability zone.
+func Revision(n uint64) Field { return uint64Field("revision", n) }
+
+// OrderedBy is the sender of an operator's order.
+func OrderedBy(name string) Field { return stringField("operator", name) }
+
+// OrderOutcome is the outcome of an operator's order.
+func OrderOutcome(o fmt.Stringer) Field { return Field{zap.Stringer("outcome", o)} }
+
+// ZoneCount is a number of availability zones.
+func ZoneCount(n int) Field { return intField("zones", n) }
+
 // Committed reports whether a step of a wave or a move was committed.
 func Committed(yes bool) Field { return Field{zap.Bool("taken", yes)} }
 
