state, place, control, agent/lease: declared jobs keep cordons

A grant in a cordoned zone is refused by the state, the planner has a filter with a reason, and an agent begins no attempt that its leader's answer bars.

--- a/agent/lease/orders.go
+++ b/agent/lease/orders.go
@@ -26,7 +26,8 @@
 	Stop []*apiv1.StopTask
 	// Start are the starts to carry out; RecordStart must be called with the result of each.
 	Start []*apiv1.StartTask
-	// Refused are starts for which the worker has too little free capacity.
+	// Refused are starts for which the worker has too little free capacity, and those in a cordoned
+	// availability zone.
 	Refused []*apiv1.StartTask
 }
 
@@ -57,7 +58,7 @@
 	a.StartDeadline = min(a.Deadline, now+startWindow)
 	m.renew(&a, b.running)
 	if m.startsSettled(now) {
-		m.applyStarts(now, &a, o.Start)
+		m.applyStarts(now, &a, o.Start, o.Cordoned)
 	}
 	return a
 }
@@ -117,12 +118,17 @@
 	}
 }
 
-func (m *Manager) applyStarts(now time.Duration, a *Actions, starts []*apiv1.StartTask) {
+func (m *Manager) applyStarts(now time.Duration, a *Actions, starts []*apiv1.StartTask, cordoned bool) {
 	for _, s := range starts {
 		k := attemptOf(s.Task)
 		state := m.attempts[k]
 		switch {
 		case m.inferredEnds[k] != nil || m.hasOtherAttempt(k):
+		case cordoned && state == nil:
+			m.inferEnd(k, s.Checkpoint, "availability zone is cordoned")
+			a.Refused = append(a.Refused, s)
+		case cordoned:
+			// An earlier try may still begin it; otherwise it ends with its deadline.
 		case state != nil && (state.status != nil || state.startTries >= maxStartTries):
 		case state != nil && m.overcommitted():
 			// The attempt counts already. Unless an earlier try begins it, it ends with its deadline.
--- a/control/orders.go
+++ b/control/orders.go
@@ -21,6 +21,9 @@
 		Renewed:  true,
 		LeaseMs:  c.leases.duration.Milliseconds(),
 	}
+	if w, known := m.Worker(hb.Worker); known {
+		o.Cordoned = w.Cordoned
+	}
 	r := c.reports[hb.Worker]
 	m.EachTaskOf(hb.Worker, func(t state.Task) { c.orderForLiveTask(o, r, &t) })
 	for _, st := range hb.Tasks {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -48,7 +48,8 @@
 	r := c.reports[w.Name]
 	version := m.Configuration().Version
 	cached, ok := c.cache[w.Name]
-	if !ok || cached.changed != w.Changed || cached.configuration != version || cached.report != r {
+	if !ok || cached.changed != w.Changed || cached.configuration != version || cached.report != r ||
+		cached.worker.Cordoned != w.Cordoned {
 		cached = cachedWorker{w.Changed, version, r, c.newSnapshotWorker(w, m)}
 	}
 	alive := r != nil && r.incarnation == w.Incarnation && c.leases.alive(w.Name, now)
@@ -72,6 +73,7 @@
 		Capacity:         place.Resources(w.Capacity),
 		Reserved:         place.Resources(w.Reserved),
 		Draining:         w.Draining,
+		Cordoned:         w.Cordoned,
 	}
 	if r := c.reports[w.Name]; r != nil && r.incarnation == w.Incarnation {
 		p.Services = r.services
--- a/place/filter_alive.go
+++ b/place/filter_alive.go
@@ -19,3 +19,14 @@
 func (drainingFilter) Allows(_ *round, _ *candidate, h *host) bool { return !h.Draining }
 
 func (drainingFilter) Explain(*round, *candidate, *host) string { return "it is being drained" }
+
+// cordonFilter refuses workers in cordoned availability zones.
+type cordonFilter struct{}
+
+func (cordonFilter) Name() string { return "cordon" }
+
+func (cordonFilter) Allows(_ *round, _ *candidate, h *host) bool { return !h.Cordoned }
+
+func (cordonFilter) Explain(*round, *candidate, *host) string {
+	return "its availability zone is cordoned"
+}
--- a/place/filter_retry.go
+++ b/place/filter_retry.go
@@ -23,7 +23,7 @@
 // hasOtherWorker reports whether the task fits on a usable worker on which it has not failed.
 func (r *round) hasOtherWorker(c *candidate) bool {
 	for _, h := range r.hosts {
-		usable := h.Alive && !h.Draining && c.size.Fits(h.allocatable)
+		usable := h.Alive && !h.Draining && !h.Cordoned && c.size.Fits(h.allocatable)
 		if usable && !slices.Contains(c.FailedWorkers, h.Name) {
 			return true
 		}
--- a/place/hold.go
+++ b/place/hold.go
@@ -51,7 +51,7 @@
 	for _, id := range sortedKeys(r.p.holds) {
 		hd := r.p.holds[id]
 		h := r.hostsByName[hd.worker]
-		usable := h != nil && h.Alive && !h.Draining && h.health.isHealthy()
+		usable := h != nil && h.Alive && !h.Draining && !h.Cordoned && h.health.isHealthy()
 		if !queued[id] || !usable || !r.now.Before(hd.until) {
 			delete(r.p.holds, id)
 			continue
--- a/place/placer.go
+++ b/place/placer.go
@@ -43,7 +43,7 @@
 		rand:        rand.New(rand.NewSource(cfg.Seed)),
 		taskFilters: []taskFilter{feasibleFilter{}, backoffFilter{}, quotaFilter{}},
 		hostFilters: []hostFilter{
-			capacityFilter{}, aliveFilter{}, drainingFilter{}, quarantineFilter{}, retryFilter{},
+			capacityFilter{}, aliveFilter{}, drainingFilter{}, cordonFilter{}, quarantineFilter{}, retryFilter{},
 			protectionFilter{}, interferenceFilter{}, probingFilter{},
 		},
 		scorers:      []scorer{spreadScore{}, interferenceScore{}, fitScore{}},
--- a/place/types.go
+++ b/place/types.go
@@ -29,6 +29,8 @@
 	// Reserved is the capacity set aside for the targets on the worker.
 	Reserved Resources
 	Draining bool
+	// Cordoned reports that nothing may start in the worker's availability zone.
+	Cordoned bool
 	// Alive reports that the worker's leases were renewed recently. A worker that is not alive
 	// receives no new tasks.
 	Alive bool
--- a/state/grants.go
+++ b/state/grants.go
@@ -40,6 +40,8 @@
 		return conflict(fmt.Sprintf("the worker's incarnation is %d", w.incarnation))
 	case w.draining:
 		return conflict("the worker is draining")
+	case m.callerJobs.Cordoned(w.availabilityZone):
+		return conflict("the worker's availability zone is cordoned")
 	case size.negative():
 		return refused("the grant is negative")
 	}
--- a/state/view.go
+++ b/state/view.go
@@ -40,6 +40,8 @@
 	Reserved         Resources
 	Granted          Resources
 	Draining         bool
+	// Cordoned reports whether nothing may start in the worker's availability zone.
+	Cordoned bool
 	// Tasks is the number of live attempts.
 	Tasks int
 	// Changed is the log index of the last change of the worker or its tasks. It does
@@ -140,16 +142,22 @@
 	if w == nil {
 		return Worker{}, false
 	}
-	return w.view(), true
+	return m.workerView(w), true
 }
 
 // EachWorker calls f for each worker, in no particular order.
 func (m *Machine) EachWorker(f func(Worker)) {
 	for _, w := range m.workers {
-		f(w.view())
+		f(m.workerView(w))
 	}
 }
 
+func (m *Machine) workerView(w *worker) Worker {
+	v := w.view()
+	v.Cordoned = m.callerJobs.Cordoned(w.availabilityZone)
+	return v
+}
+
 // EachTaskOf calls f for each task with a live attempt on a worker, in no particular
 // order.
 func (m *Machine) EachTaskOf(worker string, f func(Task)) {
