cordon: orders of operators, by the platform, the product's API and the command line

A receiver reads the zone after it has received an order and proposes it at the revision read, so that whatever is accepted in between makes it void: that covers retries, forwarders and changes of leader.

--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -31,6 +31,10 @@
 	a.Command(waves, "state", "Show the progress of each host of a wave.", a.waveState)
 	hosts := a.kingpin.Command("host", "List the hosts, or move one to another pool.")
 	a.Command(hosts, "list", "Show each host with its pool, its worker and its newest move.", a.listHosts)
+	zones := a.kingpin.Command("zones", "List the availability zones, or cordon one: nothing starts in a cordoned zone, and what runs there continues.")
+	a.Command(zones, "list", "Show each availability zone with its workers and runs, and whether it is cordoned.", a.listZones)
+	a.Command(zones, "cordon", "Let nothing start in an availability zone.", a.cordonZone)
+	a.Command(zones, "uncordon", "Let work start again in an availability zone.", a.uncordonZone)
 	a.Command(hosts, "move", "Move a host to a pool, after its current work has moved elsewhere.", a.moveHost)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/failstop"
 	"github.com/cairnlift/cairnlift/jobclient"
@@ -53,6 +54,7 @@
 	// dispatcher is nil without a replica. jobs is a client of the control group's dispatcher.
 	dispatcher *dispatch.Dispatcher
 	jobs       *jobclient.Client
+	zones      *cordon.Receiver
 
 	services       atomic.Pointer[serviceTable]
 	router         *route.Router
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/jobapi"
 	"github.com/cairnlift/cairnlift/jobclient"
@@ -20,6 +21,7 @@
 		addresses = append(addresses, p.Address)
 	}
 	e.jobs = jobclient.New(addresses, log)
+	e.zones = cordon.NewReceiver(cordon.Options{Log: e.jobs, Zones: []string{e.settings.Location.AvailabilityZone}, Logger: log, Metrics: e.registry})
 	if e.replica == nil {
 		return
 	}
@@ -48,6 +50,7 @@
 // runJobs starts the background loops for submitted jobs; they end with ctx.
 func (e *Entry) runJobs(ctx context.Context) {
 	e.loops.Go("control hosts", func() { e.jobs.Run(ctx) })
+	e.loops.Go("zones", func() { e.zones.Run(ctx) })
 	if e.dispatcher != nil {
 		e.loops.Go("dispatch", func() { e.dispatcher.Run(ctx) })
 	}
@@ -63,11 +66,17 @@
 	mux.Handle(server.PathPrefix(), server)
 }
 
+// jobBackend implements jobapi.Backend.
+type jobBackend struct {
+	*jobclient.Client
+	*cordon.Receiver
+}
+
 // withJobAPI returns a handler that serves the API of submitted jobs in addition to the
 // administration API.
 func (e *Entry) withJobAPI(admin http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	jobs := jobapi.Handler(e.jobs)
+	jobs := jobapi.Handler(jobBackend{e.jobs, e.zones})
 	for _, path := range jobapi.Paths() {
 		mux.Handle(path, jobs)
 	}
--- a/fakes/runchecker.go
+++ b/fakes/runchecker.go
@@ -22,7 +22,9 @@
 	acknowledgedEnd map[jobqueue.TaskID]time.Time
 	starts          map[jobqueue.TaskID][]time.Time
 	// crashes counts, for each task, the crashes of workers that were running it.
-	crashes    map[jobqueue.TaskID]*taskCrashes
+	crashes map[jobqueue.TaskID]*taskCrashes
+	// cordonedAt maps each cordoned availability zone to the time at which its cordon was acknowledged.
+	cordonedAt map[string]time.Time
 	violations []string
 }
 
@@ -46,7 +48,7 @@
 	return &RunChecker{
 		jobs: map[string]*apiv1.JobSpec{}, finishedAt: map[jobqueue.TaskID]time.Time{},
 		acknowledgedEnd: map[jobqueue.TaskID]time.Time{}, starts: map[jobqueue.TaskID][]time.Time{},
-		crashes: map[jobqueue.TaskID]*taskCrashes{},
+		crashes: map[jobqueue.TaskID]*taskCrashes{}, cordonedAt: map[string]time.Time{},
 	}
 }
 
@@ -57,6 +59,23 @@
 	rc.jobs[spec.Id] = spec
 }
 
+// CordonAcknowledged records that the cordon of an availability zone has just been acknowledged, and
+// CordonWithdrawn that an order to withdraw it is about to be sent.
+func (rc *RunChecker) CordonAcknowledged(zone string) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if _, known := rc.cordonedAt[zone]; !known {
+		rc.cordonedAt[zone] = time.Now()
+	}
+}
+
+// CordonWithdrawn is described at CordonAcknowledged.
+func (rc *RunChecker) CordonWithdrawn(zone string) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	delete(rc.cordonedAt, zone)
+}
+
 // Violations returns the violations found so far.
 func (rc *RunChecker) Violations() []string {
 	rc.mu.Lock()
@@ -190,6 +209,7 @@
 		rc.addViolation("%v starts after its end was acknowledged", id)
 	}
 	rc.checkCrashes(id)
+	rc.checkCordon(w, id)
 	rc.checkStepOrder(spec, id)
 	rc.checkPlacement(spec, w, id)
 	if used := rc.reservedOn(w); !w.allows(used) {
@@ -198,6 +218,18 @@
 	go rc.checkOtherWorkers(w, id)
 }
 
+// cordonGrace is how long after the acknowledgement of a cordon a call may still start a run.
+const cordonGrace = 5 * time.Second
+
+// checkCordon checks that a call which arrives long after a cordon starts nothing. The caller must hold
+// the worker's lock.
+func (rc *RunChecker) checkCordon(w *RunWorker, id jobqueue.RunID) {
+	zone := w.Spec.AvailabilityZone
+	if at, cordoned := rc.cordonedAt[zone]; cordoned && w.calledAt.Sub(at) > cordonGrace {
+		rc.addViolation("%v starts on %s, called %v after the cordon of %s", id, w.Spec.Id, w.calledAt.Sub(at), zone)
+	}
+}
+
 func (rc *RunChecker) checkStepOrder(spec *apiv1.JobSpec, id jobqueue.RunID) {
 	for _, before := range spec.Steps[id.Task.Step].After {
 		step := spec.Steps[before]
--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -105,6 +105,28 @@
 	return w, errors.Wrap(protojson.Unmarshal(body, w), "decode response")
 }
 
+// Zones lists all availability zones.
+func (c *Client) Zones(ctx context.Context) ([]*apiv1.ZoneRecord, error) {
+	body, err := c.call(ctx, http.MethodGet, zonesPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp := &apiv1.JobsReadResponse{}
+	err = protojson.Unmarshal(body, resp)
+	return resp.Zones, errors.Wrap(err, "decode response")
+}
+
+// OrderZone cordons or uncordons an availability zone.
+func (c *Client) OrderZone(ctx context.Context, zone string, cordoned bool, operator string) error {
+	path := uncordonPath
+	if cordoned {
+		path = cordonPath
+	}
+	query := url.Values{"operator": {operator}}
+	_, err := c.call(ctx, http.MethodPost, zonesPath+"/"+url.PathEscape(zone)+path+"?"+query.Encode(), nil)
+	return err
+}
+
 // Hosts lists all hosts with their newest moves.
 func (c *Client) Hosts(ctx context.Context) ([]*apiv1.HostRecord, error) {
 	body, err := c.call(ctx, http.MethodGet, hostsPath, nil)
@@ -130,8 +152,9 @@
 	return jobsPath + "?" + url.Values{"host": {host}, "path": {path}}.Encode()
 }
 
-// call tries each address until one responds with a status below 500. Every call is safe to repeat,
-// because jobs and configurations are identified by their callers.
+// call tries each address until one responds with a status below 500. Every call is safe to repeat:
+// jobs and configurations are identified by their callers, and a copy of an order about an availability
+// zone has no effect once a later order was accepted.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	err := errors.New("no server address configured")
 	for _, address := range c.Addresses {
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -11,6 +11,9 @@
 //	GET    /v1/waves/NUMBER        returns the progress of the wave's hosts as a WaveRecord
 //	GET    /v1/hosts               returns all hosts as JobsReadResponse.hosts
 //	POST   /v1/hosts/move          submits a RequestMove; idempotent
+//	GET    /v1/zones               returns all availability zones as JobsReadResponse.zones
+//	POST   /v1/zones/ZONE/cordon   cordons an availability zone; ?operator= names the sender
+//	POST   /v1/zones/ZONE/uncordon withdraws that
 //
 // Status 503, with Retry-After, means that the request was not executed and never will be.
 // Status 504 means that its outcome is unknown; the request may be sent again.
@@ -32,6 +35,7 @@
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -44,6 +48,9 @@
 	explanationsPath = "/v1/explanations"
 	hostsPath        = "/v1/hosts"
 	movePath         = "/move"
+	zonesPath        = "/v1/zones"
+	cordonPath       = "/cordon"
+	uncordonPath     = "/uncordon"
 	// maxBody bounds the body of a request or response in bytes.
 	maxBody = 8 << 20
 	// requestTimeout bounds a request. It is somewhat longer than two elections take.
@@ -51,13 +58,15 @@
 	retryAfter     = time.Second
 )
 
-// Backend provides access to the control group; it is implemented by *jobclient.Client.
+// Backend provides access to the control group. *jobclient.Client implements it but for OrderZone, which
+// *cordon.Receiver does.
 type Backend interface {
 	PutQueues(ctx context.Context, c *apiv1.QueueConfiguration) (apiv1.JobOutcome, error)
 	Submit(ctx context.Context, spec *apiv1.JobSpec) (apiv1.JobOutcome, error)
 	Cancel(ctx context.Context, host, path, id string) (apiv1.JobOutcome, error)
 	PutWave(ctx context.Context, w *apiv1.MaintenanceWave) (apiv1.JobOutcome, error)
 	RequestMove(ctx context.Context, r *apiv1.RequestMove) (apiv1.JobOutcome, error)
+	OrderZone(ctx context.Context, o cordon.Order) (apiv1.JobOutcome, error)
 	Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error)
 }
 
@@ -72,7 +81,8 @@
 // Paths returns the http.ServeMux patterns that the handler serves. Paths below jobsPath belong to
 // the administration API.
 func Paths() []string {
-	return []string{queuesPath, jobsPath, explanationsPath + "/", wavesPath, wavesPath + "/", hostsPath, hostsPath + "/"}
+	return []string{queuesPath, jobsPath, explanationsPath + "/", wavesPath, wavesPath + "/", hostsPath, hostsPath + "/",
+		zonesPath, zonesPath + "/"}
 }
 
 // Handler returns a handler that serves the API.
@@ -89,6 +99,9 @@
 	r.GET(wavesPath+"/:number", h.getWave)
 	r.GET(hostsPath, h.getHosts)
 	r.POST(hostsPath+movePath, h.moveHost)
+	r.GET(zonesPath, h.getZones)
+	r.POST(zonesPath+"/:zone"+cordonPath, h.orderZone(true))
+	r.POST(zonesPath+"/:zone"+uncordonPath, h.orderZone(false))
 	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
 }
 
@@ -287,6 +300,26 @@
 	writeOutcome(w, outcome, err)
 }
 
+func (h handler) getZones(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ZONES})
+	if readSucceeded(w, resp, err) {
+		writeMessage(w, &apiv1.JobsReadResponse{Zones: resp.Zones})
+	}
+}
+
+// orderZone returns the handler that cordons or uncordons an availability zone.
+func (h handler) orderZone(cordoned bool) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		order := cordon.Order{Zone: p.ByName("zone"), Cordoned: cordoned, Operator: r.URL.Query().Get("operator")}
+		outcome, err := h.OrderZone(ctx, order)
+		writeOutcome(w, outcome, err)
+	}
+}
+
 // writeMessage writes a message as a JSON response.
 func writeMessage(w http.ResponseWriter, m proto.Message) {
 	data, err := protojson.Marshal(m)
@@ -311,7 +344,10 @@
 	switch o {
 	case apiv1.JobOutcome_JOB_OUTCOME_OK:
 		return http.StatusOK
-	case apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_WAVE, apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:
+	case apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED:
+		// An earlier try of the same order may have been accepted.
+		return http.StatusGatewayTimeout
+	case apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_WAVE, apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:
 		return http.StatusNotFound
 	case apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:
 		return http.StatusConflict
@@ -327,9 +363,11 @@
 
 // outcomeMessages explains the outcomes whose names are not self-explanatory.
 var outcomeMessages = map[apiv1.JobOutcome]string{
-	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:  "the configuration in effect has no such pool",
-	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT: "the host is in a maintenance wave or another move, or was moved recently",
-	apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS: "this deployment does not support host operations",
+	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:    "the configuration in effect has no such pool",
+	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:   "the host is in a maintenance wave or another move, or was moved recently",
+	apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE:    "there is no such availability zone",
+	apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED: "another order about the availability zone was accepted meanwhile",
+	apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS:   "this deployment does not support host operations",
 }
 
 func writeOutcome(w http.ResponseWriter, o apiv1.JobOutcome, err error) {
--- a/jobapi/jobapi_test.go
+++ b/jobapi/jobapi_test.go
@@ -5,20 +5,23 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
+	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/jobapi"
 )
 
 // fakeBackend returns the same outcome and error for every command.
 type fakeBackend struct {
-	outcome apiv1.JobOutcome
-	err     error
-	read    *apiv1.JobsReadResponse
-	calls   int
+	zoneOrders []cordon.Order
+	outcome    apiv1.JobOutcome
+	err        error
+	read       *apiv1.JobsReadResponse
+	calls      int
 }
 
 func (g *fakeBackend) result() (apiv1.JobOutcome, error) {
@@ -46,6 +49,11 @@
 	return g.result()
 }
 
+func (g *fakeBackend) OrderZone(_ context.Context, o cordon.Order) (apiv1.JobOutcome, error) {
+	g.zoneOrders = append(g.zoneOrders, o)
+	return g.result()
+}
+
 func (g *fakeBackend) Read(context.Context, *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error) {
 	return g.read, g.err
 }
@@ -88,6 +96,8 @@
 		{apiv1.JobOutcome_JOB_OUTCOME_INVALID, nil, 400},
 		{apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION, nil, 503},
 		{apiv1.JobOutcome_JOB_OUTCOME_FULL, nil, 503},
+		{apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, nil, 404},
+		{apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED, nil, 504},
 		{0, &control.UnavailableError{Cause: "no leader"}, 503},
 		{0, &control.UnknownError{Cause: "leadership was lost"}, 504},
 	}
@@ -219,3 +229,18 @@
 		t.Errorf("an unknown job: %v", err)
 	}
 }
+
+// Guards against an order about another zone than the operator named: names hold any characters.
+func TestZoneOrdersReachTheBackend(t *testing.T) {
+	g := &fakeBackend{outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
+	client := newTestClient(t, g)
+	for _, cordoned := range []bool{true, false} {
+		if err := client.OrderZone(t.Context(), "hall 1%?", cordoned, "op & co"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := []cordon.Order{{Zone: "hall 1%?", Cordoned: true, Operator: "op & co"}, {Zone: "hall 1%?", Operator: "op & co"}}
+	if !slices.Equal(g.zoneOrders, want) {
+		t.Errorf("orders %v, want %v", g.zoneOrders, want)
+	}
+}
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -233,6 +233,12 @@
 	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_RequestMove{RequestMove: r}})
 }
 
+// SetCordon cordons or uncordons an availability zone; see propose for errors. The state accepts it once
+// at most, however often it is sent: an accepted order changes the revision that it names.
+func (c *Client) SetCordon(ctx context.Context, o *apiv1.SetCordon) (apiv1.JobOutcome, error) {
+	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_SetCordon{SetCordon: o}})
+}
+
 // onlyLeaderAnswers are the reads that need what the leader knows beside the log.
 var onlyLeaderAnswers = map[apiv1.JobsReadKind]bool{
 	apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE: true, apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION: true,
