control: orders about availability zones are taken from other processes

Cause: the leader takes only listed commands from other processes, and the refusal reached the operator as an outcome without a reason. TestCordonsByAnyControlHost failed before; it also fixes the answers to what can't be meant. A refused command is now an error with the leader's message.

--- a/control/wire.go
+++ b/control/wire.go
@@ -40,7 +40,7 @@
 // leases by them.
 func jobsProposableByPeers(cmd *apiv1.JobsCommand) bool {
 	switch cmd.GetBody().(type) {
-	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel:
+	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel, *apiv1.JobsCommand_SetCordon:
 		return true
 	}
 	return false
@@ -95,7 +95,8 @@
 	case *apiv1.Command_Submit, *apiv1.Command_Claim, *apiv1.Command_Settle:
 		return true
 	case *apiv1.Command_Jobs:
-		// A job and its cancellation are identified by the job's id, a configuration by its version.
+		// A job and its cancellation are identified by the job's id, a configuration by its version, and
+		// an order about an availability zone by the revision that it changes.
 		return true
 	}
 	return false
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -186,6 +186,9 @@
 		return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, err
 	}
 	c.recordContact()
+	if res.Job == apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED {
+		return res.Job, &control.UnavailableError{Cause: "the leader refused the command: " + res.Message}
+	}
 	return res.Job, nil
 }
 
