control: waves and moves that operators order are taken from other processes

Found beside the orders about zones: the leader refused maintenance waves and moves of hosts of every process, also of its own host's operator interface, which is a client like any other. Operators were answered 503. TestWaveByAnyControlHost failed before.

--- a/control/wire.go
+++ b/control/wire.go
@@ -40,7 +40,8 @@
 // leases by them.
 func jobsProposableByPeers(cmd *apiv1.JobsCommand) bool {
 	switch cmd.GetBody().(type) {
-	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel, *apiv1.JobsCommand_SetCordon:
+	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel,
+		*apiv1.JobsCommand_SetCordon, *apiv1.JobsCommand_PutWave, *apiv1.JobsCommand_RequestMove:
 		return true
 	}
 	return false
@@ -95,8 +96,9 @@
 	case *apiv1.Command_Submit, *apiv1.Command_Claim, *apiv1.Command_Settle:
 		return true
 	case *apiv1.Command_Jobs:
-		// A job and its cancellation are identified by the job's id, a configuration by its version, and
-		// an order about an availability zone by the revision that it changes.
+		// A job and its cancellation are identified by the job's id, a configuration by its version, a
+		// wave by its number, a move by its host and pool, and an order about an availability zone by the
+		// revision that it changes.
 		return true
 	}
 	return false
