soak, cli: cordons in the soak of real processes; commands about zones are tested

Its checker finds runs that begin more than 5 s after the acknowledgement, and does not count the capacity of a zone that may be cordoned when it judges tasks that wait. TestCheckCordons, TestZoneCommands, TestZoneListAsJSON.

--- a/cmd/cairnlift-soak/main.go
+++ b/cmd/cairnlift-soak/main.go
@@ -41,6 +41,7 @@
 	links := lives.Flag("links", "Also disturb connections between agents and workers.").Bool()
 	outages := lives.Flag("outages", "Also cut the power of all processes except the workers, empty disks, and blackhole links until leases expire.").Bool()
 	configurations := lives.Flag("configurations", "Change and read the configuration continuously.").Bool()
+	cordons := lives.Flag("cordons", "Cordon the zones of the workers, one after another.").Bool()
 	callers := lives.Flag("callers", "Let some callers cancel jobs, give up after refusals, and resend accepted jobs.").Bool()
 	failing := lives.Flag("failing", "Let most batch runs fail.").Bool()
 	sick := lives.Flag("sick", "Let some workers fail every task after a restart.").Bool()
@@ -65,7 +66,7 @@
 		if *program != "" {
 			o.Program = []string{*program}
 		}
-		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Outages: *outages, Configurations: *configurations, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
+		p := soak.Profile{Agents: *agents, Fronts: *fronts, Links: *links, Outages: *outages, Configurations: *configurations, Cordons: *cordons, Callers: *callers, Failing: *failing, Sick: *sick, Uneven: *uneven, BatchShare: *batch}
 		if p.Plan, err = readPlan(*plan); err == nil {
 			err = runSeeds(ctx, o, p, *first, *seeds)
 		}
--- a/soak/check.go
+++ b/soak/check.go
@@ -55,6 +55,7 @@
 	steps      map[string]platformtest.Step
 	// controlLog are the log lines of the control hosts.
 	controlLog []logLine
+	cordons    []zoneCordon
 }
 
 // Check checks the soak run whose records are in a folder, and writes a report on its long-running tasks.
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rep := &report{rec: rec, steps: map[string]platformtest.Step{}}
+	rep := &report{rec: rec, steps: map[string]platformtest.Step{}, cordons: s.Cordons}
 	if rep.controlLog, err = readLogs(folder, "control-*.log"); err != nil {
 		return nil, err
 	}
@@ -112,6 +113,7 @@
 		}
 	}
 	rep.checkConfigurations(s.Changes, s.Reads)
+	rep.checkCordons(s.Cordons)
 	slices.SortFunc(rep.gaps, func(a, b checkedGap) int { return compareLength(a.gap, b.gap) })
 	return rep, nil
 }
@@ -161,12 +163,12 @@
 	return least
 }
 
-// freeCapacity returns how many more tasks of a step fit on the workers that are running, reachable and not
-// sick at a moment.
+// freeCapacity returns how many more tasks of a step fit on the workers that are running, reachable, not
+// sick and not in a cordoned zone at a moment.
 func (rep *report) freeCapacity(g gap, at time.Time) int {
 	sum := 0
 	for _, l := range rep.rec.incarnations {
-		if !l.sick && !l.start.After(at) && l.end.After(at) && rep.rec.reachable(l.worker, at) {
+		if !l.sick && !l.start.After(at) && l.end.After(at) && rep.rec.reachable(l.worker, at) && !rep.mayBeCordoned(l.worker, at) {
 			sum += rep.freeCapacityOn(l, g, at)
 		}
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -138,7 +138,7 @@
 // addHost adds a host with a worker and its agent.
 func (c *cluster) addHost(number int) error {
 	m := platformtest.Machine{
-		Name: fmt.Sprintf("host-%d", number), IP: c.ip(firstWorkerIP + number), Zone: "a", Pool: pool, SeedIPs: c.seedIPs, Bootstrap: true,
+		Name: fmt.Sprintf("host-%d", number), IP: c.ip(firstWorkerIP + number), Zone: workerZone(number), Pool: pool, SeedIPs: c.seedIPs, Bootstrap: true,
 	}
 	settings, err := c.writeSettings(m)
 	if err != nil {
--- a/soak/configurations.go
+++ b/soak/configurations.go
@@ -37,11 +37,12 @@
 	Sent    time.Time
 }
 
-// operator changes and reads the configuration at randomly chosen control hosts.
+// operator changes and reads the configuration and cordons zones at randomly chosen control hosts.
 type operator struct {
 	c       *cluster
 	changes []configChange
 	reads   []configRead
+	cordons []zoneCordon
 }
 
 // submitChanges submits increasing versions until ctx ends. It sends each until it is acknowledged.
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,6 +51,8 @@
 	Outages bool
 	// Configurations adds continuous changes and reads of the configuration.
 	Configurations bool
+	// Cordons adds cordons of the workers' availability zones.
+	Cordons bool
 	// Callers makes some callers cancel jobs, give up after refusals, and resend accepted jobs.
 	Callers bool
 	// Failing makes most batch runs fail.
@@ -100,7 +102,7 @@
 	l.run(ctx, plan, p, op)
 	p.Plan = ""
 	title := fmt.Sprintf("seed %d, %+v, batch share %v, failing %d%%", seed, p, l.batchShare, l.failPercent)
-	return summary{Title: title, End: time.Now(), Jobs: l.answeredJobs(), Changes: op.changes, Reads: op.reads}.write(o.Folder)
+	return summary{Title: title, End: time.Now(), Jobs: l.answeredJobs(), Changes: op.changes, Reads: op.reads, Cordons: op.cordons}.write(o.Folder)
 }
 
 // run submits the jobs, and executes the plan at the same time.
@@ -118,6 +120,9 @@
 		all.Go(func() { op.submitChanges(working, rand.New(rand.NewPCG(l.seed, changesStream))) })
 		all.Go(func() { op.pollConfiguration(working, rand.New(rand.NewPCG(l.seed, readsStream))) })
 	}
+	if p.Cordons {
+		all.Go(func() { op.cordonZones(working, rand.New(rand.NewPCG(l.seed, cordonsStream))) })
+	}
 	for _, j := range drawLongRunning(l.rand, l.c.o.Workers) {
 		id := l.newID()
 		caller := l.drawCaller()
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -19,6 +19,8 @@
 	// Changes and Reads are those of the configuration; empty if it was not changed.
 	Changes []configChange
 	Reads   []configRead
+	// Cordons are those of the workers' zones.
+	Cordons []zoneCordon
 }
 
 const summaryFile = "summary.json"
