--- a/admin/types.go
+++ b/admin/types.go
@@ -73,11 +73,13 @@
 	Leader         string `json:"leader"`
 	Term           uint64 `json:"term"`
 	// Index is the last log index that is applied to this state.
-	Index     uint64    `json:"index"`
-	Processes []Process `json:"processes,omitempty"`
-	Workers   []Worker  `json:"workers,omitempty"`
-	Targets   []Target  `json:"targets,omitempty"`
-	Jobs      []Job     `json:"jobs,omitempty"`
+	Index uint64 `json:"index"`
+	// CordonedZones are the availability zones in which nothing may start.
+	CordonedZones []string  `json:"cordoned_zones,omitempty"`
+	Processes     []Process `json:"processes,omitempty"`
+	Workers       []Worker  `json:"workers,omitempty"`
+	Targets       []Target  `json:"targets,omitempty"`
+	Jobs          []Job     `json:"jobs,omitempty"`
 }
 
 // Process is one process of the system itself.
@@ -104,11 +106,13 @@
 	// Reserved is the sum of the reservations of the worker's targets.
 	Reserved Resources `json:"reserved"`
 	// Granted is the sum of the grants of the worker's running tasks.
-	Granted     Resources `json:"granted"`
-	Tasks       int       `json:"tasks"`
-	Alive       bool      `json:"alive"`
-	Draining    bool      `json:"draining"`
-	Quarantined string    `json:"quarantined,omitempty"`
+	Granted  Resources `json:"granted"`
+	Tasks    int       `json:"tasks"`
+	Alive    bool      `json:"alive"`
+	Draining bool      `json:"draining"`
+	// Cordoned reports whether nothing may start in the worker's availability zone.
+	Cordoned    bool   `json:"cordoned"`
+	Quarantined string `json:"quarantined,omitempty"`
 }
 
 // Target is one back end instance of a service.
--- a/agent/lease/orders_test.go
+++ b/agent/lease/orders_test.go
@@ -88,6 +88,19 @@
 			a := h.exchange(0, stopOrders(false, "a"))
 			return len(a.Stop) == 1 && len(a.Renew) == 0
 		},
+		"nothing starts in a cordoned zone, and the attempt ends": func(h *harness) bool {
+			o := startOrders("n", 1)
+			o.Cordoned = true
+			a := h.exchange(0, o)
+			return len(a.Start) == 0 && len(a.Refused) == 1 && h.reported("n").GetCheckpoint() == "from"
+		},
+		"a start without an answer is not sent again into a cordoned zone": func(h *harness) bool {
+			h.tryStart(StartUnknown)
+			o := startOrders("n", 1)
+			o.Cordoned = true
+			a := h.exchange(0, o)
+			return len(a.Start)+len(a.Refused) == 0
+		},
 		"no second attempt in parallel with the first": func(h *harness) bool { return len(h.exchange(0, startOrders("a", 2)).Start) == 0 },
 		"nothing starts while the grant of an attempt is unknown": func(h *harness) bool {
 			h.m.attempts[Attempt{"a", 1}].grant = nil
--- a/cli/print.go
+++ b/cli/print.go
@@ -49,6 +49,9 @@
 func (a *App) printStatus(s *admin.Status) {
 	a.printf("version %d, %s; leader %s, term %d, index %d; seen by %s\n",
 		s.ConfigurationVersion, confirmationText(s.ConfirmedAgeMs), orDash(s.Leader), s.Term, s.Index, s.Entry)
+	if len(s.CordonedZones) > 0 {
+		a.printf("cordoned availability zones, in which nothing starts: %s\n", strings.Join(s.CordonedZones, ", "))
+	}
 	a.printProcesses(s.Processes)
 	a.printTable(joinCells("WORKER", "ZONE", "RACK", "GRANTED+RESERVED/CAPACITY", "TASKS", "STATE"), formatRows(s.Workers, workerRow))
 	a.printTable(joinCells("TARGET", "SERVICE", "AGENT", "ZONE", "IN FLIGHT/SLOTS", "STATE"), formatRows(s.Targets, targetRow))
@@ -71,7 +74,7 @@
 }
 
 func workerRow(w admin.Worker) string {
-	state := stateText(stateFlag{!w.Alive, "lost"}, stateFlag{w.Draining, "draining"}, stateFlag{w.Quarantined != "", "quarantined: " + w.Quarantined})
+	state := stateText(stateFlag{!w.Alive, "lost"}, stateFlag{w.Draining, "draining"}, stateFlag{w.Cordoned, "cordoned"}, stateFlag{w.Quarantined != "", "quarantined: " + w.Quarantined})
 	use := fmt.Sprintf("%s+%s/%s", resourcesText(w.Granted), resourcesText(w.Reserved), resourcesText(w.Capacity))
 	return joinCells(w.Name, w.AvailabilityZone, w.Rack, use, w.Tasks, state)
 }
--- a/control/status.go
+++ b/control/status.go
@@ -17,9 +17,11 @@
 	Leading       bool
 	LeaderAddress string
 	// Index is the last log index applied on this replica.
-	Index   uint64
-	Workers []WorkerStatus
-	Jobs    []state.Job
+	Index uint64
+	// CordonedZones are the cordoned availability zones.
+	CordonedZones []string
+	Workers       []WorkerStatus
+	Jobs          []state.Job
 }
 
 // WorkerStatus is a worker's record and the age of its last report.
@@ -60,6 +62,11 @@
 	})
 	slices.SortFunc(s.Workers, func(a, b WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	s.Jobs = r.machine.Jobs()
+	for _, c := range r.machine.CallerJobs().Cordons() {
+		if c.Cordoned {
+			s.CordonedZones = append(s.CordonedZones, c.Zone)
+		}
+	}
 	return s
 }
 
--- a/entry/admin_status.go
+++ b/entry/admin_status.go
@@ -41,7 +41,7 @@
 // addReplicaStatus adds the state of this host's replica.
 func (b backend) addReplicaStatus(s *admin.Status, wants func(string) bool) {
 	st := b.replica.Status()
-	s.Term, s.Index = st.Term, st.Index
+	s.Term, s.Index, s.CordonedZones = st.Term, st.Index, st.CordonedZones
 	if wants(admin.SectionWorkers) {
 		for _, w := range st.Workers {
 			s.Workers = append(s.Workers, b.worker(w, st.Leading))
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	s.Term, s.Index = leader.Term, leader.Index
+	s.Term, s.Index, s.CordonedZones = leader.Term, leader.Index, leader.CordonedZones
 	s.Workers, s.Jobs = leader.Workers, leader.Jobs
 	return nil
 }
@@ -214,6 +214,7 @@
 		Tasks:            w.Tasks,
 		Alive:            alive,
 		Draining:         w.Draining,
+		Cordoned:         w.Cordoned,
 	}
 }
 
--- a/place/queue_test.go
+++ b/place/queue_test.go
@@ -219,6 +219,24 @@
 	}
 }
 
+// Guards against a task that starts in a cordoned zone, and against a job that counts as unplaceable while
+// its zone is cordoned.
+func TestNothingStartsInCordonedZone(t *testing.T) {
+	s := newHarness(2)
+	s.worker("w0").Cordoned, s.worker("w1").Cordoned = true, true
+	s.queue("a", "k", "a")
+	if plan := s.plan(); len(plan.Grants)+len(plan.Unplaceable) != 0 {
+		t.Fatalf("grants %v, unplaceable %v", plan.Grants, plan.Unplaceable)
+	}
+	if d, ok := s.Explain(s.now, s.snapshot, "a"); !ok || d.Refused["cordon"] != 2 {
+		t.Errorf("explained as %+v", d)
+	}
+	s.worker("w1").Cordoned = false
+	if plan := s.plan(); len(plan.Grants) != 1 || plan.Grants[0].Worker != "w1" {
+		t.Errorf("grants %v", plan.Grants)
+	}
+}
+
 // Guards against explanations that change what is planned or name no reason.
 func TestExplainNamesFiltersAndChangesNothing(t *testing.T) {
 	plans := [2]Plan{}
