--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -17,13 +17,17 @@
 	benchBackfill = 7
 	// benchRound is the period in which the new work of one round arrives.
 	benchRound = 20 * time.Millisecond
+	// benchZones is the number of availability zones.
+	benchZones = 19
 )
 
+func benchZone(number int) string { return fmt.Sprintf("zone-%02d", number) }
+
 // newBusyFleet returns a fleet with its usual work.
 func newBusyFleet(b *testing.B, workers int) *harness {
 	r := newHarnessFor(b)
 	for i := range workers {
-		r.addWorker(fmt.Sprintf("w%04d", i), 32_000, 128_000)
+		r.addWorkerIn(benchZone(i%benchZones), fmt.Sprintf("w%04d", i), 32_000, 128_000)
 	}
 	for i := range workers * benchServing / 6 {
 		step := servingTasks(6, 3000)
@@ -54,40 +58,64 @@
 	for _, workers := range []int{11, 54, 3700} {
 		for _, rate := range []int{0, 60, 1000} {
 			b.Run(fmt.Sprintf("workers=%d/starts=%d", workers, rate), func(b *testing.B) {
-				r := newBusyFleet(b, workers)
-				due := 0.0
-				number := 0
-				starts := 0
-				for b.Loop() {
-					b.StopTimer()
-					var submitted []string
-					for due += float64(rate) * benchRound.Seconds() / 6; due >= 1; due-- {
-						number++
-						id := fmt.Sprintf("n%d", number)
-						r.submit("urgent", id, &apiv1.JobStep{Count: 6, CpuMilli: 500, MemoryMb: 100, EstimatedMs: 1000})
-						submitted = append(submitted, id)
-					}
-					r.advance(benchRound)
-					b.StartTimer()
-					d := r.planner.Plan(r.machine, r, r.now, r.now.UnixMilli())
-					b.StopTimer()
-					starts += len(d.Starts)
-					r.applyAndEnd(d, submitted)
-					b.StartTimer()
+				benchmarkRounds(b, newBusyFleet(b, workers), rate)
+			})
+		}
+	}
+}
+
+// BenchmarkPlanWithCordons measures a round of the largest fleet with cordoned availability zones.
+func BenchmarkPlanWithCordons(b *testing.B) {
+	for _, cordoned := range []int{0, 1, benchZones} {
+		for _, rate := range []int{0, 1000} {
+			b.Run(fmt.Sprintf("cordoned=%d/starts=%d", cordoned, rate), func(b *testing.B) {
+				r := newBusyFleet(b, 3700)
+				for i := range cordoned {
+					r.setCordon(benchZone(i), true)
 				}
-				b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+				benchmarkRounds(b, r, rate)
 			})
 		}
 	}
 }
 
-// applyAndEnd applies a decision and ends the runs that it started.
+// benchmarkRounds measures rounds of a fleet while jobs of 6 tasks arrive at a rate of starts a second. With
+// all zones cordoned nothing starts, so the jobs are cancelled.
+func benchmarkRounds(b *testing.B, r *harness, rate int) {
+	due := 0.0
+	number := 0
+	starts := 0
+	for b.Loop() {
+		b.StopTimer()
+		var submitted []string
+		for due += float64(rate) * benchRound.Seconds() / 6; due >= 1; due-- {
+			number++
+			id := fmt.Sprintf("n%d", number)
+			r.submit("urgent", id, &apiv1.JobStep{Count: 6, CpuMilli: 500, MemoryMb: 100, EstimatedMs: 1000})
+			submitted = append(submitted, id)
+		}
+		r.advance(benchRound)
+		b.StartTimer()
+		d := r.planner.Plan(r.machine, r, r.now, r.now.UnixMilli())
+		b.StopTimer()
+		starts += len(d.Starts)
+		r.applyAndEnd(d, submitted)
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+}
+
+// applyAndEnd applies a decision, ends the runs that it started and cancels jobs without any.
 func (r *harness) applyAndEnd(d Decision, jobs []string) {
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
 		Term: testTerm, Starts: d.Starts, Stops: d.Stops,
 	}}})
 	for _, id := range jobs {
 		j := r.machine.Job(id)
+		if !j.Running() {
+			r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Cancel{Cancel: &apiv1.CancelJob{Id: id, Host: testHost, Path: "/urgent/" + id}}})
+			continue
+		}
 		for i := range j.Occurrences[0].Steps[0].Tasks {
 			run := jobqueue.RunID{Task: jobqueue.TaskID{Job: id, Index: uint32(i)}, Number: 1}
 			if r.machine.Run(run) != nil {
