cordon, agent/runs, platform: a worker's zone can't be forged; an unnoticed pause and the age of an order fit into the sender's patience

The limits on an order's age were 1.1 s together, more than the second that operators wait; now 0.9 s. Words of the platform's paths leave the soak; the cases of the command line's tests share one check.

--- a/agent/runs/cordon_test.go
+++ b/agent/runs/cordon_test.go
@@ -74,6 +74,19 @@
 	})
 }
 
+// Guards against starts past a cordon by an announcement that names another zone.
+func TestAnnouncementOfAnotherZoneIsRefused(t *testing.T) {
+	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
+	withDriverOf(t, runs.Options{Leader: l}, func(*countingWorker) {}, func(d *runs.Driver, _ *countingWorker) {
+		time.Sleep(time.Second)
+		other := workerSpec("w1")
+		other.AvailabilityZone = "other"
+		if err := d.Announce(runs.Announcement{Worker: other, Sequence: 2}); err == nil {
+			t.Error("an announcement moves the worker to another zone")
+		}
+	})
+}
+
 // Guards against an answer that another one overtook and that takes a cordon back.
 func TestOvertakenAnswerDoesNotWithdrawCordon(t *testing.T) {
 	l := &leader{epoch: 1, orders: &apiv1.JobsOrdersResponse{Term: term, Sequence: 1, Epoch: 1}}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -248,11 +248,11 @@
 	defer s.mu.Unlock()
 	s.recordTerm(resp.Term)
 	s.cordon.record(resp.Term, resp.Cordon)
-	s.cordon.confirm(sent, clockMs)
 	s.acknowledged = max(s.acknowledged, resp.Acknowledged)
 	if resp.LeaseMs == 0 || clockMs == 0 {
 		return
 	}
+	s.cordon.confirm(sent, clockMs)
 	if resp.Epoch > s.epoch && s.barStarts(resp.Epoch) {
 		// The leader has recorded these runs as lost. Under a new lease they could still begin.
 		return
--- a/cli/hosts_test.go
+++ b/cli/hosts_test.go
@@ -37,26 +37,35 @@
 	g := &fakeControlGroup{}
 	s := httptest.NewServer(jobapi.Handler(g))
 	defer s.Close()
-	for _, c := range []struct {
-		args     string
-		code     int
-		out, err string
-	}{
+	for _, c := range []commandCase{
 		{"host list", 0, "h1\tweb\tup\tw1\tto web: done\nh2\treserve\taway\t-\t-\n", ""},
 		{"host move h1 batch", 0, "accepted\n", ""},
 		{"host move h1 nosuch", 1, "", "no such pool"},
 		{"host move h9 batch", 1, "", `no host "h9"`},
 		{"host move h1", 2, "", "pool"},
 	} {
-		var out, errOut bytes.Buffer
-		a := New()
-		a.Stdout, a.Stderr = &out, &errOut
-		code := a.Run(t.Context(), append([]string{"-a", strings.TrimPrefix(s.URL, "http://")}, strings.Fields(c.args)...))
-		if code != c.code || out.String() != c.out || !strings.Contains(errOut.String(), c.err) {
-			t.Errorf("%s: code %d, %q, %q", c.args, code, out.String(), errOut.String())
-		}
+		c.check(t, s.URL)
 	}
 	if got := strings.Join(g.requestedMoves, ", "); got != "h1 to batch, h1 to nosuch" {
 		t.Errorf("requested moves: %s", got)
 	}
 }
+
+// commandCase is a command line with its exit code, its output and a part of its error output.
+type commandCase struct {
+	args     string
+	code     int
+	out, err string
+}
+
+// check runs the command at a server.
+func (c commandCase) check(t *testing.T, url string) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	a := New()
+	a.Stdout, a.Stderr = &out, &errOut
+	code := a.Run(t.Context(), append([]string{"--operator", "me", "-a", strings.TrimPrefix(url, "http://")}, strings.Fields(c.args)...))
+	if code != c.code || out.String() != c.out || !strings.Contains(errOut.String(), c.err) {
+		t.Errorf("%s: code %d, %q, %q", c.args, code, out.String(), errOut.String())
+	}
+}
--- a/cli/zones_test.go
+++ b/cli/zones_test.go
@@ -38,24 +38,14 @@
 	g := &fakeZones{}
 	s := httptest.NewServer(jobapi.Handler(g))
 	defer s.Close()
-	for _, c := range []struct {
-		args     string
-		code     int
-		out, err string
-	}{
+	for _, c := range []commandCase{
 		{"zones list", 0, "north\tcordoned\t2 workers\t5 runs\t1970-01-01T00:00:01Z\top\nsouth\topen\t1 workers\t0 runs\t-\t-\n", ""},
 		{"zones cordon north", 0, "accepted\n", ""},
 		{"zones uncordon north --json", 0, "{\n  \"zone\": \"north\",\n  \"cordoned\": false\n}\n", ""},
 		{"zones cordon east", 1, "", "no such availability zone"},
 		{"zones cordon", 2, "", "zone"},
 	} {
-		var out, errOut bytes.Buffer
-		a := New()
-		a.Stdout, a.Stderr = &out, &errOut
-		code := a.Run(t.Context(), append([]string{"--operator", "me", "-a", strings.TrimPrefix(s.URL, "http://")}, strings.Fields(c.args)...))
-		if code != c.code || out.String() != c.out || !strings.Contains(errOut.String(), c.err) {
-			t.Errorf("%s: code %d, %q, %q", c.args, code, out.String(), errOut.String())
-		}
+		c.check(t, s.URL)
 	}
 	if first := (cordon.Order{Zone: "north", Cordoned: true, Operator: "me"}); len(g.orders) != 3 || g.orders[0] != first {
 		t.Errorf("orders: %v", g.orders)
--- a/cordon/pauses.go
+++ b/cordon/pauses.go
@@ -9,10 +9,10 @@
 const (
 	// pauseCheckInterval is the time between two checks for a pause of the process.
 	pauseCheckInterval = 100 * time.Millisecond
-	// minPause is the least delay of a check that counts as a pause. Together with maxOrderAge it is
-	// less than callerPatience, so that an order that waited through an unnoticed pause is still
-	// wanted.
-	minPause = 400 * time.Millisecond
+	// minPause is the least delay of a check that counts as a pause. Together with pauseCheckInterval and
+	// maxOrderAge it is less than callerPatience, so that an order that waited through a pause which was
+	// not noticed is still wanted.
+	minPause = 300 * time.Millisecond
 )
 
 // pauses records when the process was last suspended or stopped.
--- a/cordon/receiver.go
+++ b/cordon/receiver.go
@@ -29,7 +29,7 @@
 	// host.
 	callerPatience = time.Second
 	// maxOrderAge is the age of an order from which on it is discarded instead of proposed.
-	maxOrderAge = 600 * time.Millisecond
+	maxOrderAge = 500 * time.Millisecond
 	retryAfter  = time.Second
 )
 
--- a/schedule/cordons_test.go
+++ b/schedule/cordons_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +104,20 @@
 		r.advance(100 * time.Millisecond)
 	}
 }
+
+// Guards against a host of standby that is switched on in a cordoned zone, where it gets no work.
+func TestNoHostComesFromCordonedZone(t *testing.T) {
+	r := newMoverHarness(t)
+	r.addHost("a", testPool)
+	for _, name := range []string{"b", "c"} {
+		r.addHost(name, reservePool)
+		view := r.hosts[name]
+		view.AvailabilityZone = "zone of " + name
+		r.hosts[name] = view
+	}
+	r.setCordon("zone of b", true)
+	r.submitTasks("j", 6, "")
+	if got := r.runFor(40 * time.Second); !slices.Equal(got, []string{"c to " + testPool}) {
+		t.Errorf("moved %v, want the host of the other zone", got)
+	}
+}
--- a/soak/cordons.go
+++ b/soak/cordons.go
@@ -49,18 +49,18 @@
 	for ctx.Err() == nil {
 		sleep(ctx, betweenCordons.draw(r))
 		c := zoneCordon{Zone: workerZone(r.IntN(workerZones)), Sent: time.Now()}
-		c.Acknowledged = o.orderZone(ctx, r, "/Evacuations.Start/", c.Zone)
+		c.Acknowledged = o.setCordon(ctx, r, c.Zone, true)
 		sleep(ctx, drawFromOne(r, cordonTimes))
 		c.WithdrawSent = time.Now()
-		c.Withdrawn = o.orderZone(ctx, r, "/Evacuations.Stop/", c.Zone)
+		c.Withdrawn = o.setCordon(ctx, r, c.Zone, false)
 		o.cordons = append(o.cordons, c)
 	}
 }
 
-// orderZone sends an order until it is acknowledged, and returns when that was; zero if ctx ended before.
-func (o *operator) orderZone(ctx context.Context, r *rand.Rand, path, zone string) time.Time {
+// setCordon sends an order until it is acknowledged, and returns when that was; zero if ctx ended before.
+func (o *operator) setCordon(ctx context.Context, r *rand.Rand, zone string, cordoned bool) time.Time {
 	for ctx.Err() == nil {
-		status, err := o.c.client.Order(ctx, o.pickSeedIP(r), path+zone)
+		status, err := o.c.client.SetCordon(ctx, o.pickSeedIP(r), zone, cordoned)
 		if err == nil && status == http.StatusOK {
 			return time.Now()
 		}
