--- a/record/cause.go
+++ b/record/cause.go
@@ -23,6 +23,9 @@
 	// WaitsForInterference is time in which most workers were ruled out since the task would have
 	// lengthened the tail latencies there too much, or would have run too slowly.
 	WaitsForInterference
+	// WaitsForCordon is time in which most workers were ruled out since their availability zones were
+	// cordoned.
+	WaitsForCordon
 	// WaitsUnexplained is time before a start for which no line gives a reason.
 	WaitsUnexplained
 	// SlowedDown is the time that runs lost to paces below full speed.
@@ -39,7 +42,7 @@
 )
 
 var causeNames = [numCauses]string{
-	"working", "leader away", "waits for room", "waits, disturbs", "waits, unexplained", "slowed down", "moved", "host gone",
+	"working", "leader away", "waits for room", "waits, disturbs", "waits, zone cordoned", "waits, unexplained", "slowed down", "moved", "host gone",
 	"failed", "over objective",
 }
 
@@ -49,7 +52,7 @@
 // waitCause returns the cause that ruled out most workers, given the reasons in a line about a
 // waiting step, such as "disturbs 8, memory 3".
 func waitCause(workers string) Cause {
-	capacity, interference := 0, 0
+	capacity, interference, cordoned := 0, 0, 0
 	for reason := range strings.SplitSeq(workers, ", ") {
 		space := strings.LastIndexByte(reason, ' ')
 		if space < 0 {
@@ -62,13 +65,17 @@
 		switch reason[:space] {
 		case schedule.ReasonInterference.String(), schedule.ReasonSlow.String():
 			interference += n
+		case schedule.ReasonCordoned.String():
+			cordoned += n
 		default:
 			capacity += n
 		}
 	}
 	switch {
-	case capacity+interference == 0:
+	case capacity+interference+cordoned == 0:
 		return WaitsUnexplained
+	case cordoned > max(capacity, interference):
+		return WaitsForCordon
 	case interference >= capacity:
 		return WaitsForInterference
 	}
