agent/runs: a test of cordons does not depend on which answer arrives first

Traced: the stand-in's orders name no cordon, so that the start reached the agent before the report's answer that withdraws the cordon, and was given back, as it must be. A leader's orders tell the cordon of the same state as their starts.

--- a/agent/runs/cordon_test.go
+++ b/agent/runs/cordon_test.go
@@ -102,8 +102,9 @@
 		if n := w.startCalls.Load(); n != 0 {
 			t.Errorf("%d starts", n)
 		}
+		l.update(func() { l.cordon = cordonOrder(6, false) })
+		time.Sleep(time.Second)
 		l.update(func() {
-			l.cordon = cordonOrder(6, false)
 			l.orders = startOrders(4, 1)
 			l.orders.Starts[0].Run = 2
 		})
