--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,79 @@
+// Package admission decides whether a submitted job is accepted, and when the caller of a refused
+// one should return. It does no I/O, and callers pass in the time.
+package admission
+
+import "time"
+
+// Work is an amount of work.
+type Work struct {
+	// CoreMs is processor time in core-milliseconds of tasks that reserve processors.
+	CoreMs int64
+	// BackfillMs is processor time in core-milliseconds of backfilling tasks, which run beside
+	// serving tasks.
+	BackfillMs int64
+}
+
+// Request describes a submitted job.
+type Request struct {
+	Job      string
+	Account  string
+	Queue    string
+	Priority uint32
+	// Work is the job's own work, and Chain the duration of its longest chain of steps on an empty
+	// fleet.
+	Work  Work
+	Chain time.Duration
+	// Useful is the time from now after which the job's end is of no use to its caller; 0 if that is
+	// not known. A long-running job has none.
+	Useful time.Duration
+	// LongRunning is set for a job with a long-running step, and Scheduled for one with a start time.
+	// Neither is refused by an estimate of its end.
+	LongRunning, Scheduled bool
+}
+
+// Backlog is what the leader knows of waiting work when a job is submitted.
+type Backlog struct {
+	// Ahead is the work that goes before the job: of higher priorities, and of its own.
+	Ahead Work
+	// Drain is the work that the fleet finished per second in the last seconds; 0 while unknown.
+	Drain Work
+	// Delay is the time that the oldest startable step of the job's priority has waited.
+	Delay time.Duration
+	// Trusted is set once the leader has observed the fleet for long enough to estimate from it.
+	Trusted bool
+}
+
+// Reason is why a job was refused.
+type Reason int
+
+// The reasons.
+const (
+	// Accepted is not a refusal.
+	Accepted Reason = iota
+	// TooLate: by the estimate the job would end when it is of no use any more.
+	TooLate
+	// Delayed: the queueing delay exceeds its bound.
+	Delayed
+	// RetryBudget: the account returns more often than its budget of retries allows.
+	RetryBudget
+)
+
+// Decision is the outcome for one submission.
+type Decision struct {
+	Reason Reason
+	// RetryAfter is when the caller should return; 0 if the job is accepted.
+	RetryAfter time.Duration
+	// Estimate is the expected time until the job ends, and Error the factor by which recent estimates
+	// were exceeded; both are 0 if there is no estimate.
+	Estimate time.Duration
+	Error    float64
+}
+
+// Policy decides on submissions. It is not safe for concurrent use.
+type Policy interface {
+	// Decide decides on a submission.
+	Decide(r Request, b Backlog, now time.Time) Decision
+	// RecordEnd records that an accepted job has ended, so that the policy learns the error of its
+	// estimates.
+	RecordEnd(job string, now time.Time)
+}
