--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -45,6 +45,8 @@
 	hostOrders uint64
 	// cordons maps each availability zone to the newest order about it.
 	cordons map[string]*apiv1.ZoneCordon
+	// holds maps the name of each queue to the newest order about its hold.
+	holds map[string]*apiv1.QueueHold
 	// leaving contains the workers that are drained for maintenance or a move of their hosts.
 	leaving map[string]bool
 	// learned is the data that the leader last stored for its successors.
@@ -69,6 +71,7 @@
 		waves:         map[uint64]*Wave{},
 		moves:         map[string]*apiv1.HostMove{},
 		cordons:       map[string]*apiv1.ZoneCordon{},
+		holds:         map[string]*apiv1.QueueHold{},
 
 		lastCrashEvent:  legacyCrashEvent,
 		pendingVerdicts: map[TaskID]int64{},
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -105,7 +105,9 @@
 	Queue *apiv1.JobQueue
 	State apiv1.JobState
 	// Started: a run of the job is known to have begun, because it ended or saved a checkpoint.
-	Started     bool
+	Started bool
+	// Prioritized: an operator put the job before the others of its priority.
+	Prioritized bool
 	AcceptedMs  int64
 	FinishedMs  int64
 	Occurrences []*Occurrence
