trace, record: lines of a deposed leader don't count

Cause: a leader that was suspended or cut off writes lines under its term until it learns of its successor. trace put all lines of a term before the next leader was ready and moved clocks by seconds to do so; record took the losses and stops in these lines for real.

Change: only the readiness of leaders and starts that an agent answered, which are committed, order terms. Lines that a leader writes after one of a later term was ready are marked as Deposed; cairnlift trace prints the mark, record skips them. Lines expanded from aggregated ones keep their term.

TestLinesOfDeposedLeader passes with clocks 0 s and 2 s apart.

--- a/cli/trace.go
+++ b/cli/trace.go
@@ -78,6 +78,9 @@
 
 func fieldsText(l trace.Line) string {
 	var b strings.Builder
+	if l.Deposed {
+		b.WriteString("  (leader was deposed)")
+	}
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 		fmt.Fprintf(&b, "  %s=%v", name, l.Fields[name])
 	}
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -93,7 +93,7 @@
 )
 
 // GroupState summarizes the state of the control group as a control host knows it.
-var GroupState = declare(Group, Rare, "state", NameTerm, "leader", "leads", "voters", "heard", "spares", NameVersion,
+var GroupState = declare(Group, Rare, "state", NameTerm, "leader", NameLeads, "voters", "heard", "spares", NameVersion,
 	"workers", "reachable", "waiting", "since")
 
 // Lines of the control group's coordinator, which the users' platform does not use.
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -47,6 +47,9 @@
 	NameZone              = "availability_zone"
 	NameStatus            = "status"
 	NameMethod            = "method"
+	NameLeads             = "leads"
+	NameUnresponsiveFor   = "silent"
+	NameAnswer            = "answer"
 )
 
 // Identifiers. They are formatted the same way in all parts.
@@ -87,7 +90,7 @@
 func Reason(reason string) Field { return stringField(NameReason, reason) }
 
 // Answer is the answer to an order.
-func Answer(a fmt.Stringer) Field { return Field{zap.Stringer("answer", a)} }
+func Answer(a fmt.Stringer) Field { return Field{zap.Stringer(NameAnswer, a)} }
 
 // Try is the number of a call among the calls for one order, from 1.
 func Try(n int) Field { return intField("try", n) }
@@ -109,7 +112,7 @@
 
 // UnresponsiveFor is the time since the last answer or report of the other side, or since the wait
 // for the first one began.
-func UnresponsiveFor(d time.Duration) Field { return durationField("silent", d) }
+func UnresponsiveFor(d time.Duration) Field { return durationField(NameUnresponsiveFor, d) }
 
 // Lease is the duration for which a lease was granted.
 func Lease(d time.Duration) Field { return durationField("lease", d) }
--- a/logging/event/groupfields.go
+++ b/logging/event/groupfields.go
@@ -9,7 +9,7 @@
 // Fields of the control group.
 
 // IsLeader reports whether the process is the leader.
-func IsLeader(yes bool) Field { return Field{zap.Bool("leads", yes)} }
+func IsLeader(yes bool) Field { return Field{zap.Bool(NameLeads, yes)} }
 
 // BecameLeader reports whether the replica gained leadership; false means that it lost it.
 func BecameLeader(yes bool) Field { return Field{zap.Bool("leading", yes)} }
--- a/record/history.go
+++ b/record/history.go
@@ -147,6 +147,9 @@
 		if l.At.After(h.last) {
 			h.last = l.At
 		}
+		if l.Deposed {
+			continue
+		}
 		leaders.apply(l)
 		h.apply(l, zones)
 	}
@@ -373,7 +376,7 @@
 		g.readyAt = append(g.readyAt, l.At)
 		g.terms = append(g.terms, term)
 	}
-	isLeader := l.Event == event.GroupState.Name && l.Fields["leads"] == true
+	isLeader := l.Event == event.GroupState.Name && l.Fields[event.NameLeads] == true
 	if isLeader || l.Part == string(event.Dispatch) || l.Event == lineStart || l.Event == lineEnded {
 		if g.lastSeen == nil {
 			g.lastSeen = map[float64]time.Time{}
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -130,6 +130,30 @@
 	wantSeconds(t, r.LongRunning[0].Breakdown, record.WorkerLost, 0.3)
 }
 
+// Guards against lost time that a deposed leader makes up: it resumes at 9 s after a suspension and
+// takes its worker, which has reported to its successor since 4 s, for lost.
+func TestLinesOfDeposedLeaderDoNotCount(t *testing.T) {
+	lines := tracetest.Lines(t, "entry-1", 0, entryStartedLine, requestLine(0, "POST", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
+		`0 "part":"dispatch","msg":"leader is ready","term":1`,
+		`10 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 1 10"]}`,
+		`3000 "part":"group","msg":"state","term":1,"leads":true`,
+		`9000 "part":"dispatch","msg":"runs are lost","term":1,"reason":"lease ran out","lost":{"w1":["l1/0/0/0 1 0"]}`,
+		`9001 "part":"group","msg":"state","term":1,"leads":true`,
+	)...)
+	lines = append(lines, tracetest.Lines(t, "control-2", 0,
+		`4000 "part":"dispatch","msg":"leader is ready","term":2`,
+		`12000 "part":"group","msg":"state","term":2,"leads":true`,
+	)...)
+	r := record.Summarize(trace.Order(lines).Lines, record.Options{})
+	if lost := r.LongRunning[0].Breakdown.Lost(); lost > 0 {
+		t.Errorf("%v are lost: %v", lost, r.LongRunning[0].Breakdown)
+	}
+	if r.LeaderlessTime != time.Second {
+		t.Errorf("%v without a leader", r.LeaderlessTime)
+	}
+}
+
 // Lines of other programs and lines that lack fields are skipped.
 func TestUnrecognizedLines(t *testing.T) {
 	lines := tracetest.Lines(t, "control-1", 0,
--- a/trace/aggregated.go
+++ b/trace/aggregated.go
@@ -77,7 +77,7 @@
 		if _, err := fmt.Sscan(entry, &task, &run, &age); err != nil {
 			return
 		}
-		g := entryLine(l, age, map[string]any{fieldTask: task, fieldRun: run, fieldWorker: worker, fieldTerm: l.Fields[fieldTerm]})
+		g := entryLine(l, age, map[string]any{fieldTask: task, fieldRun: run, fieldWorker: worker})
 		g.Event = name
 		switch name {
 		case eventEnded:
@@ -112,9 +112,12 @@
 	}
 }
 
-// entryLine returns a line with the process and event of an aggregated one and the time ageMs
+// entryLine returns a line with the process, event and term of an aggregated one and the time ageMs
 // milliseconds before it.
 func entryLine(l Line, ageMs int64, fields map[string]any) Line {
+	if term, known := l.Fields[fieldTerm]; known {
+		fields[fieldTerm] = term
+	}
 	return Line{
 		Process: l.Process, At: l.At.Add(-time.Duration(ageMs) * time.Millisecond),
 		Part: l.Part, Event: l.Event, Level: l.Level, Fields: fields,
--- a/trace/order.go
+++ b/trace/order.go
@@ -28,10 +28,14 @@
 		}
 	}
 	var edges []edge
+	committed := map[int]bool{}
 	for _, indexes := range byRun {
 		edges = append(edges, runEdges(lines, indexes)...)
+		if start, ok := committedStart(lines, indexes); ok {
+			committed[start] = true
+		}
 	}
-	return append(edges, termEdges(lines)...)
+	return append(edges, termEdges(lines, committed)...)
 }
 
 // runEdges returns the edges between the lines of one run: the start precedes all other lines, its
@@ -52,10 +56,12 @@
 	return edges
 }
 
-// termEdges returns the edges between the lines of leadership terms: a leader becomes ready only
-// after all decisions of previous leaders, and before later leaders become ready. A leader decides
-// nothing before it is ready.
-func termEdges(lines []Line) []edge {
+// termEdges returns the edges between the lines of leadership terms. A leader becomes ready after
+// earlier leaders did, and after the starts of theirs that an agent answered: agents get orders that
+// are committed, and the entry with which a leader becomes ready follows all of earlier terms. Other
+// lines of earlier leaders give no order. A leader that was suspended or cut off writes them until
+// it learns of its successor, which may be many seconds later.
+func termEdges(lines []Line, committed map[int]bool) []edge {
 	var edges []edge
 	for i := range lines {
 		if lines[i].Event != eventLeaderReady {
@@ -64,18 +70,59 @@
 		ready, _ := lines[i].number(fieldTerm)
 		for j := range lines {
 			term, ok := lines[j].number(fieldTerm)
-			switch {
-			case !ok || lines[j].Process == lines[i].Process:
-			case term < ready:
+			if !ok || term >= ready || lines[j].Process == lines[i].Process || lines[j].Part != lines[i].Part {
+				continue
+			}
+			if lines[j].Event == eventLeaderReady || committed[j] {
 				edges = append(edges, edge{j, i})
-			case term > ready && lines[j].Event == eventLeaderReady:
-				edges = append(edges, edge{i, j})
 			}
 		}
 	}
 	return edges
 }
 
+// committedStart returns the start among the lines of one run that is known to be committed, since an
+// agent answered it; false if there is none. The number of a run whose start was not committed may
+// be used again in a later term.
+func committedStart(lines []Line, indexes []int) (int, bool) {
+	start, answered := -1, false
+	var latest float64
+	for _, i := range indexes {
+		term, _ := lines[i].number(fieldTerm)
+		switch lines[i].Event {
+		case eventStartAnswered:
+			answered = true
+		case eventStart:
+			if start < 0 || term > latest {
+				start, latest = i, term
+			}
+		}
+	}
+	return start, answered && start >= 0
+}
+
+// markDeposed marks the lines of leaders after a leader of a later term was ready.
+func markDeposed(lines []Line) {
+	type leader struct {
+		term    float64
+		readyAt time.Time
+	}
+	var leaders []leader
+	for i := range lines {
+		if term, ok := lines[i].number(fieldTerm); ok && lines[i].Event == eventLeaderReady && lines[i].Part == partDispatch {
+			leaders = append(leaders, leader{term, lines[i].At})
+		}
+	}
+	for i := range lines {
+		l := &lines[i]
+		term, ok := l.number(fieldTerm)
+		byLeader := l.Part == partDispatch || l.Event == eventGroupState && l.Fields[fieldLeads] == true
+		if ok && byLeader {
+			l.Deposed = slices.ContainsFunc(leaders, func(d leader) bool { return d.term > term && d.readyAt.Before(l.At) })
+		}
+	}
+}
+
 // alignClocks returns the smallest shift of each process's clock that satisfies the edges. The
 // process with the most lines keeps its clock; the others are aligned one after another, each time
 // the one with the most edges to processes that are already aligned.
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -29,6 +29,9 @@
 	Event  string
 	Level  string
 	Fields map[string]any
+	// Deposed is set by Order for lines that a leader wrote after the leader of a later term was ready.
+	// What they state is what the deposed leader believed, and its decisions had no effect.
+	Deposed bool
 }
 
 // maxLineBytes is the maximum length of a log line.
@@ -103,6 +106,7 @@
 	fieldRun     = event.NameRun
 	fieldWorker  = event.NameWorker
 	fieldTerm    = event.NameTerm
+	fieldLeads   = event.NameLeads
 )
 
 // About reports whether a line is about the job or request with the given id.
@@ -152,8 +156,11 @@
 	eventWorkerFound        = event.WorkerFound.Name
 	eventWorkerLeft         = event.WorkerLeft.Name
 	eventWorkerLeaseExpired = event.WorkerLeaseExpired.Name
+	eventGroupState         = event.GroupState.Name
 )
 
+const partDispatch = string(event.Dispatch)
+
 // Events of single runs, which are expanded from aggregated lines and never written themselves.
 const (
 	eventStart = "start"
@@ -192,6 +199,7 @@
 	for i := range lines {
 		lines[i].At = lines[i].At.Add(shifts[lines[i].Process])
 	}
+	markDeposed(lines)
 	t := Timeline{Lines: causalOrder(lines, edges)}
 	for _, p := range slices.Sorted(maps.Keys(shifts)) {
 		if shifts[p] != 0 {
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -123,3 +123,38 @@
 		t.Errorf("the lines are %v", got)
 	}
 }
+
+// Guards against clocks that are moved by seconds to put lines of a deposed leader before its
+// successor, and against such lines being taken for those of the leader. A leader is suspended from
+// 3 s to 9 s and writes a line when it resumes; its successor is ready at 4 s. Also guards against
+// a successor's slow clock that is not moved after the starts that its predecessor committed.
+func TestLinesOfDeposedLeader(t *testing.T) {
+	for _, clockOffset := range []time.Duration{0, -2 * time.Second} {
+		lines := tracetest.Lines(t, "a/control", 0,
+			`0 "part":"dispatch","msg":"leader is ready","term":1`,
+			`3000 "part":"dispatch","msg":"runs","term":1,"started":{"w1":["`+tracedJob+`/0/0/1 1 0"]}`,
+			`9000 "part":"dispatch","msg":"long-running tasks are away","term":1,"tasks_away":{"no report of its worker":["`+tracedJob+`/0/0/1 1 w1 5700"]}`,
+			`9001 "part":"group","msg":"state","term":1,"leads":true`,
+			`9002 "part":"group","msg":"state","term":1,"leads":false`,
+		)
+		lines = append(lines, tracetest.Lines(t, "w1/agent", 0,
+			`3010 "part":"runs","msg":"start answered","task":"`+tracedJob+`/0/0/1","run":1,"answer":"done"`)...)
+		lines = append(lines, tracetest.Lines(t, "b/control", clockOffset,
+			`4000 "part":"dispatch","msg":"leader is ready","term":2`,
+			`9500 "part":"dispatch","msg":"stop","term":2,"task":"`+tracedJob+`/0/0/1","run":1`)...)
+		got := trace.Order(lines)
+		var deposed []string
+		for _, l := range got.Lines {
+			if l.Deposed {
+				deposed = append(deposed, fmt.Sprint(l.Process, " ", l.Event))
+			}
+		}
+		if want := []string{"a/control long-running tasks are away", "a/control state"}; fmt.Sprint(deposed) != fmt.Sprint(want) {
+			t.Errorf("offset %v: lines %q are those of a deposed leader, want %q", clockOffset, deposed, want)
+		}
+		moved := len(got.Shifts) == 1 && got.Shifts[0].Process == "b/control" && got.Shifts[0].By <= -clockOffset
+		if clockOffset == 0 && len(got.Shifts) > 0 || clockOffset != 0 && !moved {
+			t.Errorf("offset %v: clocks are moved by %v", clockOffset, got.Shifts)
+		}
+	}
+}
