dispatch: outages that the leader can't know of are told as such

Cause: checkLongRunning took the age of a worker's last report for time in which its tasks did not run. After a suspension of the leader, or a phase without commits, all workers look unresponsive for as long; a new leader told tasks whose workers had not reported yet to be ordered and not begun.

Change: the leader keeps since when it has been able to receive reports. For a worker that has not reported since, the line says "no report to the new leader" or "no report since the leader's pause", with the time since then as its age. The volume stays as before: the reasons replace others, and each task has at most one entry per outageLogInterval.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -175,6 +175,7 @@
 	verdictsDue := false
 	now := d.opts.Now()
 	started := time.Now()
+	l.attention.recordRound(now)
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
 		verdictsDue = len(jobs.VerdictsDue(now.UnixMilli())) > 0
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -55,6 +55,7 @@
 	loggedCordons map[string]bool
 	moves         *leaderMoves
 	outages       *outages
+	attention     attention
 	stops         *openStops
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
@@ -139,6 +140,7 @@
 		loggedCordons:      map[string]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
+		attention:          newAttention(now),
 		stops:              newOpenStops(),
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -25,8 +25,37 @@
 	outageWorkerUnresponsive = "no report of its worker"
 	outageUnlisted           = "not listed by its worker"
 	outageUnplanned          = "no candidate"
+	// outageNewLeader and outagePaused mean that nothing is known of the run yet: its worker has not
+	// reported since this leader took over, or since this process was suspended or could not confirm
+	// that it leads.
+	outageNewLeader = "no report to the new leader"
+	outagePaused    = "no report since the leader's pause"
 )
 
+// pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
+// at most idleRoundInterval apart unless a commit takes long.
+const pauseThreshold = time.Second
+
+// attention is since when the leader has been able to receive reports. What it knows of a worker that
+// has not reported since then may be outdated, and the run may be well.
+type attention struct {
+	since, roundAt time.Time
+	// reason is why a worker may not have been heard before since.
+	reason string
+}
+
+func newAttention(now time.Time) attention {
+	return attention{since: now, roundAt: now, reason: outageNewLeader}
+}
+
+// recordRound records that the leader plans, and a pause if the last round was too long ago.
+func (a *attention) recordRound(now time.Time) {
+	if now.Sub(a.roundAt) >= pauseThreshold {
+		a.since, a.reason = now, outagePaused
+	}
+	a.roundAt = now
+}
+
 // outage is the period in which a long-running task is not known to run.
 type outage struct {
 	since time.Time
@@ -152,8 +181,12 @@
 	}
 	run := t.task.Runs[len(t.task.Runs)-1]
 	observed, found := l.observed[run.ID]
-	sinceReport := now.Sub(l.leases.get(run.Worker).renewedAt)
+	lease := l.leases.get(run.Worker)
+	sinceReport := now.Sub(lease.renewedAt)
+	heard := lease.reported && !lease.renewedAt.Before(l.attention.since)
 	switch {
+	case !heard && (!found || sinceReport >= outageLogInterval):
+		return l.attention.reason, l.attention.since
 	case sinceReport >= outageLogInterval:
 		return outageWorkerUnresponsive, now.Add(-sinceReport)
 	case !found:
--- a/dispatch/outages_test.go
+++ b/dispatch/outages_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,63 @@
 		}
 	})
 }
+
+// Guards against lines that say that a task is not running when the leader can't know: its process
+// was suspended for 6 s, or it has just become leader, and no worker has reported since.
+func TestOutageIsNotGuessed(t *testing.T) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var suspended atomic.Int64
+		now := func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+		s, log, _ := newLoggingSim(ctx, t, 0, dispatch.Options{LeaseDuration: time.Minute, Now: now})
+		s.sleep(time.Second)
+		report := func(r *apiv1.JobsReportRequest) {
+			t.Helper()
+			r.Worker = &apiv1.JobWorker{Id: "w1", Host: "w1", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000}
+			if _, err := s.dispatcher.Report(ctx, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		reportFor := func(halfSeconds int) {
+			for range halfSeconds {
+				report(&apiv1.JobsReportRequest{Running: []*apiv1.RunObservation{{Task: &apiv1.TaskRef{Job: "l1"}, Run: 1, Percent: 100}}})
+				s.sleep(500 * time.Millisecond)
+			}
+		}
+		report(&apiv1.JobsReportRequest{})
+		s.submitSpec(&apiv1.JobSpec{Id: "l1", Host: simHost, Path: "/q/l1", Steps: []*apiv1.JobStep{
+			{Count: 1, CpuMilli: 3000, MemoryMb: 10, LongRunning: true},
+		}})
+		s.sleep(500 * time.Millisecond)
+		reportFor(4)
+		suspended.Store(int64(6 * time.Second))
+		s.sleep(1500 * time.Millisecond)
+		reportFor(6)
+		suspended.Add(int64(6 * time.Second))
+		s.sleep(2500 * time.Millisecond)
+		reportFor(2)
+		s.log.LoseLeadership(100 * time.Millisecond)
+		s.sleep(3500 * time.Millisecond)
+		reportFor(4)
+		stop()
+		s.loops.Wait()
+		lines, err := trace.Read(log, "leader")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, l := range lines {
+			if l.Event != "long-running tasks are away" {
+				continue
+			}
+			got = append(got, fmt.Sprint(l.Fields["reason"]))
+			if away := l.Fields["waited"].(time.Duration); away > 3500*time.Millisecond {
+				t.Errorf("%v: the task is away for %v", l.Fields["reason"], away)
+			}
+		}
+		if want := []string{"no report since the leader's pause", "no report to the new leader"}; !slices.Equal(got, want) {
+			t.Errorf("logged %q, want %q", got, want)
+		}
+	})
+}
