record, dispatch: waits of long-running tasks and of later runs have reasons

Cause: record used the lines "tasks wait" only before the first run of a task of a late job. It counted waits of long-running tasks before their first run as unexplained, tasks that never ran not at all, and the wait for the next run under the end of the last one, however long the planner found no worker. checkLongRunning told a task whose start the same round orders, or that the crash limit holds, as "no candidate".

Change: record explains each time without a run by the lines "tasks wait" and "long-running tasks are away"; windows of long-running jobs begin with the submission and include tasks that never ran. Time before the first decision about a step becomes the cause "not yet planned". The outage line names orders and the crash limit. There is no new line and no entry more: both lines come once per step or task in 2 s.

Measured: TestLongRunningWaitsHaveReasons and TestReasonOfTaskWithoutRun, which fail without the change.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -191,7 +191,7 @@
 			d.metrics.paceOrders.Inc(1)
 		}
 		plan.Learnt = l.learnedToSave(now)
-		d.checkLongRunning(l, jobs, decision.Unplaced, now)
+		d.checkLongRunning(l, jobs, decision, now)
 		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"iter"
 	"time"
@@ -19,19 +20,6 @@
 	outageLogInterval = 2 * time.Second
 )
 
-// Reasons why a long-running task does not run, besides those that exclude workers.
-const (
-	outageOrdered            = "ordered, not begun"
-	outageWorkerUnresponsive = "no report of its worker"
-	outageUnlisted           = "not listed by its worker"
-	outageUnplanned          = "no candidate"
-	// outageNewLeader and outagePaused mean that nothing is known of the run yet: its worker has not
-	// reported since this leader took over, or since this process was suspended or could not confirm
-	// that it leads.
-	outageNewLeader = "no report to the new leader"
-	outagePaused    = "no report since the leader's pause"
-)
-
 // pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
 // at most idleRoundInterval apart unless a commit takes long.
 const pauseThreshold = time.Second
@@ -45,13 +33,13 @@
 }
 
 func newAttention(now time.Time) attention {
-	return attention{since: now, roundAt: now, reason: outageNewLeader}
+	return attention{since: now, roundAt: now, reason: event.OutageNewLeader}
 }
 
 // recordRound records that the leader plans, and a pause if the last round was too long ago.
 func (a *attention) recordRound(now time.Time) {
 	if now.Sub(a.roundAt) >= pauseThreshold {
-		a.since, a.reason = now, outagePaused
+		a.since, a.reason = now, event.OutagePaused
 	}
 	a.roundAt = now
 }
@@ -127,16 +115,13 @@
 
 // checkLongRunning records which long-running tasks are not known to run. It logs the outages that
 // are longer than outageLogInterval, and the ends of those that were logged.
-func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, waits []schedule.UnplacedStep, now time.Time) {
+func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, decision schedule.Decision, now time.Time) {
 	o := l.outages
 	if now.Sub(o.checkedAt) < outageCheckInterval {
 		return
 	}
 	o.checkedAt = now
-	reasonByStep := map[jobqueue.StepID]string{}
-	for _, w := range waits {
-		reasonByStep[w.Step] = w.ReasonSummary()
-	}
+	r := reasonsInRound(m, decision)
 	tracked := map[jobqueue.TaskID]bool{}
 	notRunning := map[string][]string{}
 	resumed := map[string][]string{}
@@ -144,7 +129,7 @@
 		if o.tracks(t.id) {
 			tracked[t.id] = true
 		}
-		reason, since := l.outageReason(t, reasonByStep, now)
+		reason, since := l.outageReason(t, r, now)
 		if reason == "" {
 			d.endOutage(o, t, resumed, now)
 			continue
@@ -166,18 +151,46 @@
 	}
 }
 
+// roundReasons are the reasons of a round for which tasks without a run have none.
+type roundReasons struct {
+	machine *jobqueue.Machine
+	// unplaced are the reasons that rule out the workers for a step, and starting the tasks for which
+	// the round found a worker.
+	unplaced map[jobqueue.StepID]string
+	starting map[jobqueue.TaskID]bool
+}
+
+func reasonsInRound(m *jobqueue.Machine, decision schedule.Decision) roundReasons {
+	r := roundReasons{machine: m, unplaced: map[jobqueue.StepID]string{}, starting: map[jobqueue.TaskID]bool{}}
+	for _, w := range decision.Unplaced {
+		r.unplaced[w.Step] = w.ReasonSummary()
+	}
+	for _, s := range decision.Starts {
+		r.starting[jobqueue.TaskIDOf(s.Task)] = true
+	}
+	return r
+}
+
+// reason returns why a task without a run has none.
+func (r roundReasons) reason(t longRunningTask) string {
+	switch {
+	case r.starting[t.id]:
+		return event.OutageOrdered
+	case r.machine.HeldByCrashLimit(t.id, t.task):
+		return event.OutageCrashLimit
+	}
+	return cmp.Or(r.unplaced[t.id.StepID()], event.OutageUnplanned)
+}
+
 // outageReason returns why a long-running task is not known to run and since when, an empty reason
 // if it is known to run.
-func (l *leaderState) outageReason(t longRunningTask, reasonByStep map[jobqueue.StepID]string, now time.Time) (string, time.Time) {
+func (l *leaderState) outageReason(t longRunningTask, r roundReasons, now time.Time) (string, time.Time) {
 	if len(t.task.Runs) == 0 {
 		since := now
 		if ended, found := l.outages.lastEnds[t.id]; found {
 			since = ended.since
 		}
-		if reason := reasonByStep[t.id.StepID()]; reason != "" {
-			return reason, since
-		}
-		return outageUnplanned, since
+		return r.reason(t), since
 	}
 	run := t.task.Runs[len(t.task.Runs)-1]
 	observed, found := l.observed[run.ID]
@@ -188,11 +201,11 @@
 	case !heard && (!found || sinceReport >= outageLogInterval):
 		return l.attention.reason, l.attention.since
 	case sinceReport >= outageLogInterval:
-		return outageWorkerUnresponsive, now.Add(-sinceReport)
+		return event.OutageWorkerUnresponsive, now.Add(-sinceReport)
 	case !found:
-		return outageOrdered, now
+		return event.OutageOrdered, now
 	case observed.At.Before(now.Add(-outageLogInterval)):
-		return outageUnlisted, observed.At
+		return event.OutageUnlisted, observed.At
 	}
 	return "", now
 }
--- a/dispatch/outages_internal_test.go
+++ b/dispatch/outages_internal_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/crashloop"
 	"github.com/cairnlift/cairnlift/jobqueue"
 	"github.com/cairnlift/cairnlift/schedule"
 )
@@ -50,6 +51,29 @@
 	}
 	for b.Loop() {
 		l.outages.checkedAt = time.Time{}
-		d.checkLongRunning(l, m, nil, now)
+		d.checkLongRunning(l, m, schedule.Decision{}, now)
 	}
 }
+
+// Guards against a task that is told not to be seen by the planner while the planner orders its start
+// or the crash limit holds it, so that the wait has no reason in the record.
+func TestReasonOfTaskWithoutRun(t *testing.T) {
+	task := longRunningTask{jobqueue.TaskID{Job: "l1"}, &jobqueue.Task{}}
+	decision := schedule.Decision{Unplaced: []schedule.UnplacedStep{{Step: task.id.StepID(), Tasks: 1}}}
+	decision.Unplaced[0].WorkersByReason[schedule.ReasonMemory] = 3
+	check := func(want string) {
+		t.Helper()
+		if got := reasonsInRound(jobqueue.New(), decision).reason(task); got != want {
+			t.Errorf("reason %q, want %q", got, want)
+		}
+	}
+	check("memory 3")
+	decision.Starts = []*apiv1.StartRun{{Task: task.id.Ref(), Run: 1}}
+	check("ordered, not begun")
+	decision = schedule.Decision{}
+	check("no candidate")
+	for run := uint64(1); !task.task.Crashes.LimitReached() && run < 100; run++ {
+		task.task.Crashes.Add(crashloop.Crash{Run: run, Event: run, Began: true, RecentStart: true, SoleCause: true})
+	}
+	check("held by the crash limit")
+}
--- a/record/account.go
+++ b/record/account.go
@@ -103,63 +103,109 @@
 func (h *history) taskBreakdown(s *step, t *task, within span) Breakdown {
 	var total Breakdown
 	at := within.from
-	cause := WaitsUnexplained
-	for _, r := range t.runs {
+	var previous *run
+	for i, r := range t.runs {
 		if !r.start.Before(within.to) {
 			break
 		}
-		gap := span{at, r.start}
-		if r == t.runs[0] {
-			h.addWait(&total, s, gap)
-		} else {
-			h.addGap(&total, gap, cause)
+		end := earlierOf(t.endOf(i, within.to), within.to)
+		if end.After(at) {
+			h.addGap(&total, s, t, previous, span{at, r.start})
+			r.addRunTime(&total, span{laterOf(at, r.start), end})
+			at = end
 		}
-		end := r.end
-		if end.IsZero() || end.After(within.to) {
-			end = within.to
-		}
-		r.addRunTime(&total, span{r.start, end})
-		at, cause = end, r.cause
+		previous = r
 	}
+	h.addGap(&total, s, t, previous, span{at, within.to})
 	return total
 }
 
-// addGap adds a time without a run under its cause. The part of it without a leader counts as
-// NoLeader, since only a leader can start the next run.
-func (h *history) addGap(total *Breakdown, gap span, cause Cause) {
-	length := gap.length()
-	for _, s := range h.leaderless {
-		lost := min(length, gap.overlap(s))
-		total[NoLeader] += lost
-		length -= lost
+// endOf returns when the run at an index ended. A run without a known end ended by the start of the
+// next one, or not before the given time.
+func (t *task) endOf(index int, to time.Time) time.Time {
+	switch r := t.runs[index]; {
+	case !r.end.IsZero():
+		return r.end
+	case index+1 < len(t.runs):
+		return t.runs[index+1].start
 	}
-	total[cause] += length
+	return to
+}
+
+// addGap adds a time without a run, by the lines about the wait, else under the cause of the end of
+// the previous run, which is nil before the first one.
+func (h *history) addGap(total *Breakdown, s *step, t *task, previous *run, gap span) {
+	if previous != nil {
+		cause := previous.cause
+		if cause == Working {
+			cause = NotPlanned // the run of a long-running task ended by itself
+		}
+		h.addWait(total, s, t, previous.end, gap, cause)
+		return
+	}
+	decided := gap.to
+	if first := s.firstActivity(); !first.IsZero() {
+		decided = earlierOf(gap.to, laterOf(gap.from, first))
+	}
+	h.addWait(total, s, t, time.Time{}, span{gap.from, decided}, NotPlanned)
+	h.addWait(total, s, t, time.Time{}, span{decided, gap.to}, WaitsUnexplained)
 }
 
-// addWait adds the time before the first run of a task, by the causes in the lines about its
-// waiting step. Each line applies until the next one.
-func (h *history) addWait(total *Breakdown, s *step, gap span) {
-	waits := slices.Clone(s.waits)
-	slices.SortStableFunc(waits, func(a, b wait) int { return a.to.Compare(b.to) })
+// reasonValidity is the time after a line about a wait for which its reason is taken to apply. The
+// lines about a wait are 2 s apart; one of them may be missing.
+const reasonValidity = 4 * time.Second
+
+// addWait adds a time without a run by the lines about the waits of its task and step. A line
+// explains the wait before it, up to the line before; after the last one its reason applies for
+// reasonValidity. What no line explains counts under the given cause.
+// Lines before since, at which the previous run ended, are about an earlier wait.
+func (h *history) addWait(total *Breakdown, s *step, t *task, since time.Time, gap span, cause Cause) {
 	at := gap.from
-	for i, w := range waits {
-		until := gap.to
-		if i+1 < len(waits) && waits[i+1].from.Before(until) {
-			until = waits[i+1].from
+	latest := wait{cause: cause}
+	// addUntil adds the time up to a line, or to the end of the gap.
+	addUntil := func(until time.Time) {
+		valid := earlierOf(laterOf(at, latest.to.Add(reasonValidity)), until)
+		h.addPeriod(total, span{at, valid}, latest.cause)
+		h.addPeriod(total, span{valid, until}, cause)
+		at = until
+	}
+	waits := slices.Concat(s.waits, t.waits)
+	sortWaits(waits)
+	for _, w := range waits {
+		if w.cause == WaitsUnexplained || w.to.Before(since) {
+			continue
 		}
-		if w.from.After(at) {
-			at = w.from
+		if !w.from.Before(gap.to) {
+			break
 		}
-		if until.After(at) && at.Before(gap.to) {
-			h.addGap(total, span{at, until}, w.cause)
+		if w.to.After(at) {
+			addUntil(laterOf(at, w.from))
+			until := earlierOf(w.to, gap.to)
+			h.addPeriod(total, span{at, until}, w.cause)
 			at = until
 		}
+		latest = w
 	}
-	before := gap.length()
-	if len(waits) > 0 {
-		before = span{gap.from, earlierOf(gap.to, waits[0].from)}.length()
+	addUntil(gap.to)
+}
+
+// addPeriod adds a time without a run under its cause. The part of it without a leader counts as
+// NoLeader, since only a leader can start the next run.
+func (h *history) addPeriod(total *Breakdown, period span, cause Cause) {
+	length := period.length()
+	for _, s := range h.leaderless {
+		lost := min(length, period.overlap(s))
+		total[NoLeader] += lost
+		length -= lost
+	}
+	total[cause] += length
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	h.addGap(total, span{gap.from, gap.from.Add(before)}, WaitsUnexplained)
+	return a
 }
 
 func earlierOf(a, b time.Time) time.Time {
@@ -217,35 +263,36 @@
 // next: agents report a worker on which nothing ends twice per second.
 const tailReportInterval = 500 * time.Millisecond
 
-// windows returns the windows of a long-running job, from the first start of any of its tasks to
-// its cancellation or the last line.
+// windows returns the windows of a long-running job, from its submission to its end or to the last
+// line.
 func (h *history) windows(j *job, length time.Duration) []Window {
-	var tasks []*task
-	var first time.Time
+	type stepTask struct {
+		step *step
+		task *task
+	}
+	var tasks []stepTask
 	for _, name := range slices.Sorted(maps.Keys(j.steps)) {
-		for _, id := range slices.Sorted(maps.Keys(j.steps[name].tasks)) {
-			t := j.steps[name].tasks[id]
-			if !t.longRunning || len(t.runs) == 0 {
-				continue
-			}
-			tasks = append(tasks, t)
-			if start := t.runs[0].start; first.IsZero() || start.Before(first) {
-				first = start
+		s := j.steps[name]
+		for _, id := range slices.Sorted(maps.Keys(s.tasks)) {
+			if t := s.tasks[id]; t.longRunning {
+				tasks = append(tasks, stepTask{s, t})
 			}
 		}
 	}
 	last := h.last
-	if !j.canceledAt.IsZero() {
-		last = j.canceledAt
+	for _, ended := range []time.Time{j.canceledAt, j.finishedAt} {
+		if !ended.IsZero() {
+			last = earlierOf(last, ended)
+		}
 	}
 	var windows []Window
 	if len(tasks) == 0 {
 		return nil
 	}
-	for from := first; !from.Add(length).After(last); from = from.Add(length) {
+	for from := j.submittedAt; !from.Add(length).After(last); from = from.Add(length) {
 		w := Window{Job: j.id, Path: j.path, Zone: j.zone, From: from, TaskTime: length * time.Duration(len(tasks))}
 		for _, t := range tasks {
-			w.Breakdown.add(h.longRunningBreakdown(t, span{from, from.Add(length)}))
+			w.Breakdown.add(h.longRunningBreakdown(t.step, t.task, span{from, from.Add(length)}))
 		}
 		windows = append(windows, w)
 	}
@@ -253,24 +300,8 @@
 }
 
 // longRunningBreakdown breaks down the time of a long-running task within a span.
-func (h *history) longRunningBreakdown(t *task, within span) Breakdown {
-	var total Breakdown
-	at, cause := within.from, WaitsUnexplained
-	for _, r := range t.runs {
-		if !r.end.IsZero() && !r.end.After(within.from) {
-			cause = r.cause
-			continue
-		}
-		if r.start.After(at) {
-			h.addGap(&total, span{at, earlierOf(r.start, within.to)}, cause)
-		}
-		at, cause = within.to, r.cause
-		if r.end.IsZero() || !r.end.Before(within.to) {
-			break
-		}
-		at = r.end
-	}
-	h.addGap(&total, span{at, within.to}, cause)
+func (h *history) longRunningBreakdown(s *step, t *task, within span) Breakdown {
+	total := h.taskBreakdown(s, t, within)
 	for _, reportedAt := range t.overObjectiveAt {
 		if !reportedAt.Before(within.from) && reportedAt.Before(within.to) {
 			total[OverObjective] += tailReportInterval
--- a/record/cause.go
+++ b/record/cause.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/cairnlift/cairnlift/logging/event"
 	"github.com/cairnlift/cairnlift/schedule"
 )
 
@@ -26,8 +27,20 @@
 	// WaitsForCordon is time in which most workers were ruled out since their availability zones were
 	// cordoned.
 	WaitsForCordon
+	// NotPlanned is time from the submission of a job, or from the end of the steps before, to the
+	// first decision about a step: a start, or a line about its wait. It is also time in which the
+	// planner did not see that a task waits.
+	NotPlanned
 	// WaitsUnexplained is time before a start for which no line gives a reason.
 	WaitsUnexplained
+	// OrderedNotBegun is time from an ordered start to its acceptance by the worker, or to its refusal.
+	OrderedNotBegun
+	// WorkerSilent is time from the last report of a worker to the line about the loss of its runs, and
+	// time in which the worker did not list a run.
+	WorkerSilent
+	// LeaderUninformed is time in which a worker had not reported yet since the leader was ready or
+	// resumed after a pause.
+	LeaderUninformed
 	// SlowedDown is the time that runs lost to paces below full speed.
 	SlowedDown
 	// Moved is time from a stop for a move to another worker to the next start.
@@ -42,8 +55,8 @@
 )
 
 var causeNames = [numCauses]string{
-	"working", "leader away", "waits for room", "waits, disturbs", "waits, zone cordoned", "waits, unexplained", "slowed down", "moved", "host gone",
-	"failed", "over objective",
+	"working", "leader away", "waits for room", "waits, disturbs", "waits, zone cordoned", "not yet planned", "waits, unexplained",
+	"ordered, not begun", "host silent", "leader uninformed", "slowed down", "moved", "host gone", "failed", "over objective",
 }
 
 // String returns the name of the cause in tables.
@@ -82,6 +95,23 @@
 	return WaitsForCapacity
 }
 
+// outageCause returns the cause of a reason in a line about a long-running task that does not run.
+func outageCause(reason string) Cause {
+	switch reason {
+	case event.OutageUnplanned:
+		return NotPlanned
+	case event.OutageOrdered:
+		return OrderedNotBegun
+	case event.OutageCrashLimit:
+		return Failed
+	case event.OutageWorkerUnresponsive, event.OutageUnlisted:
+		return WorkerSilent
+	case event.OutageNewLeader, event.OutagePaused:
+		return LeaderUninformed
+	}
+	return waitCause(reason)
+}
+
 // Causes returns all causes in display order.
 func Causes() []Cause {
 	list := make([]Cause, numCauses)
--- a/record/chart.go
+++ b/record/chart.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -30,16 +31,30 @@
 	p.X.Label.Text = "seconds from the first line"
 	p.Y.Label.Text = "in an interval"
 	p.Legend.Top = true
-	colors, err := brewer.GetPalette(brewer.TypeQualitative, "Paired", int(numCauses))
+	colors, err := causeColors()
 	if err != nil {
-		return errors.Wrap(err, "color palette")
+		return err
 	}
-	if err := r.addBars(p, colors.Colors()); err != nil {
+	if err := r.addBars(p, colors); err != nil {
 		return err
 	}
 	return errors.Wrap(p.Save(chartWidth, chartHeight, file), "picture")
 }
 
+// causeColors returns a color for each cause. No palette has as many colors as there are causes.
+func causeColors() ([]color.Color, error) {
+	const paired, dark = 12, 8
+	first, err := brewer.GetPalette(brewer.TypeQualitative, "Paired", paired)
+	if err != nil {
+		return nil, errors.Wrap(err, "color palette")
+	}
+	second, err := brewer.GetPalette(brewer.TypeQualitative, "Dark2", dark)
+	if err != nil {
+		return nil, errors.Wrap(err, "color palette")
+	}
+	return slices.Concat(first.Colors(), second.Colors()), nil
+}
+
 // addBars adds a stacked series of bars for each cause that occurs.
 func (r *Record) addBars(p *plot.Plot, colors []color.Color) error {
 	seconds := 1.0
--- a/record/history.go
+++ b/record/history.go
@@ -58,6 +58,8 @@
 	longRunning bool
 	// overObjectiveAt are the times of the reports of a tail latency that exceeds its objective.
 	overObjectiveAt []time.Time
+	// waits are the lines about the task itself, ordered by time.
+	waits []wait
 }
 
 // finishedAt returns when the task succeeded; false while it has not.
@@ -70,13 +72,18 @@
 	return time.Time{}, false
 }
 
-// wait is a period in which a step waited for a worker, and the cause.
+// wait is a period in which a step or a task waited for a run by a line at its end, and the cause.
 type wait struct {
 	span
 	cause Cause
 }
 
-// step is a step of a job.
+// sortWaits sorts waits by their lines.
+func sortWaits(waits []wait) {
+	slices.SortStableFunc(waits, func(a, b wait) int { return a.to.Compare(b.to) })
+}
+
+// step is a step of a job. Its waits are ordered by time.
 type step struct {
 	name  string
 	tasks map[string]*task
@@ -209,6 +216,8 @@
 		j.allowed, _ = l.Fields[event.NameAllowed].(time.Duration)
 	case event.TasksWaiting.Name:
 		h.applyWait(l)
+	case event.LongRunningOutage.Name:
+		h.applyOutage(l)
 	case lineStart, lineEnded, lineLost, event.RunStop.Name, event.PaceAnswered.Name, event.TailObjectivesExceeded.Name:
 		h.applyRun(l)
 	}
@@ -279,18 +288,24 @@
 	h.events = append(h.events, occurrence{l.At, cause})
 }
 
-// endCauses maps the outcomes in lines about ended runs to causes. The outcomes "broken" and
-// "alone" are of members of a gang that has lost another member, or that waited in vain for the
-// others: they end because another member failed.
-var endCauses = map[string]Cause{
-	"done": Working, "failed": Failed, "broken": Failed, "alone": Failed, "stopped": Moved, "lapsed": WorkerLost,
+// applyOutage applies a line about a long-running task that does not run. It may be the only line
+// about a task that has never run.
+func (h *history) applyOutage(l *trace.Line) {
+	t := h.taskOf(l.Text(event.NameTask))
+	if t == nil {
+		return
+	}
+	t.longRunning = true
+	waited, _ := l.Fields[event.NameWaited].(time.Duration)
+	cause := outageCause(l.Text(event.NameReason))
+	t.waits = append(t.waits, wait{span{l.At.Add(-waited), l.At}, cause})
 }
 
-func (h *history) applyRun(l *trace.Line) {
-	name := l.Text(event.NameTask)
+// taskOf returns the task of the given name and adds it if it is not known; nil if it is not the name of a task.
+func (h *history) taskOf(name string) *task {
 	cut := strings.LastIndexByte(name, '/')
 	if cut < 0 || !strings.Contains(name[:cut], "/") {
-		return
+		return nil
 	}
 	s := h.stepOf(name[:cut])
 	t := s.tasks[name]
@@ -298,6 +313,21 @@
 		t = &task{}
 		s.tasks[name] = t
 	}
+	return t
+}
+
+// endCauses maps the outcomes in lines about ended runs to causes. The outcomes "broken" and
+// "alone" are of members of a gang that has lost another member, or that waited in vain for the
+// others: they end because another member failed.
+var endCauses = map[string]Cause{
+	"done": Working, "failed": Failed, "broken": Failed, "alone": Failed, "stopped": Moved, "lapsed": WorkerLost,
+}
+
+func (h *history) applyRun(l *trace.Line) {
+	t := h.taskOf(l.Text(event.NameTask))
+	if t == nil {
+		return
+	}
 	number, _ := l.Fields[event.NameRun].(float64)
 	r := t.run(number)
 	switch l.Event {
@@ -346,11 +376,14 @@
 	}
 }
 
-// sortRuns sorts the runs of each task by number and removes those without a known start.
+// sortRuns sorts the runs of each task by number and removes those without a known start. It also
+// sorts the lines about waits.
 func (h *history) sortRuns() {
 	for _, j := range h.jobs {
 		for _, s := range j.steps {
+			sortWaits(s.waits)
 			for _, t := range s.tasks {
+				sortWaits(t.waits)
 				t.runs = slices.DeleteFunc(t.runs, func(r *run) bool { return r.start.IsZero() })
 				slices.SortFunc(t.runs, func(a, b *run) int { return cmp.Compare(a.number, b.number) })
 			}
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -130,6 +130,33 @@
 	wantSeconds(t, r.LongRunning[0].Breakdown, record.WorkerLost, 0.3)
 }
 
+// Guards against waits of long-running tasks without a reason. Task 0 starts at once, fails at 6 s and
+// waits for processors until 8 s; task 1 waits for memory before its first run; task 2 never runs,
+// and the lines about the step end while it waits.
+func TestLongRunningWaitsHaveReasons(t *testing.T) {
+	lines := tracetest.Lines(t, "entry-1", 0, entryStartedLine, requestLine(0, "POST", "l1", 200), requestLine(10_000, "DELETE", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
+		`0 "part":"dispatch","msg":"leader is ready","term":1`,
+		`1000 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 1 0"]}`,
+		waitsLine(1000, "memory 5", "l1/0/0 2 0 0"),
+		waitsLine(3000, "memory 5", "l1/0/0 2 2000 0"),
+		`4000 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/1 1 0"]}`,
+		`6000 "part":"dispatch","msg":"run ended","task":"l1/0/0/0","run":1,"worker":"w1","how":"failed"`,
+		waitsLine(6500, "disturbs 4", "l1/0/0 1 500 0"),
+		`8000 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 2 0"]}`,
+		`8500 "part":"dispatch","msg":"long-running tasks are away","term":1,"tasks_away":{"no candidate":["l1/0/0/2 0  2000"]}`,
+	)...)
+	r := record.Summarize(trace.Order(lines).Lines, record.Options{})
+	b := r.LongRunning[0].Breakdown
+	wantSeconds(t, b, record.WaitsForCapacity, 3+5)
+	wantSeconds(t, b, record.WaitsForInterference, 2+0.5)
+	wantSeconds(t, b, record.NotPlanned, 3*1+2+1.5)
+	wantSeconds(t, b, record.WaitsUnexplained, 0)
+	if r.LongRunning[0].Windows != 5 {
+		t.Errorf("%d windows", r.LongRunning[0].Windows)
+	}
+}
+
 // Guards against lost time that a deposed leader makes up: it resumes at 9 s after a suspension and
 // takes its worker, which has reported to its successor since 4 s, for lost.
 func TestLinesOfDeposedLeaderDoNotCount(t *testing.T) {
