dispatch: lines of the leader stay below 8 KiB

Cause: a batch had up to 200 entries. With long names of workers the line "runs" has 10 kB, and collectors that take 8 KiB a line cut it. record then lacked all starts and ends in it, so the time to the next known run was unexplained.

Change: a batch is bounded by the bytes of its entries, and the lines about outages are divided. A check of the outages logs at most 400 of them, which follows from the budget of 32 KiB of warnings per second.

--- a/dispatch/batchedlog.go
+++ b/dispatch/batchedlog.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,8 +16,12 @@
 const (
 	// logBatchInterval is the time from the first entry of a batch to the lines that report it.
 	logBatchInterval = time.Second
-	// maxLogBatchEntries bounds the entries of one batch, so that a line stays below about 10 kB.
-	maxLogBatchEntries = 200
+	// maxLogBatchBytes bounds the text of the entries of one batch, so that each of its lines stays below
+	// 8 KiB. Collectors that cut longer lines make the record lose all starts and ends in them.
+	maxLogBatchBytes = 7000
+	// entryOverheadBytes bounds what an entry takes in addition to the names in it: numbers and
+	// punctuation.
+	entryOverheadBytes = 24
 )
 
 // batchedLog collects routine events and writes them as one line per kind and interval: starts, and
@@ -25,10 +31,10 @@
 // the end of its log then sees a few seconds of starts, but not the line that reports a change of
 // leadership, of a worker or of the configuration.
 type batchedLog struct {
-	logger     *zap.Logger
-	startedAt  time.Time
-	entryCount int
-	starts     map[string][]runEntry
+	logger    *zap.Logger
+	startedAt time.Time
+	byteCount int
+	starts    map[string][]runEntry
 	// longRunningStarts are the starts of runs of long-running steps.
 	longRunningStarts map[string][]runEntry
 	ends              map[string][]runEntry
@@ -76,56 +82,54 @@
 }
 
 func (g *batchedLog) addStart(term uint64, worker string, id jobqueue.RunID, now time.Time) {
-	g.starts[worker] = append(g.starts[worker], runEntry{id, now})
-	g.entryAdded(term, now)
+	addEntry(g, term, g.starts, worker, runEntry{id, now}, id.Task.String(), now)
 }
 
 func (g *batchedLog) addLongRunningStart(term uint64, worker string, id jobqueue.RunID, now time.Time) {
-	g.longRunningStarts[worker] = append(g.longRunningStarts[worker], runEntry{id, now})
-	g.entryAdded(term, now)
+	addEntry(g, term, g.longRunningStarts, worker, runEntry{id, now}, id.Task.String(), now)
 }
 
 func (g *batchedLog) addObjectiveMiss(term uint64, worker string, id jobqueue.RunID, percent int64, now time.Time) {
-	g.objectiveMisses[worker] = append(g.objectiveMisses[worker], objectiveMissEntry{runEntry{id, now}, percent})
-	g.entryAdded(term, now)
+	addEntry(g, term, g.objectiveMisses, worker, objectiveMissEntry{runEntry{id, now}, percent}, id.Task.String(), now)
 }
 
 func (g *batchedLog) addFinishedJob(term uint64, path string, j finishedJobEntry) {
-	g.finishedJobs[path] = append(g.finishedJobs[path], j)
-	g.entryAdded(term, j.at)
+	addEntry(g, term, g.finishedJobs, path, j, j.id+j.outcome, j.at)
 }
 
 func (g *batchedLog) addEnd(term uint64, worker string, id jobqueue.RunID, now time.Time) {
-	g.ends[worker] = append(g.ends[worker], runEntry{id, now})
-	g.entryAdded(term, now)
+	addEntry(g, term, g.ends, worker, runEntry{id, now}, id.Task.String(), now)
 }
 
 func (g *batchedLog) addWait(term uint64, w schedule.UnplacedStep, waited time.Duration, now time.Time) {
-	reason := w.ReasonSummary()
-	g.waits[reason] = append(g.waits[reason], waitEntry{w, waited, now})
-	g.entryAdded(term, now)
+	addEntry(g, term, g.waits, w.ReasonSummary(), waitEntry{w, waited, now}, w.Step.String(), now)
 }
 
-func (g *batchedLog) entryAdded(term uint64, now time.Time) {
-	if g.entryCount == 0 {
+// addEntry adds an entry with the given names in it to a list, and writes the batch if it is full.
+func addEntry[T any](g *batchedLog, term uint64, lists map[string][]T, list string, entry T, names string, now time.Time) {
+	if g.byteCount == 0 {
 		g.startedAt = now
 	}
-	g.entryCount++
-	if g.entryCount >= maxLogBatchEntries {
+	if len(lists[list]) == 0 {
+		g.byteCount += len(list) + entryOverheadBytes
+	}
+	lists[list] = append(lists[list], entry)
+	g.byteCount += len(names) + entryOverheadBytes
+	if g.byteCount >= maxLogBatchBytes {
 		g.flush(term, now)
 	}
 }
 
 // flushIfDue writes the batch if logBatchInterval has passed since its first entry.
 func (g *batchedLog) flushIfDue(term uint64, now time.Time) {
-	if g.entryCount > 0 && now.Sub(g.startedAt) >= logBatchInterval {
+	if g.byteCount > 0 && now.Sub(g.startedAt) >= logBatchInterval {
 		g.flush(term, now)
 	}
 }
 
 // flush writes the collected entries and starts a new batch.
 func (g *batchedLog) flush(term uint64, now time.Time) {
-	if g.entryCount == 0 {
+	if g.byteCount == 0 {
 		return
 	}
 	if len(g.starts)+len(g.longRunningStarts)+len(g.ends) > 0 {
@@ -147,7 +151,7 @@
 	clear(g.waits)
 	clear(g.objectiveMisses)
 	clear(g.finishedJobs)
-	g.entryCount = 0
+	g.byteCount = 0
 }
 
 // formatRuns formats each run as "TASK RUN AGE", the age in milliseconds.
@@ -196,3 +200,24 @@
 	}
 	return lists
 }
+
+// splitLists divides lists into parts that fit into one line each, in the order of their names.
+func splitLists(lists map[string][]string) []map[string][]string {
+	var parts []map[string][]string
+	bytes := maxLogBatchBytes
+	for _, name := range slices.Sorted(maps.Keys(lists)) {
+		for _, entry := range lists[name] {
+			added := len(entry) + entryOverheadBytes
+			if bytes+added > maxLogBatchBytes {
+				parts, bytes = append(parts, map[string][]string{}), 0
+			}
+			part := parts[len(parts)-1]
+			if len(part[name]) == 0 {
+				added += len(name)
+			}
+			part[name] = append(part[name], entry)
+			bytes += added
+		}
+	}
+	return parts
+}
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -18,6 +18,9 @@
 	// outageLogInterval is the time from the start of an outage to its first line, and between two
 	// lines about it. Most tasks run again sooner.
 	outageLogInterval = 2 * time.Second
+	// maxOutagesPerCheck bounds the outages that one check logs to about 25 kB, since the log of a process
+	// takes 32 KiB of warnings per second. The other ones follow with the next checks.
+	maxOutagesPerCheck = 400
 )
 
 // pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
@@ -114,7 +117,8 @@
 }
 
 // checkLongRunning records which long-running tasks are not known to run. It logs the outages that
-// are longer than outageLogInterval, and the ends of those that were logged.
+// are longer than outageLogInterval, at most maxOutagesPerCheck of them, and the ends of those that
+// were logged.
 func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, decision schedule.Decision, now time.Time) {
 	o := l.outages
 	if now.Sub(o.checkedAt) < outageCheckInterval {
@@ -123,6 +127,7 @@
 	o.checkedAt = now
 	r := reasonsInRound(m, decision)
 	tracked := map[jobqueue.TaskID]bool{}
+	entries := 0
 	notRunning := map[string][]string{}
 	resumed := map[string][]string{}
 	for t := range longRunningTasks(m, now.UnixMilli()) {
@@ -136,18 +141,19 @@
 		}
 		out := o.begin(t, since)
 		tracked[t.id] = true
-		if now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
+		if entries < maxOutagesPerCheck && now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
 			out.loggedAt = now
+			entries++
 			notRunning[reason] = append(notRunning[reason], out.describe(t.id, now))
 		}
 	}
 	o.prune(tracked)
 	d.metrics.longRunningNotRunning.Update(int64(len(o.byTask)))
-	if len(notRunning) > 0 {
-		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(notRunning))
+	for _, part := range splitLists(notRunning) {
+		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(part))
 	}
-	if len(resumed) > 0 {
-		event.LongRunningRecovered.Write(d.logger, event.Term(l.term), event.TasksRunningAgain(resumed))
+	for _, part := range splitLists(resumed) {
+		event.LongRunningRecovered.Write(d.logger, event.Term(l.term), event.TasksRunningAgain(part))
 	}
 }
 
