dispatch, trace: the line "runs" shows when long-running runs begin

Cause: no line of the leader shows when a run that it ordered began, so the time until then counts as work.

Change: the line "runs" lists under "begun" each run of a long-running step with the first report that contains it, for runs that this leader ordered: at most one entry for each of these starts, and none for the fleet after a change of leader. trace shows them as "run begun" and keeps the age of the worker's last report ("silent") in "run lost". TestRunsAreTracedFromBatchedLines expects the new event between start and crash; it checks the same events as before otherwise.

--- a/dispatch/batchedlog.go
+++ b/dispatch/batchedlog.go
@@ -37,9 +37,11 @@
 	starts    map[string][]runEntry
 	// longRunningStarts are the starts of runs of long-running steps.
 	longRunningStarts map[string][]runEntry
-	ends              map[string][]runEntry
-	waits             map[string][]waitEntry
-	objectiveMisses   map[string][]objectiveMissEntry
+	// begins are the first reports that list runs of long-running steps.
+	begins          map[string][]runEntry
+	ends            map[string][]runEntry
+	waits           map[string][]waitEntry
+	objectiveMisses map[string][]objectiveMissEntry
 	// finishedJobs are the jobs that finished, by the path prefix of their queue.
 	finishedJobs map[string][]finishedJobEntry
 }
@@ -76,7 +78,7 @@
 func newBatchedLog(logger *zap.Logger) *batchedLog {
 	return &batchedLog{
 		logger: logger, starts: map[string][]runEntry{}, longRunningStarts: map[string][]runEntry{},
-		ends: map[string][]runEntry{}, waits: map[string][]waitEntry{},
+		begins: map[string][]runEntry{}, ends: map[string][]runEntry{}, waits: map[string][]waitEntry{},
 		objectiveMisses: map[string][]objectiveMissEntry{}, finishedJobs: map[string][]finishedJobEntry{},
 	}
 }
@@ -89,6 +91,10 @@
 	addEntry(g, term, g.longRunningStarts, worker, runEntry{id, now}, id.Task.String(), now)
 }
 
+func (g *batchedLog) addBegin(term uint64, worker string, id jobqueue.RunID, now time.Time) {
+	addEntry(g, term, g.begins, worker, runEntry{id, now}, id.Task.String(), now)
+}
+
 func (g *batchedLog) addObjectiveMiss(term uint64, worker string, id jobqueue.RunID, percent int64, now time.Time) {
 	addEntry(g, term, g.objectiveMisses, worker, objectiveMissEntry{runEntry{id, now}, percent}, id.Task.String(), now)
 }
@@ -132,9 +138,9 @@
 	if g.byteCount == 0 {
 		return
 	}
-	if len(g.starts)+len(g.longRunningStarts)+len(g.ends) > 0 {
+	if len(g.starts)+len(g.longRunningStarts)+len(g.begins)+len(g.ends) > 0 {
 		event.RunsSummary.Write(g.logger, event.Term(term), event.Started(formatRuns(g.starts, now)),
-			event.LongRunning(formatRuns(g.longRunningStarts, now)), event.Ended(formatRuns(g.ends, now)))
+			event.LongRunning(formatRuns(g.longRunningStarts, now)), event.Begun(formatRuns(g.begins, now)), event.Ended(formatRuns(g.ends, now)))
 	}
 	if len(g.waits) > 0 {
 		event.TasksWaiting.Write(g.logger, event.Term(term), event.WaitingSteps(formatWaits(g.waits, now)))
@@ -147,6 +153,7 @@
 	}
 	clear(g.starts)
 	clear(g.longRunningStarts)
+	clear(g.begins)
 	clear(g.ends)
 	clear(g.waits)
 	clear(g.objectiveMisses)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -57,6 +57,9 @@
 	outages       *outages
 	attention     attention
 	stops         *openStops
+	// awaitedBegins are the runs of long-running steps that this leader decided to start and that no
+	// worker has listed, with the times of the decisions.
+	awaitedBegins map[jobqueue.RunID]time.Time
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -142,6 +145,7 @@
 		outages:            newOutages(),
 		attention:          newAttention(now),
 		stops:              newOpenStops(),
+		awaitedBegins:      map[jobqueue.RunID]time.Time{},
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -233,6 +237,11 @@
 			delete(l.savedCheckpoints, id)
 		}
 	}
+	for id, decidedAt := range l.awaitedBegins {
+		if m.Run(id) == nil && now.Sub(decidedAt) > proposalTimeout {
+			delete(l.awaitedBegins, id) // the start was not committed, or the run has ended
+		}
+	}
 	l.contacts.prune(m)
 	for id := range l.refusalsRecorded {
 		if m.Run(id) == nil {
--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -109,7 +109,7 @@
 			}
 		}
 		first, second := strings.Join(runs["long/0/0/0 1"], ", "), strings.Join(runs["long/0/0/0 2"], ", ")
-		if first != "start, worker crashed, run lost" || second != "start" {
+		if first != "start, run begun, worker crashed, run lost" || second != "start, run begun" {
 			t.Errorf("events of the lost run: %s; of the next run: %s", first, second)
 		}
 		lost := registry.Get("dispatch.work_lost_core_ms").(metrics.Counter).Count()
--- a/dispatch/outages_test.go
+++ b/dispatch/outages_test.go
@@ -52,13 +52,15 @@
 		}
 		stop()
 		s.loops.Wait()
-		var got []string
+		var got, begun []string
 		lines, err := trace.Read(log, "leader")
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, l := range lines {
 			switch l.Event {
+			case "run begun":
+				begun = append(begun, fmt.Sprint(l.Fields["run"], " ", l.Fields["worker"]))
 			case "long-running tasks are away":
 				got = append(got, fmt.Sprint(l.Fields["reason"], "; ", l.Fields["how"], "; ", l.Fields["worker"]))
 			case "long-running tasks are back":
@@ -75,6 +77,9 @@
 		if !slices.Equal(got, want) {
 			t.Errorf("logged %q, want %q", got, want)
 		}
+		if want := []string{"1 w1", "2 w2"}; !slices.Equal(begun, want) {
+			t.Errorf("begun are %q, want %q", begun, want)
+		}
 		if n := registry.Get("dispatch.long_running_outage_us").(metrics.Histogram).Count(); n == 0 {
 			t.Error("no outage was measured")
 		}
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -15,11 +15,28 @@
 	id := jobqueue.RunID{Task: jobqueue.TaskIDOf(s.Task), Number: s.Run}
 	if step := m.StepSpec(id.Task); step != nil && step.LongRunning {
 		l.batchedLog.addLongRunningStart(l.term, s.Worker, id, now)
+		l.awaitedBegins[id] = now
 		return
 	}
 	l.batchedLog.addStart(l.term, s.Worker, id, now)
 }
 
+// logBegins adds the runs of long-running steps that a worker lists for the first time since this
+// leader ordered their starts to the batched log. Runs that an earlier leader ordered are not added, so
+// that a change of leader does not list the whole fleet.
+func (l *leaderState) logBegins(worker string, running []*apiv1.RunObservation, now time.Time) {
+	if len(l.awaitedBegins) == 0 {
+		return
+	}
+	for _, o := range running {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(o.Task), Number: o.Run}
+		if _, awaited := l.awaitedBegins[id]; awaited {
+			delete(l.awaitedBegins, id)
+			l.batchedLog.addBegin(l.term, worker, id, now)
+		}
+	}
+}
+
 const (
 	// startedUpPercent is the progress, in percent, of a long-running run that has started up.
 	startedUpPercent = 100
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -110,6 +110,7 @@
 	for _, o := range r.Running {
 		l.recordObservation(o, r.ClockMs, now)
 	}
+	l.logBegins(r.Worker.GetId(), r.Running, now)
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
 		d.recordEnds(l, jobs, r, now)
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -38,7 +38,7 @@
 	LeaderReady            = declare(Dispatch, Rare, "leader is ready", NameTerm, "index")
 	LeaderNotReady         = declare(Dispatch, Warning, "leader is not ready", NameTerm, "error")
 	PlanUncommitted        = declare(Dispatch, Warning, "plan is not committed", NameTerm, "error")
-	RunsSummary            = declare(Dispatch, Routine, "runs", NameTerm, NameStarted, NameLongRunning, NameEnded)
+	RunsSummary            = declare(Dispatch, Routine, "runs", NameTerm, NameStarted, NameLongRunning, NameBegun, NameEnded)
 	TailObjectivesExceeded = declare(Dispatch, Routine, "tails are over their objectives", NameTerm, NameTails)
 	JobsFinished           = declare(Dispatch, Routine, "jobs are over", NameTerm, NameJobs)
 	RunStop                = declare(Dispatch, Routine, "stop", NameTerm, NameTask, NameRun, "reason")
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -28,6 +28,7 @@
 	NameUnlogged          = "unlogged"
 	NameCounted           = "counted"
 	NameBegan             = "began"
+	NameBegun             = "begun"
 	NameWaitingSteps      = "waits"
 	NameTasks             = "tasks"
 	NameWorkers           = "workers"
@@ -160,6 +161,10 @@
 // LongRunning lists the runs of long-running steps that were started, in the format of Started.
 func LongRunning(byWorker map[string][]string) Field { return listsField(NameLongRunning, byWorker) }
 
+// Begun lists the runs of long-running steps that a worker listed for the first time since this leader
+// ordered their starts, in the format of Started. There is at most one entry for each of these starts.
+func Begun(byWorker map[string][]string) Field { return listsField(NameBegun, byWorker) }
+
 // Tails lists the serving runs whose tail latencies exceed their objectives, by worker; each is
 // "TASK RUN PERCENT AGE", with the tail latency in percent of the objective and the age in
 // milliseconds.
--- a/trace/aggregated.go
+++ b/trace/aggregated.go
@@ -20,7 +20,8 @@
 	var expanded []Line
 	switch l.Event {
 	case event.RunsSummary.Name:
-		expanded = slices.Concat(runLines(l, event.NameStarted, eventStart), longRunningLines(l), runLines(l, event.NameEnded, eventEnded))
+		expanded = slices.Concat(runLines(l, event.NameStarted, eventStart), longRunningLines(l),
+			runLines(l, event.NameBegun, eventBegun), runLines(l, event.NameEnded, eventEnded))
 	case event.TasksWaiting.Name:
 		expanded = waitLines(l)
 	case event.RunsLost.Name:
@@ -84,6 +85,9 @@
 			g.Fields[event.NameOutcome] = outcomeDone
 		case eventLost:
 			g.Fields[event.NameReason] = l.Fields[event.NameReason]
+			if silent, known := l.Fields[event.NameUnresponsiveFor]; known {
+				g.Fields[event.NameUnresponsiveFor] = silent
+			}
 		}
 		lines = append(lines, g)
 	})
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -164,6 +164,8 @@
 // Events of single runs, which are expanded from aggregated lines and never written themselves.
 const (
 	eventStart = "start"
+	// eventBegun is about a long-running run that its worker lists for the first time.
+	eventBegun = "run begun"
 	eventLost  = "run lost"
 	// eventUnlogged is about a run that its worker reports but the replicated log does not contain.
 	eventUnlogged = "run is not in the log"
