record: time until a run begins and until its loss is known has causes

Cause: record counted a run as at work from its order to the line about its loss. It missed the time until the worker began the run, the time of refused starts, and the time for which a worker had been gone. Runs whose start line is missing were dropped, so that the time of the whole run became a wait.

Change: new causes "ordered, not begun" (to "begun" of the line "runs", to "start answered" or "start refused"), "host silent" (from the last report of a worker to the line about the loss) and "leader uninformed" (the same for a worker that never reported to a new leader).

Measured: TestOrderedRunsThatHaveNotBegun, TestTimeUntilLossIsKnown and TestRunsWithoutStartLine, which fail without the change.

--- a/record/account.go
+++ b/record/account.go
@@ -105,18 +105,18 @@
 	at := within.from
 	var previous *run
 	for i, r := range t.runs {
-		if !r.start.Before(within.to) {
+		if r.start.After(within.to) || r.start.Equal(within.to) && !r.startMissing {
 			break
 		}
 		end := earlierOf(t.endOf(i, within.to), within.to)
 		if end.After(at) {
-			h.addGap(&total, s, t, previous, span{at, r.start})
-			r.addRunTime(&total, span{laterOf(at, r.start), end})
+			h.addGap(&total, s, t, previous, r, span{at, r.start})
+			r.addTime(&total, span{laterOf(at, r.start), end})
 			at = end
 		}
 		previous = r
 	}
-	h.addGap(&total, s, t, previous, span{at, within.to})
+	h.addGap(&total, s, t, previous, nil, span{at, within.to})
 	return total
 }
 
@@ -133,9 +133,16 @@
 }
 
 // addGap adds a time without a run, by the lines about the wait, else under the cause of the end of
-// the previous run, which is nil before the first one.
-func (h *history) addGap(total *Breakdown, s *step, t *task, previous *run, gap span) {
+// the previous run, which is nil before the first one. next is nil after the last one.
+func (h *history) addGap(total *Breakdown, s *step, t *task, previous, next *run, gap span) {
+	if next != nil && next.startMissing {
+		h.addPeriod(total, gap, WaitsUnexplained)
+		return
+	}
 	if previous != nil {
+		known := earlierOf(gap.to, laterOf(gap.from, previous.lossKnownAt))
+		h.addPeriod(total, span{gap.from, known}, previous.unknownCause)
+		gap.from = known
 		cause := previous.cause
 		if cause == Working {
 			cause = NotPlanned // the run of a long-running task ended by itself
@@ -215,6 +222,13 @@
 	return a
 }
 
+// addTime adds the time of a run within a span: first the time until it began.
+func (r *run) addTime(total *Breakdown, within span) {
+	begun := laterOf(within.from, r.begunBy(within.to))
+	total[OrderedNotBegun] += span{within.from, begun}.length()
+	r.addRunTime(total, span{begun, within.to})
+}
+
 // addRunTime adds the time of a run within a span, divided by its paces into time at full speed and
 // time lost.
 func (r *run) addRunTime(total *Breakdown, within span) {
--- a/record/history.go
+++ b/record/history.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 // Events of single runs, which package trace expands from aggregated lines.
 const (
 	lineStart = "start"
+	lineBegun = "run begun"
 	lineEnded = "run ended"
 	lineLost  = "run lost"
 )
@@ -37,8 +39,21 @@
 // run is a run of a task. Its end is zero while none is known.
 type run struct {
 	number float64
-	start  time.Time
-	end    time.Time
+	// start is when the start was ordered. startTerm is the term of the leader that ordered it.
+	start     time.Time
+	startTerm any
+	// startMissing is set if no line shows the start.
+	startMissing bool
+	// acceptedAt is when the worker accepted the start, by the line of its agent, and begunAt when it
+	// first reported the run to the leader that ordered it. notBegunAt is the last time at which the
+	// leader knew that the run had not begun. refused is set if it never began.
+	acceptedAt, begunAt, notBegunAt time.Time
+	refused                         bool
+	end                             time.Time
+	// lossKnownAt is when a leader learned of the loss of the run, zero if the run ended otherwise, and
+	// unknownCause is the cause of the time from the end until then.
+	lossKnownAt  time.Time
+	unknownCause Cause
 	// cause is why the run ended; Working if it ended as done.
 	cause Cause
 	// paces are the changes of the pace, in the order of their lines.
@@ -170,6 +185,10 @@
 // reports the runs that were lost before.
 const lossReportDelay = time.Second
 
+// readyTolerance is more than the time from the moment from which a new leader counts the age of reports
+// to the line that says that it is ready.
+const readyTolerance = 100 * time.Millisecond
+
 // backdateLosses moves losses that a new leader reports to the last sign of the previous leader. If
 // the leader and the worker fail in the same power outage, no line shows when the runs ended.
 func (h *history) backdateLosses() {
@@ -187,8 +206,8 @@
 func (r *run) backdateLoss(leaderless []span) {
 	for _, s := range leaderless {
 		delay := r.end.Sub(s.to)
-		if r.cause == WorkerLost && r.start.Before(s.from) && delay >= 0 && delay <= lossReportDelay {
-			r.end = s.from
+		if r.cause == WorkerLost && r.start.Before(s.from) && delay >= -readyTolerance && delay <= lossReportDelay {
+			r.end, r.unknownCause = s.from, LeaderUninformed
 			return
 		}
 	}
@@ -218,7 +237,8 @@
 		h.applyWait(l)
 	case event.LongRunningOutage.Name:
 		h.applyOutage(l)
-	case lineStart, lineEnded, lineLost, event.RunStop.Name, event.PaceAnswered.Name, event.TailObjectivesExceeded.Name:
+	case lineStart, lineBegun, lineEnded, lineLost, event.StartAnswered.Name, event.StartRefused.Name, event.RunStop.Name,
+		event.PaceAnswered.Name, event.TailObjectivesExceeded.Name:
 		h.applyRun(l)
 	}
 }
@@ -299,6 +319,9 @@
 	waited, _ := l.Fields[event.NameWaited].(time.Duration)
 	cause := outageCause(l.Text(event.NameReason))
 	t.waits = append(t.waits, wait{span{l.At.Add(-waited), l.At}, cause})
+	if number, err := strconv.ParseFloat(l.Text(event.NameRun), 64); err == nil && number > 0 && cause == OrderedNotBegun {
+		t.run(number).notBegunAt = l.At
+	}
 }
 
 // taskOf returns the task of the given name and adds it if it is not known; nil if it is not the name of a task.
@@ -332,7 +355,10 @@
 	r := t.run(number)
 	switch l.Event {
 	case lineStart:
-		r.start = l.At
+		if r.refused { // the number is used again
+			*r = run{number: number}
+		}
+		r.start, r.startTerm = l.At, l.Fields[event.NameTerm]
 		t.longRunning = t.longRunning || l.Fields[event.NameLongRunning] == true
 	case lineEnded:
 		cause, known := endCauses[l.Text(event.NameOutcome)]
@@ -343,8 +369,19 @@
 		if cause == Failed {
 			h.events = append(h.events, occurrence{l.At, Failed})
 		}
+	case lineBegun:
+		if r.startTerm == l.Fields[event.NameTerm] && r.begunAt.IsZero() {
+			r.begunAt = l.At
+		}
+	case event.StartAnswered.Name:
+		if l.Text(event.NameAnswer) == answerDone && r.acceptedAt.IsZero() {
+			r.acceptedAt = l.At
+		}
+	case event.StartRefused.Name:
+		r.refused = true
+		r.finish(l.At, OrderedNotBegun)
 	case lineLost:
-		r.finish(l.At, WorkerLost)
+		r.lose(l)
 		h.events = append(h.events, occurrence{l.At, WorkerLost})
 	case event.RunStop.Name:
 		r.finish(l.At, Moved)
@@ -369,25 +406,76 @@
 	return r
 }
 
+// answerDone is the answer of a worker that accepts a start.
+const answerDone = "done"
+
+// lose records the loss of a run. It ended after the last report of its worker, whose age is in the
+// line; what happened until the line is not known.
+func (r *run) lose(l *trace.Line) {
+	if !r.end.IsZero() {
+		return
+	}
+	silent, err := time.ParseDuration(l.Text(event.NameUnresponsiveFor))
+	if err == nil {
+		r.lossKnownAt, r.unknownCause = l.At, WorkerSilent
+	}
+	r.finish(laterOf(r.start, l.At.Add(-silent)), WorkerLost)
+}
+
+// begunBy returns when a run began, at most the given end. A run without a line about its begin counts
+// as begun when it was ordered.
+func (r *run) begunBy(end time.Time) time.Time {
+	begun := r.start
+	switch {
+	case r.refused:
+		begun = end
+	case !r.begunAt.IsZero():
+		begun = r.begunAt
+	case !r.acceptedAt.IsZero():
+		begun = r.acceptedAt
+	}
+	return earlierOf(end, laterOf(begun, laterOf(r.start, r.notBegunAt)))
+}
+
 // finish records the end of a run. The first end counts, unless a later one is a success.
 func (r *run) finish(at time.Time, cause Cause) {
 	if r.end.IsZero() || cause == Working {
 		r.end, r.cause = at, cause
+		if cause != WorkerLost {
+			r.lossKnownAt = time.Time{}
+		}
 	}
 }
 
-// sortRuns sorts the runs of each task by number and removes those without a known start. It also
-// sorts the lines about waits.
+// sortRuns sorts the runs of each task by number and removes those of which neither a start nor an end
+// is known. It also sorts the lines about waits.
 func (h *history) sortRuns() {
 	for _, j := range h.jobs {
 		for _, s := range j.steps {
 			sortWaits(s.waits)
 			for _, t := range s.tasks {
 				sortWaits(t.waits)
-				t.runs = slices.DeleteFunc(t.runs, func(r *run) bool { return r.start.IsZero() })
+				t.runs = slices.DeleteFunc(t.runs, func(r *run) bool { return r.start.IsZero() && r.end.IsZero() })
 				slices.SortFunc(t.runs, func(a, b *run) int { return cmp.Compare(a.number, b.number) })
+				t.fillStarts(j.submittedAt)
+			}
+		}
+	}
+}
+
+// fillStarts sets the starts of runs whose line about it is missing. A run of a long-running task
+// counts from the end of the one before or from the submission, since it lasts much longer than most
+// waits. The time of any other one counts as unexplained, up to its end.
+func (t *task) fillStarts(submittedAt time.Time) {
+	from := submittedAt
+	for _, r := range t.runs {
+		if r.start.IsZero() {
+			r.start, r.startMissing = r.end, true
+			if t.longRunning {
+				r.start = earlierOf(from, r.end)
 			}
 		}
+		from = r.end
 	}
 }
 
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -157,6 +157,71 @@
 	}
 }
 
+// Guards against time from a decision to the begin of the run that counts as work. Of the long-running
+// tasks, one is first reported 1 s after its start, one at 2.5 s after being told not to have begun,
+// and the start of one is refused. An agent of the other job's worker accepts its start after 0.5 s.
+func TestOrderedRunsThatHaveNotBegun(t *testing.T) {
+	lines := tracetest.Lines(t, "entry-1", 0, entryStartedLine, requestLine(0, "POST", "l1", 200), requestLine(0, "POST", "j1", 200), requestLine(4000, "DELETE", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
+		`0 "part":"dispatch","msg":"leader is ready","term":1`,
+		`10 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 1 10","l1/0/0/1 1 10","l1/0/0/2 1 10"]}`,
+		startedLine(200, "j1/0/0/0 1 0"),
+		`1000 "part":"dispatch","msg":"runs","term":1,"begun":{"w1":["l1/0/0/0 1 0"]}`,
+		`1500 "part":"dispatch","msg":"start refused","worker":"w1","reason":"memory","task":"l1/0/0/2","run":1`,
+		`1500 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/2 2 0"]}`,
+		`2500 "part":"dispatch","msg":"long-running tasks are away","term":1,"tasks_away":{"ordered, not begun":["l1/0/0/1 1 w1 2500"]}`,
+		`2700 "part":"dispatch","msg":"runs","term":1,"ended":{"w1":["j1/0/0/0 1 0"]}`,
+		finishedLine(2700, "j1 succeeded 2700 1000 0"),
+	)...)
+	lines = append(lines, tracetest.Lines(t, "agent-1", 0, `700 "part":"runs","msg":"start answered","task":"j1/0/0/0","run":1,"answer":"done"`)...)
+	r := record.Summarize(trace.Order(lines).Lines, record.Options{})
+	wantSeconds(t, r.LongRunning[0].Breakdown, record.OrderedNotBegun, 1+2.5+1.5)
+	wantSeconds(t, r.LongRunning[0].Breakdown, record.Working, 3+1.5+2.5)
+	wantSeconds(t, r.Queues[0].LateBreakdown, record.NotPlanned, 0.2)
+	wantSeconds(t, r.Queues[0].LateBreakdown, record.OrderedNotBegun, 0.5)
+	wantSeconds(t, r.Queues[0].LateBreakdown, record.Working, 2)
+}
+
+// Guards against time that counts as work though the worker had gone: worker w1 departs at 1 s and the
+// leader learns of it at 5 s; w2 is lost with the leader, and the next one has never heard of it.
+func TestTimeUntilLossIsKnown(t *testing.T) {
+	lines := tracetest.Lines(t, "entry-1", 0, entryStartedLine, requestLine(0, "POST", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
+		`0 "part":"dispatch","msg":"leader is ready","term":1`,
+		`10 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 1 10"],"w2":["l1/0/0/1 1 10"]}`,
+		`5000 "part":"dispatch","msg":"runs are lost","term":1,"reason":"lease ran out","silent":"4s","lost":{"w1":["l1/0/0/0 1 0"]}`,
+		`5500 "part":"dispatch","msg":"runs","term":1,"long_running":{"w3":["l1/0/0/0 2 0"]}`,
+		`6000 "part":"group","msg":"state","term":1,"leads":true`,
+	)...)
+	lines = append(lines, tracetest.Lines(t, "control-2", 0,
+		`7000 "part":"dispatch","msg":"leader is ready","term":2`,
+		`9000 "part":"dispatch","msg":"runs are lost","term":2,"reason":"lease ran out","silent":"2.01s","lost":{"w2":["l1/0/0/1 1 0"]}`,
+		`9500 "part":"dispatch","msg":"runs","term":2,"long_running":{"w3":["l1/0/0/1 2 0"]}`,
+		`10000 "part":"group","msg":"state","term":2,"leads":true`,
+	)...)
+	r := record.Summarize(trace.Order(lines).Lines, record.Options{})
+	b := r.LongRunning[0].Breakdown
+	wantSeconds(t, b, record.WorkerSilent, 4)
+	wantSeconds(t, b, record.NoLeader, 1)
+	wantSeconds(t, b, record.LeaderUninformed, 2)
+	wantSeconds(t, b, record.WorkerLost, 0.5+0.5)
+}
+
+// Guards against time that counts as "not yet planned" or as work though lines are missing.
+func TestRunsWithoutStartLine(t *testing.T) {
+	lines := tracetest.Lines(t, "entry-1", 0, entryStartedLine, requestLine(0, "POST", "l1", 200), requestLine(0, "POST", "j1", 200), requestLine(4000, "DELETE", "l1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
+		`0 "part":"dispatch","msg":"leader is ready","term":1`,
+		`2000 "part":"dispatch","msg":"run ended","task":"l1/0/0/0","run":1,"worker":"w1","how":"failed"`,
+		`2500 "part":"dispatch","msg":"runs","term":1,"long_running":{"w1":["l1/0/0/0 2 0"]},"ended":{"w1":["j1/0/0/0 1 0"]}`,
+		finishedLine(2500, "j1 succeeded 2500 1000 0"),
+	)...)
+	r := record.Summarize(trace.Order(lines).Lines, record.Options{})
+	wantSeconds(t, r.LongRunning[0].Breakdown, record.Working, 3.5)
+	wantSeconds(t, r.LongRunning[0].Breakdown, record.Failed, 0.5)
+	wantSeconds(t, r.Queues[0].LateBreakdown, record.WaitsUnexplained, 2.5)
+}
+
 // Guards against lost time that a deposed leader makes up: it resumes at 9 s after a suspension and
 // takes its worker, which has reported to its successor since 4 s, for lost.
 func TestLinesOfDeposedLeaderDoNotCount(t *testing.T) {
