record: a missing end line does not turn a step's time into a wait

Cause: a step counted as ready when all tasks of the steps before had an end in the lines. One missing line made it ready with the submission, so that the time of the step before counted as a wait.

Change: all tasks of a job that succeeded did so, and a task without an end line is left out.

Measured: TestStepWithoutEndLine, which fails without the change.

--- a/record/account.go
+++ b/record/account.go
@@ -84,19 +84,17 @@
 	return ready
 }
 
-// finishedAt returns when the last task of a step succeeded; false while any task has not.
+// finishedAt returns when the last task of a step of a job that succeeded did so; false if no line
+// shows the end of any task. All tasks of the job succeeded, so a task without an end only lacks the
+// line. If it counted as unfinished, the whole time of the step would be a wait of the next one.
 func (s *step) finishedAt() (time.Time, bool) {
 	var last time.Time
 	for _, t := range s.tasks {
-		finished, ok := t.finishedAt()
-		if !ok {
-			return time.Time{}, false
-		}
-		if finished.After(last) {
+		if finished, ok := t.finishedAt(); ok && finished.After(last) {
 			last = finished
 		}
 	}
-	return last, len(s.tasks) > 0
+	return last, !last.IsZero()
 }
 
 // taskBreakdown breaks down the time of a task within a span.
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -222,6 +222,22 @@
 	wantSeconds(t, r.Queues[0].LateBreakdown, record.WaitsUnexplained, 2.5)
 }
 
+// Guards against a step that seems to wait for a decision while the step before it runs, since the line
+// about the end of one of its tasks is missing.
+func TestStepWithoutEndLine(t *testing.T) {
+	lines := tracetest.Lines(t, "entry-1", 0, entryStartedLine, requestLine(0, "POST", "j1", 200))
+	lines = append(lines, tracetest.Lines(t, "control-1", 0,
+		startedLine(0, "j1/0/0/0 1 0", "j1/0/0/1 1 0"),
+		`3000 "part":"dispatch","msg":"runs","term":1,"ended":{"w1":["j1/0/0/0 1 0"]}`,
+		startedLine(3100, "j1/0/1/0 1 0"),
+		`4000 "part":"dispatch","msg":"runs","term":1,"ended":{"w1":["j1/0/1/0 1 0"]}`,
+		finishedLine(4000, "j1 succeeded 4000 2000 0"),
+	)...)
+	b := record.Summarize(trace.Order(lines).Lines, record.Options{}).Queues[0].LateBreakdown
+	wantSeconds(t, b, record.NotPlanned, 0.1)
+	wantSeconds(t, b, record.Working, 3.9)
+}
+
 // Guards against lost time that a deposed leader makes up: it resumes at 9 s after a suspension and
 // takes its worker, which has reported to its successor since 4 s, for lost.
 func TestLinesOfDeposedLeaderDoNotCount(t *testing.T) {
