--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -175,6 +175,7 @@
 	verdictsDue := false
 	now := d.opts.Now()
 	started := time.Now()
+	l.attention.recordRound(now)
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
 		verdictsDue = len(jobs.VerdictsDue(now.UnixMilli())) > 0
@@ -190,7 +191,7 @@
 			d.metrics.paceOrders.Inc(1)
 		}
 		plan.Learnt = l.learnedToSave(now)
-		d.checkLongRunning(l, jobs, decision.Unplaced, now)
+		d.checkLongRunning(l, jobs, decision, now)
 		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -55,7 +55,11 @@
 	loggedCordons map[string]bool
 	moves         *leaderMoves
 	outages       *outages
+	attention     attention
 	stops         *openStops
+	// awaitedBegins are the runs of long-running steps that this leader decided to start and that no
+	// worker has listed, with the times of the decisions.
+	awaitedBegins map[jobqueue.RunID]time.Time
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -139,7 +143,9 @@
 		loggedCordons:      map[string]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
+		attention:          newAttention(now),
 		stops:              newOpenStops(),
+		awaitedBegins:      map[jobqueue.RunID]time.Time{},
 	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
@@ -231,6 +237,11 @@
 			delete(l.savedCheckpoints, id)
 		}
 	}
+	for id, decidedAt := range l.awaitedBegins {
+		if m.Run(id) == nil && now.Sub(decidedAt) > proposalTimeout {
+			delete(l.awaitedBegins, id) // the start was not committed, or the run has ended
+		}
+	}
 	l.contacts.prune(m)
 	for id := range l.refusalsRecorded {
 		if m.Run(id) == nil {
--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"iter"
 	"time"
@@ -17,15 +18,34 @@
 	// outageLogInterval is the time from the start of an outage to its first line, and between two
 	// lines about it. Most tasks run again sooner.
 	outageLogInterval = 2 * time.Second
+	// maxOutagesPerCheck bounds the outages that one check logs to about 25 kB, since the log of a process
+	// takes 32 KiB of warnings per second. The other ones follow with the next checks.
+	maxOutagesPerCheck = 400
 )
 
-// Reasons why a long-running task does not run, besides those that exclude workers.
-const (
-	outageOrdered            = "ordered, not begun"
-	outageWorkerUnresponsive = "no report of its worker"
-	outageUnlisted           = "not listed by its worker"
-	outageUnplanned          = "no candidate"
-)
+// pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
+// at most idleRoundInterval apart unless a commit takes long.
+const pauseThreshold = time.Second
+
+// attention is since when the leader has been able to receive reports. What it knows of a worker that
+// has not reported since then may be outdated, and the run may be well.
+type attention struct {
+	since, roundAt time.Time
+	// reason is why a worker may not have been heard before since.
+	reason string
+}
+
+func newAttention(now time.Time) attention {
+	return attention{since: now, roundAt: now, reason: event.OutageNewLeader}
+}
+
+// recordRound records that the leader plans, and a pause if the last round was too long ago.
+func (a *attention) recordRound(now time.Time) {
+	if now.Sub(a.roundAt) >= pauseThreshold {
+		a.since, a.reason = now, event.OutagePaused
+	}
+	a.roundAt = now
+}
 
 // outage is the period in which a long-running task is not known to run.
 type outage struct {
@@ -97,69 +117,101 @@
 }
 
 // checkLongRunning records which long-running tasks are not known to run. It logs the outages that
-// are longer than outageLogInterval, and the ends of those that were logged.
-func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, waits []schedule.UnplacedStep, now time.Time) {
+// are longer than outageLogInterval, at most maxOutagesPerCheck of them, and the ends of those that
+// were logged.
+func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, decision schedule.Decision, now time.Time) {
 	o := l.outages
 	if now.Sub(o.checkedAt) < outageCheckInterval {
 		return
 	}
 	o.checkedAt = now
-	reasonByStep := map[jobqueue.StepID]string{}
-	for _, w := range waits {
-		reasonByStep[w.Step] = w.ReasonSummary()
-	}
+	r := reasonsInRound(m, decision)
 	tracked := map[jobqueue.TaskID]bool{}
+	entries := 0
 	notRunning := map[string][]string{}
 	resumed := map[string][]string{}
 	for t := range longRunningTasks(m, now.UnixMilli()) {
 		if o.tracks(t.id) {
 			tracked[t.id] = true
 		}
-		reason, since := l.outageReason(t, reasonByStep, now)
+		reason, since := l.outageReason(t, r, now)
 		if reason == "" {
 			d.endOutage(o, t, resumed, now)
 			continue
 		}
 		out := o.begin(t, since)
 		tracked[t.id] = true
-		if now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
+		if entries < maxOutagesPerCheck && now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
 			out.loggedAt = now
+			entries++
 			notRunning[reason] = append(notRunning[reason], out.describe(t.id, now))
 		}
 	}
 	o.prune(tracked)
 	d.metrics.longRunningNotRunning.Update(int64(len(o.byTask)))
-	if len(notRunning) > 0 {
-		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(notRunning))
+	for _, part := range splitLists(notRunning) {
+		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(part))
 	}
-	if len(resumed) > 0 {
-		event.LongRunningRecovered.Write(d.logger, event.Term(l.term), event.TasksRunningAgain(resumed))
+	for _, part := range splitLists(resumed) {
+		event.LongRunningRecovered.Write(d.logger, event.Term(l.term), event.TasksRunningAgain(part))
 	}
 }
 
+// roundReasons are the reasons of a round for which tasks without a run have none.
+type roundReasons struct {
+	machine *jobqueue.Machine
+	// unplaced are the reasons that rule out the workers for a step, and starting the tasks for which
+	// the round found a worker.
+	unplaced map[jobqueue.StepID]string
+	starting map[jobqueue.TaskID]bool
+}
+
+func reasonsInRound(m *jobqueue.Machine, decision schedule.Decision) roundReasons {
+	r := roundReasons{machine: m, unplaced: map[jobqueue.StepID]string{}, starting: map[jobqueue.TaskID]bool{}}
+	for _, w := range decision.Unplaced {
+		r.unplaced[w.Step] = w.ReasonSummary()
+	}
+	for _, s := range decision.Starts {
+		r.starting[jobqueue.TaskIDOf(s.Task)] = true
+	}
+	return r
+}
+
+// reason returns why a task without a run has none.
+func (r roundReasons) reason(t longRunningTask) string {
+	switch {
+	case r.starting[t.id]:
+		return event.OutageOrdered
+	case r.machine.HeldByCrashLimit(t.id, t.task):
+		return event.OutageCrashLimit
+	}
+	return cmp.Or(r.unplaced[t.id.StepID()], event.OutageUnplanned)
+}
+
 // outageReason returns why a long-running task is not known to run and since when, an empty reason
 // if it is known to run.
-func (l *leaderState) outageReason(t longRunningTask, reasonByStep map[jobqueue.StepID]string, now time.Time) (string, time.Time) {
+func (l *leaderState) outageReason(t longRunningTask, r roundReasons, now time.Time) (string, time.Time) {
 	if len(t.task.Runs) == 0 {
 		since := now
 		if ended, found := l.outages.lastEnds[t.id]; found {
 			since = ended.since
 		}
-		if reason := reasonByStep[t.id.StepID()]; reason != "" {
-			return reason, since
-		}
-		return outageUnplanned, since
+		return r.reason(t), since
 	}
 	run := t.task.Runs[len(t.task.Runs)-1]
 	observed, found := l.observed[run.ID]
-	sinceReport := now.Sub(l.leases.get(run.Worker).renewedAt)
+	lease := l.leases.get(run.Worker)
+	sinceReport := now.Sub(lease.renewedAt)
+	heard := lease.reported && !lease.renewedAt.Before(l.attention.since)
 	switch {
+	case !heard && (!found || sinceReport >= outageLogInterval):
+		return l.attention.reason, l.attention.since
 	case sinceReport >= outageLogInterval:
-		return outageWorkerUnresponsive, now.Add(-sinceReport)
+		return event.OutageWorkerUnresponsive, now.Add(-sinceReport)
 	case !found:
-		return outageOrdered, now
+		return event.OutageOrdered, now
 	case observed.At.Before(now.Add(-outageLogInterval)):
-		return outageUnlisted, observed.At
+		return event.OutageUnlisted, observed.At
 	}
 	return "", now
 }
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -28,6 +28,7 @@
 	NameUnlogged          = "unlogged"
 	NameCounted           = "counted"
 	NameBegan             = "began"
+	NameBegun             = "begun"
 	NameWaitingSteps      = "waits"
 	NameTasks             = "tasks"
 	NameWorkers           = "workers"
@@ -47,6 +48,9 @@
 	NameZone              = "availability_zone"
 	NameStatus            = "status"
 	NameMethod            = "method"
+	NameLeads             = "leads"
+	NameUnresponsiveFor   = "silent"
+	NameAnswer            = "answer"
 )
 
 // Identifiers. They are formatted the same way in all parts.
@@ -87,7 +91,7 @@
 func Reason(reason string) Field { return stringField(NameReason, reason) }
 
 // Answer is the answer to an order.
-func Answer(a fmt.Stringer) Field { return Field{zap.Stringer("answer", a)} }
+func Answer(a fmt.Stringer) Field { return Field{zap.Stringer(NameAnswer, a)} }
 
 // Try is the number of a call among the calls for one order, from 1.
 func Try(n int) Field { return intField("try", n) }
@@ -109,7 +113,7 @@
 
 // UnresponsiveFor is the time since the last answer or report of the other side, or since the wait
 // for the first one began.
-func UnresponsiveFor(d time.Duration) Field { return durationField("silent", d) }
+func UnresponsiveFor(d time.Duration) Field { return durationField(NameUnresponsiveFor, d) }
 
 // Lease is the duration for which a lease was granted.
 func Lease(d time.Duration) Field { return durationField("lease", d) }
@@ -157,6 +161,10 @@
 // LongRunning lists the runs of long-running steps that were started, in the format of Started.
 func LongRunning(byWorker map[string][]string) Field { return listsField(NameLongRunning, byWorker) }
 
+// Begun lists the runs of long-running steps that a worker listed for the first time since this leader
+// ordered their starts, in the format of Started. There is at most one entry for each of these starts.
+func Begun(byWorker map[string][]string) Field { return listsField(NameBegun, byWorker) }
+
 // Tails lists the serving runs whose tail latencies exceed their objectives, by worker; each is
 // "TASK RUN PERCENT AGE", with the tail latency in percent of the objective and the age in
 // milliseconds.
--- a/record/history.go
+++ b/record/history.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 // Events of single runs, which package trace expands from aggregated lines.
 const (
 	lineStart = "start"
+	lineBegun = "run begun"
 	lineEnded = "run ended"
 	lineLost  = "run lost"
 )
@@ -37,8 +39,21 @@
 // run is a run of a task. Its end is zero while none is known.
 type run struct {
 	number float64
-	start  time.Time
-	end    time.Time
+	// start is when the start was ordered. startTerm is the term of the leader that ordered it.
+	start     time.Time
+	startTerm any
+	// startMissing is set if no line shows the start.
+	startMissing bool
+	// acceptedAt is when the worker accepted the start, by the line of its agent, and begunAt when it
+	// first reported the run to the leader that ordered it. notBegunAt is the last time at which the
+	// leader knew that the run had not begun. refused is set if it never began.
+	acceptedAt, begunAt, notBegunAt time.Time
+	refused                         bool
+	end                             time.Time
+	// lossKnownAt is when a leader learned of the loss of the run, zero if the run ended otherwise, and
+	// unknownCause is the cause of the time from the end until then.
+	lossKnownAt  time.Time
+	unknownCause Cause
 	// cause is why the run ended; Working if it ended as done.
 	cause Cause
 	// paces are the changes of the pace, in the order of their lines.
@@ -58,6 +73,8 @@
 	longRunning bool
 	// overObjectiveAt are the times of the reports of a tail latency that exceeds its objective.
 	overObjectiveAt []time.Time
+	// waits are the lines about the task itself, ordered by time.
+	waits []wait
 }
 
 // finishedAt returns when the task succeeded; false while it has not.
@@ -70,13 +87,18 @@
 	return time.Time{}, false
 }
 
-// wait is a period in which a step waited for a worker, and the cause.
+// wait is a period in which a step or a task waited for a run by a line at its end, and the cause.
 type wait struct {
 	span
 	cause Cause
 }
 
-// step is a step of a job.
+// sortWaits sorts waits by their lines.
+func sortWaits(waits []wait) {
+	slices.SortStableFunc(waits, func(a, b wait) int { return a.to.Compare(b.to) })
+}
+
+// step is a step of a job. Its waits are ordered by time.
 type step struct {
 	name  string
 	tasks map[string]*task
@@ -147,6 +169,9 @@
 		if l.At.After(h.last) {
 			h.last = l.At
 		}
+		if l.Deposed {
+			continue
+		}
 		leaders.apply(l)
 		h.apply(l, zones)
 	}
@@ -160,6 +185,10 @@
 // reports the runs that were lost before.
 const lossReportDelay = time.Second
 
+// readyTolerance is more than the time from the moment from which a new leader counts the age of reports
+// to the line that says that it is ready.
+const readyTolerance = 100 * time.Millisecond
+
 // backdateLosses moves losses that a new leader reports to the last sign of the previous leader. If
 // the leader and the worker fail in the same power outage, no line shows when the runs ended.
 func (h *history) backdateLosses() {
@@ -177,8 +206,8 @@
 func (r *run) backdateLoss(leaderless []span) {
 	for _, s := range leaderless {
 		delay := r.end.Sub(s.to)
-		if r.cause == WorkerLost && r.start.Before(s.from) && delay >= 0 && delay <= lossReportDelay {
-			r.end = s.from
+		if r.cause == WorkerLost && r.start.Before(s.from) && delay >= -readyTolerance && delay <= lossReportDelay {
+			r.end, r.unknownCause = s.from, LeaderUninformed
 			return
 		}
 	}
@@ -206,7 +235,10 @@
 		j.allowed, _ = l.Fields[event.NameAllowed].(time.Duration)
 	case event.TasksWaiting.Name:
 		h.applyWait(l)
-	case lineStart, lineEnded, lineLost, event.RunStop.Name, event.PaceAnswered.Name, event.TailObjectivesExceeded.Name:
+	case event.LongRunningOutage.Name:
+		h.applyOutage(l)
+	case lineStart, lineBegun, lineEnded, lineLost, event.StartAnswered.Name, event.StartRefused.Name, event.RunStop.Name,
+		event.PaceAnswered.Name, event.TailObjectivesExceeded.Name:
 		h.applyRun(l)
 	}
 }
@@ -276,18 +308,27 @@
 	h.events = append(h.events, occurrence{l.At, cause})
 }
 
-// endCauses maps the outcomes in lines about ended runs to causes. The outcomes "broken" and
-// "alone" are of members of a gang that has lost another member, or that waited in vain for the
-// others: they end because another member failed.
-var endCauses = map[string]Cause{
-	"done": Working, "failed": Failed, "broken": Failed, "alone": Failed, "stopped": Moved, "lapsed": WorkerLost,
+// applyOutage applies a line about a long-running task that does not run. It may be the only line
+// about a task that has never run.
+func (h *history) applyOutage(l *trace.Line) {
+	t := h.taskOf(l.Text(event.NameTask))
+	if t == nil {
+		return
+	}
+	t.longRunning = true
+	waited, _ := l.Fields[event.NameWaited].(time.Duration)
+	cause := outageCause(l.Text(event.NameReason))
+	t.waits = append(t.waits, wait{span{l.At.Add(-waited), l.At}, cause})
+	if number, err := strconv.ParseFloat(l.Text(event.NameRun), 64); err == nil && number > 0 && cause == OrderedNotBegun {
+		t.run(number).notBegunAt = l.At
+	}
 }
 
-func (h *history) applyRun(l *trace.Line) {
-	name := l.Text(event.NameTask)
+// taskOf returns the task of the given name and adds it if it is not known; nil if it is not the name of a task.
+func (h *history) taskOf(name string) *task {
 	cut := strings.LastIndexByte(name, '/')
 	if cut < 0 || !strings.Contains(name[:cut], "/") {
-		return
+		return nil
 	}
 	s := h.stepOf(name[:cut])
 	t := s.tasks[name]
@@ -295,11 +336,29 @@
 		t = &task{}
 		s.tasks[name] = t
 	}
+	return t
+}
+
+// endCauses maps the outcomes in lines about ended runs to causes. The outcomes "broken" and
+// "alone" are of members of a gang that has lost another member, or that waited in vain for the
+// others: they end because another member failed.
+var endCauses = map[string]Cause{
+	"done": Working, "failed": Failed, "broken": Failed, "alone": Failed, "stopped": Moved, "lapsed": WorkerLost,
+}
+
+func (h *history) applyRun(l *trace.Line) {
+	t := h.taskOf(l.Text(event.NameTask))
+	if t == nil {
+		return
+	}
 	number, _ := l.Fields[event.NameRun].(float64)
 	r := t.run(number)
 	switch l.Event {
 	case lineStart:
-		r.start = l.At
+		if r.refused { // the number is used again
+			*r = run{number: number}
+		}
+		r.start, r.startTerm = l.At, l.Fields[event.NameTerm]
 		t.longRunning = t.longRunning || l.Fields[event.NameLongRunning] == true
 	case lineEnded:
 		cause, known := endCauses[l.Text(event.NameOutcome)]
@@ -310,8 +369,19 @@
 		if cause == Failed {
 			h.events = append(h.events, occurrence{l.At, Failed})
 		}
+	case lineBegun:
+		if r.startTerm == l.Fields[event.NameTerm] && r.begunAt.IsZero() {
+			r.begunAt = l.At
+		}
+	case event.StartAnswered.Name:
+		if l.Text(event.NameAnswer) == answerDone && r.acceptedAt.IsZero() {
+			r.acceptedAt = l.At
+		}
+	case event.StartRefused.Name:
+		r.refused = true
+		r.finish(l.At, OrderedNotBegun)
 	case lineLost:
-		r.finish(l.At, WorkerLost)
+		r.lose(l)
 		h.events = append(h.events, occurrence{l.At, WorkerLost})
 	case event.RunStop.Name:
 		r.finish(l.At, Moved)
@@ -336,22 +406,76 @@
 	return r
 }
 
+// answerDone is the answer of a worker that accepts a start.
+const answerDone = "done"
+
+// lose records the loss of a run. It ended after the last report of its worker, whose age is in the
+// line; what happened until the line is not known.
+func (r *run) lose(l *trace.Line) {
+	if !r.end.IsZero() {
+		return
+	}
+	silent, err := time.ParseDuration(l.Text(event.NameUnresponsiveFor))
+	if err == nil {
+		r.lossKnownAt, r.unknownCause = l.At, WorkerSilent
+	}
+	r.finish(laterOf(r.start, l.At.Add(-silent)), WorkerLost)
+}
+
+// begunBy returns when a run began, at most the given end. A run without a line about its begin counts
+// as begun when it was ordered.
+func (r *run) begunBy(end time.Time) time.Time {
+	begun := r.start
+	switch {
+	case r.refused:
+		begun = end
+	case !r.begunAt.IsZero():
+		begun = r.begunAt
+	case !r.acceptedAt.IsZero():
+		begun = r.acceptedAt
+	}
+	return earlierOf(end, laterOf(begun, laterOf(r.start, r.notBegunAt)))
+}
+
 // finish records the end of a run. The first end counts, unless a later one is a success.
 func (r *run) finish(at time.Time, cause Cause) {
 	if r.end.IsZero() || cause == Working {
 		r.end, r.cause = at, cause
+		if cause != WorkerLost {
+			r.lossKnownAt = time.Time{}
+		}
 	}
 }
 
-// sortRuns sorts the runs of each task by number and removes those without a known start.
+// sortRuns sorts the runs of each task by number and removes those of which neither a start nor an end
+// is known. It also sorts the lines about waits.
 func (h *history) sortRuns() {
 	for _, j := range h.jobs {
 		for _, s := range j.steps {
+			sortWaits(s.waits)
 			for _, t := range s.tasks {
-				t.runs = slices.DeleteFunc(t.runs, func(r *run) bool { return r.start.IsZero() })
+				sortWaits(t.waits)
+				t.runs = slices.DeleteFunc(t.runs, func(r *run) bool { return r.start.IsZero() && r.end.IsZero() })
 				slices.SortFunc(t.runs, func(a, b *run) int { return cmp.Compare(a.number, b.number) })
+				t.fillStarts(j.submittedAt)
+			}
+		}
+	}
+}
+
+// fillStarts sets the starts of runs whose line about it is missing. A run of a long-running task
+// counts from the end of the one before or from the submission, since it lasts much longer than most
+// waits. The time of any other one counts as unexplained, up to its end.
+func (t *task) fillStarts(submittedAt time.Time) {
+	from := submittedAt
+	for _, r := range t.runs {
+		if r.start.IsZero() {
+			r.start, r.startMissing = r.end, true
+			if t.longRunning {
+				r.start = earlierOf(from, r.end)
 			}
 		}
+		from = r.end
 	}
 }
 
@@ -373,7 +497,7 @@
 		g.readyAt = append(g.readyAt, l.At)
 		g.terms = append(g.terms, term)
 	}
-	isLeader := l.Event == event.GroupState.Name && l.Fields["leads"] == true
+	isLeader := l.Event == event.GroupState.Name && l.Fields[event.NameLeads] == true
 	if isLeader || l.Part == string(event.Dispatch) || l.Event == lineStart || l.Event == lineEnded {
 		if g.lastSeen == nil {
 			g.lastSeen = map[float64]time.Time{}
