agent/runs, platform: a departure by id alone counts once the end is proved

Cause: a departure without a start time may be a late one of an earlier incarnation, and the agent discarded all of them. The worker's runs then waited for its lease.

Change: the agent keeps such a departure as a hint for 5 s. It counts as the end if the incarnation has answered before, drains, and its port refuses connections. The report says that the end is proved and needs no number of the leader. A departure is acknowledged once a leader has answered a report that was sent after it, after 4 s in any case, and the report is sent at once. A departure that arrives before the first announcement counts for the session that follows. A stopping agent waits for the report of a leaving worker within its grace period. Depart returns when to acknowledge instead of an error, since no departure is refused any more; its callers in tests change accordingly.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -194,16 +194,21 @@
 
 // departureReport returns the report that the incarnation has ended, and ends the session's calls. An
 // incarnation that neither drained nor reported its departure has crashed.
-func (s *session) departureReport() *endReport {
+func (s *session) departureReport(proof endProof) *endReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.end != nil {
+		if proof != endUnproved && !s.end.request.Ended {
+			proved := proto.CloneOf(s.end.request)
+			proved.Ended = true
+			s.end = &endReport{request: proved, crashed: s.end.crashed}
+		}
 		return s.end
 	}
 	s.finished = true
 	r := &endReport{request: &apiv1.JobsReportRequest{
 		Worker: proto.CloneOf(s.announced.Worker), Departed: true, Ends: s.unacknowledgedEnds(), Refusals: s.startsNotBegun(),
-		NoRunBegan: s.noRunBegan(),
+		NoRunBegan: s.noRunBegan(), Ended: proof != endUnproved,
 	}}
 	s.end = r
 	if s.announced.Departed || s.announced.Worker.Draining {
--- a/agent/runs/departure_test.go
+++ b/agent/runs/departure_test.go
@@ -21,9 +21,7 @@
 			withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
 				time.Sleep(2 * time.Second)
 				fault(w)
-				if err := d.Depart("w1"); err != nil {
-					t.Fatal(err)
-				}
+				d.Depart("w1")
 				for range 100 {
 					time.Sleep(100 * time.Millisecond)
 					l.mu.Lock()
@@ -44,9 +42,7 @@
 	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
 		time.Sleep(2 * time.Second)
 		w.renewError.Store(&errNoListener)
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		time.Sleep(time.Second)
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -68,9 +64,7 @@
 		for w.startCalls.Load() == 0 {
 			time.Sleep(10 * time.Millisecond)
 		}
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			l.mu.Lock()
--- /dev/null
+++ b/agent/runs/departures.go
@@ -0,0 +1,192 @@
+package runs
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+)
+
+const (
+	// departureHintRetention is how long a departure that does not name the incarnation counts for the
+	// current one.
+	departureHintRetention = 5 * time.Second
+	// maxAcknowledgementDelay bounds the time until a departure is acknowledged. A worker that has waited
+	// 5 s for it counts as not served.
+	maxAcknowledgementDelay = 4 * time.Second
+	// departurePollInterval is the time between two checks whether a departure has been reported.
+	departurePollInterval = 20 * time.Millisecond
+)
+
+// endProof is the proof that an incarnation has ended.
+type endProof int
+
+const (
+	endUnproved endProof = iota
+	// endReplaced: another incarnation of the worker has answered.
+	endReplaced
+	// endNotListening: the incarnation announced its departure, and no process listens in its place.
+	endNotListening
+)
+
+// departures are the announcements of departures that this agent received.
+type departures struct {
+	mu sync.Mutex
+	// hintName is the name in the last departure that does not name the incarnation of the session, and
+	// hintedAt is when it was acknowledged, or when it arrived until then.
+	hintName string
+	hintedAt time.Time
+	// pending are the departures that are not acknowledged.
+	pending []*pendingDeparture
+}
+
+// pendingDeparture is a departure that is not acknowledged.
+type pendingDeparture struct {
+	acknowledged chan struct{}
+	timeout      *time.Timer
+}
+
+// recordHint records a departure that does not name the incarnation of the session.
+func (d *departures) recordHint(name string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hintName, d.hintedAt = name, now
+}
+
+// hints reports whether a departure under a name counted at a given time.
+func (d *departures) hints(name string, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return name != "" && d.hintName == name && at.Sub(d.hintedAt) <= departureHintRetention
+}
+
+// list returns the departures that are not acknowledged.
+func (d *departures) list() []*pendingDeparture {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.pending)
+}
+
+func (d *departures) anyPending() bool { return len(d.list()) > 0 }
+
+// acknowledge acknowledges departures, unless they were acknowledged before, and returns how many.
+func (d *departures) acknowledge(list []*pendingDeparture, now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	acknowledged := 0
+	for _, p := range list {
+		i := slices.Index(d.pending, p)
+		if i < 0 {
+			continue
+		}
+		d.pending = slices.Delete(d.pending, i, i+1)
+		p.timeout.Stop()
+		close(p.acknowledged)
+		d.hintedAt = now
+		acknowledged++
+	}
+	return acknowledged
+}
+
+// Depart records that the worker announced its departure, and returns a channel that is closed once
+// that may be acknowledged: after a leader has answered a report that was sent after the call, and
+// after maxAcknowledgementDelay in any case. The worker runs until then. Without this wait, its host
+// could stop, and the agent with it, while there is no leader to report to.
+//
+// A departure that does not name the incarnation of the session may be a late one of a previous
+// incarnation. It ends nothing by itself; see session.leftAsAnnounced.
+func (d *Driver) Depart(incarnation string) (acknowledge <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.session
+	p := &pendingDeparture{acknowledged: make(chan struct{})}
+	switch {
+	case s != nil && s.incarnation == incarnation:
+		s.recordDeparture()
+	case s == nil && d.departed[incarnation]:
+		close(p.acknowledged) // Its end has been reported.
+		return p.acknowledged
+	case s == nil || s.matchesWithoutStartTime(incarnation):
+		event.DepartureUnnamed.Write(d.logger, event.Worker(incarnation), event.PreviousWorker(incarnationOf(s)))
+		d.departures.recordHint(incarnation, d.opts.Now())
+	default:
+		d.recordDeparted(incarnation)
+	}
+	d.departures.add(p, func() { d.acknowledgeLate(incarnation, p) })
+	if s != nil {
+		s.requestReport()
+	}
+	return p.acknowledged
+}
+
+// add adds a departure, and calls late if it is not acknowledged in time.
+func (d *departures) add(p *pendingDeparture, late func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.timeout = time.AfterFunc(maxAcknowledgementDelay, late)
+	d.pending = append(d.pending, p)
+}
+
+// acknowledgeLate acknowledges a departure although no leader has answered.
+func (d *Driver) acknowledgeLate(incarnation string, p *pendingDeparture) {
+	if d.departures.acknowledge([]*pendingDeparture{p}, d.opts.Now()) > 0 {
+		event.DepartureUnconfirmed.Write(d.logger, event.Worker(incarnation))
+	}
+}
+
+// requestReport makes leaseLoop send a report at once.
+func (s *session) requestReport() {
+	select {
+	case s.reportRequested <- struct{}{}:
+	default:
+	}
+}
+
+// leftAsAnnounced reports whether the failure of a call proves that an incarnation has ended whose
+// departure was announced without naming it: it has answered before, drains, and no process listens in
+// its place. A call that is broken off or gets no answer proves nothing, because a network partition
+// has the same effect, and neither does a departure alone, because it may be late.
+func (s *session) leftAsAnnounced(err error) bool {
+	if !errors.Is(err, ErrNotListening) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clock.received.IsZero() || !s.announced.Worker.Draining {
+		return false
+	}
+	// What counts is when the worker ended: the agent may notice that later.
+	ended := s.callHistory.failedAt
+	if ended.IsZero() {
+		ended = s.d.opts.Now()
+	}
+	return s.d.departures.hints(jobqueue.ParseIncarnation(s.incarnation).WorkerID, ended)
+}
+
+// AwaitDeparture returns once no departure of the worker is left to report, or when ctx ends. An agent
+// that is stopped calls it while it still serves, because its host may be stopped together with its
+// worker.
+func (d *Driver) AwaitDeparture(ctx context.Context) {
+	for ctx.Err() == nil && d.expectsDeparture() {
+		sleep(ctx, departurePollInterval)
+	}
+}
+
+// expectsDeparture reports whether the worker has departed or is about to, and the leader has not
+// acknowledged the report of its end.
+func (d *Driver) expectsDeparture() bool {
+	s := d.current()
+	return d.departures.anyPending() || s != nil && (s.isLeaving() || len(s.pendingEnds()) > 0)
+}
+
+// isLeaving reports whether the incarnation drains, has announced its departure or has ended.
+func (s *session) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced.Departed || s.announced.Worker.Draining || s.end != nil
+}
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -79,6 +78,7 @@
 	lease hostLease
 	// previousCallsUntil is until when the worker may carry out calls of a previous agent.
 	previousCallsUntil time.Time
+	departures         departures
 
 	mu      sync.Mutex
 	session *session
@@ -132,12 +132,13 @@
 		return s.updateAnnouncement(a)
 	default:
 		event.WorkerFound.Write(d.logger, event.Worker(id), event.PreviousWorker(incarnationOf(s)))
+		a.Departed = a.Departed || d.departures.hints(id, d.opts.Now())
 		d.session = d.newSession(a)
 		d.session.previousIncarnations = d.recordServed(id)
 		if s != nil {
 			d.recordDeparted(s.incarnation)
 			s.cancel()
-			ends := append(s.pendingEnds(), s.departureReport())
+			ends := append(s.pendingEnds(), s.departureReport(endReplaced))
 			d.session.previousEnds = ends[max(0, len(ends)-maxServedIncarnations):]
 		}
 	}
@@ -156,24 +157,6 @@
 	return s == nil || s.incarnation == incarnation || d.workerConfirms(incarnation)
 }
 
-// Depart records that an incarnation reported its departure. An error means that the report does
-// not identify the incarnation of the worker; then nothing changes. Otherwise a late report of a
-// previous incarnation would end the session with the current one, whose tasks would continue and
-// be started elsewhere as well.
-func (d *Driver) Depart(incarnation string) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s := d.session
-	switch {
-	case s != nil && s.incarnation == incarnation:
-		s.recordDeparture()
-	case s != nil && s.matchesWithoutStartTime(incarnation):
-		return errors.Newf("departure of worker %.60q does not name its incarnation", incarnation)
-	}
-	d.recordDeparted(incarnation)
-	return nil
-}
-
 // maxServedIncarnations bounds the length of servedIncarnations, and the reports of their ends.
 const maxServedIncarnations = 16
 
--- a/agent/runs/expiry_test.go
+++ b/agent/runs/expiry_test.go
@@ -54,9 +54,7 @@
 		l.update(func() { l.orders = startOrders(2, 1) })
 		time.Sleep(time.Second)
 		l.update(func() { l.unavailable = true })
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		time.Sleep(time.Second) // The waiting renewal call has ended.
 		w.lostCall.Store("")
 		time.Sleep(4 * time.Second)
@@ -74,9 +72,7 @@
 		time.Sleep(2 * time.Second)
 		l.update(func() { l.orders = startOrders(2, 1) })
 		time.Sleep(2 * time.Second)
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		time.Sleep(3 * time.Second)
 		if _, reported := l.departure(); reported || len(w.Running()) != 1 {
 			t.Errorf("departure reported: %v, while the worker runs %v", reported, w.Running())
--- a/agent/runs/latestarts_test.go
+++ b/agent/runs/latestarts_test.go
@@ -108,9 +108,7 @@
 		for w.startCalls.Load() < 2 {
 			time.Sleep(time.Millisecond)
 		}
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			if _, departed := l.departure(); departed && len(w.Running()) > 0 {
@@ -134,9 +132,7 @@
 		for w.startCalls.Load() == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		time.Sleep(3 * statusInterval)
 		if _, departed := l.departure(); !departed || w.stopCalls.Load() == 0 {
 			t.Errorf("the departure is reported: %v; %d stops", departed, w.stopCalls.Load())
--- a/agent/runs/leaderchange_test.go
+++ b/agent/runs/leaderchange_test.go
@@ -75,9 +75,7 @@
 	withDriver(t, l, func(d *runs.Driver, _ *countingWorker) {
 		time.Sleep(previousCallsExpired)
 		l.term.Add(1)
-		if err := d.Depart("w1"); err != nil {
-			t.Fatal(err)
-		}
+		d.Depart("w1")
 		time.Sleep(2 * time.Second)
 		if !l.departed.Load() {
 			t.Error("the departure is not reported")
--- a/agent/runs/neversent_test.go
+++ b/agent/runs/neversent_test.go
@@ -19,9 +19,7 @@
 		"crash": {func(_ *testing.T, _ *runs.Driver, w *countingWorker) { w.Crash() }, departed},
 		"departure": {func(t *testing.T, d *runs.Driver, w *countingWorker) {
 			w.renewError.Store(&errNoListener)
-			if err := d.Depart("w1"); err != nil {
-				t.Fatal(err)
-			}
+			d.Depart("w1")
 		}, departed},
 		"next incarnation": {func(t *testing.T, d *runs.Driver, w *countingWorker) {
 			w.Spec.Id = "w1b"
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -14,23 +14,25 @@
 	"github.com/cairnlift/cairnlift/logging/event"
 )
 
-// reportDeparture reports to the leader that the incarnation has ended.
-func (s *session) reportDeparture(replaced bool) {
+// reportDeparture reports to the leader that the incarnation has ended, once it has.
+func (s *session) reportDeparture(proof endProof) {
 	s.d.mu.Lock()
 	s.d.recordDeparted(s.incarnation)
 	s.d.mu.Unlock()
-	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(replaced))
+	event.WorkerLeft.Write(s.d.logger, event.Worker(s.incarnation), event.Replaced(proof == endReplaced))
 	s.dropLease()
-	if !replaced {
-		s.awaitWorkerEnd()
+	if proof == endUnproved {
+		proof = s.awaitWorkerEnd()
 	}
 	s.endCalls()
-	end := s.departureReport()
+	end := s.departureReport(proof)
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+		departures := s.d.departures.list()
 		err := s.sendEnd(ctx, end)
 		cancel()
 		if err == nil {
+			s.d.departures.acknowledge(departures, s.d.opts.Now())
 			return
 		}
 		s.sleep(retryInterval)
@@ -41,25 +43,27 @@
 // nothing when no start can arrive any more, no process listens in its place, another incarnation
 // answers, or its lease has expired. A worker whose departure report was not acknowledged continues
 // for seconds, and tasks that the leader recorded as lost meanwhile would run elsewhere as well. A
-// call that is refused or lost proves nothing.
-func (s *session) awaitWorkerEnd() {
+// call that is refused or lost proves nothing. It returns the proof that the worker has ended, if there
+// is one.
+func (s *session) awaitWorkerEnd() endProof {
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
 		s.barAllStarts()
 		requested := s.d.opts.Now()
 		status, answer, err := s.renew(s.alive, 0)
 		switch {
 		case errors.Is(err, ErrNotListening):
-			return
+			return endNotListening
 		case err == nil && answer == AnswerOtherIncarnation:
-			return
+			return endReplaced
 		case err == nil && answer == AnswerDone:
 			s.recordStatus(status, requested, s.d.opts.Now())
 			if s.startsSettled() && len(status.Running) == 0 && !status.Partial {
-				return
+				return endUnproved
 			}
 		}
 		s.sleep(retryInterval)
 	}
+	return endUnproved
 }
 
 // reportPreviousEnds reports to the leader that previous incarnations have ended. The first report of this
@@ -192,10 +196,13 @@
 }
 
 // sendNumbered sends a report under the session's number. A leader accepts only numbers that it
-// issued, so the report is sent again under a number of the leader that rejected the first one.
+// issued, so the report is sent again under a number of the leader that rejected the first one. The
+// report of a proved end needs no number; leaders of an earlier release reject it under an old one.
 func (s *session) sendNumbered(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	if err := s.obtainNumber(ctx); err != nil {
-		return nil, err
+	if !r.Ended {
+		if err := s.obtainNumber(ctx); err != nil {
+			return nil, err
+		}
 	}
 	resp, err := s.send(ctx, r)
 	if err != nil || !s.needsNewNumber(resp) {
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -28,6 +28,8 @@
 	unleased    context.Context
 	endUnleased context.CancelFunc
 	startSlots  chan struct{}
+	// reportRequested makes leaseLoop report without waiting for a run to end.
+	reportRequested chan struct{}
 	// calls are the calls of the worker in progress. They are started with mu held.
 	calls conc.WaitGroup
 	// id distinguishes the session from others of the same worker, and reportCount counts the
@@ -110,8 +112,8 @@
 		d: d, incarnation: a.Worker.Id, ctx: ctx, cancel: cancel, alive: alive, endAlive: endAlive,
 		unleased: unleased, endUnleased: endUnleased,
 		announced: a, announcedAt: d.opts.Now(), id: rand.Uint64(), term: d.term.Load(),
-		startSlots: make(chan struct{}, maxConcurrentStarts),
-		orders:     map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
+		startSlots: make(chan struct{}, maxConcurrentStarts), reportRequested: make(chan struct{}, 1),
+		orders: map[jobqueue.RunID]*order{}, refusals: map[jobqueue.RunID]string{}, callHistory: newCallHistory(),
 		startsInFlight: startsInFlight{}, reservations: newReservations(), runsPresent: map[jobqueue.RunID]bool{},
 	}
 }
@@ -194,6 +196,9 @@
 	wait := time.Duration(0)
 	for s.ctx.Err() == nil {
 		s.reportPreviousEnds()
+		if s.d.departures.anyPending() {
+			wait = 0
+		}
 		r := s.renewRepeatedly(s.alive, wait)
 		status, answer, err := r.status, r.answer, r.err
 		if answer == AnswerOtherIncarnation {
@@ -203,8 +208,14 @@
 		switch {
 		case s.ctx.Err() != nil:
 			return
-		case replaced || s.announcement().Departed:
-			s.reportDeparture(replaced)
+		case replaced:
+			s.reportDeparture(endReplaced)
+			return
+		case s.leftAsAnnounced(err):
+			s.reportDeparture(endNotListening)
+			return
+		case s.announcement().Departed && (errors.Is(err, ErrNotListening) || !s.d.departures.anyPending()):
+			s.reportDeparture(endUnproved)
 			return
 		case err == nil && answer == AnswerFenced:
 			// A restarted agent does not know the term until the leader reports it. Nothing is
@@ -232,8 +243,12 @@
 		}
 		s.reviewStops(status, r.requestedAt)
 		endWatch := s.watchWorker()
+		departures := s.d.departures.list()
 		reported := s.report(s.withoutUnconfirmedEnds(status, r.receivedAt), r.receivedAt)
 		endWatch()
+		if reported {
+			s.d.departures.acknowledge(departures, s.d.opts.Now())
+		}
 		wait = renewalWait
 		if !reported || status.Partial {
 			// An end that cannot be read is never acknowledged, so the worker would answer each
@@ -330,8 +345,8 @@
 // on the same host and answers within a millisecond or not at all.
 const renewalOverdue = 100 * time.Millisecond
 
-// renewRepeatedly renews the lease. If the answer is overdue, it makes a second call beside the first
-// and returns the first result of either. Otherwise an answer that was lost would hide for the whole
+// renewRepeatedly renews the lease. If the answer is overdue or a report is requested, it makes a second
+// call beside the first and returns the first result of either. Otherwise an answer that was lost would hide for the whole
 // timeout which runs have ended, and a run that ended in that time would count as crashed if its
 // worker crashes.
 func (s *session) renewRepeatedly(ctx context.Context, wait time.Duration) renewalResult {
@@ -355,6 +370,7 @@
 	case r := <-results:
 		return r
 	case <-overdue.C:
+	case <-s.reportRequested:
 	}
 	call(0)
 	return <-results
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -77,6 +77,10 @@
 	available, complete := s.availability(id)
 	shortage := available.ShortageFor(jobqueue.ResourcesOf(o.start.GetReserved()))
 	leased := s.leaseDeadlineMs > 0 && !s.clock.received.IsZero() && o.epoch == s.epoch
+	if s.announced.Departed {
+		// The worker ends soon. Its lease is renewed until its departure is acknowledged.
+		leased = false
+	}
 	switch {
 	case s.finished || o.stop || s.isVoid(o):
 		return startCall{}, false, true
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -74,6 +74,8 @@
 	WorkerFound             = declare(Runs, Rare, "worker found", NameWorker, "before")
 	WorkerAbsent            = declare(Runs, Rare, "no worker is known", "silent")
 	WorkerLeft              = declare(Runs, Rare, "worker left", NameWorker, "replaced")
+	DepartureUnnamed        = declare(Runs, Rare, "departure does not name the incarnation", NameWorker, "before")
+	DepartureUnconfirmed    = declare(Runs, Warning, "departure is acknowledged without a leader", NameWorker)
 	UnknownRunsStopped      = declare(Runs, Warning, "runs that the leader does not know are stopped", NameWorker, "running")
 	WorkerClockWentBack     = declare(Runs, Warning, "worker's clock went back", NameWorker, "clock_ms", "clock_before_ms", "acknowledged")
 	AnnouncementUnconfirmed = declare(Runs, Rare, "announcement of an incarnation that does not answer", NameWorker)
