platform, dispatch: workers of the simulations depart by their ids alone

Cause: departures in the simulations named the start time, or were ended by the next incarnation within half a second, so an ignored one did no harm.

Change: in the plays of even seeds workers announce their departures by id alone. They work on for some time in half of the cases, while connections break, the leader changes as they end, and the next incarnation comes late.

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -53,8 +54,10 @@
 	hosts          []*simulatedHost
 	submitted      []*apiv1.JobSpec
 	faultFree      bool
-	mu             sync.Mutex
-	loops          sync.WaitGroup
+	// departsByID means that workers also leave, and announce that by their ids alone.
+	departsByID bool
+	mu          sync.Mutex
+	loops       sync.WaitGroup
 	// logBuffer contains the logs of all components, printed when a check failed.
 	logBuffer *bytes.Buffer
 	logger    *zap.Logger
@@ -75,6 +78,12 @@
 	pool         string
 	// poweredOff means that the host is switched off, so its worker announces nothing.
 	poweredOff bool
+	// departed means that the worker has ended, and nothing listens in its place. brokenCalls is the
+	// number of further calls whose connections break.
+	departed    bool
+	brokenCalls int
+	// agents counts the agents of the host.
+	agents int
 	// lastReport is the last report that was not an expiry report.
 	lastReport *apiv1.JobsReportRequest
 }
@@ -115,6 +124,7 @@
 		h.worker.Crash()
 	}
 	h.incarnations++
+	h.departed = false
 	// Most incarnations have the same id as the previous one.
 	incarnation := jobqueue.Incarnation{WorkerID: fmt.Sprintf("%s-%d", h.name, h.incarnations/incarnationsPerID), StartedMs: int64(h.incarnations)}
 	h.worker = fakes.NewRunWorker(&apiv1.JobWorker{
@@ -135,6 +145,7 @@
 	driver := runs.New(runs.Options{Host: h.name, Worker: currentWorker{h}, Leader: h, Logger: h.s.logger})
 	h.mu.Lock()
 	h.driver, h.stop = driver, cancel
+	h.agents++
 	h.mu.Unlock()
 	h.ForgetLeader()
 	h.s.loops.Go(func() { driver.Run(ctx) })
@@ -143,34 +154,61 @@
 // currentWorker calls the incarnation that is on the host.
 type currentWorker struct{ h *simulatedHost }
 
-func (w currentWorker) current() *fakes.RunWorker {
+// errBroken is the error of a call whose connection breaks.
+var errBroken = errors.New("EOF")
+
+// current returns the incarnation, or the error of a call that can't reach it.
+func (w currentWorker) current() (*fakes.RunWorker, error) {
 	w.h.mu.Lock()
 	defer w.h.mu.Unlock()
-	return w.h.worker
+	switch {
+	case w.h.departed:
+		return nil, errors.Mark(runs.ErrNotListening, runs.ErrNotSent)
+	case w.h.brokenCalls > 0:
+		w.h.brokenCalls--
+		return nil, errBroken
+	}
+	return w.h.worker, nil
 }
 
 func (w currentWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
-	return w.current().Start(ctx, o, s)
+	worker, err := w.current()
+	if err != nil {
+		return 0, err
+	}
+	return worker.Start(ctx, o, s)
 }
 
 func (w currentWorker) Stop(ctx context.Context, o runs.Order, id jobqueue.RunID) (runs.Answer, error) {
-	return w.current().Stop(ctx, o, id)
+	worker, err := w.current()
+	if err != nil {
+		return 0, err
+	}
+	return worker.Stop(ctx, o, id)
 }
 
 func (w currentWorker) Pace(ctx context.Context, o runs.Order, id jobqueue.RunID, percent uint32) (runs.Answer, error) {
-	return w.current().Pace(ctx, o, id, percent)
+	worker, err := w.current()
+	if err != nil {
+		return 0, err
+	}
+	return worker.Pace(ctx, o, id, percent)
 }
 
 func (w currentWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
-	return w.current().Renew(ctx, o, r)
+	worker, err := w.current()
+	if err != nil {
+		return runs.Status{}, 0, err
+	}
+	return worker.Renew(ctx, o, r)
 }
 
 // announce announces the worker to its agent.
 func (h *simulatedHost) announce(sequence uint64) {
 	h.mu.Lock()
-	worker, driver, poweredOff := h.worker, h.driver, h.poweredOff
+	worker, driver, silent := h.worker, h.driver, h.poweredOff || h.departed
 	h.mu.Unlock()
-	if poweredOff {
+	if silent {
 		return
 	}
 	if err := driver.Announce(runs.Announcement{Worker: worker.Description(), Sequence: sequence}); err != nil {
@@ -298,6 +336,10 @@
 func (s *sim) injectFault() {
 	h := s.hosts[s.intN(len(s.hosts))]
 	duration := time.Duration(500+s.intN(8000)) * time.Millisecond
+	if s.departsByID && s.intN(2) == 0 {
+		s.loops.Go(func() { s.busiestHost(h).depart() })
+		return
+	}
 	switch s.intN(4) {
 	case 0:
 		h.SetPartitioned(true)
@@ -333,15 +375,23 @@
 // Guards against a task that runs in two places, after it was finished, or beyond a worker's
 // capacity, and against an accepted job that never finishes. Any fault in leases, fencing, run
 // numbers, ends or their order can cause this. Jobs arrive while agents are partitioned and
-// restarted, workers crash and return, leaders change, and orders are lost or executed ten seconds
-// late.
+// restarted, workers crash or depart and return, leaders change, and orders are lost or executed ten
+// seconds late.
 func TestJobsUnderFaults(t *testing.T) {
 	// The library's goroutine for meters would otherwise belong to the first test's virtual time.
 	runSeeds(t, 60, 4, runJobsUnderFaults)
 }
 
 func runJobsUnderFaults(t *testing.T, s *sim, seed uint64) {
+	s.departsByID = seed%2 == 0
 	s.sleep(3 * time.Second)
+	if s.departsByID {
+		// Short tasks end while their worker drains.
+		s.longRunningJob = "set"
+		s.submitJob(&apiv1.JobSpec{Id: s.longRunningJob, Host: simHost, Path: "/q/set", Steps: []*apiv1.JobStep{
+			{Count: 5, CpuMilli: 300, MemoryMb: 300, LongRunning: true},
+		}})
+	}
 	for i := range 12 {
 		s.submit(i)
 		if s.intN(2) == 0 {
