agent/runs, dispatch: tests of departures by id alone and of proved ends

Cause: such a departure may be late, lost, early or untrue, and its report may meet a new leader, a later session or none.

Change: tests with small fakes of each of these; of the acknowledgement with a leader, after a change of the leader and without one; of a stopping agent; and of proved ends that come from earlier sessions, twice, or after the next incarnation.

--- /dev/null
+++ b/agent/runs/departures_test.go
@@ -0,0 +1,214 @@
+package runs_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cairnlift/cairnlift/agent/runs"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fakes"
+)
+
+// errBroken is the error of a call whose connection ended before the answer.
+var errBroken = errors.New("EOF")
+
+// leaving runs a driver with a worker that has a start time and is not announced yet.
+type leaving struct {
+	t        *testing.T
+	l        *leader
+	d        *runs.Driver
+	w        *countingWorker
+	sequence uint64
+}
+
+func withLeavingWorker(t *testing.T, l *leader, f func(*leaving)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		watch := fakes.NewRunChecker()
+		watch.AddJob(&apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 2}}})
+		w := &countingWorker{RunWorker: fakes.NewRunWorker(workerSpec("w1@5"), watch)}
+		w.Fault = w.fault
+		d := runs.New(runs.Options{Worker: w, Leader: l})
+		defer runDriver(d)()
+		f(&leaving{t: t, l: l, d: d, w: w})
+	})
+}
+
+func (h *leaving) announce() {
+	h.t.Helper()
+	h.sequence++
+	announce(h.t, h.d, runs.Announcement{Worker: h.w.Description(), Sequence: h.sequence})
+}
+
+func (h *leaving) drain() {
+	h.w.Drain()
+	h.announce()
+}
+
+func (h *leaving) fail(err error) { h.w.renewError.Store(&err) }
+
+// provedEnds returns the incarnations whose end was reported, and whether each of them was proved.
+func (l *leader) provedEnds() (ended []string, proved bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	proved = true
+	for _, r := range l.reports {
+		if r.Departed {
+			ended, proved = append(ended, r.Worker.Id), proved && r.Ended
+		}
+	}
+	return ended, proved
+}
+
+// Guards against long-running tasks that wait for a lease although their worker ended as it announced by
+// its id alone, and against tasks on two workers because such a departure is believed too soon.
+func TestDepartureByIDAlone(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	depart := func(h *leaving) { h.d.Depart("w1") }
+	for name, test := range map[string]struct {
+		play func(*leaving)
+		want []string
+	}{
+		"drains and ends": {func(h *leaving) { h.drain(); depart(h); h.fail(errNoListener) }, []string{"w1@5"}},
+		"connection breaks, then it ends": {func(h *leaving) {
+			h.drain()
+			depart(h)
+			h.fail(errBroken)
+			time.Sleep(pause)
+			h.fail(errNoListener)
+		}, []string{"w1@5"}},
+		"departure arrives after the end": {func(h *leaving) { h.drain(); h.fail(errNoListener); time.Sleep(pause); depart(h) }, []string{"w1@5"}},
+		"acknowledgement is lost": {func(h *leaving) {
+			h.drain()
+			depart(h)
+			time.Sleep(4900 * time.Millisecond)
+			h.fail(errNoListener)
+		}, []string{"w1@5"}},
+		"drain is announced after the departure": {func(h *leaving) { depart(h); h.drain(); h.fail(errNoListener) }, []string{"w1@5"}},
+		"another incarnation answers": {func(h *leaving) { depart(h); h.w.Crash() }, []string{"w1@5"}},
+		"works on":                    {func(h *leaving) { h.drain(); depart(h) }, nil},
+		"does not drain":              {func(h *leaving) { depart(h); h.fail(errNoListener) }, nil},
+		"no departure":                {func(h *leaving) { h.drain(); h.fail(errNoListener) }, nil},
+		"departure of another worker": {func(h *leaving) { h.drain(); h.d.Depart("w2"); h.fail(errNoListener) }, nil},
+		"connections break":           {func(h *leaving) { h.drain(); depart(h); h.fail(errBroken) }, nil},
+		"calls get no answer":         {func(h *leaving) { h.drain(); depart(h); h.w.lostCall.Store(allCalls) }, nil},
+		"ends long after it": {func(h *leaving) {
+			h.drain()
+			depart(h)
+			time.Sleep(6 * time.Second)
+			h.fail(errNoListener)
+		}, nil},
+		"late departure at the next incarnation, which drains": {func(h *leaving) {
+			h.w.Spec.Id = "w1@6"
+			h.announce()
+			h.drain()
+			time.Sleep(pause)
+			depart(h)
+		}, []string{"w1@5"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * time.Second)
+				test.play(h)
+				time.Sleep(time.Second)
+				if ended, proved := l.provedEnds(); !slices.Equal(ended, test.want) || !proved {
+					t.Errorf("reported the ends of %v, proved: %v, want %v", ended, proved, test.want)
+				}
+				if last := l.lastReport(); test.want == nil && h.w.renewError.Load() == nil && h.w.lostCall.Load() == nil && len(last.Running) == 0 {
+					t.Errorf("the worker's run is not reported any more: %v", last)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a departure that an agent ignores because it was started after the worker's last
+// announcement.
+func TestDepartureBeforeFirstAnnouncement(t *testing.T) {
+	for _, name := range []string{"w1", "w1@5"} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: idleOrders()}
+			withLeavingWorker(t, l, func(h *leaving) {
+				acknowledge := h.d.Depart(name)
+				time.Sleep(500 * time.Millisecond)
+				h.drain()
+				<-acknowledge
+				if l.firstReportOf("w1@5") == nil {
+					t.Fatal("the departure is acknowledged before a report")
+				}
+				h.fail(errNoListener)
+				time.Sleep(time.Second)
+				if ended, proved := l.provedEnds(); !slices.Equal(ended, []string{"w1@5"}) || !proved {
+					t.Errorf("reported the ends of %v, proved: %v", ended, proved)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an agent whose host stops with it while there is no leader to report to, and against a
+// worker that counts as not served because it waits for its acknowledgement.
+func TestDepartureIsAcknowledgedOnceLeaderAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		leaderAfter time.Duration // 0: there is one, below 0: none comes
+		min, max    time.Duration
+	}{
+		"leader":                {0, 0, 100 * time.Millisecond},
+		"leader after a change": {2 * time.Second, 2 * time.Second, 2500 * time.Millisecond},
+		"no leader":             {-1, 4 * time.Second, 4 * time.Second},
+	} {
+		for _, departing := range []string{"w1", "w1@5"} {
+			t.Run(name+", "+departing, func(t *testing.T) {
+				l := &leader{epoch: 1, orders: startOrders(1, 1)}
+				withLeavingWorker(t, l, func(h *leaving) {
+					h.announce()
+					time.Sleep(2200 * time.Millisecond)
+					h.drain()
+					l.update(func() { l.unavailable = test.leaderAfter != 0 })
+					if test.leaderAfter > 0 {
+						time.AfterFunc(test.leaderAfter, func() { l.update(func() { l.unavailable = false }) })
+					}
+					sent := time.Now()
+					<-h.d.Depart(departing)
+					if waited := time.Since(sent); waited < test.min || waited > test.max {
+						t.Errorf("acknowledged after %v", waited)
+					}
+					if len(h.w.Running()) == 0 {
+						t.Error("the run ended before the departure was acknowledged")
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a departure that is lost because its agent is stopped while there is no leader, or
+// because its report reached none: the agent repeats it within its grace period.
+func TestStoppingAgentReportsDeparture(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withLeavingWorker(t, l, func(h *leaving) {
+		h.announce()
+		time.Sleep(2 * time.Second)
+		grace, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		before := time.Now()
+		if h.d.AwaitDeparture(grace); time.Since(before) > 0 {
+			t.Error("the agent of a worker that stays waits")
+		}
+		h.drain()
+		<-h.d.Depart("w1")
+		h.fail(errNoListener)
+		l.update(func() { l.unavailable = true })
+		time.AfterFunc(2*time.Second, func() { l.update(func() { l.unavailable = false }) })
+		h.d.AwaitDeparture(grace)
+		if ended, proved := l.provedEnds(); len(ended) != 1 || !proved || grace.Err() != nil {
+			t.Errorf("reported the ends of %v, proved: %v, grace period: %v", ended, proved, grace.Err())
+		}
+	})
+}
--- a/dispatch/latedeparture_test.go
+++ b/dispatch/latedeparture_test.go
@@ -307,3 +307,90 @@
 		}
 	})
 }
+
+// provedEnd returns the report that the session's incarnation has certainly ended.
+func (s *scriptedSession) provedEnd() *apiv1.JobsReportRequest {
+	r := s.departure()
+	r.Ended = true
+	return r
+}
+
+// Guards against runs that stay assigned to a worker that has certainly ended, because the session of its
+// report is not the newest one that the leader knows or was numbered by an earlier leader; and against a
+// lease or a run for an ended worker.
+func TestProvedEndCountsWhicheverSessionReportsIt(t *testing.T) {
+	for name, test := range map[string]struct{ leaderChanges, laterSession bool }{
+		"new leader":                     {leaderChanges: true},
+		"later session":                  {laterSession: true},
+		"later session and new leader":   {leaderChanges: true, laterSession: true},
+		"same leader and newest session": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSim(t, 1, 0, func(t *testing.T, s *sim) {
+				s.sleep(time.Second)
+				r := &expiryHarness{t, s}
+				session := r.startSession(1)
+				session.send()
+				s.submitLongRunning("q", "set")
+				s.waitForRun("set", 1)
+				delayed, newest := session.next(), session
+				if test.laterSession {
+					newest = r.startSession(2)
+					newest.send()
+				}
+				if test.leaderChanges {
+					r.changeLeader()
+				}
+				end := session.provedEnd()
+				for range 2 { // The agent repeats it if the answer is lost.
+					if got := r.report(end); got.NotLeader || got.SessionSuperseded {
+						t.Errorf("the report is rejected: %v", got)
+					}
+					if len(s.runsOn("w1")) > 0 {
+						t.Error("the run is still assigned to the worker")
+					}
+				}
+				for _, late := range []*apiv1.JobsReportRequest{delayed, newest.next()} {
+					if got := r.report(late); got.LeaseMs > 0 {
+						t.Errorf("the ended worker gets a lease: %v", got)
+					}
+				}
+				if got := newest.send(); got.LeaseMs > 0 || len(s.runsOn("w1")) > 0 {
+					t.Errorf("the ended worker gets a lease or a run: %v", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a healthy worker whose runs are lost: the proved end of an earlier incarnation arrives
+// after its successor's reports, also at a new leader that has not heard the successor.
+func TestLateProvedEndKeepsNextIncarnation(t *testing.T) {
+	for name, leaderChanges := range map[string]bool{"same leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			runSim(t, 1, 0, func(t *testing.T, s *sim) {
+				s.sleep(time.Second)
+				r := &expiryHarness{t, s}
+				previous := r.startSessionWith("w@100", 1)
+				previous.send()
+				end := previous.provedEnd()
+				s.sleep(3 * time.Second) // A worker that reported recently is not replaced.
+				present := r.startSessionWith("w@200", 2)
+				present.send()
+				s.submitLongRunning("q", "set")
+				s.waitForRun("set", 1)
+				present.send()
+				if leaderChanges {
+					r.changeLeader()
+				}
+				r.report(end)
+				if len(s.runsOn("w@200")) == 0 {
+					t.Error("the run is lost but continues")
+				}
+				if got := present.send(); got.LeaseMs == 0 {
+					t.Errorf("the present incarnation gets no lease: %v", got)
+				}
+			})
+		})
+	}
+}
