--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -47,6 +47,7 @@
 
 // pendingDeparture is a departure that is not acknowledged.
 type pendingDeparture struct {
+	name         string
 	acknowledged chan struct{}
 	timeout      *time.Timer
 }
@@ -87,7 +88,9 @@
 		d.pending = slices.Delete(d.pending, i, i+1)
 		p.timeout.Stop()
 		close(p.acknowledged)
-		d.hintedAt = now
+		if p.name == d.hintName {
+			d.hintedAt = now
+		}
 		acknowledged++
 	}
 	return acknowledged
@@ -104,7 +107,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.session
-	p := &pendingDeparture{acknowledged: make(chan struct{})}
+	p := &pendingDeparture{name: incarnation, acknowledged: make(chan struct{})}
 	switch {
 	case s != nil && s.incarnation == incarnation:
 		s.recordDeparture()
@@ -117,7 +120,7 @@
 	default:
 		d.recordDeparted(incarnation)
 	}
-	d.departures.add(p, func() { d.acknowledgeLate(incarnation, p) })
+	d.departures.add(p, func() { d.acknowledgeLate(p) })
 	if s != nil {
 		s.requestReport()
 	}
@@ -133,9 +136,9 @@
 }
 
 // acknowledgeLate acknowledges a departure although no leader has answered.
-func (d *Driver) acknowledgeLate(incarnation string, p *pendingDeparture) {
+func (d *Driver) acknowledgeLate(p *pendingDeparture) {
 	if d.departures.acknowledge([]*pendingDeparture{p}, d.opts.Now()) > 0 {
-		event.DepartureUnconfirmed.Write(d.logger, event.Worker(incarnation))
+		event.DepartureUnconfirmed.Write(d.logger, event.Worker(p.name))
 	}
 }
 
--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -67,7 +67,10 @@
 // Guards against long-running tasks that wait for a lease although their worker ended as it announced by
 // its id alone, and against tasks on two workers because such a departure is believed too soon.
 func TestDepartureByIDAlone(t *testing.T) {
-	const pause = 500 * time.Millisecond
+	const (
+		pause           = 500 * time.Millisecond
+		longerThanLease = 8 * time.Second
+	)
 	depart := func(h *leaving) { h.d.Depart("w1") }
 	for name, test := range map[string]struct {
 		play func(*leaving)
@@ -89,13 +92,13 @@
 			h.fail(errNoListener)
 		}, []string{"w1@5"}},
 		"drain is announced after the departure": {func(h *leaving) { depart(h); h.drain(); h.fail(errNoListener) }, []string{"w1@5"}},
-		"another incarnation answers": {func(h *leaving) { depart(h); h.w.Crash() }, []string{"w1@5"}},
-		"works on":                    {func(h *leaving) { h.drain(); depart(h) }, nil},
-		"does not drain":              {func(h *leaving) { depart(h); h.fail(errNoListener) }, nil},
-		"no departure":                {func(h *leaving) { h.drain(); h.fail(errNoListener) }, nil},
-		"departure of another worker": {func(h *leaving) { h.drain(); h.d.Depart("w2"); h.fail(errNoListener) }, nil},
-		"connections break":           {func(h *leaving) { h.drain(); depart(h); h.fail(errBroken) }, nil},
-		"calls get no answer":         {func(h *leaving) { h.drain(); depart(h); h.w.lostCall.Store(allCalls) }, nil},
+		"another incarnation answers":            {func(h *leaving) { depart(h); h.w.Crash() }, []string{"w1@5"}},
+		"works on":                               {func(h *leaving) { h.drain(); depart(h) }, nil},
+		"does not drain":                         {func(h *leaving) { depart(h); h.fail(errNoListener) }, nil},
+		"no departure":                           {func(h *leaving) { h.drain(); h.fail(errNoListener) }, nil},
+		"departure of another worker":            {func(h *leaving) { h.drain(); h.d.Depart("w2"); h.fail(errNoListener) }, nil},
+		"connections break":                      {func(h *leaving) { h.drain(); depart(h); h.fail(errBroken) }, nil},
+		"calls get no answer":                    {func(h *leaving) { h.drain(); depart(h); h.w.lostCall.Store(allCalls) }, nil},
 		"ends long after it": {func(h *leaving) {
 			h.drain()
 			depart(h)
@@ -116,12 +119,16 @@
 				h.announce()
 				time.Sleep(2 * time.Second)
 				test.play(h)
+				worksOn := len(h.w.Running()) > 0 && h.w.renewError.Load() == nil && h.w.lostCall.Load() == nil
+				if worksOn {
+					time.Sleep(longerThanLease)
+				}
 				time.Sleep(time.Second)
 				if ended, proved := l.provedEnds(); !slices.Equal(ended, test.want) || !proved {
 					t.Errorf("reported the ends of %v, proved: %v, want %v", ended, proved, test.want)
 				}
-				if last := l.lastReport(); test.want == nil && h.w.renewError.Load() == nil && h.w.lostCall.Load() == nil && len(last.Running) == 0 {
-					t.Errorf("the worker's run is not reported any more: %v", last)
+				if last := l.lastReport(); worksOn && len(last.Running) == 0 {
+					t.Errorf("the run of a worker that works on has ended: %v", last)
 				}
 			})
 		})
