--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -106,7 +106,7 @@
 			h.fail(errNoListener)
 		}, nil},
 		"late departure at the next incarnation, which drains": {func(h *leaving) {
-			h.w.Spec.Id = "w1@6"
+			h.w.SetIncarnation("w1@6")
 			h.announce()
 			h.drain()
 			time.Sleep(pause)
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -169,6 +169,15 @@
 	w.SetCapacity(capacity)
 }
 
+// SetIncarnation makes the worker answer as another incarnation.
+func (w *RunWorker) SetIncarnation(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spec := proto.CloneOf(w.Spec)
+	spec.Id = id
+	w.Spec = spec
+}
+
 // SetCapacity changes the capacity of the running worker.
 func (w *RunWorker) SetCapacity(r jobqueue.Resources) {
 	w.mu.Lock()
