--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -346,9 +346,9 @@
 const renewalOverdue = 100 * time.Millisecond
 
 // renewRepeatedly renews the lease. If the answer is overdue or a report is requested, it makes a second
-// call beside the first and returns the first result of either. Otherwise an answer that was lost would hide for the whole
-// timeout which runs have ended, and a run that ended in that time would count as crashed if its
-// worker crashes.
+// call beside the first and returns the first result of either. Otherwise an answer that was lost would
+// hide for the whole timeout which runs have ended, and a run that ended in that time would count as
+// crashed if its worker crashes.
 func (s *session) renewRepeatedly(ctx context.Context, wait time.Duration) renewalResult {
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan renewalResult, 2)
