schedule: long-running tasks are moved off a draining worker within their budget

A worker that drains kept its long-running tasks until it ended: the planner evacuated hosts before maintenance and moves only. All of its tasks of a set were then away at once, for as long as the leader did not know of the end. They are now stopped within the set's unavailable budget while the worker drains. Batch tasks stay: most end in time. TestDrainingWorkerIsEvacuatedWithinTheBudget fails without the change (no stop).

--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -16,15 +16,15 @@
 	maxEvacuationsPerRound = 8
 )
 
-// evacuate stops the runs on workers whose hosts are to go down, so that they continue elsewhere.
-// Serving tasks are stopped within their unavailable budget, tasks with checkpoints at once, and
-// the others after they have had time to end. Otherwise the maintenance would end all of them at
-// once, and the users of a step would find none of its tasks running.
+// evacuate stops the runs on workers that are to end, so that they continue elsewhere. Serving tasks
+// are stopped within their unavailable budget. Before maintenance, tasks with checkpoints are stopped
+// at once, and the others after they have had time to end. Otherwise the end of the worker would end
+// all of them at once, and the users of a step would find none of its tasks running.
 func (r *round) evacuate() {
 	since := map[string]time.Time{}
 	stops := 0
 	for _, s := range r.slots {
-		if !s.leaving {
+		if !s.leaving && !s.worker.Spec.Draining {
 			continue
 		}
 		worker := s.worker.Spec.Id
@@ -52,6 +52,10 @@
 		return false
 	case step.LongRunning:
 		return r.withinUnavailableBudget(run) && r.reserveElsewhere(run, s)
+	case !s.leaving:
+		// A draining worker runs for an unknown time, in which most batch tasks end. A move would cost
+		// them more than the work since their last checkpoint.
+		return false
 	case step.Checkpointing && !step.Gang || waited >= evacuationTimeout:
 		return r.reserveElsewhere(run, s)
 	}
--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
@@ -93,3 +95,39 @@
 		t.Fatalf("stopped %v in the end", stops)
 	}
 }
+
+// Guards against a long-running set that loses several tasks at once when a worker leaves in an
+// orderly way. The worker announces that it drains, and its tasks were left there until it ended.
+func TestDrainingWorkerIsEvacuatedWithinTheBudget(t *testing.T) {
+	r := newHarness(t)
+	r.addWorker("w1", 4000, 64_000)
+	step := servingTasks(3, 1000)
+	step.HasUnavailableBudget, step.UnavailableBudget = true, 1
+	r.submit("urgent", "s1", step)
+	r.submit("batch", "saves", &apiv1.JobStep{Count: 1, CpuMilli: 500, MemoryMb: 100, EstimatedMs: 60_000, Checkpointing: true})
+	r.startAll("w1", "s1")
+	r.plan()
+	r.addWorker("w2", 4000, 64_000)
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{Worker: draining(r.machine.Worker("w1").Spec)}}})
+	for moved := 1; moved <= 3; moved++ {
+		r.observeAll("w1", func(int) int64 { return 20 })
+		r.observeAll("w2", func(int) int64 { return 20 })
+		stops := r.plan().Stops
+		if len(stops) != 1 || stops[0].Task.Job != "s1" {
+			t.Fatalf("stopped %v as move %d", stops, moved)
+		}
+		r.reportEnd(jobqueue.RunID{Task: jobqueue.TaskIDOf(stops[0].Task), Number: stops[0].Run}, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+		r.plan()
+		r.advance(time.Second)
+	}
+	if left := r.runsOn("w1"); len(left) != 1 || left[0].Task.Job != "saves" {
+		t.Errorf("%v are left on the draining worker", left)
+	}
+}
+
+// draining returns the announcement of a worker that drains.
+func draining(w *apiv1.JobWorker) *apiv1.JobWorker {
+	announced := proto.CloneOf(w)
+	announced.Draining = true
+	return announced
+}
