--- a/account/account.go
+++ b/account/account.go
@@ -3,6 +3,10 @@
 package account
 
 import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -17,10 +21,16 @@
 	AvailabilityZone
 	// Address uses the caller's IP address, without the port.
 	Address
-	// Queue uses the name of the queue.
+	// Queue uses the host and path prefix of the queue.
 	Queue
 )
 
+// sourceNames are the names of the sources in settings.
+var sourceNames = map[string]Source{"none": None, "zone": AvailabilityZone, "address": Address, "queue": Queue}
+
+// SourceNames returns the names of all sources, as ParseRule accepts them.
+func SourceNames() []string { return []string{"none", "zone", "address", "queue"} }
+
 // Rule determines accounts. The zero Rule leaves all accounts empty.
 type Rule struct {
 	// Header is the name of the HTTP header in which callers name their account; empty if there is
@@ -30,6 +40,25 @@
 	Fallback Source
 }
 
+// ParseRule returns the rule that settings describe: the name of a header, empty for none, and the name
+// of a source, which may be empty for none.
+func ParseRule(header, source string) (Rule, error) {
+	if !isHeaderName(header) {
+		return Rule{}, errors.Newf("%q is not the name of a header", header)
+	}
+	fallback, known := sourceNames[source]
+	if !known && source != "" {
+		return Rule{}, errors.Newf("%q is not a source of client accounts: %s", source, strings.Join(SourceNames(), ", "))
+	}
+	return Rule{Header: header, Fallback: fallback}, nil
+}
+
+// isHeaderName reports whether a string is empty or consists of the characters that the names of HTTP
+// headers use.
+func isHeaderName(name string) bool {
+	return strings.IndexFunc(name, func(c rune) bool { return !allowedInName(c) || c == '.' }) < 0
+}
+
 // Origin is what is known of the caller of a submission. Fields that are not known are empty.
 type Origin struct {
 	// HeaderValue is the value of the rule's header.
@@ -75,11 +104,31 @@
 	}
 	switch r.Fallback {
 	case AvailabilityZone:
-		return o.AvailabilityZone, nil
+		return nameFrom(o.AvailabilityZone), nil
 	case Address:
-		return o.Address, nil
+		return nameFrom(o.Address), nil
 	case Queue:
-		return o.Queue, nil
+		return nameFrom(o.Queue), nil
 	}
 	return "", nil
 }
+
+// nameFrom returns a valid name for an availability zone, address or queue, empty for an empty string.
+// Characters that names may not contain, such as the colons of IPv6 addresses, become hyphens. The end
+// of a string that is too long is replaced by its hash, so that strings with the same beginning stay
+// apart.
+func nameFrom(s string) string {
+	name := strings.Map(func(c rune) rune {
+		if allowedInName(c) {
+			return c
+		}
+		return '-'
+	}, s)
+	if len(name) <= maxNameLength {
+		return name
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s)) // a hash accepts every write
+	suffix := fmt.Sprintf("-%08x", h.Sum32())
+	return name[:maxNameLength-len(suffix)] + suffix
+}
