jobqueue: limits of pending jobs, holds of queues and prioritized jobs

Jobs carry accounts, but nothing limited what an account or a queue may have waiting, and operators could not stop a queue or put a job first.

A start that was planned before the hold is refused when it is applied. PrioritizeJob sets a flag of an open job.

Pending jobs are counted by account and queue at each change of a job's state, so a submission scans nothing. Accounts, weights and limits of a configuration are validated.

--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cairnlift/cairnlift/account"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
 
@@ -37,6 +38,44 @@
 			return errors.Newf("queue %q requires a timeout greater than 0", q.Name)
 		}
 		locations[at] = true
+		if err := validateLimits(q.Limits); err != nil {
+			return errors.Wrapf(err, "queue %q", q.Name)
+		}
+	}
+	return validateAccounts(c.Accounts)
+}
+
+// minAccountWeight and maxAccountWeight bound the weight of a client account, so that shares over weights
+// stay well within the precision of the calculation.
+const (
+	minAccountWeight = 0.001
+	maxAccountWeight = 1000
+)
+
+func validateAccounts(list []*apiv1.AccountConfiguration) error {
+	names := map[string]bool{}
+	for _, a := range list {
+		if err := account.ValidateName(a.Name); err != nil {
+			return errors.Wrapf(err, "account %q", a.Name)
+		}
+		if names[a.Name] {
+			return errors.Newf("account %q is configured twice", a.Name)
+		}
+		names[a.Name] = true
+		inRange := a.Weight >= minAccountWeight && a.Weight <= maxAccountWeight
+		if a.Weight != 0 && !inRange { // NaN is not in the range
+			return errors.Newf("account %q requires a weight from %v to %v, or 0 for 1, not %v", a.Name, minAccountWeight, maxAccountWeight, a.Weight)
+		}
+		if err := validateLimits(a.Limits); err != nil {
+			return errors.Wrapf(err, "account %q", a.Name)
+		}
+	}
+	return nil
+}
+
+func validateLimits(l *apiv1.WorkLimits) error {
+	if l.GetCpuMilli() < 0 {
+		return errors.Newf("limit cpu_milli must not be negative, it is %d", l.CpuMilli)
 	}
 	return nil
 }
@@ -48,7 +87,7 @@
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 	}
 	if c.Version > m.configuration.Version {
-		m.configuration = c
+		m.setConfiguration(c)
 		m.failJobsWithoutAttempts()
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
--- a/jobqueue/crash.go
+++ b/jobqueue/crash.go
@@ -128,7 +128,7 @@
 	}
 	m.release(r)
 	if j := r.job; j.Open() && !j.Started && !j.Running() {
-		j.State = apiv1.JobState_JOB_STATE_QUEUED
+		m.setState(j, apiv1.JobState_JOB_STATE_QUEUED)
 	}
 }
 
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -25,7 +25,9 @@
 // Machine is the replicated state. It is not safe for concurrent use.
 type Machine struct {
 	configuration *apiv1.QueueConfiguration
-	jobs          map[string]*Job
+	// accounts maps the names of the configured client accounts to their configuration.
+	accounts map[string]*apiv1.AccountConfiguration
+	jobs     map[string]*Job
 	// active contains the jobs that are unfinished or still have runs.
 	active orderedMap[*Job]
 	// finished lists the IDs of finished jobs, oldest first.
@@ -45,6 +47,9 @@
 	hostOrders uint64
 	// cordons maps each availability zone to the newest order about it.
 	cordons map[string]*apiv1.ZoneCordon
+	// pendingByAccount and pendingByQueue count the accepted jobs that have not started.
+	pendingByAccount map[string]int
+	pendingByQueue   map[queueKey]int
 	// holds maps the name of each queue to the newest order about its hold.
 	holds map[string]*apiv1.QueueHold
 	// leaving contains the workers that are drained for maintenance or a move of their hosts.
@@ -73,6 +78,9 @@
 		cordons:       map[string]*apiv1.ZoneCordon{},
 		holds:         map[string]*apiv1.QueueHold{},
 
+		pendingByAccount: map[string]int{},
+		pendingByQueue:   map[queueKey]int{},
+
 		lastCrashEvent:  legacyCrashEvent,
 		pendingVerdicts: map[TaskID]int64{},
 	}
@@ -105,6 +113,10 @@
 		return m.advanceMove(body.MoveHost, leaderTerm)
 	case *apiv1.JobsCommand_SetCordon:
 		return m.setCordon(body.SetCordon)
+	case *apiv1.JobsCommand_SetQueueHold:
+		return m.setQueueHold(body.SetQueueHold)
+	case *apiv1.JobsCommand_Prioritize:
+		return m.prioritize(body.Prioritize)
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 }
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -86,7 +86,7 @@
 		t, _ := m.task(r.ID.Task)
 		t.LastRun = r.ID.Number
 		t.Crashes.RecordStart()
-		r.job.State = apiv1.JobState_JOB_STATE_RUNNING
+		m.setState(r.job, apiv1.JobState_JOB_STATE_RUNNING)
 	}
 }
 
@@ -100,6 +100,9 @@
 		return nil
 	}
 	j := m.jobs[id.Job]
+	if len(m.holds) > 0 && m.QueueHeld(m.QueueOf(j).GetName()) {
+		return nil // the queue was held after the plan was made
+	}
 	onProbation := s.NextRunOnProbation(int(id.Index))
 	if !m.mayRun(j, id, s, t, start.Run) || !m.MayRunOn(j, id, s.Spec, w) || !w.probationAllows(id) {
 		return nil
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -30,7 +30,7 @@
 	for _, e := range m.crashEvents {
 		out.Crashes = append(out.Crashes, e.record())
 	}
-	out.Cordons = m.Cordons()
+	out.Cordons, out.Holds = m.Cordons(), m.holdRecords()
 	out.LastCrash, out.PendingVerdicts = m.lastCrashEvent, m.pendingVerdictRecords()
 	return out
 }
@@ -40,6 +40,7 @@
 	r := &apiv1.SubmittedJobRecord{
 		Spec: j.Spec, Queue: j.Queue, State: j.State, Started: j.Started,
 		AcceptedMs: j.AcceptedMs, FinishedMs: j.FinishedMs, Failure: j.Failure, FailedRun: j.FailedRun,
+		Prioritized: j.Prioritized,
 	}
 	if j.Failure != apiv1.JobFailure_JOB_FAILURE_UNSPECIFIED {
 		r.FailedTask = j.FailedTask.Ref()
@@ -74,7 +75,7 @@
 	m := New()
 	m.nowMs = nowMs
 	if s.GetConfiguration() != nil {
-		m.configuration = s.Configuration
+		m.setConfiguration(s.Configuration)
 	}
 	m.learned = s.GetLearnt()
 	for _, r := range s.GetWorkers() {
@@ -88,6 +89,7 @@
 	}
 	m.hostOrders = s.GetHostOrders()
 	m.restoreCordons(s.GetCordons())
+	m.restoreHolds(s.GetHolds())
 	m.rebuildLeaving()
 	slices.SortStableFunc(m.departed, func(a, b string) int {
 		return cmp.Compare(m.workers.get(a).DepartedMs, m.workers.get(b).DepartedMs)
@@ -125,11 +127,13 @@
 	j := &Job{
 		Spec: r.Spec, Queue: r.Queue, State: r.State, Started: r.Started,
 		AcceptedMs: r.AcceptedMs, FinishedMs: r.FinishedMs, Failure: r.Failure, FailedRun: r.FailedRun,
+		Prioritized: r.Prioritized,
 	}
 	if r.FailedTask != nil {
 		j.FailedTask = TaskIDOf(r.FailedTask)
 	}
 	m.jobs[j.ID()] = j
+	m.countPending(j, 1)
 	for k, or := range r.Occurrences {
 		if len(or.Steps) != len(j.Spec.Steps) {
 			return errors.Newf("job %s has %d steps, but its record has %d", j.ID(), len(j.Spec.Steps), len(or.Steps))
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"github.com/cairnlift/cairnlift/account"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
 
@@ -27,6 +28,9 @@
 	if spec.Occurrences > 0 && spec.IntervalMs < 0 {
 		return errors.New("interval between occurrences must not be negative")
 	}
+	if spec.Account != "" {
+		return errors.Wrap(account.ValidateName(spec.Account), "account")
+	}
 	return nil
 }
 
@@ -66,8 +70,12 @@
 	if len(m.jobs) >= MaxJobs {
 		return apiv1.JobOutcome_JOB_OUTCOME_FULL
 	}
+	if outcome := m.admit(spec, q); outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
+		return outcome
+	}
 	j := newJob(spec, q, m.nowMs)
 	m.jobs[spec.Id] = j
+	m.countPending(j, 1)
 	m.active.put(spec.Id, j)
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
@@ -115,7 +123,7 @@
 
 // finish sets the final state of a job and stops its runs.
 func (m *Machine) finish(j *Job, state apiv1.JobState) {
-	j.State = state
+	m.setState(j, state)
 	j.FinishedMs = m.nowMs
 	m.finished = append(m.finished, j.ID())
 	for _, o := range j.Occurrences {
