control, jobclient: orders about queues and jobs; refusals that may not hold are unknown

Operators' orders about queues and prioritized jobs reach the leader from any host. A submission that is refused as HELD or OVER_LIMIT after an attempt without a response is answered 'unknown': the earlier copy may be applied after the queue was released, and the caller would have been told that it never runs.

go test ./control ./jobclient passes; the case 'job refused, answer lost before' fails without the check in Forwarder.propose.

--- a/control/forwarder.go
+++ b/control/forwarder.go
@@ -100,6 +100,8 @@
 		return "", !repeatable
 	})
 	switch {
+	case result != nil && maybeSent && decidedAnew(result):
+		return nil, &UnknownError{Cause: "an earlier attempt without a response may still be committed: " + result.GetJob().String()}
 	case result != nil:
 		return result, nil
 	case maybeSent:
--- a/control/forwarder_test.go
+++ b/control/forwarder_test.go
@@ -49,13 +49,16 @@
 // A cancellation must not be applied a second time after an operator restored the job, and a
 // submission must not fail while another host leads. The response is lost, the leader does not know
 // the outcome, or hosts name each other as leader. A command without an identity of its own must
-// not be resent, and a command that was not proposed must be.
+// not be resent, and a command that was not proposed must be. A job must not be reported as refused
+// while an earlier copy of its submission may still be committed.
 func TestForwarderResendsOnlySafeCommands(t *testing.T) {
 	submit := submission("s", 0)
 	cancel := &apiv1.Command{Body: &apiv1.Command_Cancel{Cancel: &apiv1.Cancel{Jobs: []string{"j"}}}}
 	done := &apiv1.ProposeResponse{Result: accepted()}
 	unknown := &apiv1.ProposeResponse{Unknown: true}
 	notLeader := &apiv1.ProposeResponse{NotLeader: true}
+	job := &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{}}}}}
+	refused := &apiv1.ProposeResponse{Result: &apiv1.Result{Job: apiv1.JobOutcome_JOB_OUTCOME_HELD}}
 	for name, c := range map[string]struct {
 		cmd     *apiv1.Command
 		answers []*apiv1.ProposeResponse
@@ -69,6 +72,10 @@
 		"cancellation, answer lost":          {cancel, []*apiv1.ProposeResponse{nil, done}, 1, new(*UnknownError)},
 		"cancellation, leader does not know": {cancel, []*apiv1.ProposeResponse{unknown, done}, 1, new(*UnknownError)},
 		"cancellation, leader comes later":   {cancel, []*apiv1.ProposeResponse{notLeader, done}, 2, nil},
+		"job refused, answer lost before":    {job, []*apiv1.ProposeResponse{nil, refused}, 2, new(*UnknownError)},
+		"job refused at once":                {job, []*apiv1.ProposeResponse{refused}, 1, nil},
+		"job refused, leader comes later":    {job, []*apiv1.ProposeResponse{notLeader, refused}, 2, nil},
+		"job accepted, answer lost before":   {job, []*apiv1.ProposeResponse{nil, done}, 2, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			leader := &scriptedPeer{answers: c.answers}
--- a/control/wire.go
+++ b/control/wire.go
@@ -41,7 +41,8 @@
 func jobsProposableByPeers(cmd *apiv1.JobsCommand) bool {
 	switch cmd.GetBody().(type) {
 	case *apiv1.JobsCommand_PutQueues, *apiv1.JobsCommand_Submit, *apiv1.JobsCommand_Cancel,
-		*apiv1.JobsCommand_SetCordon, *apiv1.JobsCommand_PutWave, *apiv1.JobsCommand_RequestMove:
+		*apiv1.JobsCommand_SetCordon, *apiv1.JobsCommand_PutWave, *apiv1.JobsCommand_RequestMove,
+		*apiv1.JobsCommand_SetQueueHold, *apiv1.JobsCommand_Prioritize:
 		return true
 	}
 	return false
@@ -97,8 +98,19 @@
 		return true
 	case *apiv1.Command_Jobs:
 		// A job and its cancellation are identified by the job's id, a configuration by its version, a
-		// wave by its number, a move by its host and pool, and an order about an availability zone by the
-		// revision that it changes.
+		// wave by its number, a move by its host and pool, and an order about an availability zone or a
+		// queue by the revision that it changes. Operators only ever put a job first, so a repeated order
+		// changes nothing.
+		return true
+	}
+	return false
+}
+
+// decidedAnew reports whether a result refuses a job for a reason that may not hold for a copy of the
+// submission that is applied later. Such a copy may be on its way after an attempt without a response.
+func decidedAnew(r *apiv1.Result) bool {
+	switch r.GetJob() {
+	case apiv1.JobOutcome_JOB_OUTCOME_HELD, apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT:
 		return true
 	}
 	return false
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -242,10 +242,23 @@
 	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_SetCordon{SetCordon: o}})
 }
 
+// SetQueueHold holds or releases a queue; see propose for errors. Like a cordon, it is accepted once at
+// most.
+func (c *Client) SetQueueHold(ctx context.Context, o *apiv1.SetQueueHold) (apiv1.JobOutcome, error) {
+	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_SetQueueHold{SetQueueHold: o}})
+}
+
+// Prioritize puts a job before the others of its priority; see propose for errors.
+func (c *Client) Prioritize(ctx context.Context, id, operator string) (apiv1.JobOutcome, error) {
+	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Prioritize{
+		Prioritize: &apiv1.PrioritizeJob{Id: id, Prioritized: true, Operator: operator},
+	}})
+}
+
 // onlyLeaderAnswers are the reads that need what the leader knows beside the log.
 var onlyLeaderAnswers = map[apiv1.JobsReadKind]bool{
 	apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE: true, apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION: true,
-	apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS: true,
+	apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS: true, apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS: true,
 }
 
 // Read reads state that is confirmed to be the newest. Errors: ErrUnconfirmed.
