cordon, dispatch: orders about queues, prioritized jobs and the list of accounts

Operators had no way to hold a queue, to put a job first, or to see accounts.

cordon.Receiver takes orders about queues as it does about availability zones: it reads the queue's revision after it received the order and discards an order that may be older than its sender waits. The leader logs each change of a hold and answers the reads of accounts; share, refusals and next turn come from two interfaces in dispatch.Options that give 0 by default. Holds are read from any replica.

--- a/cordon/receiver.go
+++ b/cordon/receiver.go
@@ -1,8 +1,9 @@
-// Package cordon receives operators' orders to cordon and uncordon availability zones. Nothing starts in
-// a cordoned zone; what runs there continues.
+// Package cordon receives operators' orders to cordon and uncordon availability zones, and to hold and
+// release queues. Nothing starts in a cordoned zone or of a held queue; what runs there continues.
+// It also receives the orders to put a job before the others of its priority.
 //
 // An order has no number, so a copy of it that was held up must not take effect after a later order was
-// acknowledged. A receiver reads the zone's revision after it has received the order, and the replicated
+// acknowledged. A receiver reads the revision of the zone or queue after it has received the order, and the replicated
 // state accepts the order at that revision only: whatever is accepted in between makes it void. That
 // covers the time from the read on, with retries, forwarders and changes of leader. Before the read, an
 // order is discarded if it is older than its sender waits for an answer: by its age here, by a pause of
@@ -37,6 +38,8 @@
 type Log interface {
 	Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error)
 	SetCordon(ctx context.Context, c *apiv1.SetCordon) (apiv1.JobOutcome, error)
+	SetQueueHold(ctx context.Context, o *apiv1.SetQueueHold) (apiv1.JobOutcome, error)
+	Prioritize(ctx context.Context, id, operator string) (apiv1.JobOutcome, error)
 }
 
 // Order is an operator's order about an availability zone.
@@ -65,6 +68,8 @@
 	pauses             *pauses
 	accepted, rejected metrics.Counter
 	cordoned           metrics.Gauge
+	// holdsAccepted and holdsRejected count the orders about queues.
+	holdsAccepted, holdsRejected metrics.Counter
 }
 
 // NewReceiver returns a receiver. Run must be called for it to notice pauses.
@@ -83,6 +88,9 @@
 		accepted: metrics.GetOrRegisterCounter("zones.orders_accepted", o.Metrics),
 		rejected: metrics.GetOrRegisterCounter("zones.orders_rejected", o.Metrics),
 		cordoned: metrics.GetOrRegisterGauge("zones.cordoned", o.Metrics),
+
+		holdsAccepted: metrics.GetOrRegisterCounter("queues.orders_accepted", o.Metrics),
+		holdsRejected: metrics.GetOrRegisterCounter("queues.orders_rejected", o.Metrics),
 	}
 }
 
@@ -110,10 +118,11 @@
 	if jobqueue.ValidateZoneName(o.Zone) != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID, nil, nil
 	}
-	zones, err := r.readZones(ctx)
+	resp, err := r.read(ctx, apiv1.JobsReadKind_JOBS_READ_KIND_ZONES)
 	if err != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, nil, unavailable(err.Error())
 	}
+	zones := resp.Zones
 	zone, known := r.find(zones, o.Zone)
 	if !known {
 		return apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, nil, nil
@@ -127,15 +136,11 @@
 	return outcome, zones, err
 }
 
-// readZones reads the zones as they are after the call.
-func (r *Receiver) readZones(ctx context.Context) ([]*apiv1.ZoneRecord, error) {
+// read reads zones or queues as they are after the call.
+func (r *Receiver) read(ctx context.Context, kind apiv1.JobsReadKind) (*apiv1.JobsReadResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxOrderAge)
 	defer cancel()
-	resp, err := r.opts.Log.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ZONES})
-	if err != nil {
-		return nil, err
-	}
-	return resp.Zones, nil
+	return r.opts.Log.Read(ctx, &apiv1.JobsReadRequest{Kind: kind})
 }
 
 // find returns the record of a zone, nil if there is none, and whether the settings or the record know the
--- a/cordon/receiver_test.go
+++ b/cordon/receiver_test.go
@@ -76,7 +76,20 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &apiv1.JobsReadResponse{Outcome: ok, Zones: g.machine.Zones().Sorted()}, nil
+	return &apiv1.JobsReadResponse{Outcome: ok, Zones: g.machine.Zones().Sorted(), Queues: g.machine.Holds()}, nil
+}
+
+func (g *group) SetQueueHold(_ context.Context, o *apiv1.SetQueueHold) (apiv1.JobOutcome, error) {
+	call(&g.beforeSet)
+	outcome := g.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_SetQueueHold{SetQueueHold: o}})
+	call(&g.afterSet)
+	return outcome, nil
+}
+
+func (g *group) Prioritize(_ context.Context, id, operator string) (apiv1.JobOutcome, error) {
+	return g.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Prioritize{
+		Prioritize: &apiv1.PrioritizeJob{Id: id, Prioritized: true, Operator: operator},
+	}}), nil
 }
 
 func (g *group) SetCordon(_ context.Context, c *apiv1.SetCordon) (apiv1.JobOutcome, error) {
--- /dev/null
+++ b/dispatch/accounts.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"time"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+	"github.com/cairnlift/cairnlift/logging/event"
+	"github.com/cairnlift/cairnlift/state"
+)
+
+// AccountShares tells the dominant share of client accounts. It is called with the leader's state locked.
+type AccountShares interface {
+	// AccountShare returns the decayed dominant share of an account of the fleet's capacity.
+	AccountShare(account string) float64
+}
+
+// AccountRefusals tells which client accounts had submissions refused. It is called with the leader's
+// state locked.
+type AccountRefusals interface {
+	// AccountRefusals returns the number of submissions of an account that this leader refused, and the
+	// time until the next turn of one of their callers.
+	AccountRefusals(account string) (refused uint64, nextTurn time.Duration)
+}
+
+// noAccounts knows nothing about accounts.
+type noAccounts struct{}
+
+// AccountShare implements AccountShares.
+func (noAccounts) AccountShare(string) float64 { return 0 }
+
+// AccountRefusals implements AccountRefusals.
+func (noAccounts) AccountRefusals(string) (refused uint64, nextTurn time.Duration) { return 0, 0 }
+
+// readAccounts returns the client accounts with their use. Only the leader answers: the log does not
+// contain shares and refusals.
+func (d *Dispatcher) readAccounts() *apiv1.JobsReadResponse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.readyLeader() == nil {
+		return &apiv1.JobsReadResponse{Unconfirmed: true}
+	}
+	resp := &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		resp.Accounts = m.CallerJobs().AccountRecords(d.opts.Now().UnixMilli())
+		resp.ConfigurationVersion = m.CallerJobs().Configuration().Version
+	})
+	for _, a := range resp.Accounts {
+		var nextTurn time.Duration
+		a.Share = d.opts.Shares.AccountShare(a.Name)
+		a.Refused, nextTurn = d.opts.Refusals.AccountRefusals(a.Name)
+		a.NextTurnMs = nextTurn.Milliseconds()
+	}
+	return resp
+}
+
+// logHolds logs each order that held or released a queue and that this leader has not logged yet. A new
+// leader logs the queues that are held.
+func (d *Dispatcher) logHolds(l *leaderState, m *jobqueue.Machine) {
+	held := m.HeldQueues()
+	d.metrics.queuesHeld.Update(int64(len(held)))
+	for _, queue := range held {
+		if !l.loggedHolds[queue] {
+			l.loggedHolds[queue] = true
+			d.logHold(l.term, m.QueueHold(queue))
+		}
+	}
+	for queue := range l.loggedHolds {
+		if !m.QueueHeld(queue) {
+			delete(l.loggedHolds, queue)
+			d.logHold(l.term, m.QueueHold(queue))
+		}
+	}
+}
+
+func (d *Dispatcher) logHold(term uint64, h *apiv1.QueueHold) {
+	event.HoldInEffect.Write(d.logger, event.Term(term), event.Queue(h.Queue), event.Held(h.Held),
+		event.Revision(h.Revision), event.OrderedBy(h.Operator))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -83,6 +83,12 @@
 	if o.Members == nil {
 		o.Members = func() []string { return nil }
 	}
+	if o.Shares == nil {
+		o.Shares = noAccounts{}
+	}
+	if o.Refusals == nil {
+		o.Refusals = noAccounts{}
+	}
 	return &Dispatcher{
 		opts:         o,
 		logger:       event.Dispatch.Named(o.Logger),
@@ -197,6 +203,7 @@
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
 		d.logJobsAtCrashLimit(l, jobs)
 		d.logCordons(l, jobs)
+		d.logHolds(l, jobs)
 		l.prune(jobs, now)
 		l.batchedLog.flushIfDue(l.term, now)
 	})
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -53,9 +53,11 @@
 	crashLimitLoggedMs int64
 	// loggedCordons tells for each availability zone whether it was last logged to be cordoned.
 	loggedCordons map[string]bool
-	moves         *leaderMoves
-	outages       *outages
-	stops         *openStops
+	// loggedHolds tells for each queue whether it was last logged to be held.
+	loggedHolds map[string]bool
+	moves       *leaderMoves
+	outages     *outages
+	stops       *openStops
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -137,6 +139,7 @@
 		lostStarts:         lostStarts{},
 		overcommitted:      map[string]map[jobqueue.RunID]bool{},
 		loggedCordons:      map[string]bool{},
+		loggedHolds:        map[string]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
 		stops:              newOpenStops(),
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -32,6 +32,8 @@
 	paceOrders       metrics.Counter
 	// zonesCordoned is the number of cordoned availability zones.
 	zonesCordoned metrics.Gauge
+	// queuesHeld is the number of held queues.
+	queuesHeld metrics.Gauge
 	// reportsOutdated counts the reports that arrived after newer ones of the same worker.
 	reportsOutdated metrics.Counter
 	// unloggedRuns counts the runs that workers listed and the log did not contain.
@@ -59,6 +61,7 @@
 
 		readyToStart:     hdrmetric.GetOrRegister("dispatch.ready_to_start_us", r),
 		zonesCordoned:    metrics.GetOrRegisterGauge("dispatch.zones_cordoned", r),
+		queuesHeld:       metrics.GetOrRegisterGauge("dispatch.queues_held", r),
 		workLost:         metrics.GetOrRegisterCounter("dispatch.work_lost_core_ms", r),
 		jobsAtCrashLimit: metrics.GetOrRegisterCounter("dispatch.jobs_given_up", r),
 		workerCrashes:    metrics.GetOrRegisterCounter("dispatch.workers_crashed", r),
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -43,8 +43,11 @@
 	// MaxCapacityAge is the age of a worker's announcement of its capacity from which on the worker
 	// gets no new work; 0 means none.
 	MaxCapacityAge time.Duration
-	Logger         *zap.Logger
-	Metrics        metrics.Registry
+	// Shares and Refusals tell operators about client accounts; by default all values are 0.
+	Shares   AccountShares
+	Refusals AccountRefusals
+	Logger   *zap.Logger
+	Metrics  metrics.Registry
 	// Now returns the current time; the default is time.Now.
 	Now func() time.Time
 }
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -25,6 +25,9 @@
 	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE {
 		return d.readQueue(r), nil
 	}
+	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS {
+		return d.readAccounts(), nil
+	}
 	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_ZONES {
@@ -75,6 +78,7 @@
 		if j := m.CallerJobs().Job(id); j != nil {
 			resp.Outcome = apiv1.JobOutcome_JOB_OUTCOME_OK
 			resp.Explanation = &apiv1.JobExplanation{Job: j.Record()}
+			resp.Explanation.Job.Queue = m.CallerJobs().QueueOf(j)
 		}
 	})
 	if resp.Explanation == nil {
@@ -104,6 +108,8 @@
 		if resp.ConfigurationVersion == 0 {
 			resp.Outcome = apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION
 		}
+	case apiv1.JobsReadKind_JOBS_READ_KIND_QUEUES:
+		resp.Queues = m.Holds()
 	case apiv1.JobsReadKind_JOBS_READ_KIND_WAVE:
 		w := m.Wave(r.Wave)
 		if w == nil {
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -27,11 +27,14 @@
 	CordonRefused          = declare(Operator, Warning, "order about an availability zone is not accepted", NameZone, "cordoned", "operator", "outcome", "error")
 	CordonAccepted         = declare(Operator, Rare, "order about an availability zone is accepted", NameZone, "cordoned", "operator")
 	AllZonesCordoned       = declare(Operator, Warning, "all availability zones are cordoned, nothing starts", "zones")
+	HoldRefused            = declare(Operator, Warning, "order about a queue is not accepted", NameQueue, "held", "operator", "outcome", "error")
+	HoldAccepted           = declare(Operator, Rare, "order about a queue is accepted", NameQueue, "held", "operator")
+	JobPrioritized         = declare(Operator, Rare, "order to prioritize a job", NameJob, "operator", "outcome", "error")
 	WaveRefused            = declare(Operator, Warning, "wave refused", "wave", "error")
 	WaveSubmitted          = declare(Operator, Rare, "wave submitted", "wave", "hosts", "status", "error")
 )
 
-var requestFields = []string{NameMethod, "host", NamePath, NameJob, NameStatus, NameAllowed, NameTook, "error"}
+var requestFields = []string{NameMethod, "host", NamePath, NameJob, NameStatus, NameAllowed, NameTook, NameAccount, "error"}
 
 // Lines of the leader about jobs, workers and hosts.
 var (
@@ -65,6 +68,7 @@
 	HostFenced             = declare(Dispatch, Warning, "another holder gave an order about the host", NameTerm, "host")
 	HostListUnavailable    = declare(Dispatch, Warning, "hosts can't be listed", NameTerm, "error")
 	CordonInEffect         = declare(Dispatch, Rare, "cordon of an availability zone changed", NameTerm, NameZone, "cordoned", "revision", "operator", "workers", "runs")
+	HoldInEffect           = declare(Dispatch, Rare, "hold of a queue changed", NameTerm, NameQueue, "held", "revision", "operator")
 	ReportOutdated         = declare(Dispatch, Warning, "report is outdated", NameTerm, NameWorker)
 	ReportUnconfirmed      = declare(Dispatch, Rare, "report is not confirmed", NameWorker, "error")
 )
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -47,6 +47,8 @@
 	NameZone              = "availability_zone"
 	NameStatus            = "status"
 	NameMethod            = "method"
+	NameQueue             = "queue"
+	NameAccount           = "account"
 )
 
 // Identifiers. They are formatted the same way in all parts.
@@ -248,7 +250,21 @@
 // Cordoned reports whether an availability zone is cordoned, or is to be.
 func Cordoned(yes bool) Field { return Field{zap.Bool("cordoned", yes)} }
 
-// Revision is the number of an order among those about the same availability zone.
+// Queue is the name of a queue.
+func Queue(name string) Field { return stringField(NameQueue, name) }
+
+// Held reports whether a queue is held, or is to be.
+func Held(yes bool) Field { return Field{zap.Bool("held", yes)} }
+
+// Account is the client account of a submitted job; there is no field if it is empty.
+func Account(name string) Field {
+	if name == "" {
+		return Field{zap.Skip()}
+	}
+	return stringField(NameAccount, name)
+}
+
+// Revision is the number of an order among those about the same availability zone or queue.
 func Revision(n uint64) Field { return uint64Field("revision", n) }
 
 // OrderedBy is the sender of an operator's order.
