jobapi: accounts of submissions, orders about queues and jobs

Submissions get their account from the configured rule: the header, else the fallback. An invalid one is answered 400 with the header and the reason; a job that names its account itself is refused, as it was before the field existed. OVER_LIMIT is answered 429 and HELD 503, both with Retry-After. New paths hold and release queues, put a job first, and list holds and accounts; the holds have a path of their own because GET /v1/queues returns the configuration.

--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -122,8 +122,47 @@
 	if cordoned {
 		path = cordonPath
 	}
-	query := url.Values{"operator": {operator}}
-	_, err := c.call(ctx, http.MethodPost, zonesPath+"/"+url.PathEscape(zone)+path+"?"+query.Encode(), nil)
+	return c.order(ctx, zonesPath+"/"+url.PathEscape(zone)+path, operator)
+}
+
+// Holds lists the holds of all queues.
+func (c *Client) Holds(ctx context.Context) ([]*apiv1.QueueHold, error) {
+	resp, err := c.readAll(ctx, holdsPath)
+	return resp.GetQueues(), err
+}
+
+// Accounts lists the client accounts.
+func (c *Client) Accounts(ctx context.Context) ([]*apiv1.AccountRecord, error) {
+	resp, err := c.readAll(ctx, accountsPath)
+	return resp.GetAccounts(), err
+}
+
+func (c *Client) readAll(ctx context.Context, path string) (*apiv1.JobsReadResponse, error) {
+	body, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp := &apiv1.JobsReadResponse{}
+	return resp, errors.Wrap(protojson.Unmarshal(body, resp), "decode response")
+}
+
+// OrderQueue holds or releases a queue.
+func (c *Client) OrderQueue(ctx context.Context, queue string, held bool, operator string) error {
+	path := releasePath
+	if held {
+		path = holdPath
+	}
+	return c.order(ctx, queuesPath+"/"+url.PathEscape(queue)+path, operator)
+}
+
+// Prioritize puts a job before the others of its priority.
+func (c *Client) Prioritize(ctx context.Context, id, operator string) error {
+	return c.order(ctx, jobsPath+"/"+url.PathEscape(id)+prioritizePath, operator)
+}
+
+// order sends an operator's order.
+func (c *Client) order(ctx context.Context, path, operator string) error {
+	_, err := c.call(ctx, http.MethodPost, path+"?"+url.Values{"operator": {operator}}.Encode(), nil)
 	return err
 }
 
@@ -153,8 +192,8 @@
 }
 
 // call tries each address until one responds with a status below 500. Every call is safe to repeat:
-// jobs and configurations are identified by their callers, and a copy of an order about an availability
-// zone has no effect once a later order was accepted.
+// jobs and configurations are identified by their callers, a copy of an order about an availability zone
+// or queue has no effect once a later order was accepted, and a job is put first once only.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	err := errors.New("no server address configured")
 	for _, address := range c.Addresses {
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -3,7 +3,12 @@
 //
 //	PUT    /v1/queues              submits a QueueConfiguration; the highest version is in effect
 //	GET    /v1/queues              returns the configuration in effect as it was submitted
+//	POST   /v1/queues/NAME/hold    holds a queue: none of its tasks starts; ?operator= names the sender
+//	POST   /v1/queues/NAME/release withdraws that
+//	GET    /v1/holds               returns the holds of all queues as JobsReadResponse.queues
+//	GET    /v1/accounts            returns the client accounts as JobsReadResponse.accounts
 //	POST   /v1/jobs                submits a JobSpec; idempotent by ID
+//	POST   /v1/jobs/ID/prioritize  puts a job before the others of its priority; ?operator= names the sender
 //	GET    /v1/jobs?host=&path=    returns the state of a job, or the pending jobs of a queue
 //	DELETE /v1/jobs?host=&path=    cancels a job
 //	GET    /v1/explanations/ID     returns a JobExplanation: the job's tasks, runs and waits
@@ -15,7 +20,8 @@
 //	POST   /v1/zones/ZONE/cordon   cordons an availability zone; ?operator= names the sender
 //	POST   /v1/zones/ZONE/uncordon withdraws that
 //
-// Status 503, with Retry-After, means that the request was not executed and never will be.
+// Status 503, with Retry-After, means that the request was not executed and never will be. Status 429,
+// with Retry-After, means the same of a job whose client account or queue is at a limit.
 // Status 504 means that its outcome is unknown; the request may be sent again.
 package jobapi
 
@@ -51,6 +57,11 @@
 	zonesPath        = "/v1/zones"
 	cordonPath       = "/cordon"
 	uncordonPath     = "/uncordon"
+	accountsPath     = "/v1/accounts"
+	holdsPath        = "/v1/holds"
+	holdPath         = "/hold"
+	releasePath      = "/release"
+	prioritizePath   = "/prioritize"
 	// maxBody bounds the body of a request or response in bytes.
 	maxBody = 8 << 20
 	// requestTimeout bounds a request. It is somewhat longer than two elections take.
@@ -58,8 +69,8 @@
 	retryAfter     = time.Second
 )
 
-// Backend provides access to the control group. *jobclient.Client implements it but for OrderZone, which
-// *cordon.Receiver does.
+// Backend provides access to the control group. *jobclient.Client implements it but for the orders of
+// OrderZone, OrderQueue and PrioritizeJob, which *cordon.Receiver does.
 type Backend interface {
 	PutQueues(ctx context.Context, c *apiv1.QueueConfiguration) (apiv1.JobOutcome, error)
 	Submit(ctx context.Context, spec *apiv1.JobSpec) (apiv1.JobOutcome, error)
@@ -67,6 +78,8 @@
 	PutWave(ctx context.Context, w *apiv1.MaintenanceWave) (apiv1.JobOutcome, error)
 	RequestMove(ctx context.Context, r *apiv1.RequestMove) (apiv1.JobOutcome, error)
 	OrderZone(ctx context.Context, o cordon.Order) (apiv1.JobOutcome, error)
+	OrderQueue(ctx context.Context, o cordon.QueueOrder) (apiv1.JobOutcome, error)
+	PrioritizeJob(ctx context.Context, id, operator string) (apiv1.JobOutcome, error)
 	Read(ctx context.Context, r *apiv1.JobsReadRequest) (*apiv1.JobsReadResponse, error)
 }
 
@@ -78,20 +91,27 @@
 	Pending *uint32 `json:"pending,omitempty"`
 }
 
-// Paths returns the http.ServeMux patterns that the handler serves. Paths below jobsPath belong to
-// the administration API.
+// Paths returns the http.ServeMux patterns that the handler serves. The other paths below jobsPath belong
+// to the administration API.
 func Paths() []string {
-	return []string{queuesPath, jobsPath, explanationsPath + "/", wavesPath, wavesPath + "/", hostsPath, hostsPath + "/",
-		zonesPath, zonesPath + "/"}
+	return []string{queuesPath, queuesPath + "/", holdsPath, accountsPath, jobsPath, "POST " + jobsPath + "/{id}" + prioritizePath,
+		explanationsPath + "/", wavesPath, wavesPath + "/", hostsPath, hostsPath + "/", zonesPath, zonesPath + "/"}
 }
 
-// Handler returns a handler that serves the API.
-func Handler(b Backend) http.Handler {
-	h := handler{b}
+// Handler returns a handler that serves the API and leaves the accounts of submitted jobs empty.
+func Handler(b Backend) http.Handler { return HandlerWithAccounts(b, Accounts{}) }
+
+// HandlerWithAccounts returns a handler that serves the API.
+func HandlerWithAccounts(b Backend, a Accounts) http.Handler {
+	h := handler{b, a}
 	r := httprouter.New()
 	r.PUT(queuesPath, h.putQueues)
 	r.GET(queuesPath, h.getQueues)
+	r.POST(queuesPath+"/*order", h.orderQueue)
+	r.GET(holdsPath, h.getHolds)
+	r.GET(accountsPath, h.getAccounts)
 	r.POST(jobsPath, h.submit)
+	r.POST(jobsPath+"/:id"+prioritizePath, h.prioritize)
 	r.GET(jobsPath, h.read)
 	r.DELETE(jobsPath, h.cancel)
 	r.GET(explanationsPath+"/:id", h.explain)
@@ -105,7 +125,10 @@
 	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
 }
 
-type handler struct{ Backend }
+type handler struct {
+	Backend
+	accounts Accounts
+}
 
 // decode reads a message from a request body. Unknown fields are refused, because they indicate a
 // mistake by the client.
@@ -162,12 +185,13 @@
 
 func (h handler) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	spec := &apiv1.JobSpec{}
-	if !decodeValid(w, r, spec, func() error { return jobqueue.ValidateJob(spec) }) {
+	if !decodeValid(w, r, spec, func() error { return h.accounts.checkJob(r, spec) }) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	outcome, err := h.Submit(ctx, spec)
+	h.accounts.Count(spec.Account, outcome, err)
 	writeOutcome(w, outcome, err)
 }
 
@@ -320,6 +344,49 @@
 	}
 }
 
+func (h handler) getHolds(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_QUEUES})
+	if readSucceeded(w, resp, err) {
+		writeMessage(w, &apiv1.JobsReadResponse{Queues: resp.Queues})
+	}
+}
+
+func (h handler) getAccounts(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS})
+	if readSucceeded(w, resp, err) {
+		writeMessage(w, &apiv1.JobsReadResponse{Accounts: resp.Accounts})
+	}
+}
+
+// orderQueue holds or releases a queue. Its name may contain slashes.
+func (h handler) orderQueue(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	path := strings.TrimPrefix(p.ByName("order"), "/")
+	name, held := strings.CutSuffix(path, holdPath)
+	if !held {
+		var released bool
+		if name, released = strings.CutSuffix(path, releasePath); !released {
+			writeError(w, http.StatusNotFound, "an order about a queue ends with "+holdPath+" or "+releasePath)
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	order := cordon.QueueOrder{Queue: name, Held: held, Operator: r.URL.Query().Get("operator")}
+	outcome, err := h.OrderQueue(ctx, order)
+	writeOutcome(w, outcome, err)
+}
+
+func (h handler) prioritize(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	outcome, err := h.PrioritizeJob(ctx, p.ByName("id"), r.URL.Query().Get("operator"))
+	writeOutcome(w, outcome, err)
+}
+
 // writeMessage writes a message as a JSON response.
 func writeMessage(w http.ResponseWriter, m proto.Message) {
 	data, err := protojson.Marshal(m)
@@ -349,6 +416,8 @@
 		return http.StatusGatewayTimeout
 	case apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_WAVE, apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:
 		return http.StatusNotFound
+	case apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT:
+		return http.StatusTooManyRequests
 	case apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:
 		return http.StatusConflict
 	case apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS:
@@ -366,13 +435,15 @@
 	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:    "the configuration in effect has no such pool",
 	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:   "the host is in a maintenance wave or another move, or was moved recently",
 	apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE:    "there is no such availability zone",
-	apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED: "another order about the availability zone was accepted meanwhile",
+	apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED: "another order about the availability zone or queue was accepted meanwhile",
 	apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS:   "this deployment does not support host operations",
+	apiv1.JobOutcome_JOB_OUTCOME_HELD:       "the queue is held by an operator; the job was not accepted",
+	apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT: "the client account or the queue is at its limit of pending jobs; the job was not accepted",
 }
 
 func writeOutcome(w http.ResponseWriter, o apiv1.JobOutcome, err error) {
 	status := HTTPStatus(o, err)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
 	}
 	if status == http.StatusOK {
--- a/jobapi/jobapi_test.go
+++ b/jobapi/jobapi_test.go
@@ -17,11 +17,15 @@
 
 // fakeBackend returns the same outcome and error for every command.
 type fakeBackend struct {
-	zoneOrders []cordon.Order
-	outcome    apiv1.JobOutcome
-	err        error
-	read       *apiv1.JobsReadResponse
-	calls      int
+	zoneOrders  []cordon.Order
+	queueOrders []cordon.QueueOrder
+	// submitted are the submitted jobs, and prioritized the IDs of those put first.
+	submitted   []*apiv1.JobSpec
+	prioritized []string
+	outcome     apiv1.JobOutcome
+	err         error
+	read        *apiv1.JobsReadResponse
+	calls       int
 }
 
 func (g *fakeBackend) result() (apiv1.JobOutcome, error) {
@@ -33,7 +37,18 @@
 	return g.result()
 }
 
-func (g *fakeBackend) Submit(context.Context, *apiv1.JobSpec) (apiv1.JobOutcome, error) {
+func (g *fakeBackend) Submit(_ context.Context, spec *apiv1.JobSpec) (apiv1.JobOutcome, error) {
+	g.submitted = append(g.submitted, spec)
+	return g.result()
+}
+
+func (g *fakeBackend) OrderQueue(_ context.Context, o cordon.QueueOrder) (apiv1.JobOutcome, error) {
+	g.queueOrders = append(g.queueOrders, o)
+	return g.result()
+}
+
+func (g *fakeBackend) PrioritizeJob(_ context.Context, id, _ string) (apiv1.JobOutcome, error) {
+	g.prioritized = append(g.prioritized, id)
 	return g.result()
 }
 
@@ -96,6 +111,8 @@
 		{apiv1.JobOutcome_JOB_OUTCOME_INVALID, nil, 400},
 		{apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION, nil, 503},
 		{apiv1.JobOutcome_JOB_OUTCOME_FULL, nil, 503},
+		{apiv1.JobOutcome_JOB_OUTCOME_HELD, nil, 503},
+		{apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT, nil, 429},
 		{apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, nil, 404},
 		{apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED, nil, 504},
 		{0, &control.UnavailableError{Cause: "no leader"}, 503},
