entry, platform, cli: accounts of jobs from settings and flags, commands for operators

Without them no job has an account.

cairnlift accounts, queues list (also queues alone), queues hold, queues release and job prioritize; status lists held queues and prioritized jobs, job explain shows account, priority and hold.

--- a/admin/types.go
+++ b/admin/types.go
@@ -75,11 +75,15 @@
 	// Index is the last log index that is applied to this state.
 	Index uint64 `json:"index"`
 	// CordonedZones are the availability zones in which nothing may start.
-	CordonedZones []string  `json:"cordoned_zones,omitempty"`
-	Processes     []Process `json:"processes,omitempty"`
-	Workers       []Worker  `json:"workers,omitempty"`
-	Targets       []Target  `json:"targets,omitempty"`
-	Jobs          []Job     `json:"jobs,omitempty"`
+	CordonedZones []string `json:"cordoned_zones,omitempty"`
+	// HeldQueues are the queues that operators hold, and PrioritizedJobs up to 100 submitted jobs that they
+	// put before the others of their priority.
+	HeldQueues      []string  `json:"held_queues,omitempty"`
+	PrioritizedJobs []string  `json:"prioritized_jobs,omitempty"`
+	Processes       []Process `json:"processes,omitempty"`
+	Workers         []Worker  `json:"workers,omitempty"`
+	Targets         []Target  `json:"targets,omitempty"`
+	Jobs            []Job     `json:"jobs,omitempty"`
 }
 
 // Process is one process of the system itself.
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -18,14 +18,19 @@
 
 // addJobCommands adds the commands for queues, submitted jobs, maintenance waves and hosts.
 func (a *App) addJobCommands() {
+	a.Command(a.Root(), "accounts", "Show the client accounts with their use and waiting work.", a.listAccounts)
 	queues := a.kingpin.Command("queues", "Show or change the queues that callers submit jobs to.")
+	a.Command(queues, "list", "Show each queue and whether it is held.", a.listQueues)
+	a.Command(queues, "hold", "Let nothing of a queue start; what runs continues.", a.holdQueue)
+	a.Command(queues, "release", "Let work of a queue start again.", a.releaseQueue)
 	a.Command(queues, "apply", "Submit the queues from a JSON file; the highest version is in force.", a.applyQueues)
 	a.Command(queues, "pending", "Show how many jobs of a queue wait for their first start.", a.pendingJobs)
-	jobs := a.kingpin.Command("job", "Submit, read or cancel a job.")
+	jobs := a.kingpin.Command("job", "Submit, read, prioritize or cancel a job.")
 	a.Command(jobs, "submit", "Submit a job from a JSON file; the same id is the same job.", a.submitJob)
 	a.Command(jobs, "state", "Show a job's state.", a.jobState)
 	a.Command(jobs, "cancel", "Cancel a job.", a.cancelJob)
 	a.Command(jobs, "explain", "Show where a job's tasks run and why its other tasks wait.", a.explainJob)
+	a.Command(jobs, "prioritize", "Put a job before the others of its priority.", a.prioritizeJob)
 	waves := a.kingpin.Command("wave", "Start or show a maintenance wave.")
 	a.Command(waves, "start", "Submit a wave from a JSON file; the same number is the same wave.", a.startWave)
 	a.Command(waves, "state", "Show the progress of each host of a wave.", a.waveState)
@@ -131,8 +136,13 @@
 	return func(ctx context.Context) error {
 		return a.withJobClient(ctx, func(ctx context.Context, c *jobapi.Client) error {
 			e, err := c.Explain(ctx, *id)
+			if err != nil {
+				return err
+			}
+			a.printJobExplanation(e)
+			holds, err := c.Holds(ctx)
 			if err == nil {
-				a.printJobExplanation(e)
+				a.printHoldOf(e.Job.GetQueue().GetName(), holds)
 			}
 			return err
 		})
@@ -142,6 +152,12 @@
 // printJobExplanation prints the state of a job and one line per step, run and wait.
 func (a *App) printJobExplanation(e *apiv1.JobExplanation) {
 	a.printf("%s%s\n", strings.ToLower(strings.TrimPrefix(e.Job.GetState().String(), "JOB_STATE_")), failureText(e.Job))
+	if account := e.Job.GetSpec().GetAccount(); account != "" {
+		a.printf("account %s\n", account)
+	}
+	if e.Job.GetPrioritized() {
+		a.printf("prioritized before the others of its priority\n")
+	}
 	for k, o := range e.Job.GetOccurrences() {
 		for i, s := range o.Steps {
 			a.printJobStep(k, i, s)
--- a/cli/print.go
+++ b/cli/print.go
@@ -52,6 +52,12 @@
 	if len(s.CordonedZones) > 0 {
 		a.printf("cordoned availability zones, in which nothing starts: %s\n", strings.Join(s.CordonedZones, ", "))
 	}
+	if len(s.HeldQueues) > 0 {
+		a.printf("held queues, of which nothing starts: %s\n", strings.Join(s.HeldQueues, ", "))
+	}
+	if len(s.PrioritizedJobs) > 0 {
+		a.printf("prioritized jobs: %s\n", strings.Join(s.PrioritizedJobs, ", "))
+	}
 	a.printProcesses(s.Processes)
 	a.printTable(joinCells("WORKER", "ZONE", "RACK", "GRANTED+RESERVED/CAPACITY", "TASKS", "STATE"), formatRows(s.Workers, workerRow))
 	a.printTable(joinCells("TARGET", "SERVICE", "AGENT", "ZONE", "IN FLIGHT/SLOTS", "STATE"), formatRows(s.Targets, targetRow))
--- a/control/status.go
+++ b/control/status.go
@@ -11,6 +11,9 @@
 	"github.com/cairnlift/cairnlift/state"
 )
 
+// maxPrioritizedShown bounds the prioritized jobs in a status.
+const maxPrioritizedShown = 100
+
 // Status is a replica's view of the control group and of the state that it has applied.
 type Status struct {
 	Term          uint64
@@ -20,8 +23,12 @@
 	Index uint64
 	// CordonedZones are the cordoned availability zones.
 	CordonedZones []string
-	Workers       []WorkerStatus
-	Jobs          []state.Job
+	// HeldQueues are the queues that operators hold, and PrioritizedJobs the first of the open jobs that
+	// they put before the others of their priority.
+	HeldQueues, PrioritizedJobs []string
+
+	Workers []WorkerStatus
+	Jobs    []state.Job
 }
 
 // WorkerStatus is a worker's record and the age of its last report.
@@ -62,6 +69,12 @@
 	})
 	slices.SortFunc(s.Workers, func(a, b WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	s.Jobs = r.machine.Jobs()
+	s.HeldQueues = r.machine.CallerJobs().HeldQueues()
+	for _, j := range r.machine.CallerJobs().Prioritized() {
+		if len(s.PrioritizedJobs) < maxPrioritizedShown {
+			s.PrioritizedJobs = append(s.PrioritizedJobs, j.ID())
+		}
+	}
 	for _, c := range r.machine.CallerJobs().Cordons() {
 		if c.Cordoned {
 			s.CordonedZones = append(s.CordonedZones, c.Zone)
--- a/dispatch/accounts_test.go
+++ b/dispatch/accounts_test.go
@@ -245,7 +245,9 @@
 
 func (fixedAccounts) AccountShare(string) float64 { return 0.25 }
 
-func (fixedAccounts) AccountRefusals(string) (uint64, time.Duration) { return 7, 300 * time.Millisecond }
+func (fixedAccounts) AccountRefusals(string) (uint64, time.Duration) {
+	return 7, 300 * time.Millisecond
+}
 
 // Guards against a list of accounts without what only the leader knows, and against a replica that does
 // not lead and answers with zeros.
--- a/entry/admin_status.go
+++ b/entry/admin_status.go
@@ -42,6 +42,7 @@
 func (b backend) addReplicaStatus(s *admin.Status, wants func(string) bool) {
 	st := b.replica.Status()
 	s.Term, s.Index, s.CordonedZones = st.Term, st.Index, st.CordonedZones
+	s.HeldQueues, s.PrioritizedJobs = st.HeldQueues, st.PrioritizedJobs
 	if wants(admin.SectionWorkers) {
 		for _, w := range st.Workers {
 			s.Workers = append(s.Workers, b.worker(w, st.Leading))
@@ -76,6 +77,7 @@
 		return err
 	}
 	s.Term, s.Index, s.CordonedZones = leader.Term, leader.Index, leader.CordonedZones
+	s.HeldQueues, s.PrioritizedJobs = leader.HeldQueues, leader.PrioritizedJobs
 	s.Workers, s.Jobs = leader.Workers, leader.Jobs
 	return nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/failstop"
+	"github.com/cairnlift/cairnlift/jobapi"
 	"github.com/cairnlift/cairnlift/jobclient"
 	"github.com/cairnlift/cairnlift/member"
 	"github.com/cairnlift/cairnlift/pipeline"
@@ -55,6 +56,8 @@
 	dispatcher *dispatch.Dispatcher
 	jobs       *jobclient.Client
 	zones      *cordon.Receiver
+	// accounts determines the client accounts of submitted jobs.
+	accounts jobapi.Accounts
 
 	services       atomic.Pointer[serviceTable]
 	router         *route.Router
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cairnlift/cairnlift/account"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/dispatch"
@@ -22,6 +23,10 @@
 	}
 	e.jobs = jobclient.New(addresses, log)
 	e.zones = cordon.NewReceiver(cordon.Options{Log: e.jobs, Zones: []string{e.settings.Location.AvailabilityZone}, Logger: log, Metrics: e.registry})
+	e.accounts = jobapi.Accounts{
+		Rule: e.settings.Accounts.Rule(), AvailabilityZone: e.settings.Location.AvailabilityZone,
+		Counters: account.NewCounters("accounts.submissions", e.registry),
+	}
 	if e.replica == nil {
 		return
 	}
@@ -76,7 +81,7 @@
 // administration API.
 func (e *Entry) withJobAPI(admin http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	jobs := jobapi.Handler(jobBackend{e.jobs, e.zones})
+	jobs := jobapi.HandlerWithAccounts(jobBackend{e.jobs, e.zones}, e.accounts)
 	for _, path := range jobapi.Paths() {
 		mux.Handle(path, jobs)
 	}
--- a/entry/jobs_paths_test.go
+++ b/entry/jobs_paths_test.go
@@ -21,6 +21,11 @@
 		{http.MethodPost, "/v1/hosts/move", `{"host":"h1"}`, http.StatusBadRequest},
 		{http.MethodPost, "/v1/jobs", `{}`, http.StatusBadRequest},
 		{http.MethodPost, "/v1/waves", `{}`, http.StatusBadRequest},
+		{http.MethodPost, "/v1/queues/x/y", "", http.StatusNotFound},
+		{http.MethodGet, "/v1/queues/x/hold", "", http.StatusMethodNotAllowed},
+		{http.MethodPut, "/v1/accounts", "", http.StatusMethodNotAllowed},
+		{http.MethodPut, "/v1/holds", "", http.StatusMethodNotAllowed},
+		{http.MethodGet, "/v1/jobs/x/prioritize", "", http.StatusTeapot},
 		{http.MethodPost, "/v1/explanations/x", "", http.StatusMethodNotAllowed},
 		// The administration API explains the jobs of the operators' configuration.
 		{http.MethodGet, "/v1/jobs/x/explanation", "", http.StatusTeapot},
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
 
+	"github.com/cairnlift/cairnlift/account"
 	"github.com/cairnlift/cairnlift/tomltext"
 )
 
@@ -45,6 +46,7 @@
 	"hostport_ip": "must be an IP number and a port, such as 10.20.0.4:7400; host names are not resolved",
 	"reachable":   "must be an address that other hosts can reach, not 0.0.0.0 or [::]",
 	"host_name":   "must be 1 to 63 lower case letters, digits and inner hyphens or dots",
+	"header_name": "must be the name of an HTTP header, such as X-Account",
 	"oneof":       "must be one of: ",
 	"unique":      "must not contain two hosts with the same ",
 	"max":         "must not contain more hosts than ",
@@ -57,6 +59,7 @@
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
 	register(v, "hostport_ip", isHostPortIP)
 	register(v, "reachable", isReachable)
+	register(v, "header_name", isHeaderName)
 	register(v, "host_name", hostNamePattern.MatchString)
 	return v
 }
@@ -69,6 +72,11 @@
 	}
 }
 
+func isHeaderName(s string) bool {
+	_, err := account.ParseRule(s, "")
+	return err == nil
+}
+
 // isHostPortIP reports whether s is an IP address and a port. Host names are rejected, since
 // processes connect to each other by IP address only.
 func isHostPortIP(s string) bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cairnlift/cairnlift/account"
 )
 
 // Duration is a time.Duration that is written in TOML as a string such as "150ms".
@@ -61,6 +63,23 @@
 	ClockRateError int64 `toml:"clock_rate_error_ppm"`
 }
 
+// Accounts determines the client accounts of submitted jobs. By default no job has one.
+type Accounts struct {
+	// Header is the HTTP header in which callers name their account; empty for none.
+	Header string `toml:"header" validate:"omitempty,header_name"`
+	// From is the source of the account of callers without the header: none, zone, address or queue.
+	From string `toml:"from" validate:"omitempty,oneof=none zone address queue"`
+}
+
+// Rule returns the rule that the settings describe, which must have been checked.
+func (a Accounts) Rule() account.Rule {
+	r, err := account.ParseRule(a.Header, a.From)
+	if err != nil {
+		panic("settings: accounts were not checked: " + err.Error())
+	}
+	return r
+}
+
 // Entry holds the settings of cairnlift-entry.
 type Entry struct {
 	Name     string   `toml:"name" validate:"required,host_name"`
@@ -90,7 +109,8 @@
 	// for which it may be used.
 	StalenessBound Duration `toml:"staleness_bound"`
 	// MaxBodyBytes bounds the size of a caller's request body.
-	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	MaxBodyBytes int64    `toml:"max_body_bytes"`
+	Accounts     Accounts `toml:"accounts"`
 }
 
 // Agent holds the settings of cairnlift-agent.
