--- a/trace/trace.go
+++ b/trace/trace.go
@@ -114,7 +114,9 @@
 }
 
 // Select returns the lines about a job or request, and, from the time between the first and the
-// last of them, the lines about new leaders and about the state of the workers that ran its tasks.
+// last of them, the lines about new leaders, about changes of the holds of queues and about the state of
+// the workers that ran its tasks. Holds of all queues are included, because few lines of a job name its
+// queue.
 func Select(lines []Line, id string) []Line {
 	workers := map[string]bool{}
 	first, last := time.Time{}, time.Time{}
@@ -135,7 +137,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(lines), func(l Line) bool {
 		during := !l.At.Before(first) && !l.At.After(last)
-		context := during && (l.Event == eventLeaderReady || isWorkerEvent(&l) && workers[l.Text(fieldWorker)])
+		context := during && (l.Event == eventLeaderReady || l.Event == eventHoldChanged || isWorkerEvent(&l) && workers[l.Text(fieldWorker)])
 		return !l.About(id) && !context
 	})
 }
@@ -148,6 +150,7 @@
 	eventEnded              = event.RunEnded.Name
 	eventLeaderReady        = event.LeaderReady.Name
 	eventLeaseExpired       = event.LeaseExpired.Name
+	eventHoldChanged        = event.HoldInEffect.Name
 	eventWorkerUnresponsive = event.WorkerUnresponsive.Name
 	eventWorkerFound        = event.WorkerFound.Name
 	eventWorkerLeft         = event.WorkerLeft.Name
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -123,3 +123,25 @@
 		t.Errorf("the lines are %v", got)
 	}
 }
+
+// Guards against a timeline of a job that does not show why it waited: an operator held its queue, and put
+// the job first later.
+func TestOrdersOfOperatorsAreTraced(t *testing.T) {
+	lines := tracetest.Lines(t, "a/control", 0,
+		`50 "part":"dispatch","msg":"hold of a queue changed","term":2,"queue":"before","held":true`,
+		`90 "part":"frontend","msg":"request","job":"`+tracedJob+`","account":"team"`,
+		`100 "part":"dispatch","msg":"hold of a queue changed","term":2,"queue":"q","held":true`,
+		`200 "part":"operator","msg":"order to prioritize a job","job":"another"`,
+		`300 "part":"operator","msg":"order to prioritize a job","job":"`+tracedJob+`","operator":"op"`,
+		`400 "part":"dispatch","msg":"hold of a queue changed","term":2,"queue":"q","held":false`,
+		`500 "part":"dispatch","msg":"stop","task":"`+tracedJob+`/0/0/1","run":1`,
+	)
+	var events []string
+	for _, l := range trace.Order(trace.Select(lines, tracedJob)).Lines {
+		events = append(events, l.Event)
+	}
+	want := "request, hold of a queue changed, order to prioritize a job, hold of a queue changed, stop"
+	if got := strings.Join(events, ", "); got != want {
+		t.Errorf("the events are %s, want %s", got, want)
+	}
+}
