--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -53,10 +53,12 @@
 	crashLimitLoggedMs int64
 	// loggedCordons tells for each availability zone whether it was last logged to be cordoned.
 	loggedCordons map[string]bool
-	moves         *leaderMoves
-	outages       *outages
-	attention     attention
-	stops         *openStops
+	// loggedHolds tells for each queue whether it was last logged to be held.
+	loggedHolds map[string]bool
+	moves       *leaderMoves
+	outages     *outages
+	attention   attention
+	stops       *openStops
 	// awaitedBegins are the runs of long-running steps that this leader decided to start and that no
 	// worker has listed, with the times of the decisions.
 	awaitedBegins map[jobqueue.RunID]time.Time
@@ -141,6 +143,7 @@
 		lostStarts:         lostStarts{},
 		overcommitted:      map[string]map[jobqueue.RunID]bool{},
 		loggedCordons:      map[string]bool{},
+		loggedHolds:        map[string]bool{},
 		moves:              newLeaderMoves(now),
 		outages:            newOutages(),
 		attention:          newAttention(now),
