--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -68,6 +68,11 @@
 	return Resources{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns r for n tasks, negative if n is.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.CPUMilli * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
+}
+
 // Fits reports whether r is within o in every dimension.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPUMilli <= o.CPUMilli && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
