schedule: accounts take turns by share; limits and holds

Within a priority, candidates were sorted by urgency once, whatever account they belong to. Now prioritized jobs come first, then the account with the lowest share over weight, from a heap that follows each start; within an account the order by urgency stays. Long-running tasks that lost their run take no turns.

Starvation is bounded: an account without a start for 5 s goes first for one task, and a worker is kept for a task of the lowest account that fits on none.

Limits of accounts and queues count starts within the round. Nothing of a held queue starts, and its runs are not moved, because they would not start again.

--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -24,8 +24,18 @@
 func benchZone(number int) string { return fmt.Sprintf("zone-%02d", number) }
 
 // newBusyFleet returns a fleet with its usual work.
-func newBusyFleet(b *testing.B, workers int) *harness {
+func newBusyFleet(b *testing.B, workers int) *harness { return newBusyFleetOf(b, workers, 0) }
+
+// newBusyFleetOf returns a fleet with its usual work, of which a number of accounts have equal parts.
+func newBusyFleetOf(b *testing.B, workers, accounts int) *harness {
 	r := newHarnessFor(b)
+	if accounts > 0 {
+		number := 0
+		r.accountOf = func(string) string {
+			number++
+			return fmt.Sprintf("a%03d", number%accounts)
+		}
+	}
 	for i := range workers {
 		r.addWorkerIn(benchZone(i%benchZones), fmt.Sprintf("w%04d", i), 32_000, 128_000)
 	}
@@ -64,6 +74,22 @@
 	}
 }
 
+// BenchmarkPlanWithAccounts measures a round of the largest fleet whose work belongs to a number of accounts. The
+// waiting jobs, one of each account, have one of 13 sizes that fit on no worker.
+func BenchmarkPlanWithAccounts(b *testing.B) {
+	for _, accounts := range []int{1, 390} {
+		for _, waiting := range []int{0, 390} {
+			b.Run(fmt.Sprintf("accounts=%d/waiting=%d", accounts, waiting), func(b *testing.B) {
+				r := newBusyFleetOf(b, 3700, accounts)
+				for i := range waiting {
+					r.submit("urgent", fmt.Sprintf("waiting%d", i), &apiv1.JobStep{Count: 6, CpuMilli: 15_000 + 1000*int64(i%13), MemoryMb: 100, EstimatedMs: 1000})
+				}
+				benchmarkRounds(b, r, 1000)
+			})
+		}
+	}
+}
+
 // BenchmarkPlanWithCordons measures a round of the largest fleet with cordoned availability zones.
 func BenchmarkPlanWithCordons(b *testing.B) {
 	for _, cordoned := range []int{0, 1, benchZones} {
--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -48,7 +48,7 @@
 func (r *round) shouldEvacuate(run *jobqueue.Run, s *slot, waited time.Duration) bool {
 	step := run.Step
 	switch {
-	case run.Stopping:
+	case run.Stopping || r.held(run):
 		return false
 	case step.LongRunning:
 		return r.withinUnavailableBudget(run) && r.reserveElsewhere(run, s)
--- a/schedule/fleetsim_test.go
+++ b/schedule/fleetsim_test.go
@@ -32,6 +32,8 @@
 	advised, backfillSets, refusing bool
 	// noBatch omits batch work. uncommitted leaves some decisions uncommitted.
 	noBatch, uncommitted bool
+	// accounts gives the jobs of each priority an account of their own.
+	accounts bool
 }
 
 // fleetSim is a random fleet in virtual time whose runs end as simulated by their workers.
@@ -76,6 +78,11 @@
 		startedAt: map[jobqueue.RunID]time.Time{}, stopAt: map[jobqueue.RunID]time.Time{},
 	}
 	s.configure()
+	if faults.accounts {
+		s.accountOf = func(queue string) string {
+			return fmt.Sprint("priority", s.machine.QueueFor(testHost, "/"+queue+"/").Priority)
+		}
+	}
 	for i := range 4 + s.random.Intn(8) {
 		h := &fleetHost{
 			name: fmt.Sprintf("h%02d", i), pool: "near",
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -20,6 +20,10 @@
 	// unresponsiveAt is the time at which a worker was last found unresponsive.
 	unresponsiveAt  map[string]time.Time
 	nextEndSequence map[string]uint64
+	// accountOf returns the account of jobs in a queue, and beforeApply is called with each decision. Both
+	// are nil in most tests.
+	accountOf   func(queue string) string
+	beforeApply func(Decision)
 }
 
 const (
@@ -64,10 +68,19 @@
 }
 
 func (r *harness) submit(queue, id string, steps ...*apiv1.JobStep) {
+	r.t.Helper()
+	account := ""
+	if r.accountOf != nil {
+		account = r.accountOf(queue)
+	}
+	r.submitAs(account, queue, id, steps...)
+}
+
+func (r *harness) submitAs(account, queue, id string, steps ...*apiv1.JobStep) {
 	r.t.Helper()
 	path := fmt.Sprintf("/%s/%s", queue, id)
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
-		Id: id, Host: testHost, Path: path, Steps: steps,
+		Id: id, Host: testHost, Path: path, Steps: steps, Account: account,
 	}}}})
 }
 
@@ -112,6 +125,9 @@
 func (r *harness) plan() Decision {
 	r.t.Helper()
 	d := r.planner.Plan(r.machine, r, r.now, r.now.UnixMilli())
+	if r.beforeApply != nil {
+		r.beforeApply(d)
+	}
 	if !d.Empty() {
 		r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{
 			Term: testTerm, Starts: d.Starts, Stops: d.Stops, TrialsOver: d.EndedProbations,
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -47,7 +47,7 @@
 
 // isSlowed reports whether a run may be moved and its pace is at most lowPace.
 func (r *round) isSlowed(run *jobqueue.Run) bool {
-	if !run.Step.Backfill || !run.Step.Checkpointing || run.Step.Gang || run.Stopping {
+	if !run.Step.Backfill || !run.Step.Checkpointing || run.Step.Gang || run.Stopping || r.held(run) {
 		return false
 	}
 	percent, set := r.planner.Pace(run.Worker, run.ID)
@@ -76,3 +76,9 @@
 	}
 	return true
 }
+
+// held reports whether the queue of a run is held. If such a run were stopped to move it, it would not
+// start again until the queue is released.
+func (r *round) held(run *jobqueue.Run) bool {
+	return r.machine.QueueHeld(r.machine.QueueOf(run.Job()).GetName())
+}
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -116,9 +116,9 @@
 		return n
 	}
 	temporary := count(ReasonUnreachable, ReasonDraining, ReasonMaintenance, ReasonAvoided, ReasonCordoned)
-	full := count(ReasonProcessors, ReasonMemory, ReasonAccelerators, ReasonSpread, ReasonLabel)
+	full := count(ReasonProcessors, ReasonMemory, ReasonAccelerators, ReasonSpread, ReasonLabel, ReasonTurn)
 	others := count(ReasonRefused, ReasonSlow, ReasonInterference)
-	if count(ReasonNone, ReasonNotAdvised) > 0 || temporary > full+others {
+	if count(ReasonNone, ReasonNotAdvised, ReasonLimit, ReasonHeld) > 0 || temporary > full+others {
 		return false
 	}
 	return full > 0 || others == 0
--- a/schedule/ranking.go
+++ b/schedule/ranking.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "container/heap"
+import (
+	"container/heap"
+
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
 
 // ranking holds the workers on which the tasks of a step may start, the best one first.
 //
@@ -15,6 +19,24 @@
 	// reason that rules them out.
 	ranked  []rankedSlot
 	refused [reasonCount]int
+	// seen is the number of changes of the round that the ranking takes into account, while it is not in
+	// use.
+	seen int
+}
+
+// taskShape determines on which workers a task fits, for the tasks that have a shape.
+type taskShape struct {
+	pool, label string
+	reserved    jobqueue.Resources
+	backfill    bool
+}
+
+// shapeOf returns the shape of a candidate's tasks. It returns false if more than the shape determines
+// which workers are feasible.
+func shapeOf(c *candidate) (taskShape, bool) {
+	spec := c.step.Spec
+	special := c.queue.Advised || c.probation || spec.MaxPerWorker > 0
+	return taskShape{c.queue.Pool, spec.RequiredLabel, jobqueue.Reserved(spec), spec.Backfill}, !special
 }
 
 // rankedSlot is a worker with its score and its index among all workers.
@@ -24,9 +46,17 @@
 	index int
 }
 
-// rank evaluates all workers for a step.
+// rank evaluates all workers for a step. Once no worker has room for tasks of a shape, none gets room in
+// the same round. Without that rule, a round of a full fleet with waiting tasks of 390 accounts would
+// evaluate all workers 390 times.
 func (r *round) rank(c *candidate) *ranking {
 	k := &ranking{r: r, c: c}
+	shape, shaped := shapeOf(c)
+	shaped = shaped && !c.lastResort && !shape.backfill // backfill tasks are also ruled out by scores
+	if refused, full := r.full[shape]; shaped && full {
+		k.refused = refused
+		return k
+	}
 	for i, s := range r.slots {
 		if score, reason := r.evaluate(c, s); reason == ReasonNone {
 			k.ranked = append(k.ranked, rankedSlot{s, score, i})
@@ -35,9 +65,33 @@
 		}
 	}
 	heap.Init(k)
+	if shaped && len(k.ranked) == 0 {
+		r.full[shape] = k.refused
+	}
 	return k
 }
 
+// refresh evaluates the workers again that got tasks of other steps since the ranking was last in use.
+func (k *ranking) refresh() {
+	changed := map[*slot]bool{}
+	for _, s := range k.r.changes[k.seen:] {
+		changed[s] = true
+	}
+	kept := k.ranked[:0]
+	for _, e := range k.ranked {
+		if changed[e.slot] {
+			var reason Reason
+			if e.score, reason = k.r.evaluate(k.c, e.slot); reason != ReasonNone {
+				k.refused[reason]++
+				continue
+			}
+		}
+		kept = append(kept, e)
+	}
+	k.ranked = kept
+	heap.Init(k)
+}
+
 // evaluate returns the score of a worker for the tasks of a step, or the reason that rules the
 // worker out.
 func (r *round) evaluate(c *candidate, s *slot) (float64, Reason) {
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -53,13 +53,21 @@
 	ReasonUnknownRun
 	// ReasonCordoned means that the worker's availability zone is cordoned.
 	ReasonCordoned
+	// ReasonLimit means that the account or the queue has as many tasks or processors in use as it may.
+	// It rules out all workers, like ReasonHeld.
+	ReasonLimit
+	// ReasonHeld means that an operator holds the queue.
+	ReasonHeld
+	// ReasonTurn means that the worker is kept for a task of an account below its share, which does not
+	// fit there yet.
+	ReasonTurn
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
 	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated", "unknown run",
-	"zone cordoned",
+	"zone cordoned", "limit", "queue held", "kept for another account",
 }
 
 // String returns the reason's name in logs.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -25,6 +25,27 @@
 	// stopped are the runs that this round stops.
 	stopped  map[jobqueue.RunID]bool
 	decision Decision
+	// starts is the work that this round starts.
+	starts workloads
+	// changes lists the slots that got a task, in order.
+	changes []*slot
+	// turns are the accounts with ready tasks.
+	turns map[turnKey]turnState
+	// contended is set while several accounts take turns, and mayKeep if a worker may be kept for the
+	// account whose turn it is.
+	contended, mayKeep bool
+	// keptWorkers counts the workers of each pool that are kept for a task.
+	keptWorkers map[string]int
+	// unplacedByAccount counts the tasks of each account that found no worker.
+	unplacedByAccount map[string]int
+	// full contains the reasons that rule out all workers for tasks of a shape, and infeasible the shapes
+	// that no worker is feasible for as a last resort.
+	full       map[taskShape][reasonCount]int
+	infeasible map[taskShape]bool
+	// unkeepable are the shapes that no worker can be kept for.
+	unkeepable map[taskShape]bool
+	// crowding caches which pools are crowded.
+	crowding map[string]poolCrowding
 }
 
 // remainingSlack returns the slack of a worker that its current backfill runs leave.
@@ -80,21 +101,44 @@
 	// lastResort is set if no worker was found other than avoided ones. The tasks may then start on
 	// an avoided worker.
 	lastResort bool
+	// position is the place in the order by urgency.
+	position int
+	// ranked is the ranking of the workers while other accounts take their turns.
+	ranked *ranking
 }
 
-// startWaiting starts the waiting tasks on workers with free capacity, the most urgent ones first.
+// startWaiting starts the waiting tasks on workers with free capacity: by priority, then in turns of the
+// accounts, then the most urgent ones first.
 func (r *round) startWaiting() {
-	candidates := r.candidates()
+	candidates := r.withoutHeld(r.candidates())
 	r.trackProbationWaits(candidates)
 	slices.SortStableFunc(candidates, compareCandidates)
 	r.trackWaits(candidates)
-	for _, c := range candidates {
-		if c.step.Spec.Gang {
-			r.startGang(c)
-			continue
+	r.beginShares(candidates)
+	for len(candidates) > 0 {
+		n := 1
+		for n < len(candidates) && sameGroup(candidates[0], candidates[n]) {
+			n++
 		}
-		r.startTasks(c)
+		r.startGroup(candidates[:n])
+		candidates = candidates[n:]
 	}
+	r.planner.turns = r.turns
+	r.recordWaitingAccounts()
+}
+
+func sameGroup(a, b *candidate) bool {
+	return a.overdue == b.overdue && (a.overdue || a.queue.Priority == b.queue.Priority)
+}
+
+// startCandidate starts the tasks of a candidate until yields, if given, returns true after a start. It
+// reports whether nothing more is to be tried for the candidate in this round.
+func (r *round) startCandidate(c *candidate, yields func() bool) bool {
+	if c.step.Spec.Gang {
+		r.startGang(c)
+		return true
+	}
+	return r.startTasks(c, yields)
 }
 
 func (r *round) candidates() []*candidate {
@@ -204,31 +248,46 @@
 	return cmp.Compare(a.objectiveMs, b.objectiveMs)
 }
 
-func (r *round) startTasks(c *candidate) {
-	ranked := r.rank(c)
-	for i, index := range c.tasks {
+func (r *round) startTasks(c *candidate, yields func() bool) bool {
+	ranked := c.ranked
+	if ranked == nil {
+		ranked = r.rank(c)
+	} else {
+		ranked.refresh()
+	}
+	for len(c.tasks) > 0 {
+		if r.limited(c, 1) {
+			r.recordRuledOut(c, ReasonLimit)
+			return true
+		}
 		if ranked.best() == nil && c.step.Spec.LongRunning {
 			ranked = r.rankLastResort(c, ranked)
 		}
 		s := ranked.best()
 		if s != nil && !r.withinProbationLimit(c, s) {
 			ranked.refused[ReasonProbation] += len(ranked.ranked)
-			r.recordUnplaced(c, len(c.tasks)-i, ranked)
-			return
+			r.recordUnplaced(c, len(c.tasks), ranked)
+			return true
 		}
-		if s != nil {
+		index := c.tasks[0]
+		switch {
+		case s != nil:
 			r.start(c, index, s, c.step.NextRun(index))
 			ranked.reevaluateBest()
-			continue
-		}
-		if r.starving(c) {
-			s = r.startStarving(c, index)
+		case !r.starving(c) || r.startStarving(c, index) == nil:
+			r.keepWorker(c)
+			r.recordUnplaced(c, len(c.tasks), ranked)
+			return true
 		}
-		if s == nil {
-			r.recordUnplaced(c, len(c.tasks)-i, ranked)
-			return
+		r.recordTurn(c)
+		c.tasks = c.tasks[1:]
+		if yields != nil && len(c.tasks) > 0 && yields() {
+			ranked.seen = len(r.changes)
+			c.ranked = ranked
+			return false
 		}
 	}
+	return true
 }
 
 // rankLastResort ranks the workers again and includes avoided ones, for a candidate that found no
@@ -244,6 +303,10 @@
 
 // startGang starts all members of a gang or none.
 func (r *round) startGang(c *candidate) {
+	if r.limited(c, len(c.tasks)) {
+		r.recordRuledOut(c, ReasonLimit)
+		return
+	}
 	run := c.step.NextRun(0)
 	before := len(r.decision.Starts)
 	var reserved []*slot
@@ -256,6 +319,7 @@
 			r.decision.Starts = r.decision.Starts[:before]
 			for _, s := range reserved {
 				s.reserve(c, -1)
+				r.charge(c, -1)
 				r.undoProbation(c, s)
 				s.backfillStarts = slices.DeleteFunc(s.backfillStarts, func(run observedRun) bool { return run.run.ID.Task.StepID() == c.key() })
 			}
@@ -265,6 +329,7 @@
 		r.start(c, index, s, run)
 		ranked.reevaluateBest()
 	}
+	r.recordTurn(c)
 }
 
 // start adds the start of a task to the decision and reserves capacity for it on its worker.
@@ -283,6 +348,8 @@
 		r.planner.health.recordRetry(s.worker.Spec.Id, r.now)
 	}
 	s.reserve(c, 1)
+	r.charge(c, 1)
+	r.changes = append(r.changes, s)
 	if c.probation {
 		r.beginProbation(c, s)
 	}
@@ -333,6 +400,8 @@
 		return ReasonAvoided
 	case !s.worker.HasLabel(spec.RequiredLabel):
 		return ReasonLabel
+	case s.keptForOther(c):
+		return ReasonTurn
 	}
 	if reason := shortageReasons[s.available.ShortageFor(jobqueue.Reserved(spec))]; reason != ReasonNone {
 		return reason
@@ -351,5 +420,6 @@
 // recordUnplaced records that tasks of a candidate found no worker, and the reasons.
 func (r *round) recordUnplaced(c *candidate, tasks int, ranked *ranking) {
 	r.decision.Unplaced = append(r.decision.Unplaced, UnplacedStep{Step: c.key(), Tasks: tasks, WorkersByReason: ranked.refused})
+	r.unplacedByAccount[c.job.Account()] += tasks
 	r.requestAdvice(c)
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -9,6 +9,7 @@
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/fairshare"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -65,6 +66,9 @@
 	AdviceRequests []AdviceRequest
 	// Unplaced are the steps with tasks that were ready to start and found no worker.
 	Unplaced []UnplacedStep
+	// WaitingAccounts are the accounts whose tasks find no capacity while other accounts use some, the
+	// lowest share over weight first.
+	WaitingAccounts []AccountWait
 }
 
 // Empty reports whether there is nothing to commit.
@@ -99,6 +103,11 @@
 	unlistedCheckedAt time.Time
 	// leavingSince is the time since which a worker is being evacuated.
 	leavingSince map[string]time.Time
+	// workloads is the running work by account and queue, and ledger the use of each account.
+	workloads workloads
+	ledger    *fairshare.Ledger
+	// turns are the accounts with ready tasks at a priority that they compete for with others.
+	turns map[turnKey]turnState
 }
 
 // New returns a planner that has learned nothing yet.
@@ -109,6 +118,7 @@
 		waitingSince: map[jobqueue.StepID]time.Time{}, lowPaceSince: map[jobqueue.RunID]time.Time{},
 		cachedUses: map[*jobqueue.Worker]cachedUse{}, leavingSince: map[string]time.Time{},
 		unobservedSince: map[jobqueue.RunID]time.Time{},
+		workloads:       newWorkloads(), ledger: fairshare.New(),
 	}
 }
 
@@ -129,7 +139,12 @@
 }
 
 func (p *Planner) newRound(m *jobqueue.Machine, fleet Fleet, now time.Time, wallMs int64) *round {
-	return &round{planner: p, machine: m, fleet: fleet, now: now, wallMs: wallMs, stopped: map[jobqueue.RunID]bool{}, probations: map[string]int{}}
+	return &round{
+		planner: p, machine: m, fleet: fleet, now: now, wallMs: wallMs, stopped: map[jobqueue.RunID]bool{}, probations: map[string]int{},
+		starts: newWorkloads(), turns: map[turnKey]turnState{}, keptWorkers: map[string]int{},
+		unplacedByAccount: map[string]int{}, full: map[taskShape][reasonCount]int{},
+		infeasible: map[taskShape]bool{}, unkeepable: map[taskShape]bool{}, crowding: map[string]poolCrowding{},
+	}
 }
 
 // RecordRunEnd updates what the planner has learned of the worker and the image of an ended run.
@@ -162,7 +177,7 @@
 	p.prunedAt = now
 	departed := func(worker string) bool { return m.Worker(worker) == nil }
 	maps.DeleteFunc(p.pacers, func(worker string, _ *pacer) bool { return departed(worker) })
-	maps.DeleteFunc(p.cachedUses, func(w *jobqueue.Worker, _ cachedUse) bool { return m.Worker(w.Spec.Id) != w })
+	p.forgetUses(m)
 	maps.DeleteFunc(p.health.byWorker, func(worker string, _ *health) bool { return departed(worker) })
 	finished := func(step jobqueue.StepID) bool {
 		j := m.Job(step.Job)
@@ -172,3 +187,14 @@
 	p.approvals.removeFinished(finished)
 	p.durations.prune(now)
 }
+
+// forgetUses drops the uses of workers that the log no longer contains.
+func (p *Planner) forgetUses(m *jobqueue.Machine) {
+	maps.DeleteFunc(p.cachedUses, func(w *jobqueue.Worker, c cachedUse) bool {
+		departed := m.Worker(w.Spec.Id) != w
+		if departed {
+			p.workloads.add(c.workloads, -1)
+		}
+		return departed
+	})
+}
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -38,6 +38,8 @@
 	startsByStep map[jobqueue.StepID]int
 	// backfillStarts are this round's starts of backfill tasks.
 	backfillStarts []observedRun
+	// keptFor is the candidate that this worker is kept for, nil for most workers.
+	keptFor *candidate
 }
 
 // use is what tasks are expected to use of a worker.
@@ -51,10 +53,15 @@
 	// watchesProgress is set if one of the tasks is of a kind that is stopped when it makes no
 	// progress.
 	watchesProgress bool
+	// longRunning is what the long-running tasks reserve.
+	longRunning jobqueue.Resources
 }
 
 // add adds n tasks of a step.
 func (u *use) add(spec *apiv1.JobStep, n int) {
+	if spec.LongRunning {
+		u.longRunning = u.longRunning.Add(jobqueue.Reserved(spec).Times(n))
+	}
 	switch {
 	case spec.Backfill:
 		u.backfillMilli += int64(n) * spec.CpuMilli
@@ -74,6 +81,8 @@
 	runsRevision  uint64
 	pacer         *pacer
 	pacesRevision uint64
+	// workloads is the work of the runs by account and queue.
+	workloads []keyedWorkload
 	use
 }
 
@@ -86,7 +95,13 @@
 	if found && known.runsRevision == w.Revision && known.pacer == c && (c == nil || known.pacesRevision == c.revision) {
 		return known.use
 	}
-	known = cachedUse{runsRevision: w.Revision, pacer: c, use: r.countUse(w)}
+	work := known.workloads
+	if !found || known.runsRevision != w.Revision {
+		r.planner.workloads.add(known.workloads, -1)
+		work = workloadsOn(w)
+		r.planner.workloads.add(work, 1)
+	}
+	known = cachedUse{runsRevision: w.Revision, pacer: c, workloads: work, use: r.countUse(w)}
 	if c != nil {
 		known.pacesRevision = c.revision
 	}
@@ -134,6 +149,10 @@
 		})
 	}
 	r.planner.pruneDeparted(r.machine, r.now)
+	if len(r.planner.cachedUses) != len(workers) {
+		// What ran on departed workers must not count until the next pruning.
+		r.planner.forgetUses(r.machine)
+	}
 }
 
 // acceptsStarts reports whether the worker is usable and its availability zone is not cordoned.
--- a/schedule/starving.go
+++ b/schedule/starving.go
@@ -49,8 +49,13 @@
 // workers included. It returns nil if there is none.
 func (r *round) startStarving(c *candidate, index int) *slot {
 	c.lastResort = true
+	shape, shaped := shapeOf(c)
+	if shaped && r.infeasible[shape] {
+		return nil
+	}
 	s := r.leastLoadedFeasible(c)
 	if s == nil {
+		r.infeasible[shape] = r.infeasible[shape] || shaped
 		return nil
 	}
 	r.start(c, index, s, c.step.NextRun(index))
@@ -62,8 +67,23 @@
 	return s
 }
 
+// poolCrowding is whether a pool was crowded after a number of changes of the round.
+type poolCrowding struct {
+	changes int
+	crowded bool
+}
+
 // crowded reports whether more than crowdedUtilization of a pool's processors or memory is in use.
 func (r *round) crowded(pool string) bool {
+	known, found := r.crowding[pool]
+	if !found || known.changes != len(r.changes) {
+		known = poolCrowding{len(r.changes), r.isCrowded(pool)}
+		r.crowding[pool] = known
+	}
+	return known.crowded
+}
+
+func (r *round) isCrowded(pool string) bool {
 	var used, capacity jobqueue.Resources
 	for _, s := range r.slots {
 		if s.worker.Spec.Pool != pool || !s.acceptsStarts() {
