--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -194,6 +194,7 @@
 		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
+		d.recordAccountWaits(l, jobs, decision.WaitingAccounts, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
 		d.logJobsAtCrashLimit(l, jobs)
 		d.logCordons(l, jobs)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -60,6 +60,8 @@
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
 	reportedSinceSave bool
+	// accountWaitsLoggedAt is the time of the last line about accounts that wait for their share.
+	accountWaitsLoggedAt time.Time
 }
 
 // ensureLeading makes this replica ready to lead if it was elected, and reports whether it leads.
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -44,6 +44,8 @@
 	// longRunningOutage is the length of each of their outages.
 	longRunningNotRunning metrics.Gauge
 	longRunningOutage     *hdrmetric.Histogram
+	// accountsWaiting is the number of accounts whose tasks find no capacity while others use some.
+	accountsWaiting metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -74,6 +76,8 @@
 
 		longRunningNotRunning: metrics.GetOrRegisterGauge("dispatch.long_running_away", r),
 		longRunningOutage:     hdrmetric.GetOrRegister("dispatch.long_running_outage_us", r),
+
+		accountsWaiting: metrics.GetOrRegisterGauge("dispatch.accounts_waiting", r),
 	}
 }
 
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -103,6 +103,8 @@
 	if len(m.holds) > 0 && m.QueueHeld(m.QueueOf(j).GetName()) {
 		return nil // the queue was held after the plan was made
 	}
+	// Limits of running work are the planner's only: a start beyond a limit that was lowered after the plan
+	// was made does no harm, while counting all runs of an account here would cost each replica.
 	onProbation := s.NextRunOnProbation(int(id.Index))
 	if !m.mayRun(j, id, s, t, start.Run) || !m.MayRunOn(j, id, s.Spec, w) || !w.probationAllows(id) {
 		return nil
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -45,6 +45,7 @@
 	RunEnded               = declare(Dispatch, Warning, "run ended", NameTask, NameRun, NameWorker, NameOutcome)
 	StartRefused           = declare(Dispatch, Warning, "start refused", NameWorker, "reason", NameTask, NameRun)
 	TasksWaiting           = declare(Dispatch, Routine, "tasks wait", NameTerm, NameWaitingSteps)
+	AccountsWaiting        = declare(Dispatch, Routine, "accounts wait for their share", NameTerm, "accounts", NameWaitingAccounts, NameUsingAccounts)
 	LeaseExpired           = declare(Dispatch, Warning, "lease ran out", NameTerm, NameWorker, "runs", "silent", "lease")
 	RunsLost               = declare(Dispatch, Warning, "runs are lost", NameTerm, "reason", "core_seconds", "silent", NameLost)
 	UnloggedRuns           = declare(Dispatch, Warning, "worker lists runs that the log does not hold", NameTerm, NameWorker, NameUnlogged)
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -29,6 +29,8 @@
 	NameCounted           = "counted"
 	NameBegan             = "began"
 	NameWaitingSteps      = "waits"
+	NameWaitingAccounts   = "accounts_waiting"
+	NameUsingAccounts     = "accounts_using"
 	NameTasks             = "tasks"
 	NameWorkers           = "workers"
 	NameWaited            = "waited"
@@ -226,6 +228,18 @@
 	return listsField(NameWaitingSteps, byReasons)
 }
 
+// AccountCount is a number of client accounts.
+func AccountCount(n int) Field { return Field{zap.Int("accounts", n)} }
+
+// WaitingAccounts lists accounts with tasks that find no capacity; each is "ACCOUNT SHARE WEIGHT TASKS
+// WAITED", with the time since the last start in milliseconds.
+func WaitingAccounts(accounts []string) Field {
+	return Field{zap.Strings(NameWaitingAccounts, accounts)}
+}
+
+// UsingAccounts lists accounts with running tasks; each is "ACCOUNT SHARE WEIGHT".
+func UsingAccounts(accounts []string) Field { return Field{zap.Strings(NameUsingAccounts, accounts)} }
+
 // CoreSeconds is processor time in seconds of one core.
 func CoreSeconds(d time.Duration) Field {
 	return Field{zap.Float64("core_seconds", d.Round(time.Millisecond).Seconds())}
--- a/schedule/share_test.go
+++ b/schedule/share_test.go
@@ -387,6 +387,48 @@
 	}
 }
 
+// Guards against starts of a held queue, also from moves of its runs, and against a hold that affects other
+// queues or goes on after the release.
+func TestHeldQueue(t *testing.T) {
+	r := newHarness(t)
+	r.addWorker("w1", 4000, 64_000)
+	set := &apiv1.JobStep{Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000, LongRunning: true, Image: "i"}
+	r.submit("batch", "set", set)
+	r.plan()
+	for _, id := range r.runsOn("w1") {
+		r.observe(id, fullPace, 1)
+	}
+	r.addWorker("w2", 4000, 64_000)
+	r.hold("batch", true)
+	r.submit("batch", "held", &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000})
+	r.submit("urgent", "other", &apiv1.JobStep{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimatedMs: 1000})
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{
+		Wave: &apiv1.MaintenanceWave{Number: 1, Hosts: []string{"host-w1"}, DurationMs: 1000, Cap: 1},
+	}}})
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Maintain{Maintain: &apiv1.MaintainHost{
+		Term: testTerm, Wave: 1, Host: "host-w1", State: apiv1.MaintenanceState_MAINTENANCE_STATE_LEAVING, Worker: "w1",
+	}}})
+	d := r.plan()
+	if got := startsByJob(d); !maps.Equal(got, map[string]int{"other": 1}) || len(d.Stops) > 0 {
+		t.Errorf("starts %v, stops %v while the queue is held", got, d.Stops)
+	}
+	if len(d.Unplaced) != 1 || d.Unplaced[0].ReasonSummary() != "queue held 2" || d.Unplaced[0].needsHosts() {
+		t.Errorf("unplaced %v", d.Unplaced)
+	}
+	r.hold("batch", false)
+	d = r.plan()
+	if got := startsByJob(d); got["held"] != 1 || len(d.Stops) != 2 {
+		t.Errorf("starts %v, stops %v after the release", got, d.Stops)
+	}
+}
+
+func (r *harness) hold(queue string, held bool) {
+	r.t.Helper()
+	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_SetQueueHold{SetQueueHold: &apiv1.SetQueueHold{
+		Queue: queue, Held: held, Revision: r.machine.QueueHold(queue).GetRevision(),
+	}}})
+}
+
 // planAgain returns the number of starts of the next round.
 func (r *harness) planAgain() int {
 	r.advance(shareTick)
