--- a/schedule/ranking.go
+++ b/schedule/ranking.go
@@ -57,6 +57,10 @@
 		k.refused = refused
 		return k
 	}
+	k.ranked, r.planner.rankBuffer = r.planner.rankBuffer[:0], nil
+	if cap(k.ranked) < len(r.slots) {
+		k.ranked = make([]rankedSlot, 0, len(r.slots))
+	}
 	for i, s := range r.slots {
 		if score, reason := r.evaluate(c, s); reason == ReasonNone {
 			k.ranked = append(k.ranked, rankedSlot{s, score, i})
@@ -71,6 +75,13 @@
 	return k
 }
 
+// release lets the next ranking use the memory of this one, which is not used any more.
+func (k *ranking) release() {
+	if cap(k.ranked) > cap(k.r.planner.rankBuffer) {
+		k.r.planner.rankBuffer = k.ranked[:0]
+	}
+}
+
 // refresh evaluates the workers again that got tasks of other steps since the ranking was last in use.
 func (k *ranking) refresh() {
 	changed := map[*slot]bool{}
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -255,6 +255,12 @@
 	} else {
 		ranked.refresh()
 	}
+	defer func() {
+		if c.ranked != ranked {
+			ranked.release()
+		}
+	}()
+	c.ranked = nil
 	for len(c.tasks) > 0 {
 		if r.limited(c, 1) {
 			r.recordRuledOut(c, ReasonLimit)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -108,6 +108,8 @@
 	ledger    *fairshare.Ledger
 	// turns are the accounts with ready tasks at a priority that they compete for with others.
 	turns map[turnKey]turnState
+	// rankBuffer is the memory of a ranking that is not in use.
+	rankBuffer []rankedSlot
 }
 
 // New returns a planner that has learned nothing yet.
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -133,9 +133,11 @@
 func (r *round) buildSlots() {
 	workers := r.machine.Workers()
 	r.slots = make([]*slot, 0, len(workers))
-	for _, w := range workers {
+	// One allocation for all slots: 3,700 of them took an eighth of a round with 20 starts.
+	slots := make([]slot, len(workers))
+	for i, w := range workers {
 		health := r.planner.health.byWorker[w.Spec.Id]
-		r.slots = append(r.slots, &slot{
+		slots[i] = slot{
 			worker:         w,
 			available:      r.fleet.Availability(w),
 			use:            r.useOf(w),
@@ -146,7 +148,8 @@
 			mayRetry:       health.mayRetry(r.now),
 			recentlyFailed: health.recentlyFailed(),
 			onProbation:    w.HasRunOnProbation(),
-		})
+		}
+		r.slots = append(r.slots, &slots[i])
 	}
 	r.planner.pruneDeparted(r.machine, r.now)
 	if len(r.planner.cachedUses) != len(workers) {
