schedule: an account at its limit keeps no worker from others

Workers are kept for the account with the lowest share. One that waits for its limit kept that place and used it for nothing, so large tasks of another account waited for their bound: 0.218 of a full fleet in place of 0.5 in the extended TestShareLargeTasksBesideSmallOnes, which passes now.

--- a/schedule/share_test.go
+++ b/schedule/share_test.go
@@ -86,13 +86,18 @@
 	})
 }
 
-// Guards against small tasks that take each piece of capacity before a large one fits.
+// Guards against small tasks that take each piece of capacity before a large one fits, also beside an account
+// with the lowest share that waits for its limit.
 func TestShareLargeTasksBesideSmallOnes(t *testing.T) {
 	t.Parallel()
 	for _, workers := range []int{6, 32} {
-		s := newShareSim(t, 1, workers,
+		limited := &accountLoad{account: "limited", open: 5, tasks: 1, cpuMilli: 100, duration: time.Second}
+		s := newShareSim(t, 1, workers, limited,
 			&accountLoad{account: "large", open: workers, tasks: 4, cpuMilli: 6000, duration: 1500 * time.Millisecond},
 			&accountLoad{account: "small", open: 8 * workers, tasks: 10, cpuMilli: 500, duration: 500 * time.Millisecond})
+		s.configure(func(c *apiv1.QueueConfiguration) {
+			c.Accounts = []*apiv1.AccountConfiguration{{Name: "limited", Limits: &apiv1.WorkLimits{Tasks: 1}}}
+		})
 		s.runUntil(30 * time.Second)
 		s.expectUse("large", 0.5, 0.03)
 		s.expectFull(workers)
--- a/schedule/turns.go
+++ b/schedule/turns.go
@@ -183,7 +183,8 @@
 	var lowest *turn
 	for len(h) > 0 {
 		t, next := h[0], h.runnerUp()
-		if lowest == nil && !t.overdue {
+		// An account at its limit does not use a worker that is kept for it.
+		if lowest == nil && !t.overdue && !r.limited(t.queue[0], 1) {
 			lowest = t
 		}
 		r.mayKeep = t.overdue || t == lowest
