--- a/admission/admission.go
+++ b/admission/admission.go
@@ -33,11 +33,12 @@
 
 // Backlog is what the leader knows of waiting work when a job is submitted.
 type Backlog struct {
-	// Ahead is the work that goes before the job: of higher priorities, and of its own.
+	// Ahead is the work that goes before the job: of higher priorities, and of its own; see
+	// Waiting.Ahead.
 	Ahead Work
 	// Drain is the work that the fleet finished per second in the last seconds; 0 while unknown.
 	Drain Work
-	// Delay is the time that the oldest startable step of the job's priority has waited.
+	// Delay is the time that the oldest startable step of the job's account and priority has waited.
 	Delay time.Duration
 	// Trusted is set once the leader has observed the fleet for long enough to estimate from it.
 	Trusted bool
@@ -56,8 +57,17 @@
 	Delayed
 	// RetryBudget: the account returns more often than its budget of retries allows.
 	RetryBudget
+	reasonCount
 )
 
+var reasonNames = [reasonCount]string{"accepted", "too late", "queueing delay", "retry budget"}
+
+// String returns the reason's name in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Reasons returns all reasons for refusals.
+func Reasons() []Reason { return []Reason{TooLate, Delayed, RetryBudget} }
+
 // Decision is the outcome for one submission.
 type Decision struct {
 	Reason Reason
@@ -67,6 +77,9 @@
 	// were exceeded; both are 0 if there is no estimate.
 	Estimate time.Duration
 	Error    float64
+	// Full is set if a job like this one would also be refused at any time before RetryAfter, whoever
+	// submits it.
+	Full bool
 }
 
 // Policy decides on submissions. It is not safe for concurrent use.
