control: a hook decides on submitted jobs on the leader; refused after a lost attempt is unknown

A leader that refuses jobs has to do so before a proposal exists, and its refusal says that the job was not run. An entry whose first attempt got no answer can't say that: the attempt may still reach the leader and be accepted.

ProposeLocal hands submissions to Config.SubmitJob, which is nil by default. The forwarder turns a refusal after an attempt that may have been committed into an unknown outcome.

--- a/control/control.go
+++ b/control/control.go
@@ -40,6 +40,24 @@
 	return fmt.Sprintf("no quorum: %s; come back in %v", e.Cause, e.RetryAfter)
 }
 
+// RefusedError reports that the leader did not accept a job. Nothing was proposed, and no earlier
+// attempt that the leader or this process knows of may be committed.
+type RefusedError struct {
+	RetryAfter time.Duration
+	Cause      string
+	// Full is set if the leader would also refuse other jobs like this one of the same account now.
+	Full bool
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the job is refused and was not run: %s; come back in %v", e.Cause, e.RetryAfter)
+}
+
+// FullMessage begins the message of a result that refuses a job because the queue is full for all jobs
+// like it.
+const FullMessage = "full: "
+
 // UnknownError reports that a command may or may not be committed.
 type UnknownError struct{ Cause string }
 
--- a/control/forwarder.go
+++ b/control/forwarder.go
@@ -74,7 +74,8 @@
 
 // propose sends a command to the leader until it gets a result or ctx ends. maybeSent reports that
 // an earlier try through another path may have committed the command. A try that may have committed
-// is repeated only if safeToResend allows it.
+// is repeated only if safeToResend allows it, and its outcome remains unknown if the leader refuses the
+// command then.
 func (f *Forwarder) propose(ctx context.Context, cmd *apiv1.Command, hint string, maybeSent bool) (*apiv1.Result, error) {
 	repeatable := safeToResend(cmd)
 	cause := "no control host is known"
@@ -87,6 +88,11 @@
 			return "", !failedBeforeSending(err) && !repeatable
 		}
 		res, err := decodeProposeResponse(resp)
+		if err == nil && maybeSent && res.Job == apiv1.JobOutcome_JOB_OUTCOME_REFUSED {
+			// The earlier attempt may still reach the leader and be accepted.
+			cause = "an earlier attempt may be committed, and a later one was refused: " + res.Message
+			return "", true
+		}
 		if err == nil {
 			result = res
 			return "", true
--- a/control/forwarder_test.go
+++ b/control/forwarder_test.go
@@ -92,3 +92,31 @@
 }
 
 func accepted() *apiv1.Result { return &apiv1.Result{Verdict: apiv1.Verdict_VERDICT_ACCEPTED} }
+
+// Guards against a job that is answered as refused, so "not run", while an earlier attempt of the same
+// call may still be committed.
+func TestRefusalAfterLostAttemptIsUnknown(t *testing.T) {
+	refused := &apiv1.ProposeResponse{Result: &apiv1.Result{Job: apiv1.JobOutcome_JOB_OUTCOME_REFUSED, RetryAfterMs: 1500}}
+	for name, c := range map[string]struct {
+		answers []*apiv1.ProposeResponse
+		unknown bool
+	}{
+		"refused at once":     {[]*apiv1.ProposeResponse{refused}, false},
+		"no leader before":    {[]*apiv1.ProposeResponse{{NotLeader: true}, refused}, false},
+		"answer lost before":  {[]*apiv1.ProposeResponse{nil, refused}, true},
+		"unknown before that": {[]*apiv1.ProposeResponse{{Unknown: true}, {NotLeader: true}, refused}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := &scriptedPeer{answers: c.answers}
+			f := NewForwarder([]string{leader.serve(t)}, &http.Client{})
+			ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+			defer stop()
+			res, err := f.Propose(ctx, &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: &apiv1.JobsCommand{
+				Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{Id: "j"}}},
+			}}})
+			if c.unknown && !errors.As(err, new(*UnknownError)) || !c.unknown && res.GetRetryAfterMs() != 1500 {
+				t.Errorf("%v, %v", res, err)
+			}
+		})
+	}
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -53,6 +53,10 @@
 	// Forwarder reaches the leader when this replica does not lead. Without a Forwarder, such a
 	// replica refuses commands and renewals.
 	Forwarder *Forwarder
+	// SubmitJob decides on a submitted job on the leader; nil accepts all. It either calls propose,
+	// which commits the submission, and returns its result, or returns a result of its own without any
+	// proposal.
+	SubmitJob func(ctx context.Context, spec *apiv1.JobSpec, propose ProposeFunc) (*apiv1.Result, error)
 	// OnApplied is called after a command was applied or a snapshot was restored, by the log's own
 	// goroutine; it must not block.
 	OnApplied func()
@@ -62,6 +66,9 @@
 	Metrics metrics.Registry
 }
 
+// ProposeFunc commits a command; see Replica.ProposeLocal for errors.
+type ProposeFunc func(ctx context.Context) (*apiv1.Result, error)
+
 func (c *Config) setDefaults() {
 	c.LeaseDuration = cmp.Or(c.LeaseDuration, defaultLeaseDuration)
 	c.ClockRateErrorPPM = cmp.Or(c.ClockRateErrorPPM, defaultClockRateErrorPPM)
@@ -293,6 +300,16 @@
 	if !ok || cmd.ClockTerm != 0 && cmd.ClockTerm != term {
 		return nil, &NotLeaderError{LeaderAddress: r.log().LeaderAddress()}
 	}
+	if spec := cmd.GetJobs().GetSubmit().GetSpec(); spec != nil && r.cfg.SubmitJob != nil {
+		return r.cfg.SubmitJob(ctx, spec, func(ctx context.Context) (*apiv1.Result, error) {
+			return r.proposeInTerm(ctx, term, cmd)
+		})
+	}
+	return r.proposeInTerm(ctx, term, cmd)
+}
+
+// proposeInTerm commits a command under the clock of a term.
+func (r *Replica) proposeInTerm(ctx context.Context, term uint64, cmd *apiv1.Command) (*apiv1.Result, error) {
 	// The leader's clock sets the timestamp, so that a term uses one clock, not one per host.
 	now := r.cfg.Now()
 	stamp := r.clock.stamp(term, now.UnixMilli(), now.Sub(r.started), r.timeMs())
