dispatch: the leader refuses jobs that can't end while they are of use

Under overload the leader accepts every job, so that all end late. With Options.Admission it decides by the work that waits (summed up in rounds, at most a twentieth of a processor), the rate at which runs end, and the delay of the oldest step, under a lock of its own.

"Not run" is true: a job that the log holds is answered OK, a second submission of a job waits for the first, a job whose proposal had an unknown outcome is proposed again, and a refusal is given only after a confirmation of leadership that began after the decision; refusals share those. Refusals are logged, at most ten lines a second, and counted.

The existing tests of dispatch pass with the hook in place and admission off.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/cairnlift/cairnlift/admission"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/logging/dependency"
 	"github.com/cairnlift/cairnlift/logging/event"
@@ -60,6 +61,8 @@
 	longRunningQuestions, otherQuestions chan pendingQuestion
 	advisorWatch                         *dependency.Watch
 	hostsWatch                           *dependency.Watch
+	// submissions is nil unless the leader may refuse submitted jobs.
+	submissions *submissions
 
 	// mu guards the leader's state outside the replicated log. It is acquired before the replica's
 	// own lock.
@@ -83,7 +86,7 @@
 	if o.Members == nil {
 		o.Members = func() []string { return nil }
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		opts:         o,
 		logger:       event.Dispatch.Named(o.Logger),
 		metrics:      newMetricSet(o.Metrics),
@@ -95,6 +98,10 @@
 		advisorWatch:         dependency.New("advisor", o.Logger, o.Now),
 		hostsWatch:           dependency.New("list of hosts", o.Logger, o.Now),
 	}
+	if o.Admission != "" && o.Admission != admission.Off {
+		d.submissions = newSubmissions(&d.opts, newRefusalLog(d.logger))
+	}
+	return d
 }
 
 // Applied notifies the dispatcher that the state changed. It does not block.
@@ -194,6 +201,7 @@
 		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
+		d.submissions.refresh(l, jobs, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
 		d.logJobsAtCrashLimit(l, jobs)
 		d.logCordons(l, jobs)
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -89,6 +89,9 @@
 // clearLeaderState discards the state of the leader of a term. The caller must hold d.mu.
 func (d *Dispatcher) clearLeaderState() {
 	d.leader.batchedLog.flush(d.leader.term, d.opts.Now())
+	if d.submissions != nil {
+		d.submissions.resign(d.opts.Now())
+	}
 	d.leader = nil
 }
 
@@ -141,6 +144,9 @@
 		outages:            newOutages(),
 		stops:              newOpenStops(),
 	}
+	if d.submissions != nil {
+		d.submissions.lead(term, now)
+	}
 	event.LeaderReady.Write(d.logger, event.Term(term), event.Index(res.Index))
 	return true
 }
--- a/dispatch/lines_test.go
+++ b/dispatch/lines_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/cairnlift/cairnlift/admission"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/schedule"
@@ -24,7 +25,7 @@
 // newLoggingSim returns a simulation whose leader logs into a buffer, in the format of a daemon.
 func newLoggingSim(ctx context.Context, t *testing.T, workers int, o dispatch.Options) (*sim, *bytes.Buffer, metrics.Registry) {
 	initialCtx, stopInitial := context.WithCancel(ctx)
-	s := newSim(initialCtx, t, 1, 0)
+	s := newSim(initialCtx, t, 1, 0, admission.Off)
 	stopInitial()
 	s.loops.Wait()
 	s.ctx, s.faultFree = ctx, true
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cairnlift/cairnlift/admission"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/state"
 )
@@ -43,8 +44,11 @@
 	// MaxCapacityAge is the age of a worker's announcement of its capacity from which on the worker
 	// gets no new work; 0 means none.
 	MaxCapacityAge time.Duration
-	Logger         *zap.Logger
-	Metrics        metrics.Registry
+	// Admission is how the leader decides on submitted jobs; empty means admission.Off. It needs
+	// control.Config.SubmitJob to call the dispatcher's SubmitJob.
+	Admission admission.Mode
+	Logger    *zap.Logger
+	Metrics   metrics.Registry
 	// Now returns the current time; the default is time.Now.
 	Now func() time.Time
 }
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -73,13 +73,14 @@
 
 // logFinishedJobs adds those of the given jobs that have finished to the batched log. Each is
 // logged once: two reports that finish a job may be committed concurrently.
-func (l *leaderState) logFinishedJobs(m *jobqueue.Machine, open map[string]openJob, now time.Time) {
+func (l *leaderState) logFinishedJobs(m *jobqueue.Machine, s *submissions, open map[string]openJob, now time.Time) {
 	for id, o := range open {
 		j := m.Job(id)
 		if j == nil || j.Open() || j.State == apiv1.JobState_JOB_STATE_CANCELED || l.finishLogged[id] {
 			continue
 		}
 		l.finishLogged[id] = true
+		s.recordJobEnd(id, j.State == apiv1.JobState_JOB_STATE_SUCCEEDED, now)
 		l.batchedLog.addFinishedJob(l.term, j.Queue.PathPrefix, finishedJobEntry{
 			id: id, outcome: strings.ToLower(strings.TrimPrefix(j.State.String(), "JOB_STATE_")),
 			took: time.Duration(j.FinishedMs-o.dueMs) * time.Millisecond, allowed: o.allowed, at: now,
@@ -100,6 +101,6 @@
 	}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		d.logSuspects(m.CallerJobs(), applied)
-		d.leader.logFinishedJobs(m.CallerJobs(), applied.openJobs, d.opts.Now())
+		d.leader.logFinishedJobs(m.CallerJobs(), d.submissions, applied.openJobs, d.opts.Now())
 	})
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -227,6 +227,7 @@
 			ended.Duration = now.Sub(o.FirstAt)
 		}
 		l.planner.RecordRunEnd(ended)
+		d.submissions.recordRunEnd(ended)
 		if e.Kind == apiv1.RunEndKind_RUN_END_KIND_DONE {
 			l.batchedLog.addEnd(l.term, w.Spec.Id, run.ID, now)
 			continue
--- a/dispatch/runsim_test.go
+++ b/dispatch/runsim_test.go
@@ -7,16 +7,25 @@
 	"testing/synctest"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/cairnlift/cairnlift/admission"
 )
 
 // runSim runs a test on a simulation in virtual time and stops the simulation after the test.
 func runSim(t *testing.T, seed uint64, workers int, test func(t *testing.T, s *sim)) {
+	t.Helper()
+	runSimWith(t, seed, workers, admission.Off, test)
+}
+
+// runSimWith runs a test on a simulation whose leader decides on submissions.
+func runSimWith(t *testing.T, seed uint64, workers int, mode admission.Mode, test func(t *testing.T, s *sim)) {
+	t.Helper()
 	// The ticker that the library shares between all meters must not belong to one test's virtual
 	// time.
 	metrics.NewMeter().Stop()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		s := newSim(ctx, t, seed, workers)
+		s := newSim(ctx, t, seed, workers, mode)
 		defer s.loops.Wait()
 		defer stop()
 		test(t, s)
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/cairnlift/cairnlift/admission"
 	"github.com/cairnlift/cairnlift/agent/runs"
 	"github.com/cairnlift/cairnlift/agent/runs/runstest"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -38,6 +40,8 @@
 	ctx     context.Context
 	log     *controltest.Log
 	replica *control.Replica
+	// connected is the replica as the dispatcher uses it.
+	connected *simReplica
 	// dispatcher is replaced when the leader changes.
 	dispatcher *dispatch.Dispatcher
 	watch      *fakes.RunChecker
@@ -208,19 +212,38 @@
 	return time.Duration(300+100*(id.Index%7)) * time.Millisecond
 }
 
-func newSim(ctx context.Context, t *testing.T, seed uint64, workers int) *sim {
+// simReplica is a replica that can be cut off from the others without knowing of it.
+type simReplica struct {
+	*control.Replica
+	cutOff atomic.Bool
+}
+
+func (r *simReplica) Barrier(ctx context.Context) error {
+	if r.cutOff.Load() {
+		return errors.New("no quorum")
+	}
+	return r.Replica.Barrier(ctx)
+}
+
+func newSim(ctx context.Context, t *testing.T, seed uint64, workers int, mode admission.Mode) *sim {
 	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, watch: fakes.NewRunChecker()}
 	s.advisor = &fakes.Advisor{BaseLatency: 20 * time.Millisecond, LatencyPerWorker: 5 * time.Millisecond, ValidFor: 2 * time.Second}
 	s.logBuffer = &bytes.Buffer{}
 	encoder := zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	s.logger = zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(s.logBuffer)), zap.InfoLevel))
-	s.replica = control.NewReplica(control.Config{OnApplied: func() {
-		if s.dispatcher != nil {
-			s.dispatcher.Applied()
-		}
-	}})
+	s.replica = control.NewReplica(control.Config{
+		OnApplied: func() {
+			if s.dispatcher != nil {
+				s.dispatcher.Applied()
+			}
+		},
+		SubmitJob: func(ctx context.Context, spec *apiv1.JobSpec, propose control.ProposeFunc) (*apiv1.Result, error) {
+			return s.dispatcher.SubmitJob(ctx, spec, propose)
+		},
+	})
 	s.log = controltest.NewLog(s.replica)
-	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.replica, LeaseDuration: simLease(seed), Logger: s.logger, Advisor: s.advisor,
+	s.connected = &simReplica{Replica: s.replica}
+	s.dispatcher = dispatch.New(dispatch.Options{Replica: s.connected, Admission: mode, LeaseDuration: simLease(seed), Logger: s.logger, Advisor: s.advisor,
 		Hosts: simHosts{s}})
 	s.loops.Go(func() { s.dispatcher.Run(s.ctx) })
 	s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -65,6 +65,8 @@
 	HostFenced             = declare(Dispatch, Warning, "another holder gave an order about the host", NameTerm, "host")
 	HostListUnavailable    = declare(Dispatch, Warning, "hosts can't be listed", NameTerm, "error")
 	CordonInEffect         = declare(Dispatch, Rare, "cordon of an availability zone changed", NameTerm, NameZone, "cordoned", "revision", "operator", "workers", "runs")
+	SubmissionRefused      = declare(Dispatch, Warning, "submission refused", NameTerm, NameJob, "account", "reason", "estimate", "estimate_error", "useful", "ahead_core_ms", "queueing_delay", "retry_after")
+	SubmissionsRefused     = declare(Dispatch, Warning, "submissions refused", NameTerm, "reasons", "accounts", NameTook)
 	ReportOutdated         = declare(Dispatch, Warning, "report is outdated", NameTerm, NameWorker)
 	ReportUnconfirmed      = declare(Dispatch, Rare, "report is not confirmed", NameWorker, "error")
 )
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -236,6 +236,36 @@
 // Method is the HTTP method of a caller's request.
 func Method(m string) Field { return stringField(NameMethod, m) }
 
+// Account is a client account.
+func Account(name string) Field { return stringField("account", name) }
+
+// Estimate is the time that a submitted job was expected to take, 0 if it was not known.
+func Estimate(d time.Duration) Field { return durationField("estimate", d) }
+
+// EstimateError is the factor by which recent estimates were exceeded.
+func EstimateError(factor float64) Field { return Field{zap.Float64("estimate_error", factor)} }
+
+// Useful is the time after which the end of a job is of no use.
+func Useful(d time.Duration) Field { return durationField("useful", d) }
+
+// WorkAhead is the work before a submitted job in core-milliseconds: of tasks that reserve processors,
+// and of backfilling ones.
+func WorkAhead(coreMs, backfillMs int64) Field {
+	return Field{zap.Int64s("ahead_core_ms", []int64{coreMs, backfillMs})}
+}
+
+// QueueingDelay is how long the oldest step of an account has waited for capacity.
+func QueueingDelay(d time.Duration) Field { return durationField("queueing_delay", d) }
+
+// RetryAfter is when a refused caller was told to return.
+func RetryAfter(d time.Duration) Field { return durationField("retry_after", d) }
+
+// RefusalsByReason and RefusalsByAccount count refusals: "NAME COUNT".
+func RefusalsByReason(counts []string) Field { return Field{zap.Strings("reasons", counts)} }
+
+// RefusalsByAccount counts refusals; see RefusalsByReason.
+func RefusalsByAccount(counts []string) Field { return Field{zap.Strings("accounts", counts)} }
+
 // Host is the Host header of a caller's request, or a host of the fleet.
 func Host(name string) Field { return stringField("host", name) }
 
