jobclient, jobapi: refused jobs are answered 429; submissions in progress are bounded

An entry sends all submissions at once, so that a flood grows its memory and reaches the leader as a whole. BoundSubmissions sends 64 at a time, accounts in turn, and lets 512 wait, 64 of an account. Jobs like one that the leader just called full are refused here for at most 500 ms. A job that has a turn, is in progress or may be committed is not refused by that.

--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -15,7 +15,9 @@
 //	POST   /v1/zones/ZONE/cordon   cordons an availability zone; ?operator= names the sender
 //	POST   /v1/zones/ZONE/uncordon withdraws that
 //
-// Status 503, with Retry-After, means that the request was not executed and never will be.
+// Status 503, with Retry-After, means that the request was not executed and never will be. Status 429
+// means the same of a job that was not accepted under the load; the caller has its turn after
+// Retry-After.
 // Status 504 means that its outcome is unknown; the request may be sent again.
 package jobapi
 
@@ -55,7 +57,8 @@
 	maxBody = 8 << 20
 	// requestTimeout bounds a request. It is somewhat longer than two elections take.
 	requestTimeout = 5 * time.Second
-	retryAfter     = time.Second
+	// retryAfter is the delay before callers retry after a 503: an election takes about as long.
+	retryAfter = time.Second
 )
 
 // Backend provides access to the control group. *jobclient.Client implements it but for OrderZone, which
@@ -332,10 +335,13 @@
 }
 
 // HTTPStatus returns the HTTP status for an outcome and an error: 503 if the request was not
-// executed and never will be, 504 if its outcome is unknown.
+// executed and never will be, 429 if that is because of the load, and 504 if its outcome is unknown.
 func HTTPStatus(o apiv1.JobOutcome, err error) int {
 	var unavailable *control.UnavailableError
+	var refused *control.RefusedError
 	switch {
+	case errors.As(err, &refused):
+		return http.StatusTooManyRequests
 	case errors.As(err, &unavailable):
 		return http.StatusServiceUnavailable
 	case err != nil:
@@ -349,6 +355,8 @@
 		return http.StatusGatewayTimeout
 	case apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_WAVE, apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:
 		return http.StatusNotFound
+	case apiv1.JobOutcome_JOB_OUTCOME_REFUSED:
+		return http.StatusTooManyRequests
 	case apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:
 		return http.StatusConflict
 	case apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS:
@@ -361,6 +369,20 @@
 	return http.StatusServiceUnavailable
 }
 
+// SetRetryAfter sets the header Retry-After of a response with the status 429 or 503, in whole seconds,
+// rounded up: the turn of a refused caller has come by then.
+func SetRetryAfter(h http.Header, status int, err error) {
+	after := retryAfter
+	var refused *control.RefusedError
+	switch {
+	case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+		return
+	case errors.As(err, &refused):
+		after = max(after, refused.RetryAfter)
+	}
+	h.Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
+}
+
 // outcomeMessages explains the outcomes whose names are not self-explanatory.
 var outcomeMessages = map[apiv1.JobOutcome]string{
 	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:    "the configuration in effect has no such pool",
@@ -372,9 +394,7 @@
 
 func writeOutcome(w http.ResponseWriter, o apiv1.JobOutcome, err error) {
 	status := HTTPStatus(o, err)
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
-	}
+	SetRetryAfter(w.Header(), status, err)
 	if status == http.StatusOK {
 		writeJSON(w, status, struct{}{})
 		return
--- a/jobapi/jobapi_test.go
+++ b/jobapi/jobapi_test.go
@@ -98,6 +98,7 @@
 		{apiv1.JobOutcome_JOB_OUTCOME_FULL, nil, 503},
 		{apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE, nil, 404},
 		{apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED, nil, 504},
+		{apiv1.JobOutcome_JOB_OUTCOME_REFUSED, &control.RefusedError{Cause: "too late"}, 429},
 		{0, &control.UnavailableError{Cause: "no leader"}, 503},
 		{0, &control.UnknownError{Cause: "leadership was lost"}, 504},
 	}
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 	forwarder *control.Forwarder
 	logger    *zap.Logger
 	leader    *dependency.Watch
+	// intake is nil unless submissions are bounded.
+	intake *intake
 
 	mu          sync.Mutex
 	jobsClients map[string]apiv1.Jobs
@@ -186,6 +189,12 @@
 		return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, err
 	}
 	c.recordContact()
+	if res.Job == apiv1.JobOutcome_JOB_OUTCOME_REFUSED {
+		cause, full := strings.CutPrefix(res.Message, control.FullMessage)
+		return res.Job, &control.RefusedError{
+			RetryAfter: time.Duration(res.RetryAfterMs) * time.Millisecond, Cause: cause, Full: full,
+		}
+	}
 	if res.Job == apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED {
 		return res.Job, &control.UnavailableError{Cause: "the leader refused the command: " + res.Message}
 	}
@@ -207,9 +216,16 @@
 	c.lastContact = time.Now()
 }
 
-// Submit submits a job; see propose for errors.
+// Submit submits a job; see propose for errors. A job that is not accepted under the load has the
+// outcome JOB_OUTCOME_REFUSED with a *control.RefusedError: it was not run.
 func (c *Client) Submit(ctx context.Context, spec *apiv1.JobSpec) (apiv1.JobOutcome, error) {
-	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+	send := func() (apiv1.JobOutcome, error) {
+		return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: spec}}})
+	}
+	if c.intake == nil {
+		return send()
+	}
+	return c.intake.submit(ctx, spec, send)
 }
 
 // Cancel cancels a job; see propose for errors.
--- /dev/null
+++ b/jobclient/intake.go
@@ -0,0 +1,304 @@
+package jobclient
+
+import (
+	"cmp"
+	"container/list"
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cairnlift/cairnlift/admission"
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/control"
+)
+
+const (
+	// maxSubmissions bounds the submissions that a process sends at a time, maxWaiting those that wait
+	// to be sent, and maxWaitingPerAccount those of one account. A leader commits several hundred
+	// submissions a second, so that all of them are sent within a caller's deadline.
+	maxSubmissions       = 64
+	maxWaiting           = 512
+	maxWaitingPerAccount = 64
+	// verdictAge is how long a process refuses jobs by the leader's last word that the queue is full.
+	verdictAge  = 500 * time.Millisecond
+	maxVerdicts = 4096
+	// minRetryAfter is the least Retry-After of a job that is refused here.
+	minRetryAfter = time.Second
+	// turnRetention is the time after Retry-After in which a job that the leader has refused is sent to
+	// the leader again, which knows its turn.
+	turnRetention = 5 * time.Second
+	// doubtRetention is the time after an unknown outcome in which the job is not refused here.
+	doubtRetention = time.Minute
+	// maxRemembered bounds the jobs that are not refused here. While there are so many, none is.
+	maxRemembered = 1 << 15
+)
+
+// intake bounds the submissions in progress, fairly between accounts, and refuses jobs while the
+// leader's last word is that the queue is full for all jobs like them.
+type intake struct {
+	now     func() time.Time
+	refused metrics.Counter
+	waiting metrics.Gauge
+
+	mu       sync.Mutex
+	sending  int
+	accounts map[string]*list.List // of *ticket, by account
+	// order lists the accounts with waiting submissions, the next one to be served first.
+	order    *list.List
+	total    int
+	verdicts map[verdictKey]verdict
+	// inProgress counts the submissions of each job that wait or are being sent. remembered are the jobs
+	// that the leader has refused or that may be committed, and until when.
+	inProgress map[string]int
+	remembered map[string]remembered
+}
+
+// ticket is a submission that waits to be sent; ready is closed once it may be.
+type ticket struct {
+	ready   chan struct{}
+	granted bool
+}
+
+type remembered struct {
+	until    time.Time
+	doubtful bool
+}
+
+// verdictKey identifies the jobs that a verdict is about.
+type verdictKey struct {
+	account, host, queue string
+	size                 int
+}
+
+type verdict struct {
+	at         time.Time
+	retryAfter time.Duration
+	cause      string
+}
+
+// BoundSubmissions bounds the submissions in progress and refuses jobs by the leader's last verdict. It
+// must be called before the first use. Without it, all submissions are sent at once.
+func (c *Client) BoundSubmissions(registry metrics.Registry) {
+	c.intake = newIntake(registry, time.Now)
+}
+
+func newIntake(registry metrics.Registry, now func() time.Time) *intake {
+	return &intake{
+		now: now, accounts: map[string]*list.List{}, order: list.New(), verdicts: map[verdictKey]verdict{},
+		inProgress: map[string]int{}, remembered: map[string]remembered{},
+		refused: metrics.GetOrRegisterCounter("admission.refused_here", registry),
+		waiting: metrics.GetOrRegisterGauge("admission.waiting_here", registry),
+	}
+}
+
+func keyOf(spec *apiv1.JobSpec) verdictKey {
+	var work int64
+	for _, s := range spec.Steps {
+		work += int64(s.Count) * s.EstimatedMs * s.CpuMilli / 1000
+	}
+	return verdictKey{
+		account: spec.Account, host: spec.Host, queue: strings.TrimSuffix(spec.Path, spec.Id),
+		size: admission.SizeClass(admission.Work{CoreMs: work}),
+	}
+}
+
+// submit sends a submission once that is its turn. Errors are those of send, *control.RefusedError for a
+// job that was not sent and *control.UnavailableError if ctx ended before it was.
+func (i *intake) submit(ctx context.Context, spec *apiv1.JobSpec, send func() (apiv1.JobOutcome, error)) (apiv1.JobOutcome, error) {
+	t, err := i.enter(spec)
+	if err != nil {
+		return outcomeOf(err), err
+	}
+	select {
+	case <-t.ready:
+	case <-ctx.Done():
+		if i.abandon(spec, t) {
+			return outcomeOf(nil), &control.UnavailableError{RetryAfter: minRetryAfter, Cause: "the submission waited here and was not sent"}
+		}
+	}
+	outcome, err := send()
+	i.leave(spec, outcome, err)
+	return outcome, err
+}
+
+func outcomeOf(err error) apiv1.JobOutcome {
+	var refused *control.RefusedError
+	if errors.As(err, &refused) {
+		return apiv1.JobOutcome_JOB_OUTCOME_REFUSED
+	}
+	return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED
+}
+
+// enter lets a submission wait to be sent, or refuses it.
+func (i *intake) enter(spec *apiv1.JobSpec) (*ticket, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.now()
+	if err := i.refuseByVerdict(spec, now); err != nil {
+		i.refused.Inc(1)
+		return nil, err
+	}
+	t := &ticket{ready: make(chan struct{})}
+	if i.sending < maxSubmissions && i.total == 0 {
+		i.sending++
+		i.inProgress[spec.Id]++
+		t.granted = true
+		close(t.ready)
+		return t, nil
+	}
+	queue := i.accounts[spec.Account]
+	if i.total >= maxWaiting || queue != nil && queue.Len() >= maxWaitingPerAccount {
+		i.refused.Inc(1)
+		return nil, i.refusal(spec, now, verdict{at: now, cause: "too many submissions wait here"})
+	}
+	if queue == nil {
+		queue = list.New()
+		i.accounts[spec.Account] = queue
+		i.order.PushBack(spec.Account)
+	}
+	queue.PushBack(t)
+	i.inProgress[spec.Id]++
+	i.setTotal(i.total + 1)
+	return t, nil
+}
+
+// refuseByVerdict returns the error for a job that the leader would refuse, nil if it is to be sent. A job
+// that may be committed, or has a turn, is always sent.
+func (i *intake) refuseByVerdict(spec *apiv1.JobSpec, now time.Time) error {
+	key := keyOf(spec)
+	v, found := i.verdicts[key]
+	if !found {
+		return nil
+	}
+	if now.Sub(v.at) >= verdictAge {
+		delete(i.verdicts, key)
+		return nil
+	}
+	known := now.Before(i.remembered[spec.Id].until)
+	if known || i.inProgress[spec.Id] > 0 || len(i.remembered) >= maxRemembered {
+		return nil
+	}
+	return i.refusal(spec, now, v)
+}
+
+// refusal returns the error for a job that is not sent. It doesn't say that the job was not run if an
+// earlier submission of it may be committed.
+func (i *intake) refusal(spec *apiv1.JobSpec, now time.Time, v verdict) error {
+	m := i.remembered[spec.Id]
+	if i.inProgress[spec.Id] > 0 || m.doubtful && now.Before(m.until) || len(i.remembered) >= maxRemembered {
+		return &control.UnknownError{Cause: v.cause + ", and an earlier submission may be committed"}
+	}
+	// The times are spread over as long again, since the leader's was for one caller.
+	after := max(minRetryAfter, v.retryAfter)
+	return &control.RefusedError{RetryAfter: after + rand.N(after), Cause: v.cause, Full: true}
+}
+
+// abandon removes a waiting submission, and returns false if it is to be sent by now.
+func (i *intake) abandon(spec *apiv1.JobSpec, t *ticket) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if t.granted {
+		return false
+	}
+	queue := i.accounts[spec.Account]
+	for e := queue.Front(); e != nil; e = e.Next() {
+		if e.Value == t {
+			queue.Remove(e)
+			break
+		}
+	}
+	i.dropIfEmpty(spec.Account)
+	i.setTotal(i.total - 1)
+	i.endOne(spec.Id)
+	return true
+}
+
+// leave records the outcome of a submission and lets the next one be sent: accounts take turns.
+func (i *intake) leave(spec *apiv1.JobSpec, outcome apiv1.JobOutcome, err error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.endOne(spec.Id)
+	i.record(spec, outcome, err)
+	i.sending--
+	next := i.order.Front()
+	if next == nil {
+		return
+	}
+	account := next.Value.(string)
+	queue := i.accounts[account]
+	t := queue.Remove(queue.Front()).(*ticket)
+	i.order.MoveToBack(next)
+	i.dropIfEmpty(account)
+	i.setTotal(i.total - 1)
+	i.sending++
+	t.granted = true
+	close(t.ready)
+}
+
+func (i *intake) dropIfEmpty(account string) {
+	if i.accounts[account].Len() > 0 {
+		return
+	}
+	delete(i.accounts, account)
+	for e := i.order.Front(); e != nil; e = e.Next() {
+		if e.Value == account {
+			i.order.Remove(e)
+			return
+		}
+	}
+}
+
+func (i *intake) endOne(job string) {
+	if i.inProgress[job]--; i.inProgress[job] <= 0 {
+		delete(i.inProgress, job)
+	}
+}
+
+func (i *intake) setTotal(n int) {
+	i.total = n
+	i.waiting.Update(int64(n))
+}
+
+// record keeps what an outcome says about the job and about others like it.
+func (i *intake) record(spec *apiv1.JobSpec, outcome apiv1.JobOutcome, err error) {
+	now := i.now()
+	var refused *control.RefusedError
+	var unavailable *control.UnavailableError
+	switch {
+	case errors.As(err, &refused):
+		if !(i.remembered[spec.Id].doubtful) {
+			i.remember(spec.Id, remembered{until: now.Add(refused.RetryAfter + turnRetention)}, now)
+		}
+		if refused.Full && len(i.verdicts) < maxVerdicts {
+			i.verdicts[keyOf(spec)] = verdict{at: now, retryAfter: refused.RetryAfter, cause: cmp.Or(refused.Cause, "the queue is full")}
+		}
+	case errors.As(err, &unavailable):
+	case err != nil:
+		i.remember(spec.Id, remembered{until: now.Add(doubtRetention), doubtful: true}, now)
+	case outcome == apiv1.JobOutcome_JOB_OUTCOME_OK:
+		delete(i.remembered, spec.Id)
+		delete(i.verdicts, keyOf(spec))
+	}
+	if len(i.verdicts) >= maxVerdicts {
+		clear(i.verdicts)
+	}
+}
+
+// remember keeps a job. If there are too many, those whose time is over are dropped.
+func (i *intake) remember(job string, m remembered, now time.Time) {
+	if len(i.remembered) >= maxRemembered {
+		for other, o := range i.remembered {
+			if now.After(o.until) {
+				delete(i.remembered, other)
+			}
+		}
+	}
+	if len(i.remembered) < maxRemembered || m.doubtful && len(i.remembered) < 2*maxRemembered {
+		i.remembered[job] = m
+	}
+}
