--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -178,8 +178,9 @@
 }
 
 // refresh computes the waiting work from the log, and adds that of the accepted jobs which the log
-// does not hold yet.
-func (b *backlogState) refresh(l *leaderState, m *jobqueue.Machine, accepted []admission.Request, now time.Time) {
+// does not hold yet. The processors of the starts that the round has decided on count as reserved:
+// otherwise a fleet that was free before the round would be believed to do nothing after it.
+func (b *backlogState) refresh(l *leaderState, m *jobqueue.Machine, starts []*apiv1.StartRun, accepted []admission.Request, now time.Time) {
 	started := time.Now()
 	b.durations = l.planner.Durations()
 	b.waiting = admission.Waiting{}
@@ -197,6 +198,11 @@
 		arrived.advance(now)
 	}
 	reserved := reservedMilli(m)
+	for _, start := range starts {
+		if step := m.StepSpec(jobqueue.TaskIDOf(start.Task)); step != nil {
+			addMilli(&reserved, step)
+		}
+	}
 	since := min(drainWindow, now.Sub(b.refreshedAt)).Seconds()
 	b.busy.add(admission.Work{CoreMs: int64(float64(reserved.CoreMs) * since), BackfillMs: int64(float64(reserved.BackfillMs) * since)})
 	b.busy.advance(now)
@@ -294,13 +300,18 @@
 func runsMilli(w *jobqueue.Worker) admission.Work {
 	var milli admission.Work
 	for _, r := range w.Runs {
-		switch {
-		case r.Step.LongRunning:
-		case r.Step.Backfill:
-			milli.BackfillMs += r.Step.CpuMilli
-		default:
-			milli.CoreMs += r.Step.CpuMilli
-		}
+		addMilli(&milli, r.Step)
 	}
 	return milli
 }
+
+// addMilli adds the processors of a run of a step. Long-running tasks do no work that ends.
+func addMilli(milli *admission.Work, s *apiv1.JobStep) {
+	switch {
+	case s.LongRunning:
+	case s.Backfill:
+		milli.BackfillMs += s.CpuMilli
+	default:
+		milli.CoreMs += s.CpuMilli
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -201,7 +201,7 @@
 		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
 		d.recordWaits(l, decision.Unplaced, now)
-		d.submissions.refresh(l, jobs, now)
+		d.submissions.refresh(l, jobs, plan.Starts, now)
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
 		d.logJobsAtCrashLimit(l, jobs)
 		d.logCordons(l, jobs)
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -53,6 +53,36 @@
 	}
 }
 
+// Guards against a leader that takes a fleet for one that does no work, since the round that filled it
+// is not committed yet: without a rate it accepted all jobs of a burst.
+func TestBurstOnFreeFleet(t *testing.T) {
+	for offset := range 10 { // to the last round, so that one round that starts tasks refreshes the backlog
+		runSimWith(t, 1, 2, admission.Estimate, func(t *testing.T, s *sim) {
+			s.stopFaults()
+			s.sleep(untilTrusted + time.Duration(10*offset)*time.Millisecond)
+			accepted := 0
+			for i := range 200 {
+				spec := heavy(fmt.Sprint("job", i), "")
+				s.watch.AddJob(spec)
+				s.loops.Go(func() {
+					if o := outcomeOf(s.trySubmit(spec)); o == "JOB_OUTCOME_OK" {
+						s.mu.Lock()
+						defer s.mu.Unlock()
+						accepted++
+					}
+				})
+				s.sleep(time.Millisecond)
+			}
+			s.sleep(time.Second)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if accepted == 0 || accepted > 12 {
+				t.Errorf("offset %d: %d jobs are accepted, the fleet does about 4 while they are of use", offset, accepted)
+			}
+		})
+	}
+}
+
 // usefulJobs counts the jobs that ended within three times their objective, and the others.
 func (s *sim) usefulJobs(ids []string) (useful, late int) {
 	s.replica.ReadState(func(m *state.Machine) {
--- a/dispatch/submissions.go
+++ b/dispatch/submissions.go
@@ -233,8 +233,9 @@
 	}
 }
 
-// refresh computes the backlog anew if that is due. It is called in each round.
-func (s *submissions) refresh(l *leaderState, m *jobqueue.Machine, now time.Time) {
+// refresh computes the backlog anew if that is due. It is called in each round with the starts that the
+// round has decided on.
+func (s *submissions) refresh(l *leaderState, m *jobqueue.Machine, starts []*apiv1.StartRun, now time.Time) {
 	if s == nil {
 		return
 	}
@@ -255,7 +256,7 @@
 			delete(s.doubtful, job)
 		}
 	}
-	s.backlog.refresh(l, m, accepted, now)
+	s.backlog.refresh(l, m, starts, accepted, now)
 }
 
 // recordRunEnd records that a run did its work.
