--- a/dispatch/accounts.go
+++ b/dispatch/accounts.go
@@ -9,35 +9,13 @@
 	"github.com/cairnlift/cairnlift/state"
 )
 
-// AccountShares tells the dominant share of client accounts. It is called with the leader's state locked.
-type AccountShares interface {
-	// AccountShare returns the decayed dominant share of an account of the fleet's capacity.
-	AccountShare(account string) float64
-}
-
-// AccountRefusals tells which client accounts had submissions refused. It is called with the leader's
-// state locked.
-type AccountRefusals interface {
-	// AccountRefusals returns the number of submissions of an account that this leader refused, and the
-	// time until the next turn of one of their callers.
-	AccountRefusals(account string) (refused uint64, nextTurn time.Duration)
-}
-
-// noAccounts knows nothing about accounts.
-type noAccounts struct{}
-
-// AccountShare implements AccountShares.
-func (noAccounts) AccountShare(string) float64 { return 0 }
-
-// AccountRefusals implements AccountRefusals.
-func (noAccounts) AccountRefusals(string) (refused uint64, nextTurn time.Duration) { return 0, 0 }
-
 // readAccounts returns the client accounts with their use. Only the leader answers: the log does not
 // contain shares and refusals.
 func (d *Dispatcher) readAccounts() *apiv1.JobsReadResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.readyLeader() == nil {
+	l := d.readyLeader()
+	if l == nil {
 		return &apiv1.JobsReadResponse{Unconfirmed: true}
 	}
 	resp := &apiv1.JobsReadResponse{Outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
@@ -47,8 +25,8 @@
 	})
 	for _, a := range resp.Accounts {
 		var nextTurn time.Duration
-		a.Share = d.opts.Shares.AccountShare(a.Name)
-		a.Refused, nextTurn = d.opts.Refusals.AccountRefusals(a.Name)
+		a.Share = l.planner.AccountShare(a.Name)
+		a.Refused, nextTurn = d.AdmissionOf(a.Name)
 		a.NextTurnMs = nextTurn.Milliseconds()
 	}
 	return resp
