dispatch: log the outages that were logged the longest ago first

Cause: a check logs at most 400 outages, in the order of the tasks. After 2 s the first ones are due again, so with more than 800 outages the last ones never got a line, and the record had no reason for their lost time.

Change: a check sorts the outages that are due by the time of their last line, then by their start, before it applies the bound.

--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"iter"
+	"slices"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -127,8 +128,7 @@
 	o.checkedAt = now
 	r := reasonsInRound(m, decision)
 	tracked := map[jobqueue.TaskID]bool{}
-	entries := 0
-	notRunning := map[string][]string{}
+	var due []dueOutage
 	resumed := map[string][]string{}
 	for t := range longRunningTasks(m, now.UnixMilli()) {
 		if o.tracks(t.id) {
@@ -141,15 +141,13 @@
 		}
 		out := o.begin(t, since)
 		tracked[t.id] = true
-		if entries < maxOutagesPerCheck && now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
-			out.loggedAt = now
-			entries++
-			notRunning[reason] = append(notRunning[reason], out.describe(t.id, now))
+		if now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
+			due = append(due, dueOutage{t.id, reason, out})
 		}
 	}
 	o.prune(tracked)
 	d.metrics.longRunningNotRunning.Update(int64(len(o.byTask)))
-	for _, part := range splitLists(notRunning) {
+	for _, part := range splitLists(selectOutages(due, now)) {
 		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(part))
 	}
 	for _, part := range splitLists(resumed) {
@@ -157,6 +155,28 @@
 	}
 }
 
+// dueOutage is an outage about which a line is due.
+type dueOutage struct {
+	id     jobqueue.TaskID
+	reason string
+	*outage
+}
+
+// selectOutages returns the descriptions of the outages that this check logs, by reason. The ones that were
+// logged the longest ago come first, since all are due again while the bound holds some back: in a fixed
+// order the last ones would never be logged.
+func selectOutages(due []dueOutage, now time.Time) map[string][]string {
+	slices.SortStableFunc(due, func(a, b dueOutage) int {
+		return cmp.Or(a.loggedAt.Compare(b.loggedAt), a.since.Compare(b.since))
+	})
+	byReason := map[string][]string{}
+	for _, d := range due[:min(len(due), maxOutagesPerCheck)] {
+		d.loggedAt = now
+		byReason[d.reason] = append(byReason[d.reason], d.describe(d.id, now))
+	}
+	return byReason
+}
+
 // roundReasons are the reasons of a round for which tasks without a run have none.
 type roundReasons struct {
 	machine *jobqueue.Machine
--- a/dispatch/outages_internal_test.go
+++ b/dispatch/outages_internal_test.go
@@ -1,13 +1,16 @@
 package dispatch
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/crashloop"
@@ -55,6 +58,83 @@
 	}
 }
 
+// outageCheck is a leader whose long-running tasks are checked once a second. Its log is kept, and each task
+// is named as in deployments: the length of a line matters.
+type outageCheck struct {
+	machine *jobqueue.Machine
+	leader  *leaderState
+	log     bytes.Buffer
+	now     time.Time
+	tasks   []jobqueue.TaskID
+	*Dispatcher
+}
+
+func newOutageCheck(t *testing.T, jobs, tasksPerJob int) *outageCheck {
+	metrics.NewMeter().Stop()
+	c := &outageCheck{machine: jobqueue.New(), now: time.Unix(1_000_000, 0)}
+	c.apply(t, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutQueues{PutQueues: &apiv1.PutQueues{Configuration: &apiv1.QueueConfiguration{
+		Version: 1, Pools: []*apiv1.WorkerPool{{Name: "p"}}, Queues: []*apiv1.JobQueue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 2, TimeoutMs: 1000}},
+	}}}})
+	for j := range jobs {
+		job := fmt.Sprintf("123e4567-e89b-12d3-a456-4266141%05d", j)
+		c.apply(t, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+			Id: job, Host: "h", Path: "/q/" + job, Steps: []*apiv1.JobStep{{Count: uint32(tasksPerJob), CpuMilli: 1000, MemoryMb: 10, LongRunning: true}},
+		}}}})
+		for i := range uint32(tasksPerJob) {
+			c.tasks = append(c.tasks, jobqueue.TaskID{Job: job, Index: i})
+		}
+	}
+	c.leader = &leaderState{
+		term: 1, leases: newLeaseTable(c.now, time.Hour, time.Hour), observed: map[jobqueue.RunID]schedule.Observation{},
+		outages: newOutages(), attention: newAttention(c.now),
+	}
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&c.log), zap.DebugLevel))
+	c.Dispatcher = &Dispatcher{logger: logger, metrics: newMetricSet(metrics.NewRegistry())}
+	return c
+}
+
+func (c *outageCheck) apply(t *testing.T, cmd *apiv1.JobsCommand) {
+	t.Helper()
+	if o := c.machine.Apply(cmd, 1, 1); o != apiv1.JobOutcome_JOB_OUTCOME_OK {
+		t.Fatal(o)
+	}
+}
+
+// loseRuns records that each task's last run ended with its worker's lease.
+func (c *outageCheck) loseRuns() {
+	for i, id := range c.tasks {
+		c.leader.outages.lastEnds[id] = outage{since: c.now, run: 12, worker: fmt.Sprintf("worker-zone-a-%04d", i), endReason: "lease ran out"}
+	}
+}
+
+// check checks the tasks, and returns what was logged. The next check is a little more than a second later.
+func (c *outageCheck) check() string {
+	c.log.Reset()
+	c.checkLongRunning(c.leader, c.machine, schedule.Decision{}, c.now)
+	c.now = c.now.Add(outageCheckInterval + 5*time.Millisecond)
+	return c.log.String()
+}
+
+// Guards against outages that never get a line, because more of them last than one check logs and the first
+// ones are due again before the last ones' turn.
+func TestEveryOutageIsLogged(t *testing.T) {
+	c := newOutageCheck(t, 100, 14)
+	c.loseRuns()
+	var log strings.Builder
+	for range 20 {
+		log.WriteString(c.check())
+	}
+	never := 0
+	for _, id := range c.tasks {
+		if !strings.Contains(log.String(), `"`+id.String()+" ") {
+			never++
+		}
+	}
+	if never > 0 {
+		t.Errorf("%d of %d outages have no line", never, len(c.tasks))
+	}
+}
+
 // Guards against a task that is told not to be seen by the planner while the planner orders its start
 // or the crash limit holds it, so that the wait has no reason in the record.
 func TestReasonOfTaskWithoutRun(t *testing.T) {
