dispatch: bound the bytes that a check logs about outages

Cause: the bound of a check was 400 entries. With long names of workers or long reasons of refused starts they take more than the 32 KiB of warnings that a process may log per second, and lines about other faults are dropped.

Change: a check logs at most 16 KiB of text about outages.

--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -19,9 +19,9 @@
 	// outageLogInterval is the time from the start of an outage to its first line, and between two
 	// lines about it. Most tasks run again sooner.
 	outageLogInterval = 2 * time.Second
-	// maxOutagesPerCheck bounds the outages that one check logs to about 25 kB, since the log of a process
-	// takes 32 KiB of warnings per second. The other ones follow with the next checks.
-	maxOutagesPerCheck = 400
+	// maxOutageBytesPerCheck bounds what one check logs about outages, since the log of a process takes
+	// 32 KiB of warnings per second, also about other faults. The other outages follow with the next checks.
+	maxOutageBytesPerCheck = 16 << 10
 )
 
 // pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
@@ -118,7 +118,7 @@
 }
 
 // checkLongRunning records which long-running tasks are not known to run. It logs the outages that
-// are longer than outageLogInterval, at most maxOutagesPerCheck of them, and the ends of those that
+// are longer than outageLogInterval, at most maxOutageBytesPerCheck of them, and the ends of those that
 // were logged.
 func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, decision schedule.Decision, now time.Time) {
 	o := l.outages
@@ -169,12 +169,35 @@
 	slices.SortStableFunc(due, func(a, b dueOutage) int {
 		return cmp.Or(a.loggedAt.Compare(b.loggedAt), a.since.Compare(b.since))
 	})
-	byReason := map[string][]string{}
-	for _, d := range due[:min(len(due), maxOutagesPerCheck)] {
+	selected := boundedLists{maxBytes: maxOutageBytesPerCheck, lists: map[string][]string{}}
+	for _, d := range due {
+		if !selected.add(d.reason, d.describe(d.id, now)) {
+			break
+		}
 		d.loggedAt = now
-		byReason[d.reason] = append(byReason[d.reason], d.describe(d.id, now))
 	}
-	return byReason
+	return selected.lists
+}
+
+// boundedLists are lists of log entries by name whose text is bounded.
+type boundedLists struct {
+	maxBytes, bytes int
+	lists           map[string][]string
+}
+
+// add adds an entry and reports whether there was room for it. There is always room for the first one, as
+// otherwise a long one would hold back the others.
+func (b *boundedLists) add(name, entry string) bool {
+	added := len(entry) + entryOverheadBytes
+	if len(b.lists[name]) == 0 {
+		added += len(name) + entryOverheadBytes
+	}
+	if len(b.lists) > 0 && b.bytes+added > b.maxBytes {
+		return false
+	}
+	b.bytes += added
+	b.lists[name] = append(b.lists[name], entry)
+	return true
 }
 
 // roundReasons are the reasons of a round for which tasks without a run have none.
--- a/dispatch/outages_internal_test.go
+++ b/dispatch/outages_internal_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// Guards against outages of tasks with long names that exceed the log's budget of warnings, so that lines
+// about other faults are dropped.
+func TestOutagesLeaveBudgetForOtherWarnings(t *testing.T) {
+	const warningsPerSecond = 32 << 10
+	c := newOutageCheck(t, 100, 14)
+	c.loseRuns()
+	for id, last := range c.leader.outages.lastEnds {
+		last.worker += strings.Repeat("-long", 20)
+		last.endReason = "refused: " + strings.Repeat("reason ", 20)
+		c.leader.outages.lastEnds[id] = last
+	}
+	lines := 0
+	for range 20 {
+		log := c.check()
+		lines += strings.Count(log, "\n")
+		if len(log) > warningsPerSecond*6/10 {
+			t.Errorf("a check wrote %d bytes", len(log))
+		}
+	}
+	if lines == 0 {
+		t.Error("no outage was logged")
+	}
+}
+
 // Guards against a task that is told not to be seen by the planner while the planner orders its start
 // or the crash limit holds it, so that the wait has no reason in the record.
 func TestReasonOfTaskWithoutRun(t *testing.T) {
