dispatch: bound the bytes that a check logs about recovered tasks

Cause: a check logged all long-running tasks that run again at once, and had already forgotten their outages. With more than 8 KiB the log drops these lines and other rare ones, such as the one about a new leader.

Change: recoveries are queued, up to 25,000, and a check logs at most 4 KiB of them, oldest first. Each entry has the time since the recovery as a fourth number, by which trace shows it when it happened. Entries that a deposed leader has not written are lost with its other soft state.

TestEndsOfOutagesKeepTheirTimes covers trace.

--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -22,6 +22,13 @@
 	// maxOutageBytesPerCheck bounds what one check logs about outages, since the log of a process takes
 	// 32 KiB of warnings per second, also about other faults. The other outages follow with the next checks.
 	maxOutageBytesPerCheck = 16 << 10
+	// maxRecoveryBytesPerCheck bounds what one check logs about tasks that run again, since the log of a
+	// process takes 8 KiB of rare lines per second, among them the one about a change of leader. The other
+	// tasks follow with the next checks.
+	maxRecoveryBytesPerCheck = 4 << 10
+	// maxQueuedRecoveries bounds the recoveries that are not logged yet. A fleet of the design size has
+	// 22,200 long-running tasks.
+	maxQueuedRecoveries = 25_000
 )
 
 // pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
@@ -65,6 +72,17 @@
 	byTask    map[jobqueue.TaskID]*outage
 	// lastEnds is how the last run of each task ended, until the task runs again.
 	lastEnds map[jobqueue.TaskID]outage
+	// recoveries are the ends of logged outages that are not logged yet, oldest first.
+	recoveries []recovery
+}
+
+// recovery is a run with which a long-running task runs again.
+type recovery struct {
+	run    jobqueue.RunID
+	worker string
+	// outage is how long the task did not run.
+	outage time.Duration
+	at     time.Time
 }
 
 func newOutages() *outages {
@@ -119,7 +137,7 @@
 
 // checkLongRunning records which long-running tasks are not known to run. It logs the outages that
 // are longer than outageLogInterval, at most maxOutageBytesPerCheck of them, and the ends of those that
-// were logged.
+// were logged, at most maxRecoveryBytesPerCheck of them.
 func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, decision schedule.Decision, now time.Time) {
 	o := l.outages
 	if now.Sub(o.checkedAt) < outageCheckInterval {
@@ -129,14 +147,13 @@
 	r := reasonsInRound(m, decision)
 	tracked := map[jobqueue.TaskID]bool{}
 	var due []dueOutage
-	resumed := map[string][]string{}
 	for t := range longRunningTasks(m, now.UnixMilli()) {
 		if o.tracks(t.id) {
 			tracked[t.id] = true
 		}
 		reason, since := l.outageReason(t, r, now)
 		if reason == "" {
-			d.endOutage(o, t, resumed, now)
+			d.endOutage(o, t, now)
 			continue
 		}
 		out := o.begin(t, since)
@@ -150,7 +167,7 @@
 	for _, part := range splitLists(selectOutages(due, now)) {
 		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(part))
 	}
-	for _, part := range splitLists(resumed) {
+	for _, part := range splitLists(o.takeRecoveries(now)) {
 		event.LongRunningRecovered.Write(d.logger, event.Term(l.term), event.TasksRunningAgain(part))
 	}
 }
@@ -286,7 +303,7 @@
 }
 
 // endOutage ends the outage of a running task if there was one.
-func (d *Dispatcher) endOutage(o *outages, t longRunningTask, resumed map[string][]string, now time.Time) {
+func (d *Dispatcher) endOutage(o *outages, t longRunningTask, now time.Time) {
 	if !o.tracks(t.id) {
 		return
 	}
@@ -299,8 +316,25 @@
 	d.metrics.longRunningOutage.Observe(now.Sub(out.since))
 	if !out.loggedAt.IsZero() {
 		run := t.task.Runs[len(t.task.Runs)-1]
-		resumed[run.Worker] = append(resumed[run.Worker], fmt.Sprintf("%s %d %d", t.id, run.ID.Number, now.Sub(out.since).Milliseconds()))
+		o.recoveries = append(o.recoveries, recovery{run.ID, run.Worker, now.Sub(out.since), now})
+		o.recoveries = o.recoveries[max(0, len(o.recoveries)-maxQueuedRecoveries):]
+	}
+}
+
+// takeRecoveries removes the oldest recoveries that this check logs, and returns their descriptions by
+// worker, as "TASK RUN AWAY AGE".
+func (o *outages) takeRecoveries(now time.Time) map[string][]string {
+	taken := boundedLists{maxBytes: maxRecoveryBytesPerCheck, lists: map[string][]string{}}
+	n := 0
+	for _, r := range o.recoveries {
+		text := fmt.Sprintf("%s %d %d %d", r.run.Task, r.run.Number, r.outage.Milliseconds(), now.Sub(r.at).Milliseconds())
+		if !taken.add(r.worker, text) {
+			break
+		}
+		n++
 	}
+	o.recoveries = o.recoveries[n:]
+	return taken.lists
 }
 
 // tracks reports whether an outage or a last end of the task is recorded.
--- a/dispatch/outages_internal_test.go
+++ b/dispatch/outages_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -159,6 +160,65 @@
 	}
 }
 
+// Guards against lines about tasks that run again which exceed the log's budget of rare lines, so that they
+// and the line about a change of leader are dropped, and against a recovery that is told at the wrong time.
+func TestRecoveriesOfManyTasksAreAllLogged(t *testing.T) {
+	const rareBytesPerSecond = 8 << 10
+	c := newOutageCheck(t, 40, 10)
+	c.apply(t, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
+		Worker: &apiv1.JobWorker{Id: "w", Host: "w", Pool: "p", CpuMilli: 32_000_000, MemoryMb: 128_000_000},
+	}}})
+	for range 6 {
+		c.check()
+	}
+	plan := &apiv1.PlanRuns{Term: 1}
+	for _, id := range c.tasks {
+		plan.Starts = append(plan.Starts, &apiv1.StartRun{Task: id.Ref(), Run: 1, Worker: "w"})
+	}
+	c.apply(t, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: plan}})
+	recoveredAt := c.now
+	var all bytes.Buffer
+	for range 20 {
+		for id := range c.machine.Worker("w").Runs {
+			c.leader.observed[id] = schedule.Observation{At: c.now, Percent: 100}
+		}
+		c.leader.leases.renew("w", 0, c.now, 0)
+		log := c.check()
+		if len(log) > rareBytesPerSecond*6/10 {
+			t.Errorf("a check wrote %d bytes", len(log))
+		}
+		all.WriteString(log)
+	}
+	counts := map[string]int{}
+	for line := range strings.Lines(all.String()) {
+		var entry struct {
+			Back map[string][]string `json:"tasks_back"`
+		}
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		for _, text := range entry.Back["w"] {
+			var id string
+			var run, outageMs, ageMs int64
+			if _, err := fmt.Sscan(text, &id, &run, &outageMs, &ageMs); err != nil {
+				t.Fatal(err)
+			}
+			counts[id]++
+			if ageMs < 0 || ageMs > c.now.Sub(recoveredAt).Milliseconds() || outageMs > 10_000 {
+				t.Errorf("entry %q", text)
+			}
+		}
+	}
+	for _, id := range c.tasks {
+		if n := counts[id.String()]; n != 1 {
+			t.Errorf("the recovery of %s is logged %d times", id, n)
+		}
+	}
+	if len(c.leader.outages.byTask)+len(c.leader.outages.recoveries) != 0 {
+		t.Errorf("%d outages and %d recoveries are left", len(c.leader.outages.byTask), len(c.leader.outages.recoveries))
+	}
+}
+
 // Guards against a task that is told not to be seen by the planner while the planner orders its start
 // or the crash limit holds it, so that the wait has no reason in the record.
 func TestReasonOfTaskWithoutRun(t *testing.T) {
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -225,7 +225,7 @@
 func Outlasting(byReason map[string][]string) Field { return listsField(NameOutlasting, byReason) }
 
 // TasksRunningAgain lists the long-running tasks that run again, by worker; each is "TASK RUN
-// AWAY", where AWAY is the duration of the outage in milliseconds.
+// AWAY AGE", where AWAY is the duration of the outage and AGE the time since it ended, in milliseconds.
 func TasksRunningAgain(byWorker map[string][]string) Field {
 	return listsField(NameTasksRunningAgain, byWorker)
 }
--- a/trace/aggregated.go
+++ b/trace/aggregated.go
@@ -210,17 +210,18 @@
 }
 
 // durationLines returns a line for each run that a field of an aggregated line lists, by worker, as
-// "TASK RUN TIME" with the time in milliseconds, which becomes the field name of the line.
+// "TASK RUN TIME AGE" with both times in milliseconds; the first becomes the field name of the line. The
+// age may be missing, as in logs of earlier releases.
 func durationLines(l Line, field, name string) []Line {
 	var lines []Line
 	forEachEntry(l, field, func(worker, entry string) {
 		var task string
 		var run float64
-		var ms int64
-		if _, err := fmt.Sscan(entry, &task, &run, &ms); err != nil {
+		var ms, age int64
+		if n, _ := fmt.Sscan(entry, &task, &run, &ms, &age); n < 3 {
 			return
 		}
-		lines = append(lines, entryLine(l, 0, map[string]any{
+		lines = append(lines, entryLine(l, age, map[string]any{
 			fieldTask: task, fieldRun: run, fieldWorker: worker, name: time.Duration(ms) * time.Millisecond,
 		}))
 	})
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// Guards against the end of an outage that is shown when its line was written, which may be seconds later,
+// and against lines of earlier releases, without that time, that are left out.
+func TestEndsOfOutagesKeepTheirTimes(t *testing.T) {
+	lines := tracetest.Lines(t, "a/control", 0,
+		`9000 "part":"dispatch","msg":"long-running tasks are back","term":1,"tasks_back":{"w1":["`+tracedJob+`/0/0/1 2 5700 4000","`+tracedJob+`/0/0/2 1 5800"]}`,
+	)
+	got := trace.Select(lines, tracedJob)
+	if len(got) != 2 || got[1].At.Sub(got[0].At) != 4*time.Second || got[0].Fields["waited"] != 5700*time.Millisecond || got[1].Fields["waited"] != 5800*time.Millisecond {
+		t.Errorf("the lines are %v", got)
+	}
+}
+
 // Guards against clocks that are moved by seconds to put lines of a deposed leader before its
 // successor, and against such lines being taken for those of the leader. A leader is suspended from
 // 3 s to 9 s and writes a line when it resumes; its successor is ready at 4 s. Also guards against
