jobqueue: keep the hold of a queue that is renamed

Cause: holds are stored by the name of the queue, but a queue is identified by its host and path prefix across configurations. Once a configuration renamed a held queue, its tasks started and refuse_while_held accepted jobs without an order.

Change: a configuration that renames a held queue holds the new name, with the sender and time of the order, and releases the former name unless a queue keeps it. Revisions rise, so that delayed copies are superseded. Active jobs take over the new name of their queue, by which they are held if it is removed. A configuration that would leave a held queue without a name is invalid. TestOrdersAboutUnknownQueuesAndJobs took a renamed queue for a removed one and asserted the fault; it now removes the queue, and the renames have tests of their own.

--- a/jobqueue/accounts_test.go
+++ b/jobqueue/accounts_test.go
@@ -123,15 +123,116 @@
 	m.cancel("j1")
 	expect(t, "ended job", m.prioritize("j1"), apiv1.JobOutcome_JOB_OUTCOME_NO_JOB)
 	expect(t, "hold", m.hold("q", true, 0), accepted)
-	renamed := configuration(2)
-	renamed.Queues[0].Name = "r"
-	m.put(renamed)
+	other := configuration(2)
+	other.Queues[0].Name, other.Queues[0].PathPrefix = "r", "/r/"
+	m.put(other)
 	if holds := m.Holds(); len(holds) != 2 || !holds[0].Held || holds[1].Held {
 		t.Errorf("holds: %v", holds)
 	}
 	expect(t, "release of a removed queue", m.hold("q", false, 1), accepted)
 }
 
+// renamed is a configuration with queues at /q/ and /r/ of the given names, the first one refusing jobs while
+// it is held.
+func renamed(version uint64, first, second string) *apiv1.QueueConfiguration {
+	c := configuration(version)
+	c.Queues[0].Name, c.Queues[0].RefuseWhileHeld = first, true
+	q := proto.CloneOf(c.Queues[0])
+	q.Name, q.PathPrefix = second, "/r/"
+	c.Queues = append(c.Queues, q)
+	return c
+}
+
+// Guards against a hold that ends without an order since its queue is renamed, also for jobs of a queue that
+// is removed afterwards, and against a former name that stays held or takes a delayed copy of the hold.
+func TestHoldSurvivesRename(t *testing.T) {
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.put(renamed(2, "q", "r"))
+	expect(t, "job before the hold", m.submitFor("a", "j1"), accepted)
+	expect(t, "hold", m.hold("q", true, 0), accepted)
+	m.put(renamed(3, "s", "q")) // the former name goes to a queue that is not held
+	var err error
+	if m.Machine, err = jobqueue.Restore(proto.CloneOf(m.Snapshot()), m.now); err != nil {
+		t.Fatal(err)
+	}
+	if h := m.QueueHold("s"); !h.GetHeld() || h.Operator != "op" || h.SinceMs == 0 || m.QueueHeld("q") {
+		t.Errorf("holds after the rename: %v", m.Holds())
+	}
+	if got := m.Job("j1").Queue.Name; got != "s" {
+		t.Errorf("the job is of queue %q", got)
+	}
+	if m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("a task of the renamed queue started")
+	}
+	expect(t, "job that is refused", m.submitFor("a", "j2"), held)
+	expect(t, "delayed copy of the hold", m.hold("q", true, 0), apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED)
+	removed := renamed(4, "s", "q")
+	removed.Queues = removed.Queues[1:]
+	m.put(removed)
+	if m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("a task of the removed queue started")
+	}
+	m.put(renamed(5, "s", "q"))
+	expect(t, "release by the new name", m.hold("s", false, m.QueueHold("s").GetRevision()), accepted)
+	if !m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("no start after the release")
+	}
+	expect(t, "job after the release", m.submitFor("a", "j2"), accepted)
+}
+
+// Guards against holds that are lost or mixed up where names are swapped or shared, and against a held queue
+// that no order can release since it has no name.
+func TestHoldsOfSwappedSharedAndRemovedNames(t *testing.T) {
+	for _, c := range []struct {
+		first, second string // after the configuration in which /q/ is q, which is held, and /r/ is r
+		outcome       apiv1.JobOutcome
+		held          string
+	}{
+		{"r", "q", accepted, "r"},
+		{"s", "q", accepted, "s"},
+		{"s", "s", accepted, "s"},
+		{"r", "r", accepted, "r"},
+		{"q", "q", accepted, "q"},
+		{"q", "s", accepted, "q"},
+		{"s", "r", accepted, "s"},
+		{"", "r", apiv1.JobOutcome_JOB_OUTCOME_INVALID, "q"},
+		{"q", "", accepted, "q"},
+	} {
+		m := newMachine()
+		m.put(renamed(2, "q", "r"))
+		m.hold("q", true, 0)
+		name := fmt.Sprintf("%q, %q", c.first, c.second)
+		expect(t, name, m.put(renamed(3, c.first, c.second)), c.outcome)
+		if got := m.HeldQueues(); len(got) != 1 || got[0] != c.held {
+			t.Errorf("%s: held are %q, want %q", name, got, c.held)
+		}
+	}
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.put(renamed(2, "q", "q"))
+	m.submitFor("a", "j1")
+	m.hold("q", true, 0)
+	m.put(renamed(3, "q", "r"))
+	if got := m.HeldQueues(); len(got) != 2 {
+		t.Errorf("one of two held queues of a name is renamed: held are %q", got)
+	}
+	// The queue at /q/ is removed, the other one gets a further name, and the first one returns with another.
+	removed := renamed(4, "q", "q")
+	removed.Queues = removed.Queues[1:]
+	m.put(removed)
+	removed = proto.CloneOf(removed)
+	removed.Version, removed.Queues[0].Name = 5, "t"
+	m.put(removed)
+	if m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("a task of a removed queue started since another queue of its name was renamed")
+	}
+	m.put(renamed(6, "u", "t"))
+	if m.start(task("j1", 0, 0), 1, "w1") || !m.QueueHeld("u") {
+		t.Error("the hold ended while the queue was removed and returned by another name")
+	}
+}
+
 // Guards against accounts, holds, priorities and counters that are lost with a snapshot, and against a
 // snapshot of a release without them that can't be restored.
 func TestAccountsAndHoldsAreInSnapshots(t *testing.T) {
--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -81,13 +81,20 @@
 }
 
 // putQueues replaces the configuration if the new version is higher. A lower or equal version is
-// acknowledged without effect: it was superseded, or it is a retry after a lost acknowledgement.
+// acknowledged without effect: it was superseded, or it is a retry after a lost acknowledgement. A
+// configuration that removes the name of a held queue is invalid, since no order could release the queue.
 func (m *Machine) putQueues(c *apiv1.QueueConfiguration) apiv1.JobOutcome {
 	if Validate(c) != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 	}
 	if c.Version > m.configuration.Version {
+		renames := m.renamedQueues(c)
+		if m.unnamesHeldQueue(renames) {
+			return apiv1.JobOutcome_JOB_OUTCOME_INVALID
+		}
 		m.setConfiguration(c)
+		m.carryHolds(renames)
+		m.renameQueuesOfJobs(renames)
 		m.failJobsWithoutAttempts()
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
