jobapi: report a refusal after an unknown outcome as unknown

Cause: Client.call tries the next address after status 504 or a lost response, and returned whatever the last one answered. A refusal by a limit, a hold or a missing leader then said "not accepted" although the first attempt may be committed.

Change: after such an attempt, statuses other than 400, 410 and 501 are reported as 504 with both causes. Reads commit nothing and are reported as before; a refused connection or status 503 does not count as an attempt.

--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -193,20 +194,61 @@
 
 // call tries each address until one responds with a status below 500. Every call is safe to repeat:
 // jobs and configurations are identified by their callers, a copy of an order about an availability zone
-// or queue has no effect once a later order was accepted, and a job is put first once only.
+// or queue has no effect once a later order was accepted, and a job is put first once only. A refusal is
+// reported as unknown (504) if an earlier attempt may still be committed.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	err := errors.New("no server address configured")
+	var unknown error // of the last attempt that may still be committed
 	for _, address := range c.Addresses {
 		var response []byte
 		response, err = c.callAddress(ctx, method, "http://"+address+path, body)
+		if err == nil {
+			return response, nil
+		}
 		var statusErr *StatusError
-		if err == nil || errors.As(err, &statusErr) && statusErr.Status < http.StatusInternalServerError {
-			return response, err
+		if errors.As(err, &statusErr) && statusErr.Status < http.StatusInternalServerError {
+			break
+		}
+		if method != http.MethodGet && mayBeCommitted(err) {
+			unknown = err
+		}
+	}
+	if unknown != nil && !finalRefusal(err) {
+		return nil, &StatusError{
+			Status:  http.StatusGatewayTimeout,
+			Message: "an attempt may still be committed: " + unknown.Error() + "; the last attempt: " + err.Error(),
 		}
 	}
 	return nil, err
 }
 
+// mayBeCommitted reports whether a request may have been committed, or may be later, although it failed.
+// Status 503 says that it never will be, and 501 that the deployment does not support it.
+func mayBeCommitted(err error) bool {
+	var statusErr *StatusError
+	if errors.As(err, &statusErr) {
+		return statusErr.Status >= http.StatusInternalServerError &&
+			statusErr.Status != http.StatusServiceUnavailable && statusErr.Status != http.StatusNotImplemented
+	}
+	var op *net.OpError
+	return !(errors.As(err, &op) && op.Op == "dial")
+}
+
+// finalRefusal reports whether a response refuses every copy of the request: it is invalid or not supported,
+// or its job is unknown or has ended. Other reasons, such as a limit, may not hold for a copy that is applied
+// later.
+func finalRefusal(err error) bool {
+	var statusErr *StatusError
+	if !errors.As(err, &statusErr) {
+		return false
+	}
+	switch statusErr.Status {
+	case http.StatusBadRequest, http.StatusGone, http.StatusNotImplemented:
+		return true
+	}
+	return false
+}
+
 func (c *Client) callAddress(ctx context.Context, method, requestURL string, body []byte) ([]byte, error) {
 	r, err := http.NewRequestWithContext(ctx, method, requestURL, bytes.NewReader(body))
 	if err != nil {
