control: report refusals that depend on the state as unknown

Cause: after an attempt without a response, only HELD and OVER_LIMIT were reported as unknown. FULL, NO_QUEUE and NO_CONFIGURATION depend on the state in the same way, and REFUSED on the load: the earlier copy of the submission may be accepted once the reason is gone.

Change: decidedAnew covers the four as well.

Measured: four new cases of TestForwarderResendsOnlySafeCommands fail before and pass now. OVER_LIMIT has a case too, which passed before.

--- a/control/forwarder_test.go
+++ b/control/forwarder_test.go
@@ -58,7 +58,13 @@
 	unknown := &apiv1.ProposeResponse{Unknown: true}
 	notLeader := &apiv1.ProposeResponse{NotLeader: true}
 	job := &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{}}}}}
-	refused := &apiv1.ProposeResponse{Result: &apiv1.Result{Job: apiv1.JobOutcome_JOB_OUTCOME_HELD}}
+	refusedAs := func(o apiv1.JobOutcome) *apiv1.ProposeResponse {
+		return &apiv1.ProposeResponse{Result: &apiv1.Result{Job: o}}
+	}
+	refused, invalid := refusedAs(apiv1.JobOutcome_JOB_OUTCOME_HELD), refusedAs(apiv1.JobOutcome_JOB_OUTCOME_INVALID)
+	overLimit, byLoad := refusedAs(apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT), refusedAs(apiv1.JobOutcome_JOB_OUTCOME_REFUSED)
+	full, noQueue := refusedAs(apiv1.JobOutcome_JOB_OUTCOME_FULL), refusedAs(apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE)
+	noConfiguration := refusedAs(apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION)
 	for name, c := range map[string]struct {
 		cmd     *apiv1.Command
 		answers []*apiv1.ProposeResponse
@@ -73,6 +79,13 @@
 		"cancellation, leader does not know": {cancel, []*apiv1.ProposeResponse{unknown, done}, 1, new(*UnknownError)},
 		"cancellation, leader comes later":   {cancel, []*apiv1.ProposeResponse{notLeader, done}, 2, nil},
 		"job refused, answer lost before":    {job, []*apiv1.ProposeResponse{nil, refused}, 2, new(*UnknownError)},
+		"job over limit, answer lost before": {job, []*apiv1.ProposeResponse{nil, overLimit}, 2, new(*UnknownError)},
+		"job refused by load, answer lost":   {job, []*apiv1.ProposeResponse{nil, byLoad}, 2, new(*UnknownError)},
+		"log full, answer lost before":       {job, []*apiv1.ProposeResponse{nil, full}, 2, new(*UnknownError)},
+		"no queue, answer lost before":       {job, []*apiv1.ProposeResponse{nil, noQueue}, 2, new(*UnknownError)},
+		"no configuration, answer lost":      {job, []*apiv1.ProposeResponse{nil, noConfiguration}, 2, new(*UnknownError)},
+		"job invalid, answer lost before":    {job, []*apiv1.ProposeResponse{nil, invalid}, 2, nil},
+		"log full at once":                   {job, []*apiv1.ProposeResponse{full}, 1, nil},
 		"job refused at once":                {job, []*apiv1.ProposeResponse{refused}, 1, nil},
 		"job refused, leader comes later":    {job, []*apiv1.ProposeResponse{notLeader, refused}, 2, nil},
 		"job accepted, answer lost before":   {job, []*apiv1.ProposeResponse{nil, done}, 2, nil},
--- a/control/wire.go
+++ b/control/wire.go
@@ -106,11 +106,13 @@
 	return false
 }
 
-// decidedAnew reports whether a result refuses a job for a reason that may not hold for a copy of the
-// submission that is applied later. Such a copy may be on its way after an attempt without a response.
+// decidedAnew reports whether a result refuses a command for a reason that may not hold for a copy that is
+// applied later: a hold, a limit, the load or the configuration in effect. Such a copy may be on its way after
+// an attempt without a response.
 func decidedAnew(r *apiv1.Result) bool {
 	switch r.GetJob() {
-	case apiv1.JobOutcome_JOB_OUTCOME_HELD, apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT:
+	case apiv1.JobOutcome_JOB_OUTCOME_HELD, apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT, apiv1.JobOutcome_JOB_OUTCOME_REFUSED,
+		apiv1.JobOutcome_JOB_OUTCOME_FULL, apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION:
 		return true
 	}
 	return false
