jobqueue: answer HELD to a configuration that unnames a held queue

Cause: it was answered INVALID, which is final for callers: after a lost response a copy of the configuration could still be applied once the queue is released.

Change: the outcome is HELD, which is reported as unknown after an attempt without a response.

Measured: the case in TestHoldsOfSwappedSharedAndRemovedNames expects HELD and passes; the tests of jobqueue and jobapi pass.

--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -437,7 +437,7 @@
 	apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE:    "there is no such availability zone",
 	apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED: "another order about the availability zone or queue was accepted meanwhile",
 	apiv1.JobOutcome_JOB_OUTCOME_NO_HOSTS:   "this deployment does not support host operations",
-	apiv1.JobOutcome_JOB_OUTCOME_HELD:       "the queue is held by an operator; the job was not accepted",
+	apiv1.JobOutcome_JOB_OUTCOME_HELD:       "the queue is held by an operator; the job, or the configuration without its name, was not accepted",
 	apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT: "the client account or the queue is at its limit of pending jobs; the job was not accepted",
 }
 
--- a/jobqueue/accounts_test.go
+++ b/jobqueue/accounts_test.go
@@ -196,7 +196,7 @@
 		{"q", "q", accepted, "q"},
 		{"q", "s", accepted, "q"},
 		{"s", "r", accepted, "s"},
-		{"", "r", apiv1.JobOutcome_JOB_OUTCOME_INVALID, "q"},
+		{"", "r", held, "q"},
 		{"q", "", accepted, "q"},
 	} {
 		m := newMachine()
--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -82,7 +82,7 @@
 
 // putQueues replaces the configuration if the new version is higher. A lower or equal version is
 // acknowledged without effect: it was superseded, or it is a retry after a lost acknowledgement. A
-// configuration that removes the name of a held queue is invalid, since no order could release the queue.
+// configuration that removes the name of a held queue is refused, since no order could release the queue.
 func (m *Machine) putQueues(c *apiv1.QueueConfiguration) apiv1.JobOutcome {
 	if Validate(c) != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
@@ -90,7 +90,7 @@
 	if c.Version > m.configuration.Version {
 		renames := m.renamedQueues(c)
 		if m.unnamesHeldQueue(renames) {
-			return apiv1.JobOutcome_JOB_OUTCOME_INVALID
+			return apiv1.JobOutcome_JOB_OUTCOME_HELD
 		}
 		m.setConfiguration(c)
 		m.carryHolds(renames)
