jobqueue, control: bound the prioritized jobs that a status lists

Cause: a status shows up to 100 prioritized jobs, but built the list of all of them under the lock of the replica.

Change: Machine.FirstPrioritized ends once it has the given number.

--- a/control/status.go
+++ b/control/status.go
@@ -70,10 +70,8 @@
 	slices.SortFunc(s.Workers, func(a, b WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	s.Jobs = r.machine.Jobs()
 	s.HeldQueues = r.machine.CallerJobs().HeldQueues()
-	for _, j := range r.machine.CallerJobs().Prioritized() {
-		if len(s.PrioritizedJobs) < maxPrioritizedShown {
-			s.PrioritizedJobs = append(s.PrioritizedJobs, j.ID())
-		}
+	for _, j := range r.machine.CallerJobs().FirstPrioritized(maxPrioritizedShown) {
+		s.PrioritizedJobs = append(s.PrioritizedJobs, j.ID())
 	}
 	for _, c := range r.machine.CallerJobs().Cordons() {
 		if c.Cordoned {
--- a/jobqueue/accounts.go
+++ b/jobqueue/accounts.go
@@ -104,9 +104,15 @@
 
 // Prioritized returns the open jobs that an operator put before the others of their priority, ordered by
 // ID.
-func (m *Machine) Prioritized() []*Job {
+func (m *Machine) Prioritized() []*Job { return m.FirstPrioritized(len(m.active.values)) }
+
+// FirstPrioritized returns the first of these jobs, at most the given number.
+func (m *Machine) FirstPrioritized(most int) []*Job {
 	var jobs []*Job
 	for _, j := range m.active.values {
+		if len(jobs) >= most {
+			break
+		}
 		if j.Prioritized && j.Open() {
 			jobs = append(jobs, j)
 		}
--- a/jobqueue/accounts_test.go
+++ b/jobqueue/accounts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -235,6 +236,28 @@
 	}
 }
 
+// Guards against a status that lists all prioritized jobs of a full log, or others than the first ones.
+func TestFirstPrioritizedIsBounded(t *testing.T) {
+	m := newMachine()
+	for i := range 30 {
+		id := fmt.Sprintf("j%02d", i)
+		m.submitFor("a", id)
+		if i%2 == 0 {
+			m.prioritize(id)
+		}
+	}
+	m.cancel("j02")
+	for most, want := range map[int]int{0: 0, 1: 1, 5: 5, 14: 14, 100: 14} {
+		list := m.FirstPrioritized(most)
+		if len(list) != want || !slices.Equal(list, m.Prioritized()[:want]) {
+			t.Errorf("the first %d of %d jobs are %d", most, len(m.Prioritized()), len(list))
+		}
+	}
+	if list := m.FirstPrioritized(2); list[0].ID() != "j00" || list[1].ID() != "j04" {
+		t.Errorf("the first two are %s and %s", list[0].ID(), list[1].ID())
+	}
+}
+
 // Guards against accounts, holds, priorities and counters that are lost with a snapshot, and against a
 // snapshot of a release without them that can't be restored.
 func TestAccountsAndHoldsAreInSnapshots(t *testing.T) {
