--- a/dispatch/outages_internal_test.go
+++ b/dispatch/outages_internal_test.go
@@ -219,6 +219,22 @@
 	}
 }
 
+// Guards against recoveries that take ever more memory while they come faster than they are logged.
+func TestQueuedRecoveriesAreBounded(t *testing.T) {
+	c := newOutageCheck(t, 1, 1)
+	task := longRunningTask{c.tasks[0], &jobqueue.Task{Runs: []*jobqueue.Run{{ID: jobqueue.RunID{Task: c.tasks[0]}, Worker: "w"}}}}
+	o := c.leader.outages
+	const more = 10
+	for n := range uint64(maxQueuedRecoveries + more) {
+		task.task.Runs[0].ID.Number = n
+		o.byTask[task.id] = &outage{since: c.now, loggedAt: c.now}
+		c.endOutage(o, task, c.now)
+	}
+	if n := len(o.recoveries); n != maxQueuedRecoveries || o.recoveries[0].run.Number != more {
+		t.Errorf("%d recoveries are queued, the first is of run %d", n, o.recoveries[0].run.Number)
+	}
+}
+
 // Guards against a task that is told not to be seen by the planner while the planner orders its start
 // or the crash limit holds it, so that the wait has no reason in the record.
 func TestReasonOfTaskWithoutRun(t *testing.T) {
