--- a/dispatch/outages.go
+++ b/dispatch/outages.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"iter"
+	"slices"
 	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -18,9 +19,16 @@
 	// outageLogInterval is the time from the start of an outage to its first line, and between two
 	// lines about it. Most tasks run again sooner.
 	outageLogInterval = 2 * time.Second
-	// maxOutagesPerCheck bounds the outages that one check logs to about 25 kB, since the log of a process
-	// takes 32 KiB of warnings per second. The other ones follow with the next checks.
-	maxOutagesPerCheck = 400
+	// maxOutageBytesPerCheck bounds what one check logs about outages, since the log of a process takes
+	// 32 KiB of warnings per second, also about other faults. The other outages follow with the next checks.
+	maxOutageBytesPerCheck = 16 << 10
+	// maxRecoveryBytesPerCheck bounds what one check logs about tasks that run again, since the log of a
+	// process takes 8 KiB of rare lines per second, among them the one about a change of leader. The other
+	// tasks follow with the next checks.
+	maxRecoveryBytesPerCheck = 4 << 10
+	// maxQueuedRecoveries bounds the recoveries that are not logged yet. A fleet of the design size has
+	// 22,200 long-running tasks.
+	maxQueuedRecoveries = 25_000
 )
 
 // pauseThreshold is the time between two rounds from which on the leader counts as paused. Rounds are
@@ -64,6 +72,17 @@
 	byTask    map[jobqueue.TaskID]*outage
 	// lastEnds is how the last run of each task ended, until the task runs again.
 	lastEnds map[jobqueue.TaskID]outage
+	// recoveries are the ends of logged outages that are not logged yet, oldest first.
+	recoveries []recovery
+}
+
+// recovery is a run with which a long-running task runs again.
+type recovery struct {
+	run    jobqueue.RunID
+	worker string
+	// outage is how long the task did not run.
+	outage time.Duration
+	at     time.Time
 }
 
 func newOutages() *outages {
@@ -117,8 +136,8 @@
 }
 
 // checkLongRunning records which long-running tasks are not known to run. It logs the outages that
-// are longer than outageLogInterval, at most maxOutagesPerCheck of them, and the ends of those that
-// were logged.
+// are longer than outageLogInterval, at most maxOutageBytesPerCheck of them, and the ends of those that
+// were logged, at most maxRecoveryBytesPerCheck of them.
 func (d *Dispatcher) checkLongRunning(l *leaderState, m *jobqueue.Machine, decision schedule.Decision, now time.Time) {
 	o := l.outages
 	if now.Sub(o.checkedAt) < outageCheckInterval {
@@ -127,36 +146,77 @@
 	o.checkedAt = now
 	r := reasonsInRound(m, decision)
 	tracked := map[jobqueue.TaskID]bool{}
-	entries := 0
-	notRunning := map[string][]string{}
-	resumed := map[string][]string{}
+	var due []dueOutage
 	for t := range longRunningTasks(m, now.UnixMilli()) {
 		if o.tracks(t.id) {
 			tracked[t.id] = true
 		}
 		reason, since := l.outageReason(t, r, now)
 		if reason == "" {
-			d.endOutage(o, t, resumed, now)
+			d.endOutage(o, t, now)
 			continue
 		}
 		out := o.begin(t, since)
 		tracked[t.id] = true
-		if entries < maxOutagesPerCheck && now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
-			out.loggedAt = now
-			entries++
-			notRunning[reason] = append(notRunning[reason], out.describe(t.id, now))
+		if now.Sub(out.since) >= outageLogInterval && now.Sub(out.loggedAt) >= outageLogInterval {
+			due = append(due, dueOutage{t.id, reason, out})
 		}
 	}
 	o.prune(tracked)
 	d.metrics.longRunningNotRunning.Update(int64(len(o.byTask)))
-	for _, part := range splitLists(notRunning) {
+	for _, part := range splitLists(selectOutages(due, now)) {
 		event.LongRunningOutage.Write(d.logger, event.Term(l.term), event.TasksNotRunning(part))
 	}
-	for _, part := range splitLists(resumed) {
+	for _, part := range splitLists(o.takeRecoveries(now)) {
 		event.LongRunningRecovered.Write(d.logger, event.Term(l.term), event.TasksRunningAgain(part))
 	}
 }
 
+// dueOutage is an outage about which a line is due.
+type dueOutage struct {
+	id     jobqueue.TaskID
+	reason string
+	*outage
+}
+
+// selectOutages returns the descriptions of the outages that this check logs, by reason. The ones that were
+// logged the longest ago come first, since all are due again while the bound holds some back: in a fixed
+// order the last ones would never be logged.
+func selectOutages(due []dueOutage, now time.Time) map[string][]string {
+	slices.SortStableFunc(due, func(a, b dueOutage) int {
+		return cmp.Or(a.loggedAt.Compare(b.loggedAt), a.since.Compare(b.since))
+	})
+	selected := boundedLists{maxBytes: maxOutageBytesPerCheck, lists: map[string][]string{}}
+	for _, d := range due {
+		if !selected.add(d.reason, d.describe(d.id, now)) {
+			break
+		}
+		d.loggedAt = now
+	}
+	return selected.lists
+}
+
+// boundedLists are lists of log entries by name whose text is bounded.
+type boundedLists struct {
+	maxBytes, bytes int
+	lists           map[string][]string
+}
+
+// add adds an entry and reports whether there was room for it. There is always room for the first one, as
+// otherwise a long one would hold back the others.
+func (b *boundedLists) add(name, entry string) bool {
+	added := len(entry) + entryOverheadBytes
+	if len(b.lists[name]) == 0 {
+		added += len(name) + entryOverheadBytes
+	}
+	if len(b.lists) > 0 && b.bytes+added > b.maxBytes {
+		return false
+	}
+	b.bytes += added
+	b.lists[name] = append(b.lists[name], entry)
+	return true
+}
+
 // roundReasons are the reasons of a round for which tasks without a run have none.
 type roundReasons struct {
 	machine *jobqueue.Machine
@@ -243,7 +303,7 @@
 }
 
 // endOutage ends the outage of a running task if there was one.
-func (d *Dispatcher) endOutage(o *outages, t longRunningTask, resumed map[string][]string, now time.Time) {
+func (d *Dispatcher) endOutage(o *outages, t longRunningTask, now time.Time) {
 	if !o.tracks(t.id) {
 		return
 	}
@@ -256,8 +316,25 @@
 	d.metrics.longRunningOutage.Observe(now.Sub(out.since))
 	if !out.loggedAt.IsZero() {
 		run := t.task.Runs[len(t.task.Runs)-1]
-		resumed[run.Worker] = append(resumed[run.Worker], fmt.Sprintf("%s %d %d", t.id, run.ID.Number, now.Sub(out.since).Milliseconds()))
+		o.recoveries = append(o.recoveries, recovery{run.ID, run.Worker, now.Sub(out.since), now})
+		o.recoveries = o.recoveries[max(0, len(o.recoveries)-maxQueuedRecoveries):]
+	}
+}
+
+// takeRecoveries removes the oldest recoveries that this check logs, and returns their descriptions by
+// worker, as "TASK RUN AWAY AGE".
+func (o *outages) takeRecoveries(now time.Time) map[string][]string {
+	taken := boundedLists{maxBytes: maxRecoveryBytesPerCheck, lists: map[string][]string{}}
+	n := 0
+	for _, r := range o.recoveries {
+		text := fmt.Sprintf("%s %d %d %d", r.run.Task, r.run.Number, r.outage.Milliseconds(), now.Sub(r.at).Milliseconds())
+		if !taken.add(r.worker, text) {
+			break
+		}
+		n++
 	}
+	o.recoveries = o.recoveries[n:]
+	return taken.lists
 }
 
 // tracks reports whether an outage or a last end of the task is recorded.
--- a/jobqueue/accounts_test.go
+++ b/jobqueue/accounts_test.go
@@ -1,8 +1,11 @@
 package jobqueue_test
 
 import (
+	"bytes"
 	"fmt"
 	"math"
+	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -123,15 +126,138 @@
 	m.cancel("j1")
 	expect(t, "ended job", m.prioritize("j1"), apiv1.JobOutcome_JOB_OUTCOME_NO_JOB)
 	expect(t, "hold", m.hold("q", true, 0), accepted)
-	renamed := configuration(2)
-	renamed.Queues[0].Name = "r"
-	m.put(renamed)
+	other := configuration(2)
+	other.Queues[0].Name, other.Queues[0].PathPrefix = "r", "/r/"
+	m.put(other)
 	if holds := m.Holds(); len(holds) != 2 || !holds[0].Held || holds[1].Held {
 		t.Errorf("holds: %v", holds)
 	}
 	expect(t, "release of a removed queue", m.hold("q", false, 1), accepted)
 }
 
+// renamed is a configuration with queues at /q/ and /r/ of the given names, the first one refusing jobs while
+// it is held.
+func renamed(version uint64, first, second string) *apiv1.QueueConfiguration {
+	c := configuration(version)
+	c.Queues[0].Name, c.Queues[0].RefuseWhileHeld = first, true
+	q := proto.CloneOf(c.Queues[0])
+	q.Name, q.PathPrefix = second, "/r/"
+	c.Queues = append(c.Queues, q)
+	return c
+}
+
+// Guards against a hold that ends without an order since its queue is renamed, also for jobs of a queue that
+// is removed afterwards, and against a former name that stays held or takes a delayed copy of the hold.
+func TestHoldSurvivesRename(t *testing.T) {
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.put(renamed(2, "q", "r"))
+	expect(t, "job before the hold", m.submitFor("a", "j1"), accepted)
+	expect(t, "hold", m.hold("q", true, 0), accepted)
+	m.put(renamed(3, "s", "q")) // the former name goes to a queue that is not held
+	var err error
+	if m.Machine, err = jobqueue.Restore(proto.CloneOf(m.Snapshot()), m.now); err != nil {
+		t.Fatal(err)
+	}
+	if h := m.QueueHold("s"); !h.GetHeld() || h.Operator != "op" || h.SinceMs == 0 || m.QueueHeld("q") {
+		t.Errorf("holds after the rename: %v", m.Holds())
+	}
+	if got := m.Job("j1").Queue.Name; got != "s" {
+		t.Errorf("the job is of queue %q", got)
+	}
+	if m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("a task of the renamed queue started")
+	}
+	expect(t, "job that is refused", m.submitFor("a", "j2"), held)
+	expect(t, "delayed copy of the hold", m.hold("q", true, 0), apiv1.JobOutcome_JOB_OUTCOME_SUPERSEDED)
+	removed := renamed(4, "s", "q")
+	removed.Queues = removed.Queues[1:]
+	m.put(removed)
+	if m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("a task of the removed queue started")
+	}
+	m.put(renamed(5, "s", "q"))
+	expect(t, "release by the new name", m.hold("s", false, m.QueueHold("s").GetRevision()), accepted)
+	if !m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("no start after the release")
+	}
+	expect(t, "job after the release", m.submitFor("a", "j2"), accepted)
+}
+
+// Guards against holds that are lost or mixed up where names are swapped or shared, and against a held queue
+// that no order can release since it has no name.
+func TestHoldsOfSwappedSharedAndRemovedNames(t *testing.T) {
+	for _, c := range []struct {
+		first, second string // after the configuration in which /q/ is q, which is held, and /r/ is r
+		outcome       apiv1.JobOutcome
+		held          string
+	}{
+		{"r", "q", accepted, "r"},
+		{"s", "q", accepted, "s"},
+		{"s", "s", accepted, "s"},
+		{"r", "r", accepted, "r"},
+		{"q", "q", accepted, "q"},
+		{"q", "s", accepted, "q"},
+		{"s", "r", accepted, "s"},
+		{"", "r", held, "q"},
+		{"q", "", accepted, "q"},
+	} {
+		m := newMachine()
+		m.put(renamed(2, "q", "r"))
+		m.hold("q", true, 0)
+		name := fmt.Sprintf("%q, %q", c.first, c.second)
+		expect(t, name, m.put(renamed(3, c.first, c.second)), c.outcome)
+		if got := m.HeldQueues(); len(got) != 1 || got[0] != c.held {
+			t.Errorf("%s: held are %q, want %q", name, got, c.held)
+		}
+	}
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.put(renamed(2, "q", "q"))
+	m.submitFor("a", "j1")
+	m.hold("q", true, 0)
+	m.put(renamed(3, "q", "r"))
+	if got := m.HeldQueues(); len(got) != 2 {
+		t.Errorf("one of two held queues of a name is renamed: held are %q", got)
+	}
+	// The queue at /q/ is removed, the other one gets a further name, and the first one returns with another.
+	removed := renamed(4, "q", "q")
+	removed.Queues = removed.Queues[1:]
+	m.put(removed)
+	removed = proto.CloneOf(removed)
+	removed.Version, removed.Queues[0].Name = 5, "t"
+	m.put(removed)
+	if m.start(task("j1", 0, 0), 1, "w1") {
+		t.Error("a task of a removed queue started since another queue of its name was renamed")
+	}
+	m.put(renamed(6, "u", "t"))
+	if m.start(task("j1", 0, 0), 1, "w1") || !m.QueueHeld("u") {
+		t.Error("the hold ended while the queue was removed and returned by another name")
+	}
+}
+
+// Guards against a status that lists all prioritized jobs of a full log, or others than the first ones.
+func TestFirstPrioritizedIsBounded(t *testing.T) {
+	m := newMachine()
+	for i := range 30 {
+		id := fmt.Sprintf("j%02d", i)
+		m.submitFor("a", id)
+		if i%2 == 0 {
+			m.prioritize(id)
+		}
+	}
+	m.cancel("j02")
+	for most, want := range map[int]int{0: 0, 1: 1, 5: 5, 14: 14, 100: 14} {
+		list := m.FirstPrioritized(most)
+		if len(list) != want || !slices.Equal(list, m.Prioritized()[:want]) {
+			t.Errorf("the first %d of %d jobs are %d", most, len(m.Prioritized()), len(list))
+		}
+	}
+	if list := m.FirstPrioritized(2); list[0].ID() != "j00" || list[1].ID() != "j04" {
+		t.Errorf("the first two are %s and %s", list[0].ID(), list[1].ID())
+	}
+}
+
 // Guards against accounts, holds, priorities and counters that are lost with a snapshot, and against a
 // snapshot of a release without them that can't be restored.
 func TestAccountsAndHoldsAreInSnapshots(t *testing.T) {
@@ -234,8 +360,13 @@
 }
 
 // Guards against a change of behavior without accounts, limits, holds or priorities: the state is the same
-// bytes as that of a release without them.
+// bytes as that of a release without them. testdata/snapshot-without-accounts.binpb is the snapshot that
+// commit fed3fa56, before accounts, writes after the same commands.
 func TestWithoutAccountsNothingChanges(t *testing.T) {
+	want, err := os.ReadFile("testdata/snapshot-without-accounts.binpb")
+	if err != nil {
+		t.Fatal(err)
+	}
 	m := newMachine()
 	m.worker("w1", "h1", 1000)
 	for i := range 100 {
@@ -244,13 +375,23 @@
 	if !m.start(task("j1", 0, 0), 1, "w1") {
 		t.Error("no start")
 	}
-	snapshot := m.Snapshot()
-	for _, j := range snapshot.Jobs {
-		if j.Spec.Account != "" || j.Prioritized || j.Queue.Limits != nil || j.Queue.RefuseWhileHeld {
-			t.Errorf("job %v", j)
-		}
+	expect(t, "end", m.end("w1", task("j1", 0, 0), 1, apiv1.RunEndKind_RUN_END_KIND_DONE), accepted)
+	expect(t, "cancel", m.cancel("j2"), accepted)
+	if m.AccountWeight("") != 1 || m.QueueHeld("q") {
+		t.Error("an account or a hold without configuration")
+	}
+	got, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want) {
+		t.Errorf("the snapshot of %d bytes differs from the %d bytes of the earlier release: %v", len(got), len(want), m.Snapshot())
+	}
+	restored, err := jobqueue.Restore(m.Snapshot(), m.now)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if snapshot.Holds != nil || snapshot.Configuration.Accounts != nil || m.AccountWeight("") != 1 || m.QueueHeld("q") {
-		t.Error("the snapshot differs from that of an earlier release")
+	if again, err := (proto.MarshalOptions{Deterministic: true}).Marshal(restored.Snapshot()); err != nil || !bytes.Equal(again, want) {
+		t.Errorf("the restored snapshot of %d bytes differs from the %d bytes of the earlier release, %v", len(again), len(want), err)
 	}
 }
