--- a/control/forwarder.go
+++ b/control/forwarder.go
@@ -88,11 +88,6 @@
 			return "", !failedBeforeSending(err) && !repeatable
 		}
 		res, err := decodeProposeResponse(resp)
-		if err == nil && maybeSent && res.Job == apiv1.JobOutcome_JOB_OUTCOME_REFUSED {
-			// The earlier attempt may still reach the leader and be accepted.
-			cause = "an earlier attempt may be committed, and a later one was refused: " + res.Message
-			return "", true
-		}
 		if err == nil {
 			result = res
 			return "", true
@@ -107,7 +102,7 @@
 	})
 	switch {
 	case result != nil && maybeSent && decidedAnew(result):
-		return nil, &UnknownError{Cause: "an earlier attempt without a response may still be committed: " + result.GetJob().String()}
+		return nil, &UnknownError{Cause: "an earlier attempt without a response may still be committed: " + result.GetJob().String() + " " + result.GetMessage()}
 	case result != nil:
 		return result, nil
 	case maybeSent:
