agent/runs: a test of ends reads those that the next incarnation reports

TestEndListedBeforeCrashIsReportedWithIt/next_incarnation failed 2 of 60 times, on the code before too: the next incarnation's first report may carry the end of the previous one (previous_ends) before the report of its own.

--- a/agent/runs/previousends_test.go
+++ b/agent/runs/previousends_test.go
@@ -95,13 +95,16 @@
 	}
 }
 
-// endsInDeparture returns the ends in the first report of a departure.
+// endsInDeparture returns the ends in the first report of a departure. The next incarnation may report the
+// end of the previous one with its own first report, before the report of that end arrives.
 func (l *leader) endsInDeparture() ([]*apiv1.RunEnd, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.reports {
-		if r.Departed {
-			return r.Ends, true
+		for _, end := range append([]*apiv1.JobsReportRequest{r}, r.PreviousEnds...) {
+			if end.Departed {
+				return end.Ends, true
+			}
 		}
 	}
 	return nil, false
