runs: calls have to be refused for 400 ms before a worker counts as ended

Cause: one refused call was the proof that a draining worker had ended once a departure by its id had arrived, which may be a late one of an earlier incarnation, or once its own departure had been announced. A worker whose port was closed for a moment was given up while it worked on, so that its tasks ran on two workers.

Change: the end counts once calls have found no process listening over minRefusedSpan, without an answer in between. Any answer starts the span again. awaitWorkerEnd uses the same span.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -24,6 +24,9 @@
 	// after that failed at once because no process was listening; zero if none did. A call
 	// without any answer proves nothing, since it may have been lost.
 	lastAnsweredAt, failedAt time.Time
+	// refusedAt is when the first call since the last answer of any kind found no process listening, and
+	// refusedUntil when the last one did; zero if none did.
+	refusedAt, refusedUntil time.Time
 	// brokeOff: the call that failed at failedAt had been sent, so that the worker ran until then.
 	brokeOff bool
 }
@@ -102,6 +105,15 @@
 
 // recordResult records the result of a call.
 func (c *callHistory) recordResult(answer Answer, err error, now time.Time) {
+	switch {
+	case err == nil:
+		c.refusedAt, c.refusedUntil = time.Time{}, time.Time{}
+	case errors.Is(err, ErrNotListening):
+		if c.refusedAt.IsZero() {
+			c.refusedAt = now
+		}
+		c.refusedUntil = now
+	}
 	switch {
 	case err == nil && answer != AnswerOtherIncarnation && answer != AnswerFenced:
 		c.lastAnsweredAt, c.failedAt, c.brokeOff = now, time.Time{}, false
@@ -110,6 +122,24 @@
 	}
 }
 
+// minRefusedSpan is the time over which calls have to find no process listening, without an answer in
+// between, before that shows that the worker has ended: the port of a worker that works on may be closed
+// for a moment. It is short because the agent's host may stop 1 s after the worker, and because
+// long-running tasks have to run again within 3 s.
+const minRefusedSpan = 400 * time.Millisecond
+
+// stoppedListening reports whether calls have found no process listening for minRefusedSpan.
+func (c *callHistory) stoppedListening() bool {
+	return !c.refusedAt.IsZero() && c.refusedUntil.Sub(c.refusedAt) >= minRefusedSpan
+}
+
+// stoppedListening reports whether calls of the worker have found no process listening for minRefusedSpan.
+func (s *session) stoppedListening() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callHistory.stoppedListening()
+}
+
 // workAtCrash lists the runs that may have begun on a worker that has crashed, with bounds on how
 // long they had worked, and the runs that were certainly not there: their start never reached it, or
 // it listed their end.
--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -151,8 +151,8 @@
 }
 
 // leftAsAnnounced reports whether the failure of a call proves that an incarnation has ended whose
-// departure was announced without naming it: it has answered before, drains, and no process listens in
-// its place. A call that is broken off or gets no answer proves nothing, because a network partition
+// departure was announced without naming it: it has answered before, drains, and no process has listened
+// in its place for minRefusedSpan. A call that is broken off or gets no answer proves nothing, because a network partition
 // has the same effect, and neither does a departure alone, because it may be late.
 func (s *session) leftAsAnnounced(err error) bool {
 	if !errors.Is(err, ErrNotListening) {
@@ -160,7 +160,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clock.received.IsZero() || !s.announced.Worker.Draining {
+	if !s.callHistory.stoppedListening() || s.clock.received.IsZero() || !s.announced.Worker.Draining {
 		return false
 	}
 	// What counts is when the worker ended: the agent may notice that later.
--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -219,3 +219,37 @@
 		}
 	})
 }
+
+// Guards against a task on two workers: a worker that works on counts as ended because its port was closed
+// for a moment, after a late departure of an earlier incarnation or its own departure.
+func TestBriefClosureOfPortProvesNoEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		departing string
+		closures  int
+	}{
+		"closed once, late departure":                       {"w1", 1},
+		"closed repeatedly, an answer between each of them": {"w1", 3},
+		"departure that names the incarnation":              {"w1@5", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * time.Second)
+				h.drain()
+				<-h.d.Depart(test.departing)
+				time.Sleep(time.Second)
+				for range test.closures {
+					h.fail(errNoListener)
+					time.Sleep(300 * time.Millisecond)
+					h.w.renewError.Store(nil)
+					time.Sleep(200 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				if ended, _ := l.provedEnds(); len(ended) > 0 || len(h.w.Running()) == 0 {
+					t.Errorf("reported the ends of %v, runs %v", ended, h.w.Running())
+				}
+			})
+		})
+	}
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -40,8 +40,8 @@
 }
 
 // awaitWorkerEnd returns once a worker that reported its departure runs nothing any more: it lists
-// nothing when no start can arrive any more, no process listens in its place, another incarnation
-// answers, or its lease has expired. A worker whose departure report was not acknowledged continues
+// nothing when no start can arrive any more, no process has listened in its place for minRefusedSpan,
+// another incarnation answers, or its lease has expired. A worker whose departure report was not acknowledged continues
 // for seconds, and tasks that the leader recorded as lost meanwhile would run elsewhere as well. A
 // call that is refused or lost proves nothing. It returns the proof that the worker has ended, if there
 // is one.
@@ -51,7 +51,7 @@
 		requested := s.d.opts.Now()
 		status, answer, err := s.renew(s.alive, 0)
 		switch {
-		case errors.Is(err, ErrNotListening):
+		case errors.Is(err, ErrNotListening) && s.stoppedListening():
 			return endNotListening
 		case err == nil && answer == AnswerOtherIncarnation:
 			return endReplaced
