runs, dispatch: a late report of a proved end keeps a later session's worker

Cause: a report with `ended` was exempt from every order of sessions. A late one ended the incarnation name that a later session served: that of the worker's next process where the name has no start time, and that of a worker whose port had been closed for a while.

The leader exempts only numbers of earlier leaders; a later session with a number of this leader that has reported the same incarnation goes before the report. The agent obtains a number for such a report if its session has none, so that it has a place in the order.

--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -253,3 +253,18 @@
 		})
 	}
 }
+
+// Guards against the proved end of a name without a start time: the worker's next process has that name
+// too, and a late report would end its runs.
+func TestOnlyIncarnationWithStartTimeEndsForGood(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		w.renewError.Store(&errNoListener)
+		d.Depart("w1")
+		time.Sleep(time.Second)
+		if ended, proved := l.provedEnds(); !slices.Equal(ended, []string{"w1"}) || proved {
+			t.Errorf("reported the ends of %v, proved: %v", ended, proved)
+		}
+	})
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -197,12 +197,10 @@
 
 // sendNumbered sends a report under the session's number. A leader accepts only numbers that it
 // issued, so the report is sent again under a number of the leader that rejected the first one. The
-// report of a proved end needs no number; leaders of an earlier release reject it under an old one.
+// report of a proved end may have the number of an earlier leader; leaders of an earlier release reject it.
 func (s *session) sendNumbered(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	if !r.Ended {
-		if err := s.obtainNumber(ctx); err != nil {
-			return nil, err
-		}
+	if err := s.obtainNumber(ctx); err != nil {
+		return nil, err
 	}
 	resp, err := s.send(ctx, r)
 	if err != nil || !s.needsNewNumber(resp) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -137,11 +137,11 @@
 
 // outdated reports whether a report is older than one that was already received. A departure counts
 // only for the runs that its session knew: a worker that was about to leave may run on, and the agent's
-// successor finds it and starts runs on it. The proved end of an incarnation counts for all runs, because
-// it never runs again.
+// successor finds it and starts runs on it. The proved end of an incarnation counts whichever leader
+// numbered its session, because it never runs again, unless a later session has reported the incarnation.
 func (d *Dispatcher) outdated(l *leaderState, r *apiv1.JobsReportRequest) (outdated bool) {
 	if r.Departed && r.Ended {
-		return false
+		return l.reports.reportedByLaterSession(r)
 	}
 	if l.reports.numberedByPreviousLeader(r) {
 		return true
--- a/dispatch/reportorder.go
+++ b/dispatch/reportorder.go
@@ -105,6 +105,13 @@
 	return r.SessionNumber != 0 && newest.number != 0 && sessionStartOf(r).before(newest)
 }
 
+// reportedByLaterSession reports whether a later session with a number of this leader has reported the
+// incarnation of a report. Its agent found the incarnation working, and sees a real end of it itself.
+func (o *reportOrder) reportedByLaterSession(r *apiv1.JobsReportRequest) bool {
+	state := o.byWorker[r.Worker.GetId()]
+	return state != nil && state.session != r.Session && state.began.term == o.term && sessionStartOf(r).before(state.began)
+}
+
 // precedesRecorded reports whether a report of a later session, or a later one of the same session,
 // was recorded before this one, and records it otherwise.
 func (o *reportOrder) precedesRecorded(r *apiv1.JobsReportRequest) bool {
