runs: departures with nothing to report are acknowledged at once

Cause: a departure was acknowledged only with a report that was sent after it. Nothing is reported while the agent waits for the worker's end, once that end is reported, or about a worker that the agent does not serve. A repeated departure, one by the id of a worker whose named incarnation had left, and one of another worker were held for 4 s although a leader answers. The warning that there is no leader was written all the same.

Change: a departure that was acknowledged before, whose end is reported or that concerns no worker of the agent is acknowledged at once. While the agent waits for the worker's end, any answer of a leader counts. The warning is written only if no leader has answered any call since the departure arrived.

--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -43,11 +43,15 @@
 	hintedAt time.Time
 	// pending are the departures that are not acknowledged.
 	pending []*pendingDeparture
+	// acknowledgedName is the name in the last departure that was acknowledged, at acknowledgedAt.
+	acknowledgedName string
+	acknowledgedAt   time.Time
 }
 
 // pendingDeparture is a departure that is not acknowledged.
 type pendingDeparture struct {
 	name         string
+	arrivedAt    time.Time
 	acknowledged chan struct{}
 	timeout      *time.Timer
 }
@@ -91,15 +95,35 @@
 		if p.name == d.hintName {
 			d.hintedAt = now
 		}
+		d.acknowledgedName, d.acknowledgedAt = p.name, now
 		acknowledged++
 	}
 	return acknowledged
 }
 
+// acknowledgedBefore reports whether a departure repeats one that was acknowledged. One by the id alone
+// counts for departureHintRetention only, since it may be that of a later incarnation.
+func (d *departures) acknowledgedBefore(name string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	named := jobqueue.ParseIncarnation(name).StartedMs != 0
+	return d.acknowledgedName == name && (named || now.Sub(d.acknowledgedAt) <= departureHintRetention)
+}
+
+// forgetAcknowledged forgets which departure was acknowledged, because another incarnation may announce
+// its own under the same name.
+func (d *departures) forgetAcknowledged() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acknowledgedName = ""
+}
+
 // Depart records that the worker announced its departure, and returns a channel that is closed once
 // that may be acknowledged: after a leader has answered a report that was sent after the call, and
 // after maxAcknowledgementDelay in any case. The worker runs until then. Without this wait, its host
-// could stop, and the agent with it, while there is no leader to report to.
+// could stop, and the agent with it, while there is no leader to report to. A departure that was
+// acknowledged before, whose end is reported or that concerns no worker of this agent is acknowledged at
+// once.
 //
 // A departure that does not name the incarnation of the session may be a late one of a previous
 // incarnation. It ends nothing by itself; see session.leftAsAnnounced.
@@ -107,18 +131,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.session
-	p := &pendingDeparture{name: incarnation, acknowledged: make(chan struct{})}
+	now := d.opts.Now()
+	p := &pendingDeparture{name: incarnation, arrivedAt: now, acknowledged: make(chan struct{})}
+	atOnce := d.departures.acknowledgedBefore(incarnation, now)
 	switch {
 	case s != nil && s.incarnation == incarnation:
 		s.recordDeparture()
 	case s == nil && d.departed[incarnation]:
-		close(p.acknowledged) // Its end has been reported.
-		return p.acknowledged
+		atOnce = true // Its end has been reported.
 	case s == nil || s.matchesWithoutStartTime(incarnation):
 		event.DepartureUnnamed.Write(d.logger, event.Worker(incarnation), event.PreviousWorker(incarnationOf(s)))
-		d.departures.recordHint(incarnation, d.opts.Now())
+		d.departures.recordHint(incarnation, now)
+		atOnce = atOnce || s == nil && d.anyDepartedOf(incarnation)
 	default:
 		d.recordDeparted(incarnation)
+		atOnce = atOnce || !s.hasPendingEnd(incarnation)
+	}
+	if atOnce {
+		close(p.acknowledged)
+		return p.acknowledged
 	}
 	d.departures.add(p, func() { d.acknowledgeLate(p) })
 	if s != nil {
@@ -127,6 +158,22 @@
 	return p.acknowledged
 }
 
+// anyDepartedOf reports whether an incarnation of a worker is known to have ended. The caller must hold
+// d.mu.
+func (d *Driver) anyDepartedOf(worker string) bool {
+	for incarnation := range d.departed {
+		if jobqueue.ParseIncarnation(incarnation).WorkerID == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// hasPendingEnd reports whether the end of a previous incarnation is still to be reported.
+func (s *session) hasPendingEnd(incarnation string) bool {
+	return slices.ContainsFunc(s.pendingEnds(), func(e *endReport) bool { return e.request.Worker.Id == incarnation })
+}
+
 // add adds a departure, and calls late if it is not acknowledged in time.
 func (d *departures) add(p *pendingDeparture, late func()) {
 	d.mu.Lock()
@@ -135,13 +182,30 @@
 	d.pending = append(d.pending, p)
 }
 
-// acknowledgeLate acknowledges a departure although no leader has answered.
+// acknowledgeLate acknowledges a departure although no leader has answered a report.
 func (d *Driver) acknowledgeLate(p *pendingDeparture) {
-	if d.departures.acknowledge([]*pendingDeparture{p}, d.opts.Now()) > 0 {
+	acknowledged := d.departures.acknowledge([]*pendingDeparture{p}, d.opts.Now()) > 0
+	if acknowledged && !d.leaderAnswers.since(p.arrivedAt) {
 		event.DepartureUnconfirmed.Write(d.logger, event.Worker(p.name))
 	}
 }
 
+// acknowledgeOnAnswer acknowledges departures as soon as a leader answers anything, until ctx ends. It is
+// called while nothing is reported.
+func (s *session) acknowledgeOnAnswer(ctx context.Context) {
+	for ctx.Err() == nil {
+		if list := s.d.departures.list(); len(list) > 0 {
+			call, cancel := context.WithTimeout(ctx, reportTimeout)
+			_, err := s.d.opts.Leader.HostLease(call, s.d.opts.Host)
+			cancel()
+			if err == nil {
+				s.d.departures.acknowledge(list, s.d.opts.Now())
+			}
+		}
+		sleep(ctx, retryInterval)
+	}
+}
+
 // requestReport makes leaseLoop send a report at once.
 func (s *session) requestReport() {
 	select {
--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -8,6 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/fakes"
@@ -268,3 +272,99 @@
 		}
 	})
 }
+
+// Guards against a worker that waits seconds for an acknowledgement although a leader answers: nothing is
+// reported that would bring one.
+func TestDepartureWithNothingToReportIsAcknowledged(t *testing.T) {
+	const second = time.Second
+	end := func(h *leaving) {
+		h.drain()
+		<-h.d.Depart("w1")
+		h.fail(errNoListener)
+		time.Sleep(second)
+	}
+	announced := func(h *leaving, name string) {
+		h.drain()
+		<-h.d.Depart(name)
+		time.Sleep(second)
+	}
+	unavailable := func(h *leaving) { h.l.update(func() { h.l.unavailable = true }) }
+	for name, test := range map[string]struct {
+		before    func(*leaving)
+		departing string
+	}{
+		"repeated while the worker runs on":             {func(h *leaving) { announced(h, "w1@5") }, "w1@5"},
+		"repeated by the id alone":                      {func(h *leaving) { announced(h, "w1@5") }, "w1"},
+		"repeated with the start time":                  {func(h *leaving) { announced(h, "w1") }, "w1@5"},
+		"repeated without a leader":                     {func(h *leaving) { announced(h, "w1@5"); unavailable(h) }, "w1@5"},
+		"repeated by the id alone, without a leader":    {func(h *leaving) { announced(h, "w1"); unavailable(h) }, "w1"},
+		"end is reported":                               {func(h *leaving) { end(h); unavailable(h) }, "w1@5"},
+		"end is reported, by the id alone":              {func(h *leaving) { end(h); time.Sleep(6 * second); unavailable(h) }, "w1"},
+		"concerns another worker":                       {unavailable, "w2@7"},
+		"concerns a previous incarnation":               {unavailable, "w1@4"},
+		"concerns another worker, calls are broken off": {func(h *leaving) { h.fail(errBroken) }, "w2@7"},
+		"port is closed, and the end not proved yet":    {func(h *leaving) { h.fail(errNoListener) }, "w1@5"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * second)
+				test.before(h)
+				sent := time.Now()
+				<-h.d.Depart(test.departing)
+				if waited := time.Since(sent); waited > 100*time.Millisecond {
+					t.Errorf("acknowledged after %v; runs %v", waited, h.w.Running())
+				}
+			})
+		})
+	}
+}
+
+// Guards against an acknowledgement of the next incarnation's departure while there is no leader, because
+// an earlier incarnation announced one under the same id.
+func TestDepartureOfNextIncarnationWaitsForLeader(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withLeavingWorker(t, l, func(h *leaving) {
+		h.announce()
+		time.Sleep(2 * time.Second)
+		h.drain()
+		<-h.d.Depart("w1")
+		h.w.SetIncarnation("w1@6")
+		h.announce()
+		time.Sleep(time.Second)
+		l.update(func() { l.unavailable = true })
+		time.AfterFunc(2*time.Second, func() { l.update(func() { l.unavailable = false }) })
+		sent := time.Now()
+		<-h.d.Depart("w1")
+		if waited := time.Since(sent); waited < 2*time.Second || waited > 2500*time.Millisecond {
+			t.Errorf("acknowledged after %v", waited)
+		}
+	})
+}
+
+// Guards against a warning that no leader answers while one does, and against a missing one.
+func TestUnconfirmedDepartureIsLogged(t *testing.T) {
+	for name, test := range map[string]struct {
+		leaderAnswers bool
+		want          int
+	}{"leader answers": {true, 0}, "no leader": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			core, lines := observer.New(zapcore.InfoLevel)
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withDriverOf(t, runs.Options{Leader: l, Logger: zap.New(core)}, func(*countingWorker) {}, func(d *runs.Driver, w *countingWorker) {
+				time.Sleep(2 * time.Second)
+				w.Drain()
+				announce(t, d, runs.Announcement{Worker: w.Description(), Sequence: 2})
+				w.renewError.Store(&errBroken)
+				l.update(func() { l.unavailable = !test.leaderAnswers })
+				time.Sleep(1500 * time.Millisecond) // A request for orders is answered after a second.
+				<-d.Depart("w1")
+				synctest.Wait()
+				if got := lines.FilterMessage("departure is acknowledged without a leader").Len(); got != test.want {
+					t.Errorf("the warning is logged %d times, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -79,6 +79,7 @@
 	// previousCallsUntil is until when the worker may carry out calls of a previous agent.
 	previousCallsUntil time.Time
 	departures         departures
+	leaderAnswers      *leaderAnswers
 
 	mu      sync.Mutex
 	session *session
@@ -101,8 +102,10 @@
 		o.Now = time.Now
 	}
 	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
+	answers := &leaderAnswers{leader: o.Leader, now: o.Now}
+	o.Leader = answers
 	d := &Driver{
-		opts: o, logger: event.Runs.Named(o.Logger), metrics: newMetricSet(o.Metrics),
+		opts: o, leaderAnswers: answers, logger: event.Runs.Named(o.Logger), metrics: newMetricSet(o.Metrics),
 		workerWatch:     dependency.New("worker", o.Logger, o.Now),
 		capacityWatch:   dependency.New("announcements of capacity", o.Logger, o.Now),
 		workerAnnounced: make(chan struct{}, 1), departed: map[string]bool{},
@@ -132,6 +135,7 @@
 		return s.updateAnnouncement(a)
 	default:
 		event.WorkerFound.Write(d.logger, event.Worker(id), event.PreviousWorker(incarnationOf(s)))
+		d.departures.forgetAcknowledged()
 		a.Departed = a.Departed || d.departures.hints(id, d.opts.Now())
 		d.session = d.newSession(a)
 		d.session.previousIncarnations = d.recordServed(id)
@@ -261,5 +265,8 @@
 	defer d.mu.Unlock()
 	if d.session == s {
 		d.session = nil
+		if s.endReported {
+			d.departures.acknowledge(d.departures.list(), d.opts.Now())
+		}
 	}
 }
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -28,11 +29,11 @@
 	end := s.departureReport(proof)
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-		departures := s.d.departures.list()
 		err := s.sendEnd(ctx, end)
 		cancel()
 		if err == nil {
-			s.d.departures.acknowledge(departures, s.d.opts.Now())
+			s.endReported = true
+			s.d.departures.acknowledge(s.d.departures.list(), s.d.opts.Now())
 			return
 		}
 		s.sleep(retryInterval)
@@ -46,6 +47,11 @@
 // call that is refused or lost proves nothing. It returns the proof that the worker has ended, if there
 // is one.
 func (s *session) awaitWorkerEnd() endProof {
+	ctx, cancel := context.WithCancel(s.ctx)
+	var acknowledgement conc.WaitGroup
+	defer acknowledgement.Wait()
+	defer cancel()
+	acknowledgement.Go(func() { s.acknowledgeOnAnswer(ctx) })
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
 		s.barAllStarts()
 		requested := s.d.opts.Now()
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -41,6 +41,9 @@
 	number sessionNumber
 	// unreadableEnd is the first end that can't be read in the last status. Only leaseLoop uses it.
 	unreadableEnd unreadableEnd
+	// endReported: a leader has acknowledged the report that the incarnation has ended. Only leaseLoop
+	// sets it; it is read once the session has ended.
+	endReported bool
 	// admitted: the worker may be reported to the leader. Only leaseLoop uses it.
 	admitted bool
 	// notRenewedLoggedAt is when a failed renewal of the lease was last logged. Only leaseLoop
