--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -21,6 +21,9 @@
 	maxAcknowledgementDelay = 4 * time.Second
 	// departurePollInterval is the time between two checks whether a departure has been reported.
 	departurePollInterval = 20 * time.Millisecond
+	// maxDrainWait bounds how long a stopping agent waits for a worker that drains to announce its
+	// departure. A worker may drain for minutes, and the agent's successor serves it.
+	maxDrainWait = 2500 * time.Millisecond
 )
 
 // endProof is the proof that an incarnation has ended.
@@ -237,23 +240,32 @@
 
 // AwaitDeparture returns once no departure of the worker is left to report, or when ctx ends. An agent
 // that is stopped calls it while it still serves, because its host may be stopped together with its
-// worker.
+// worker. A worker that drains and has not announced its departure is waited for up to maxDrainWait.
 func (d *Driver) AwaitDeparture(ctx context.Context) {
-	for ctx.Err() == nil && d.expectsDeparture() {
+	began := d.opts.Now()
+	for ctx.Err() == nil && d.expectsDeparture(d.opts.Now().Sub(began)) {
 		sleep(ctx, departurePollInterval)
 	}
 }
 
 // expectsDeparture reports whether the worker has departed or is about to, and the leader has not
-// acknowledged the report of its end.
-func (d *Driver) expectsDeparture() bool {
+// acknowledged the report of its end. waited is how long the agent has waited for that.
+func (d *Driver) expectsDeparture(waited time.Duration) bool {
+	if d.departures.anyPending() {
+		return true
+	}
 	s := d.current()
-	return d.departures.anyPending() || s != nil && (s.isLeaving() || len(s.pendingEnds()) > 0)
+	if s == nil {
+		return false
+	}
+	return len(s.pendingEnds()) > 0 || s.isDeparting() || waited < maxDrainWait && s.announcement().Worker.Draining
 }
 
-// isLeaving reports whether the incarnation drains, has announced its departure or has ended.
-func (s *session) isLeaving() bool {
+// isDeparting reports whether the incarnation has ended or its departure was announced, possibly by the
+// id alone.
+func (s *session) isDeparting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.announced.Departed || s.announced.Worker.Draining || s.end != nil
+	return s.announced.Departed || s.end != nil ||
+		s.d.departures.hints(jobqueue.ParseIncarnation(s.incarnation).WorkerID, s.d.opts.Now())
 }
--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -368,3 +368,45 @@
 		})
 	}
 }
+
+// Guards against a stopping agent that uses its whole grace period beside a worker that drains and stays,
+// and against one that does not wait for a worker that departs.
+func TestStoppingAgentOfDrainingWorker(t *testing.T) {
+	const grace = 27 * time.Second
+	for name, test := range map[string]struct {
+		play     func(*leaving)
+		min, max time.Duration
+	}{
+		"only drains":                  {func(*leaving) {}, 2500 * time.Millisecond, 2600 * time.Millisecond},
+		"departs 2 s later":            {func(h *leaving) { h.endAfter(2*time.Second, "w1") }, 2400 * time.Millisecond, 3 * time.Second},
+		"ends 4 s after its departure": {func(h *leaving) { h.d.Depart("w1"); h.endAfter(4*time.Second, "") }, 4400 * time.Millisecond, 5 * time.Second},
+		"works on after its departure": {func(h *leaving) { h.d.Depart("w1") }, 5 * time.Second, 5100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * time.Second)
+				h.drain()
+				test.play(h)
+				ctx, cancel := context.WithTimeout(context.Background(), grace)
+				defer cancel()
+				before := time.Now()
+				h.d.AwaitDeparture(ctx)
+				if waited := time.Since(before); waited < test.min || waited > test.max {
+					t.Errorf("the agent waits for %v", waited)
+				}
+			})
+		})
+	}
+}
+
+// endAfter ends the worker after a time, after a departure under a name unless it is empty.
+func (h *leaving) endAfter(after time.Duration, departing string) {
+	time.AfterFunc(after, func() {
+		if departing != "" {
+			<-h.d.Depart(departing)
+		}
+		h.fail(errNoListener)
+	})
+}
