runs: an announcement is confirmed beside the session that it replaces

Cause: an announcement was confirmed before the session was locked. If another session began meanwhile, a late heartbeat of an earlier incarnation replaced it, and the end of the present incarnation was reported as proved although the worker had not answered as another one. Without a session, the heartbeat was not confirmed by the worker at all.

Change: the session is compared again under the lock. If it is another one, the announcement is confirmed again.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -117,22 +117,37 @@
 	return d
 }
 
-// Announce records an announcement of the worker. It may block for callTimeout. An error means
-// that the worker cannot have sent the announcement; then nothing changes.
+// Announce records an announcement of the worker. It may block for callTimeout, and again for each
+// session that begins meanwhile. An error means that the worker cannot have sent the announcement; then
+// nothing changes.
 func (d *Driver) Announce(a Announcement) error {
-	id := a.Worker.Id
-	if !d.confirm(id) {
-		event.AnnouncementUnconfirmed.Write(d.logger, event.Worker(id))
-		return nil
+	for {
+		s := d.current()
+		if !d.confirm(s, a.Worker.Id) {
+			event.AnnouncementUnconfirmed.Write(d.logger, event.Worker(a.Worker.Id))
+			return nil
+		}
+		if recorded, err := d.recordAnnouncement(a, s); recorded {
+			return err
+		}
 	}
+}
+
+// recordAnnouncement records an announcement that is credible beside a session, which may be nil. It
+// returns false if another session has begun or ended since: the announcement must be confirmed again,
+// because one of a previous incarnation would end the present one in the log, as proved.
+func (d *Driver) recordAnnouncement(a Announcement, confirmedBeside *session) (recorded bool, err error) {
+	id := a.Worker.Id
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.session
 	switch {
 	case d.departed[id]:
-		return nil
+		return true, nil
 	case s != nil && s.incarnation == id:
-		return s.updateAnnouncement(a)
+		return true, s.updateAnnouncement(a)
+	case s != confirmedBeside:
+		return false, nil
 	default:
 		event.WorkerFound.Write(d.logger, event.Worker(id), event.PreviousWorker(incarnationOf(s)))
 		d.departures.forgetAcknowledged()
@@ -147,17 +162,16 @@
 		}
 	}
 	d.signalAnnounced()
-	return nil
+	return true, nil
 }
 
 // confirm reports whether an announcement is credible. An announcement of a previous incarnation
 // may arrive late, after its successor is known, and another program may send a forged one.
-// Unless the announcement is of the current incarnation, confirm therefore queries the worker for
+// Unless the announcement is of the session's incarnation, confirm therefore queries the worker for
 // its incarnation. Without this check, such an announcement would end the session with the
 // running worker, whose incarnation would never be accepted again. The caller must not hold d.mu,
 // since the call blocks.
-func (d *Driver) confirm(incarnation string) bool {
-	s := d.current()
+func (d *Driver) confirm(s *session, incarnation string) bool {
 	return s == nil || s.incarnation == incarnation || d.workerConfirms(incarnation)
 }
 
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -185,6 +185,8 @@
 	lostCall, refusedCalls atomic.Value
 	// nextDelay is a call that is left unanswered once and executed after a delay.
 	nextDelay atomic.Pointer[delayedCall]
+	// onceConfirmed is called once, after the worker has carried out a call for w1@6 and before the answer.
+	onceConfirmed atomic.Pointer[func()]
 }
 
 // delayedCall is a call that is executed late.
@@ -228,7 +230,11 @@
 	if err := w.renewError.Load(); err != nil {
 		return runs.Status{}, 0, *err
 	}
-	return w.RunWorker.Renew(ctx, o, r)
+	status, answer, err := w.RunWorker.Renew(ctx, o, r)
+	if f := w.onceConfirmed.Load(); f != nil && o.Incarnation == "w1@6" && w.onceConfirmed.CompareAndSwap(f, nil) {
+		(*f)()
+	}
+	return status, answer, err
 }
 
 // refusals returns the runs that the agent returned to the leader.
--- a/agent/runs/incarnation_test.go
+++ b/agent/runs/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,3 +169,28 @@
 		}
 	})
 }
+
+// Guards against the end of a present incarnation that is reported as proved: a late heartbeat of an
+// earlier one is confirmed by the worker just before the present one replaces it.
+func TestLateHeartbeatBesideNewSessionKeepsIncarnation(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withLeavingWorker(t, l, func(h *leaving) {
+		h.announce()
+		time.Sleep(2 * time.Second)
+		h.w.SetIncarnation("w1@6")
+		late := runs.Announcement{Worker: h.w.Description(), Sequence: 1}
+		replace := func() {
+			h.w.SetIncarnation("w1@7")
+			h.announce()
+		}
+		h.w.onceConfirmed.Store(&replace)
+		announce(t, h.d, late)
+		time.Sleep(2 * time.Second)
+		if ended, _ := l.provedEnds(); slices.Contains(ended, "w1@7") {
+			t.Errorf("reported the ends of %v", ended)
+		}
+		if last := l.lastReport(); last.Worker.Id != "w1@7" {
+			t.Errorf("the present incarnation is not served: %v", last)
+		}
+	})
+}
