--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -21,6 +21,9 @@
 	maxAcknowledgementDelay = 4 * time.Second
 	// departurePollInterval is the time between two checks whether a departure has been reported.
 	departurePollInterval = 20 * time.Millisecond
+	// maxDrainWait bounds how long a stopping agent waits for a worker that drains to announce its
+	// departure. A worker may drain for minutes, and the agent's successor serves it.
+	maxDrainWait = 2500 * time.Millisecond
 )
 
 // endProof is the proof that an incarnation has ended.
@@ -43,11 +46,15 @@
 	hintedAt time.Time
 	// pending are the departures that are not acknowledged.
 	pending []*pendingDeparture
+	// acknowledgedName is the name in the last departure that was acknowledged, at acknowledgedAt.
+	acknowledgedName string
+	acknowledgedAt   time.Time
 }
 
 // pendingDeparture is a departure that is not acknowledged.
 type pendingDeparture struct {
 	name         string
+	arrivedAt    time.Time
 	acknowledged chan struct{}
 	timeout      *time.Timer
 }
@@ -91,15 +98,35 @@
 		if p.name == d.hintName {
 			d.hintedAt = now
 		}
+		d.acknowledgedName, d.acknowledgedAt = p.name, now
 		acknowledged++
 	}
 	return acknowledged
 }
 
+// acknowledgedBefore reports whether a departure repeats one that was acknowledged. One by the id alone
+// counts for departureHintRetention only, since it may be that of a later incarnation.
+func (d *departures) acknowledgedBefore(name string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	named := jobqueue.ParseIncarnation(name).StartedMs != 0
+	return d.acknowledgedName == name && (named || now.Sub(d.acknowledgedAt) <= departureHintRetention)
+}
+
+// forgetAcknowledged forgets which departure was acknowledged, because another incarnation may announce
+// its own under the same name.
+func (d *departures) forgetAcknowledged() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acknowledgedName = ""
+}
+
 // Depart records that the worker announced its departure, and returns a channel that is closed once
 // that may be acknowledged: after a leader has answered a report that was sent after the call, and
 // after maxAcknowledgementDelay in any case. The worker runs until then. Without this wait, its host
-// could stop, and the agent with it, while there is no leader to report to.
+// could stop, and the agent with it, while there is no leader to report to. A departure that was
+// acknowledged before, whose end is reported or that concerns no worker of this agent is acknowledged at
+// once.
 //
 // A departure that does not name the incarnation of the session may be a late one of a previous
 // incarnation. It ends nothing by itself; see session.leftAsAnnounced.
@@ -107,18 +134,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.session
-	p := &pendingDeparture{name: incarnation, acknowledged: make(chan struct{})}
+	now := d.opts.Now()
+	p := &pendingDeparture{name: incarnation, arrivedAt: now, acknowledged: make(chan struct{})}
+	atOnce := d.departures.acknowledgedBefore(incarnation, now)
 	switch {
 	case s != nil && s.incarnation == incarnation:
 		s.recordDeparture()
 	case s == nil && d.departed[incarnation]:
-		close(p.acknowledged) // Its end has been reported.
-		return p.acknowledged
+		atOnce = true // Its end has been reported.
 	case s == nil || s.matchesWithoutStartTime(incarnation):
 		event.DepartureUnnamed.Write(d.logger, event.Worker(incarnation), event.PreviousWorker(incarnationOf(s)))
-		d.departures.recordHint(incarnation, d.opts.Now())
+		d.departures.recordHint(incarnation, now)
+		atOnce = atOnce || s == nil && d.anyDepartedOf(incarnation)
 	default:
 		d.recordDeparted(incarnation)
+		atOnce = atOnce || !s.hasPendingEnd(incarnation)
+	}
+	if atOnce {
+		close(p.acknowledged)
+		return p.acknowledged
 	}
 	d.departures.add(p, func() { d.acknowledgeLate(p) })
 	if s != nil {
@@ -127,6 +161,22 @@
 	return p.acknowledged
 }
 
+// anyDepartedOf reports whether an incarnation of a worker is known to have ended. The caller must hold
+// d.mu.
+func (d *Driver) anyDepartedOf(worker string) bool {
+	for incarnation := range d.departed {
+		if jobqueue.ParseIncarnation(incarnation).WorkerID == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// hasPendingEnd reports whether the end of a previous incarnation is still to be reported.
+func (s *session) hasPendingEnd(incarnation string) bool {
+	return slices.ContainsFunc(s.pendingEnds(), func(e *endReport) bool { return e.request.Worker.Id == incarnation })
+}
+
 // add adds a departure, and calls late if it is not acknowledged in time.
 func (d *departures) add(p *pendingDeparture, late func()) {
 	d.mu.Lock()
@@ -135,13 +185,30 @@
 	d.pending = append(d.pending, p)
 }
 
-// acknowledgeLate acknowledges a departure although no leader has answered.
+// acknowledgeLate acknowledges a departure although no leader has answered a report.
 func (d *Driver) acknowledgeLate(p *pendingDeparture) {
-	if d.departures.acknowledge([]*pendingDeparture{p}, d.opts.Now()) > 0 {
+	acknowledged := d.departures.acknowledge([]*pendingDeparture{p}, d.opts.Now()) > 0
+	if acknowledged && !d.leaderAnswers.since(p.arrivedAt) {
 		event.DepartureUnconfirmed.Write(d.logger, event.Worker(p.name))
 	}
 }
 
+// acknowledgeOnAnswer acknowledges departures as soon as a leader answers anything, until ctx ends. It is
+// called while nothing is reported.
+func (s *session) acknowledgeOnAnswer(ctx context.Context) {
+	for ctx.Err() == nil {
+		if list := s.d.departures.list(); len(list) > 0 {
+			call, cancel := context.WithTimeout(ctx, reportTimeout)
+			_, err := s.d.opts.Leader.HostLease(call, s.d.opts.Host)
+			cancel()
+			if err == nil {
+				s.d.departures.acknowledge(list, s.d.opts.Now())
+			}
+		}
+		sleep(ctx, retryInterval)
+	}
+}
+
 // requestReport makes leaseLoop send a report at once.
 func (s *session) requestReport() {
 	select {
@@ -151,8 +218,8 @@
 }
 
 // leftAsAnnounced reports whether the failure of a call proves that an incarnation has ended whose
-// departure was announced without naming it: it has answered before, drains, and no process listens in
-// its place. A call that is broken off or gets no answer proves nothing, because a network partition
+// departure was announced without naming it: it has answered before, drains, and no process has listened
+// in its place for minRefusedSpan. A call that is broken off or gets no answer proves nothing, because a network partition
 // has the same effect, and neither does a departure alone, because it may be late.
 func (s *session) leftAsAnnounced(err error) bool {
 	if !errors.Is(err, ErrNotListening) {
@@ -160,7 +227,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clock.received.IsZero() || !s.announced.Worker.Draining {
+	if !s.callHistory.stoppedListening() || s.clock.received.IsZero() || !s.announced.Worker.Draining {
 		return false
 	}
 	// What counts is when the worker ended: the agent may notice that later.
@@ -173,23 +240,32 @@
 
 // AwaitDeparture returns once no departure of the worker is left to report, or when ctx ends. An agent
 // that is stopped calls it while it still serves, because its host may be stopped together with its
-// worker.
+// worker. A worker that drains and has not announced its departure is waited for up to maxDrainWait.
 func (d *Driver) AwaitDeparture(ctx context.Context) {
-	for ctx.Err() == nil && d.expectsDeparture() {
+	began := d.opts.Now()
+	for ctx.Err() == nil && d.expectsDeparture(d.opts.Now().Sub(began)) {
 		sleep(ctx, departurePollInterval)
 	}
 }
 
 // expectsDeparture reports whether the worker has departed or is about to, and the leader has not
-// acknowledged the report of its end.
-func (d *Driver) expectsDeparture() bool {
+// acknowledged the report of its end. waited is how long the agent has waited for that.
+func (d *Driver) expectsDeparture(waited time.Duration) bool {
+	if d.departures.anyPending() {
+		return true
+	}
 	s := d.current()
-	return d.departures.anyPending() || s != nil && (s.isLeaving() || len(s.pendingEnds()) > 0)
+	if s == nil {
+		return false
+	}
+	return len(s.pendingEnds()) > 0 || s.isDeparting() || waited < maxDrainWait && s.announcement().Worker.Draining
 }
 
-// isLeaving reports whether the incarnation drains, has announced its departure or has ended.
-func (s *session) isLeaving() bool {
+// isDeparting reports whether the incarnation has ended or its departure was announced, possibly by the
+// id alone.
+func (s *session) isDeparting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.announced.Departed || s.announced.Worker.Draining || s.end != nil
+	return s.announced.Departed || s.end != nil ||
+		s.d.departures.hints(jobqueue.ParseIncarnation(s.incarnation).WorkerID, s.d.opts.Now())
 }
--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -8,6 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/fakes"
@@ -219,3 +223,190 @@
 		}
 	})
 }
+
+// Guards against a task on two workers: a worker that works on counts as ended because its port was closed
+// for a moment, after a late departure of an earlier incarnation or its own departure.
+func TestBriefClosureOfPortProvesNoEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		departing string
+		closures  int
+	}{
+		"closed once, late departure":                       {"w1", 1},
+		"closed repeatedly, an answer between each of them": {"w1", 3},
+		"departure that names the incarnation":              {"w1@5", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * time.Second)
+				h.drain()
+				<-h.d.Depart(test.departing)
+				time.Sleep(time.Second)
+				for range test.closures {
+					h.fail(errNoListener)
+					time.Sleep(300 * time.Millisecond)
+					h.w.renewError.Store(nil)
+					time.Sleep(200 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				if ended, _ := l.provedEnds(); len(ended) > 0 || len(h.w.Running()) == 0 {
+					t.Errorf("reported the ends of %v, runs %v", ended, h.w.Running())
+				}
+			})
+		})
+	}
+}
+
+// Guards against the proved end of a name without a start time: the worker's next process has that name
+// too, and a late report would end its runs.
+func TestOnlyIncarnationWithStartTimeEndsForGood(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+		time.Sleep(2 * time.Second)
+		w.renewError.Store(&errNoListener)
+		d.Depart("w1")
+		time.Sleep(time.Second)
+		if ended, proved := l.provedEnds(); !slices.Equal(ended, []string{"w1"}) || proved {
+			t.Errorf("reported the ends of %v, proved: %v", ended, proved)
+		}
+	})
+}
+
+// Guards against a worker that waits seconds for an acknowledgement although a leader answers: nothing is
+// reported that would bring one.
+func TestDepartureWithNothingToReportIsAcknowledged(t *testing.T) {
+	const second = time.Second
+	end := func(h *leaving) {
+		h.drain()
+		<-h.d.Depart("w1")
+		h.fail(errNoListener)
+		time.Sleep(second)
+	}
+	announced := func(h *leaving, name string) {
+		h.drain()
+		<-h.d.Depart(name)
+		time.Sleep(second)
+	}
+	unavailable := func(h *leaving) { h.l.update(func() { h.l.unavailable = true }) }
+	for name, test := range map[string]struct {
+		before    func(*leaving)
+		departing string
+	}{
+		"repeated while the worker runs on":             {func(h *leaving) { announced(h, "w1@5") }, "w1@5"},
+		"repeated by the id alone":                      {func(h *leaving) { announced(h, "w1@5") }, "w1"},
+		"repeated with the start time":                  {func(h *leaving) { announced(h, "w1") }, "w1@5"},
+		"repeated without a leader":                     {func(h *leaving) { announced(h, "w1@5"); unavailable(h) }, "w1@5"},
+		"repeated by the id alone, without a leader":    {func(h *leaving) { announced(h, "w1"); unavailable(h) }, "w1"},
+		"end is reported":                               {func(h *leaving) { end(h); unavailable(h) }, "w1@5"},
+		"end is reported, by the id alone":              {func(h *leaving) { end(h); time.Sleep(6 * second); unavailable(h) }, "w1"},
+		"concerns another worker":                       {unavailable, "w2@7"},
+		"concerns a previous incarnation":               {unavailable, "w1@4"},
+		"concerns another worker, calls are broken off": {func(h *leaving) { h.fail(errBroken) }, "w2@7"},
+		"port is closed, and the end not proved yet":    {func(h *leaving) { h.fail(errNoListener) }, "w1@5"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * second)
+				test.before(h)
+				sent := time.Now()
+				<-h.d.Depart(test.departing)
+				if waited := time.Since(sent); waited > 100*time.Millisecond {
+					t.Errorf("acknowledged after %v; runs %v", waited, h.w.Running())
+				}
+			})
+		})
+	}
+}
+
+// Guards against an acknowledgement of the next incarnation's departure while there is no leader, because
+// an earlier incarnation announced one under the same id.
+func TestDepartureOfNextIncarnationWaitsForLeader(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withLeavingWorker(t, l, func(h *leaving) {
+		h.announce()
+		time.Sleep(2 * time.Second)
+		h.drain()
+		<-h.d.Depart("w1")
+		h.w.SetIncarnation("w1@6")
+		h.announce()
+		time.Sleep(time.Second)
+		l.update(func() { l.unavailable = true })
+		time.AfterFunc(2*time.Second, func() { l.update(func() { l.unavailable = false }) })
+		sent := time.Now()
+		<-h.d.Depart("w1")
+		if waited := time.Since(sent); waited < 2*time.Second || waited > 2500*time.Millisecond {
+			t.Errorf("acknowledged after %v", waited)
+		}
+	})
+}
+
+// Guards against a warning that no leader answers while one does, and against a missing one.
+func TestUnconfirmedDepartureIsLogged(t *testing.T) {
+	for name, test := range map[string]struct {
+		leaderAnswers bool
+		want          int
+	}{"leader answers": {true, 0}, "no leader": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			core, lines := observer.New(zapcore.InfoLevel)
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withDriverOf(t, runs.Options{Leader: l, Logger: zap.New(core)}, func(*countingWorker) {}, func(d *runs.Driver, w *countingWorker) {
+				time.Sleep(2 * time.Second)
+				w.Drain()
+				announce(t, d, runs.Announcement{Worker: w.Description(), Sequence: 2})
+				w.renewError.Store(&errBroken)
+				l.update(func() { l.unavailable = !test.leaderAnswers })
+				time.Sleep(1500 * time.Millisecond) // A request for orders is answered after a second.
+				<-d.Depart("w1")
+				synctest.Wait()
+				if got := lines.FilterMessage("departure is acknowledged without a leader").Len(); got != test.want {
+					t.Errorf("the warning is logged %d times, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stopping agent that uses its whole grace period beside a worker that drains and stays,
+// and against one that does not wait for a worker that departs.
+func TestStoppingAgentOfDrainingWorker(t *testing.T) {
+	const grace = 27 * time.Second
+	for name, test := range map[string]struct {
+		play     func(*leaving)
+		min, max time.Duration
+	}{
+		"only drains":                  {func(*leaving) {}, 2500 * time.Millisecond, 2600 * time.Millisecond},
+		"departs 2 s later":            {func(h *leaving) { h.endAfter(2*time.Second, "w1") }, 2400 * time.Millisecond, 3 * time.Second},
+		"ends 4 s after its departure": {func(h *leaving) { h.d.Depart("w1"); h.endAfter(4*time.Second, "") }, 4400 * time.Millisecond, 5 * time.Second},
+		"works on after its departure": {func(h *leaving) { h.d.Depart("w1") }, 5 * time.Second, 5100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * time.Second)
+				h.drain()
+				test.play(h)
+				ctx, cancel := context.WithTimeout(context.Background(), grace)
+				defer cancel()
+				before := time.Now()
+				h.d.AwaitDeparture(ctx)
+				if waited := time.Since(before); waited < test.min || waited > test.max {
+					t.Errorf("the agent waits for %v", waited)
+				}
+			})
+		})
+	}
+}
+
+// endAfter ends the worker after a time, after a departure under a name unless it is empty.
+func (h *leaving) endAfter(after time.Duration, departing string) {
+	time.AfterFunc(after, func() {
+		if departing != "" {
+			<-h.d.Depart(departing)
+		}
+		h.fail(errNoListener)
+	})
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -28,11 +29,11 @@
 	end := s.departureReport(proof)
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-		departures := s.d.departures.list()
 		err := s.sendEnd(ctx, end)
 		cancel()
 		if err == nil {
-			s.d.departures.acknowledge(departures, s.d.opts.Now())
+			s.endReported = true
+			s.d.departures.acknowledge(s.d.departures.list(), s.d.opts.Now())
 			return
 		}
 		s.sleep(retryInterval)
@@ -40,18 +41,23 @@
 }
 
 // awaitWorkerEnd returns once a worker that reported its departure runs nothing any more: it lists
-// nothing when no start can arrive any more, no process listens in its place, another incarnation
-// answers, or its lease has expired. A worker whose departure report was not acknowledged continues
+// nothing when no start can arrive any more, no process has listened in its place for minRefusedSpan,
+// another incarnation answers, or its lease has expired. A worker whose departure report was not acknowledged continues
 // for seconds, and tasks that the leader recorded as lost meanwhile would run elsewhere as well. A
 // call that is refused or lost proves nothing. It returns the proof that the worker has ended, if there
 // is one.
 func (s *session) awaitWorkerEnd() endProof {
+	ctx, cancel := context.WithCancel(s.ctx)
+	var acknowledgement conc.WaitGroup
+	defer acknowledgement.Wait()
+	defer cancel()
+	acknowledgement.Go(func() { s.acknowledgeOnAnswer(ctx) })
 	for s.ctx.Err() == nil && s.d.lease.untilCheck(s.d.opts.Now()) > 0 {
 		s.barAllStarts()
 		requested := s.d.opts.Now()
 		status, answer, err := s.renew(s.alive, 0)
 		switch {
-		case errors.Is(err, ErrNotListening):
+		case errors.Is(err, ErrNotListening) && s.stoppedListening():
 			return endNotListening
 		case err == nil && answer == AnswerOtherIncarnation:
 			return endReplaced
@@ -197,12 +203,10 @@
 
 // sendNumbered sends a report under the session's number. A leader accepts only numbers that it
 // issued, so the report is sent again under a number of the leader that rejected the first one. The
-// report of a proved end needs no number; leaders of an earlier release reject it under an old one.
+// report of a proved end may have the number of an earlier leader; leaders of an earlier release reject it.
 func (s *session) sendNumbered(ctx context.Context, r *apiv1.JobsReportRequest) (*apiv1.JobsReportResponse, error) {
-	if !r.Ended {
-		if err := s.obtainNumber(ctx); err != nil {
-			return nil, err
-		}
+	if err := s.obtainNumber(ctx); err != nil {
+		return nil, err
 	}
 	resp, err := s.send(ctx, r)
 	if err != nil || !s.needsNewNumber(resp) {
