schedule: rate workers by the progress of their runs

Cause: a worker that is slow by a factor of 8 fails nothing and still shows progress, so the planner gave it as much work as any other, and each step with a task there ended with it.

Change: Options.WorkerRates has the planner compare the progress of each batch and quick run, over the worker's clock and at the ordered pace, with the median of its image over at most 32 workers. The estimate of a worker is the median over its last 16 runs, shrunk to the usual rate as samples age. A shift that three quarters of an availability zone's or a label's workers share is a common cause and doubts none of them. The rate enters the score and the expected end; a doubtful worker gets work in proportion to its rate and nothing that is expensive to repeat, unless there is no other worker.

--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -222,7 +222,7 @@
 		l.endsRecorded[w.Spec.Id] = max(l.endsRecorded[w.Spec.Id], e.Sequence)
 		d.metrics.ends.Inc(1)
 		ended := schedule.EndedRun{
-			Worker: w.Spec.Id, Kind: e.Kind, Step: run.Step, At: now, Resumed: run.Checkpoint != "",
+			Worker: w.Spec.Id, Run: run.ID, Kind: e.Kind, Step: run.Step, At: now, Resumed: run.Checkpoint != "",
 		}
 		if o, seen := l.observed[run.ID]; seen {
 			ended.Duration = now.Sub(o.FirstAt)
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -227,6 +227,9 @@
 // Job returns the job that the run belongs to.
 func (r *Run) Job() *Job { return r.job }
 
+// HasPreferredRack reports whether the run is on the rack that its step prefers.
+func (r *Run) HasPreferredRack() bool { return r.worker.HasLabel(r.Step.PreferredRack) }
+
 // requestStop orders the run to stop. Its resources stay reserved until its end is recorded.
 func (r *Run) requestStop() {
 	if !r.Stopping {
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -24,8 +24,11 @@
 func benchZone(number int) string { return fmt.Sprintf("zone-%02d", number) }
 
 // newBusyFleet returns a fleet with its usual work.
-func newBusyFleet(b *testing.B, workers int) *harness {
+func newBusyFleet(b *testing.B, workers int) *harness { return newBusyFleetWith(b, workers, Options{}) }
+
+func newBusyFleetWith(b *testing.B, workers int, o Options) *harness {
 	r := newHarnessFor(b)
+	r.planner = NewWithOptions(o)
 	for i := range workers {
 		r.addWorkerIn(benchZone(i%benchZones), fmt.Sprintf("w%04d", i), 32_000, 128_000)
 	}
@@ -79,6 +82,34 @@
 	}
 }
 
+// BenchmarkPlanWithRates measures a round of the largest fleet without and with rates of its workers, one in
+// a hundred of which is slow. The search for common causes is part of it.
+func BenchmarkPlanWithRates(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		for _, rate := range []int{0, 1000} {
+			b.Run(fmt.Sprintf("rates=%v/starts=%d", on, rate), func(b *testing.B) {
+				r := newBusyFleetWith(b, 3700, Options{WorkerRates: on})
+				for report := range 4 {
+					for i, w := range r.machine.Workers() {
+						step := uint32(20)
+						if i%100 == 0 {
+							step = 2
+						}
+						for id, run := range w.Runs {
+							if run.Step.Backfill {
+								r.observe(id, step*uint32(report), run.Step.CpuMilli)
+							}
+						}
+						r.planner.Observe(w, r, r.now)
+					}
+					r.advance(paceInterval)
+				}
+				benchmarkRounds(b, r, rate)
+			})
+		}
+	}
+}
+
 // benchmarkRounds measures rounds of a fleet while jobs of 6 tasks arrive at a rate of starts a second. With
 // all zones cordoned nothing starts, so the jobs are cancelled.
 func benchmarkRounds(b *testing.B, r *harness, rate int) {
--- a/schedule/chain.go
+++ b/schedule/chain.go
@@ -25,7 +25,11 @@
 			ends[i] = max(ends[i], ends[before])
 		}
 		if !remaining || !s.Succeeded() {
-			ends[i] += p.durations.expected(s.Spec)
+			expected := p.durations.expected(s.Spec)
+			if remaining && p.rates != nil {
+				expected = time.Duration(float64(expected) * p.rates.slowdown(s))
+			}
+			ends[i] += expected
 		}
 		longest = max(longest, ends[i])
 	}
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -76,7 +76,7 @@
 	r.t.Helper()
 	run := r.machine.Run(id)
 	w := r.machine.Worker(run.Worker)
-	r.planner.RecordRunEnd(EndedRun{Worker: run.Worker, Kind: kind, Step: run.Step, At: r.now})
+	r.planner.RecordRunEnd(EndedRun{Worker: run.Worker, Run: id, Kind: kind, Step: run.Step, At: r.now})
 	r.nextEndSequence[run.Worker]++
 	r.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Report{Report: &apiv1.ReportWorker{
 		Worker: w.Spec,
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -71,6 +71,7 @@
 		return false
 	}
 	c.updatedAt = now
+	p.rates.observe(p, w, fleet, now)
 	v := viewWorker(w, fleet)
 	p.learn(c, v, now)
 	c.smoothTails(v)
--- a/schedule/ranking.go
+++ b/schedule/ranking.go
@@ -34,6 +34,10 @@
 			k.refused[reason]++
 		}
 	}
+	if len(k.ranked) == 0 && k.refused[ReasonDoubtful] > 0 && r.mayIgnoreDoubt(c) {
+		c.ignoreDoubt = true
+		return r.rank(c)
+	}
 	heap.Init(k)
 	return k
 }
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -53,13 +53,16 @@
 	ReasonUnknownRun
 	// ReasonCordoned means that the worker's availability zone is cordoned.
 	ReasonCordoned
+	// ReasonDoubtful means that the runs of the worker make little progress, and that it has as
+	// many tasks as its rate permits or may not get the task at all.
+	ReasonDoubtful
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
 	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated", "unknown run",
-	"zone cordoned",
+	"zone cordoned", "slow worker",
 }
 
 // String returns the reason's name in logs.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -22,6 +22,9 @@
 	probations map[string]int
 	// usableByPool counts the usable workers of each pool. It is nil until first needed.
 	usableByPool map[string]int
+	// undoubtedByPool counts the usable workers of each pool that are not doubtful. It is nil until
+	// first needed.
+	undoubtedByPool map[string]int
 	// stopped are the runs that this round stops.
 	stopped  map[jobqueue.RunID]bool
 	decision Decision
@@ -80,6 +83,8 @@
 	// lastResort is set if no worker was found other than avoided ones. The tasks may then start on
 	// an avoided worker.
 	lastResort bool
+	// ignoreDoubt is set if the tasks may start on doubtful workers without their limits.
+	ignoreDoubt bool
 }
 
 // startWaiting starts the waiting tasks on workers with free capacity, the most urgent ones first.
@@ -333,6 +338,8 @@
 		return ReasonAvoided
 	case !s.worker.HasLabel(spec.RequiredLabel):
 		return ReasonLabel
+	case !r.doubtAllows(c, s):
+		return ReasonDoubtful
 	}
 	if reason := shortageReasons[s.available.ShortageFor(jobqueue.Reserved(spec))]; reason != ReasonNone {
 		return reason
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -99,22 +99,38 @@
 	unlistedCheckedAt time.Time
 	// leavingSince is the time since which a worker is being evacuated.
 	leavingSince map[string]time.Time
+	// rates is nil unless workers are rated.
+	rates *rateTable
 }
 
-// New returns a planner that has learned nothing yet.
-func New() *Planner {
-	return &Planner{
+// Options select what a planner does beyond the default.
+type Options struct {
+	// WorkerRates is whether workers are rated by the progress of their runs.
+	WorkerRates bool
+}
+
+// New returns a planner with the default options that has learned nothing yet.
+func New() *Planner { return NewWithOptions(Options{}) }
+
+// NewWithOptions returns a planner that has learned nothing yet.
+func NewWithOptions(o Options) *Planner {
+	p := &Planner{
 		health: newHealthTable(), durations: newDurationTable(), interference: newInterference(),
 		approvals: newApprovals(), pacers: map[string]*pacer{},
 		waitingSince: map[jobqueue.StepID]time.Time{}, lowPaceSince: map[jobqueue.RunID]time.Time{},
 		cachedUses: map[*jobqueue.Worker]cachedUse{}, leavingSince: map[string]time.Time{},
 		unobservedSince: map[jobqueue.RunID]time.Time{},
 	}
+	if o.WorkerRates {
+		p.rates = newRateTable()
+	}
+	return p
 }
 
 // Plan decides at the steady time now. The wall time wallMs, in Unix milliseconds, determines which
 // occurrences are due.
 func (p *Planner) Plan(m *jobqueue.Machine, fleet Fleet, now time.Time, wallMs int64) Decision {
+	p.rates.findCommonCauses(m, now)
 	r := p.newRound(m, fleet, now, wallMs)
 	r.buildSlots()
 	r.endProbations()
@@ -135,12 +151,14 @@
 // RecordRunEnd updates what the planner has learned of the worker and the image of an ended run.
 func (p *Planner) RecordRunEnd(e EndedRun) {
 	p.health.recordEnd(e)
-	p.durations.recordEnd(e)
+	p.durations.recordEnd(p.rates.normalized(e))
+	p.rates.recordEnd(e)
 }
 
 // EndedRun describes how a run ended.
 type EndedRun struct {
 	Worker string
+	Run    jobqueue.RunID
 	Kind   apiv1.RunEndKind
 	Step   *apiv1.JobStep
 	At     time.Time
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -37,6 +37,7 @@
 func (r *round) score(c *candidate, s *slot) (float64, Reason) {
 	spec := c.step.Spec
 	score, reason := r.kindScore(c, s)
+	score += s.rateScore()
 	if s.recentlyFailed {
 		score -= recentFailurePenalty
 	}
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -36,6 +36,8 @@
 	probationStep jobqueue.StepID
 	// startsByStep counts this round's starts by step of an occurrence, nil before the first start.
 	startsByStep map[jobqueue.StepID]int
+	// rate is the observed rate of the worker, its zero value if workers are not rated.
+	rate WorkerRate
 	// backfillStarts are this round's starts of backfill tasks.
 	backfillStarts []observedRun
 }
@@ -80,34 +82,34 @@
 // useOf returns the use of a worker's runs. The caller must not change its map. Most workers have
 // the same runs at the same paces from one round to the next, and recomputing the use each time
 // took most of a round without changes.
-func (r *round) useOf(w *jobqueue.Worker) use {
-	c := r.planner.pacers[w.Spec.Id]
-	known, found := r.planner.cachedUses[w]
+func (p *Planner) useOf(w *jobqueue.Worker) use {
+	c := p.pacers[w.Spec.Id]
+	known, found := p.cachedUses[w]
 	if found && known.runsRevision == w.Revision && known.pacer == c && (c == nil || known.pacesRevision == c.revision) {
 		return known.use
 	}
-	known = cachedUse{runsRevision: w.Revision, pacer: c, use: r.countUse(w)}
+	known = cachedUse{runsRevision: w.Revision, pacer: c, use: p.countUse(w)}
 	if c != nil {
 		known.pacesRevision = c.revision
 	}
-	r.planner.cachedUses[w] = known
+	p.cachedUses[w] = known
 	return known.use
 }
 
-func (r *round) countUse(w *jobqueue.Worker) use {
+func (p *Planner) countUse(w *jobqueue.Worker) use {
 	u := use{servingByImage: map[string]int{}}
 	for _, run := range w.Runs {
 		u.add(run.Step, 1)
 		if run.Step.Backfill {
-			u.backfillMilli -= r.paceReduction(run)
+			u.backfillMilli -= p.paceReduction(run)
 		}
 	}
 	return u
 }
 
 // paceReduction returns by how much a run's pace reduces its processor demand.
-func (r *round) paceReduction(run *jobqueue.Run) int64 {
-	percent, set := r.planner.Pace(run.Worker, run.ID)
+func (p *Planner) paceReduction(run *jobqueue.Run) int64 {
+	percent, set := p.Pace(run.Worker, run.ID)
 	if !set {
 		return 0
 	}
@@ -123,7 +125,7 @@
 		r.slots = append(r.slots, &slot{
 			worker:         w,
 			available:      r.fleet.Availability(w),
-			use:            r.useOf(w),
+			use:            r.planner.useOf(w),
 			usable:         !w.Spec.Draining && r.fleet.Reachable(w.Spec.Id),
 			cordoned:       r.machine.Cordoned(w.Spec.AvailabilityZone),
 			leaving:        r.machine.Leaving(w.Spec.Id),
@@ -132,6 +134,9 @@
 			recentlyFailed: health.recentlyFailed(),
 			onProbation:    w.HasRunOnProbation(),
 		})
+		if r.planner.rates != nil {
+			r.slots[len(r.slots)-1].rate = r.planner.rates.rateOf(w)
+		}
 	}
 	r.planner.pruneDeparted(r.machine, r.now)
 }
--- a/schedule/slot_test.go
+++ b/schedule/slot_test.go
@@ -33,7 +33,7 @@
 			r.advance(paceInterval)
 			round := r.openRound()
 			for _, s := range round.slots {
-				cached, counted := s.use, round.countUse(s.worker)
+				cached, counted := s.use, round.planner.countUse(s.worker)
 				if cached.backfillMilli != counted.backfillMilli || cached.otherMilli != counted.otherMilli || !maps.Equal(cached.servingByImage, counted.servingByImage) {
 					t.Fatalf("seed %d: the cached use of %s is %+v, its runs use %+v", seed, s.worker.Spec.Id, cached, counted)
 				}
