schedule: bound the work of a round for worker rates

Cause: each search for common causes estimated all workers again, which takes several milliseconds at 3,700 workers, in one round of each second.

Change: at most 64 estimates decay in a round, and rounds read a stored view of each worker's rate.

--- a/schedule/doubtful.go
+++ b/schedule/doubtful.go
@@ -13,20 +13,14 @@
 // worker may cost.
 const cheapRepeat = 3 * time.Second
 
-// rateScore is what the rate of a worker adds to its score: at a rate of 1/e as much as the whole
-// capacity of a worker. A worker that is faster than usual is not filled first for that reason.
-func (s *slot) rateScore() float64 {
-	if s.rate.Rate >= 1 || s.rate.Rate == 0 {
-		return 0
-	}
-	return math.Log(s.rate.Rate)
-}
+// doubtful reports whether the worker itself is slow.
+func (s *slot) doubtful() bool { return s.rate != nil && s.rate.Doubtful }
 
 // doubtAllows reports whether a doubtful worker may get a task: only one that can be repeated
 // cheaply, and as many as fit into the part of its capacity that corresponds to its rate, at least
 // one. So the worker is rated further and gets more tasks by degrees.
 func (r *round) doubtAllows(c *candidate, s *slot) bool {
-	if !s.rate.Doubtful || c.ignoreDoubt || c.lastResort {
+	if !s.doubtful() || c.ignoreDoubt || c.lastResort {
 		return true
 	}
 	spec := c.step.Spec
@@ -48,7 +42,7 @@
 	if r.undoubtedByPool == nil {
 		r.undoubtedByPool = map[string]int{}
 		for _, s := range r.slots {
-			if s.acceptsStarts() && !s.leaving && !s.avoided && !s.rate.Doubtful {
+			if s.acceptsStarts() && !s.leaving && !s.avoided && !s.doubtful() {
 				r.undoubtedByPool[s.worker.Spec.Pool]++
 			}
 		}
--- a/schedule/rates.go
+++ b/schedule/rates.go
@@ -46,6 +46,9 @@
 	minGroupShift   = 0.2
 	// minRatedSamples is the weight of samples from which on a worker counts in its groups.
 	minRatedSamples = 1.5
+	// decaysPerRound bounds the workers whose estimates decay in one round: all workers of a large
+	// fleet in one round would take several milliseconds, and there are tens of rounds a second.
+	decaysPerRound = 64
 	// groupInterval is the time from one search for common causes to the next.
 	groupInterval = time.Second
 )
@@ -58,6 +61,8 @@
 	// shifts are the logarithms of the rates of the groups of workers with a common cause.
 	shifts    map[rateGroup]float64
 	groupedAt time.Time
+	// nextDecay is the index of the next worker whose estimate decays.
+	nextDecay int
 }
 
 // rateGroup is an availability zone, or the workers with a label, such as those of a rack.
@@ -71,6 +76,8 @@
 	// mean and deviation describe the logarithm of the rate at the last report, including causes
 	// in common with other workers. weight is the decayed number of samples.
 	mean, deviation, weight float64
+	// view is the rate as the scheduling decisions use it.
+	view WorkerRate
 }
 
 // liveProgress is the progress of a run over the intervals that give a rate.
@@ -113,6 +120,7 @@
 	e := t.byWorker[w.Spec.Id]
 	if e == nil || e.worker != w {
 		e = &workerRate{worker: w, live: map[jobqueue.RunID]*liveProgress{}, deviation: ratePriorDeviation}
+		e.updateView(t)
 		t.byWorker[w.Spec.Id] = e
 	}
 	return e
@@ -314,6 +322,7 @@
 	e.weight = weight
 	e.mean = middle * max(0, (weight-1)/(weight+1))
 	e.deviation = 1 / math.Sqrt(1/(ratePriorDeviation*ratePriorDeviation)+weight/(deviation*deviation))
+	e.updateView(t)
 }
 
 // WorkerRate is the observed rate of a worker relative to what the images of its runs usually make.
@@ -329,27 +338,44 @@
 	Doubtful bool
 	// Reason is the cause of a rate that is not the usual one, empty if there is none.
 	Reason string
+	// score is what the rate adds to the score of the worker: at a rate of 1/e as much as its whole
+	// capacity. A worker that is faster than usual is not filled first for that reason.
+	score float64
 }
 
 // rateOf returns the rate of a worker, that of an unknown one if it was not observed.
 func (t *rateTable) rateOf(w *jobqueue.Worker) WorkerRate {
-	out := WorkerRate{Worker: w.Spec.Id, Zone: w.Spec.AvailabilityZone, Rate: 1, OwnRate: 1, Uncertainty: ratePriorDeviation}
-	e := t.byWorker[w.Spec.Id]
-	if e == nil || e.worker != w {
-		return out
+	if e := t.byWorker[w.Spec.Id]; e != nil && e.worker == w {
+		return e.view
 	}
-	shift, reason := t.commonCause(w)
+	return WorkerRate{Worker: w.Spec.Id, Zone: w.Spec.AvailabilityZone, Rate: 1, OwnRate: 1, Uncertainty: ratePriorDeviation}
+}
+
+// updateView computes the rate that scheduling decisions use.
+func (e *workerRate) updateView(t *rateTable) {
+	shift, reason := t.commonCause(e.worker)
 	own := e.mean - shift
-	out.Rate, out.OwnRate = math.Exp(e.mean), math.Exp(own)
-	out.Uncertainty, out.Samples = e.deviation, e.weight
-	out.Doubtful = own+e.deviation < math.Log(doubtfulRate)
+	e.view = WorkerRate{
+		Worker: e.worker.Spec.Id, Zone: e.worker.Spec.AvailabilityZone, Rate: math.Exp(e.mean), OwnRate: math.Exp(own),
+		Uncertainty: e.deviation, Samples: e.weight, Doubtful: own+e.deviation < math.Log(doubtfulRate), score: min(0, e.mean),
+	}
 	switch {
-	case out.Doubtful:
-		out.Reason = "worker"
+	case e.view.Doubtful:
+		e.view.Reason = "worker"
 	case shift != 0:
-		out.Reason = reason
+		e.view.Reason = reason
 	}
-	return out
+}
+
+// slotRate returns the rate of a worker for a round, nil if it was not observed.
+func (t *rateTable) slotRate(w *jobqueue.Worker) *WorkerRate {
+	if t == nil {
+		return nil
+	}
+	if e := t.byWorker[w.Spec.Id]; e != nil && e.worker == w {
+		return &e.view
+	}
+	return nil
 }
 
 // commonCause returns the part of a worker's rate that it has in common with its availability zone
@@ -379,7 +405,7 @@
 	zones, labels := map[rateGroup][]float64{}, map[rateGroup][]float64{}
 	rated := 0
 	for _, e := range t.byWorker {
-		if e.decay(t, now); e.weight < minRatedSamples {
+		if e.weight < minRatedSamples {
 			continue
 		}
 		rated++
@@ -396,12 +422,23 @@
 		}
 	}
 	t.addShifts(labels, rated)
+	for _, e := range t.byWorker {
+		e.updateView(t)
+	}
 }
 
-// decay lets the estimate of a worker that gets no tasks return to the usual rate.
-func (e *workerRate) decay(t *rateTable, now time.Time) {
-	if len(e.samples) > 0 && now.Sub(e.samples[len(e.samples)-1].at) >= groupInterval {
-		e.estimate(t, now)
+// decay lets the estimates of workers that get no tasks return to the usual rate, a few workers at
+// a time.
+func (t *rateTable) decay(workers []*slot, now time.Time) {
+	if t == nil {
+		return
+	}
+	for range min(decaysPerRound, len(workers)) {
+		t.nextDecay = (t.nextDecay + 1) % len(workers)
+		e := t.byWorker[workers[t.nextDecay].worker.Spec.Id]
+		if e != nil && len(e.samples) > 0 && now.Sub(e.samples[len(e.samples)-1].at) >= groupInterval {
+			e.estimate(t, now)
+		}
 	}
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -133,6 +133,7 @@
 	p.rates.findCommonCauses(m, now)
 	r := p.newRound(m, fleet, now, wallMs)
 	r.buildSlots()
+	p.rates.decay(r.slots, now)
 	r.endProbations()
 	r.stopStuck()
 	r.stopUnlisted()
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -37,7 +37,9 @@
 func (r *round) score(c *candidate, s *slot) (float64, Reason) {
 	spec := c.step.Spec
 	score, reason := r.kindScore(c, s)
-	score += s.rateScore()
+	if s.rate != nil {
+		score += s.rate.score
+	}
 	if s.recentlyFailed {
 		score -= recentFailurePenalty
 	}
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -36,8 +36,8 @@
 	probationStep jobqueue.StepID
 	// startsByStep counts this round's starts by step of an occurrence, nil before the first start.
 	startsByStep map[jobqueue.StepID]int
-	// rate is the observed rate of the worker, its zero value if workers are not rated.
-	rate WorkerRate
+	// rate is the observed rate of the worker, nil if it is not rated.
+	rate *WorkerRate
 	// backfillStarts are this round's starts of backfill tasks.
 	backfillStarts []observedRun
 }
@@ -133,10 +133,8 @@
 			mayRetry:       health.mayRetry(r.now),
 			recentlyFailed: health.recentlyFailed(),
 			onProbation:    w.HasRunOnProbation(),
+			rate:           r.planner.rates.slotRate(w),
 		})
-		if r.planner.rates != nil {
-			r.slots[len(r.slots)-1].rate = r.planner.rates.rateOf(w)
-		}
 	}
 	r.planner.pruneDeparted(r.machine, r.now)
 }
