schedule: move or copy runs that a slow worker holds up

Cause: a worker that becomes slow in the middle of its tasks kept them, and the steps of these tasks ended with it.

Change: with worker rates on, a run on a worker below 0.7 of the usual rate that is 30 points behind the middle of its step is handled once. A checkpointing run is stopped where another worker ends it sooner by more than the move costs; a run of a step with duplicates gets one copy, within a twentieth of the pool's processors. Runs of other steps and tasks with more work on workers at the usual rate are left alone. Rates follow a change during a run sooner: progress is averaged over 2 s, and the median weights samples by age.

--- a/schedule/move.go
+++ b/schedule/move.go
@@ -57,6 +57,17 @@
 // reserveElsewhere reports whether another worker would run the task at defaultMinSpeed or more,
 // and reserves capacity on that worker for this round.
 func (r *round) reserveElsewhere(run *jobqueue.Run, current *slot) bool {
+	c, s := r.elsewhere(run, current)
+	if s == nil {
+		return false
+	}
+	r.reserveFor(c, s)
+	return true
+}
+
+// elsewhere returns the best other worker that would run the task at defaultMinSpeed or more, nil
+// if there is none.
+func (r *round) elsewhere(run *jobqueue.Run, current *slot) (*candidate, *slot) {
 	id := run.ID.Task
 	j := run.Job()
 	c := &candidate{
@@ -66,13 +77,13 @@
 	usable := current.usable
 	current.usable = false
 	defer func() { current.usable = usable }()
-	s := r.best(c)
-	if s == nil {
-		return false
-	}
+	return c, r.best(c)
+}
+
+// reserveFor reserves capacity on a worker for the next run of a task that is moved.
+func (r *round) reserveFor(c *candidate, s *slot) {
 	s.reserve(c, 1)
-	if run.Step.Backfill {
-		r.remainingSlack(s).consume(run.Step, s.worker.Spec.CpuMilli, 1)
+	if c.step.Spec.Backfill {
+		r.remainingSlack(s).consume(c.step.Spec, s.worker.Spec.CpuMilli, 1)
 	}
-	return true
 }
--- a/schedule/rates.go
+++ b/schedule/rates.go
@@ -25,6 +25,9 @@
 	// minSampleTime is the least time at full speed that gives a rate: reports round to hundredths
 	// of the work and to the milliseconds of the worker's clock.
 	minSampleTime = 300 * time.Millisecond
+	// progressWindow is the time at full speed over which the progress of a run is averaged, so that a
+	// long run shows when its worker becomes slow.
+	progressWindow = 2 * time.Second
 	// paceHistory is the number of reports whose paces may still be in effect: an order takes up to
 	// 0.9 s, two reports, to reach a run. Progress is not used while these paces differ by more than
 	// maxPaceRatio.
@@ -36,6 +39,9 @@
 	// observed, and minSampleDeviation the least one of a single sample.
 	ratePriorDeviation = 0.7
 	minSampleDeviation = 0.3
+	// medianDeviationFactor is the standard deviation of a normal distribution as a multiple of the
+	// median of its absolute deviations.
+	medianDeviationFactor = 1.48
 	// doubtfulRate is the rate below which a worker is doubtful if the rate is known to within its
 	// uncertainty. Differences up to that are within the errors of the declared processor use.
 	doubtfulRate = 0.7
@@ -197,6 +203,9 @@
 	for _, s := range l.paces {
 		sum += s
 	}
+	if l.fullSpeed > progressWindow {
+		l.percent, l.fullSpeed = l.percent/2, l.fullSpeed/2
+	}
 	l.percent += progressed
 	l.fullSpeed += time.Duration(float64(passed) * sum / float64(len(l.paces)))
 }
@@ -299,11 +308,30 @@
 	return high
 }
 
+// weighted is a value with its weight.
+type weighted struct{ value, weight float64 }
+
+// weightedMedian returns the value with half of the total weight on either side.
+func weightedMedian(values []weighted, total float64) float64 {
+	slices.SortFunc(values, func(a, b weighted) int { return cmp.Compare(a.value, b.value) })
+	below := 0.0
+	for i, v := range values {
+		below += v.weight
+		switch {
+		case below > total/2:
+			return v.value
+		case below == total/2 && i+1 < len(values):
+			return median([]float64{v.value, values[i+1].value})
+		}
+	}
+	return 0
+}
+
 // estimate computes the rate of a worker from its samples. The median ignores single tasks that
 // have more work than others of their image. The fewer samples there are, and the older they are,
 // the nearer is the estimate to the usual rate: one sample says nothing, since it can be such a task.
 func (e *workerRate) estimate(t *rateTable, now time.Time) {
-	var buffer, deviations [maxRateSamples]float64
+	var buffer [maxRateSamples]weighted
 	values := buffer[:0]
 	weight := 0.0
 	for _, s := range e.samples {
@@ -311,14 +339,15 @@
 		if !known {
 			continue
 		}
-		values = append(values, clampLogRate(s.logRate-usual))
-		weight += math.Exp2(-now.Sub(s.at).Seconds() / rateHalfLife.Seconds())
+		w := math.Exp2(-now.Sub(s.at).Seconds() / rateHalfLife.Seconds())
+		values = append(values, weighted{clampLogRate(s.logRate - usual), w})
+		weight += w
 	}
-	middle := median(values)
+	middle := weightedMedian(values, weight)
 	for i, v := range values {
-		deviations[i] = math.Abs(v - middle)
+		values[i].value = math.Abs(v.value - middle)
 	}
-	deviation := max(minSampleDeviation, 1.48*median(deviations[:len(values)]))
+	deviation := max(minSampleDeviation, medianDeviationFactor*weightedMedian(values, weight))
 	e.weight = weight
 	e.mean = middle * max(0, (weight-1)/(weight+1))
 	e.deviation = 1 / math.Sqrt(1/(ratePriorDeviation*ratePriorDeviation)+weight/(deviation*deviation))
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -100,12 +100,14 @@
 	// leavingSince is the time since which a worker is being evacuated.
 	leavingSince map[string]time.Time
 	// rates is nil unless workers are rated.
-	rates *rateTable
+	rates      *rateTable
+	stragglers *stragglers
 }
 
 // Options select what a planner does beyond the default.
 type Options struct {
-	// WorkerRates is whether workers are rated by the progress of their runs.
+	// WorkerRates is whether workers are rated by the progress of their runs, and stragglers on slow
+	// workers are moved or copied.
 	WorkerRates bool
 }
 
@@ -122,7 +124,7 @@
 		unobservedSince: map[jobqueue.RunID]time.Time{},
 	}
 	if o.WorkerRates {
-		p.rates = newRateTable()
+		p.rates, p.stragglers = newRateTable(), newStragglers()
 	}
 	return p
 }
@@ -141,6 +143,7 @@
 	r.startWaiting()
 	r.evacuate()
 	r.moveSlowedRuns()
+	r.handleStragglers()
 	r.setStartPaces()
 	return r.decision
 }
@@ -154,6 +157,7 @@
 	p.health.recordEnd(e)
 	p.durations.recordEnd(p.rates.normalized(e))
 	p.rates.recordEnd(e)
+	p.stragglers.recordEnd(e)
 }
 
 // EndedRun describes how a run ended.
