--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -31,6 +31,7 @@
 	a.Command(waves, "state", "Show the progress of each host of a wave.", a.waveState)
 	hosts := a.kingpin.Command("host", "List the hosts, or move one to another pool.")
 	a.Command(hosts, "list", "Show each host with its pool, its worker and its newest move.", a.listHosts)
+	a.Command(a.kingpin, "workers", "Show the observed rate of each worker, its uncertainty and the cause of a low one.", a.listWorkers)
 	zones := a.kingpin.Command("zones", "List the availability zones, or cordon one: nothing starts in a cordoned zone, and what runs there continues.")
 	a.Command(zones, "list", "Show each availability zone with its workers and runs, and whether it is cordoned.", a.listZones)
 	a.Command(zones, "cordon", "Let nothing start in an availability zone.", a.cordonZone)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -198,6 +198,7 @@
 		d.enqueueQuestions(l, decision.AdviceRequests, now)
 		d.logJobsAtCrashLimit(l, jobs)
 		d.logCordons(l, jobs)
+		d.reportRates(l)
 		l.prune(jobs, now)
 		l.batchedLog.flushIfDue(l.term, now)
 	})
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -64,6 +64,8 @@
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
 	reportedSinceSave bool
+	// stragglers are the planner's counts that the metrics include.
+	stragglers schedule.StragglerCounts
 }
 
 // ensureLeading makes this replica ready to lead if it was elected, and reports whether it leads.
@@ -116,7 +118,7 @@
 		return true
 	}
 	now := d.opts.Now()
-	planner := schedule.New()
+	planner := d.newPlanner()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.RestoreLearned(m.CallerJobs().Learned(), now) })
 	d.leader = &leaderState{
 		term:               term,
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -44,6 +44,10 @@
 	// longRunningOutage is the length of each of their outages.
 	longRunningNotRunning metrics.Gauge
 	longRunningOutage     *hdrmetric.Histogram
+	// copiesStarted counts the copies of stragglers, copiesWon those that were the first run of
+	// their task to succeed and copiesWasted the others that ended. stragglersMoved counts the
+	// ordered moves.
+	copiesStarted, copiesWon, copiesWasted, stragglersMoved metrics.Counter
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -74,6 +78,11 @@
 
 		longRunningNotRunning: metrics.GetOrRegisterGauge("dispatch.long_running_away", r),
 		longRunningOutage:     hdrmetric.GetOrRegister("dispatch.long_running_outage_us", r),
+
+		copiesStarted:   metrics.GetOrRegisterCounter("dispatch.copies_started", r),
+		copiesWon:       metrics.GetOrRegisterCounter("dispatch.copies_won", r),
+		copiesWasted:    metrics.GetOrRegisterCounter("dispatch.copies_wasted", r),
+		stragglersMoved: metrics.GetOrRegisterCounter("dispatch.stragglers_moved", r),
 	}
 }
 
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -43,8 +43,11 @@
 	// MaxCapacityAge is the age of a worker's announcement of its capacity from which on the worker
 	// gets no new work; 0 means none.
 	MaxCapacityAge time.Duration
-	Logger         *zap.Logger
-	Metrics        metrics.Registry
+	// WorkerRates is whether workers are rated by the progress of their runs, and stragglers on slow
+	// workers are moved or copied.
+	WorkerRates bool
+	Logger      *zap.Logger
+	Metrics     metrics.Registry
 	// Now returns the current time; the default is time.Now.
 	Now func() time.Time
 }
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -25,6 +25,9 @@
 	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE {
 		return d.readQueue(r), nil
 	}
+	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS {
+		return d.readWorkers(), nil
+	}
 	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_ZONES {
--- a/jobapi/client.go
+++ b/jobapi/client.go
@@ -116,6 +116,17 @@
 	return resp.Zones, errors.Wrap(err, "decode response")
 }
 
+// Workers lists the observed rates of all workers. It returns false if the leader does not rate them.
+func (c *Client) Workers(ctx context.Context) ([]*apiv1.WorkerRateRecord, bool, error) {
+	body, err := c.call(ctx, http.MethodGet, workersPath, nil)
+	if err != nil {
+		return nil, false, err
+	}
+	resp := &apiv1.JobsReadResponse{}
+	err = protojson.Unmarshal(body, resp)
+	return resp.Workers, resp.WorkersRated, errors.Wrap(err, "decode response")
+}
+
 // OrderZone cordons or uncordons an availability zone.
 func (c *Client) OrderZone(ctx context.Context, zone string, cordoned bool, operator string) error {
 	path := uncordonPath
--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -49,6 +49,7 @@
 	hostsPath        = "/v1/hosts"
 	movePath         = "/move"
 	zonesPath        = "/v1/zones"
+	workersPath      = "/v1/workers"
 	cordonPath       = "/cordon"
 	uncordonPath     = "/uncordon"
 	// maxBody bounds the body of a request or response in bytes.
@@ -82,7 +83,7 @@
 // the administration API.
 func Paths() []string {
 	return []string{queuesPath, jobsPath, explanationsPath + "/", wavesPath, wavesPath + "/", hostsPath, hostsPath + "/",
-		zonesPath, zonesPath + "/"}
+		zonesPath, zonesPath + "/", workersPath}
 }
 
 // Handler returns a handler that serves the API.
@@ -100,6 +101,7 @@
 	r.GET(hostsPath, h.getHosts)
 	r.POST(hostsPath+movePath, h.moveHost)
 	r.GET(zonesPath, h.getZones)
+	r.GET(workersPath, h.getWorkers)
 	r.POST(zonesPath+"/:zone"+cordonPath, h.orderZone(true))
 	r.POST(zonesPath+"/:zone"+uncordonPath, h.orderZone(false))
 	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
@@ -309,6 +311,15 @@
 	}
 }
 
+func (h handler) getWorkers(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS})
+	if readSucceeded(w, resp, err) {
+		writeMessage(w, &apiv1.JobsReadResponse{Workers: resp.Workers, WorkersRated: resp.WorkersRated})
+	}
+}
+
 // orderZone returns the handler that cordons or uncordons an availability zone.
 func (h handler) orderZone(cordoned bool) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -245,7 +245,7 @@
 // onlyLeaderAnswers are the reads that need what the leader knows beside the log.
 var onlyLeaderAnswers = map[apiv1.JobsReadKind]bool{
 	apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE: true, apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION: true,
-	apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS: true,
+	apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS: true, apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS: true,
 }
 
 // Read reads state that is confirmed to be the newest. Errors: ErrUnconfirmed.
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -49,6 +49,7 @@
 	RunsLost               = declare(Dispatch, Warning, "runs are lost", NameTerm, "reason", "core_seconds", "silent", NameLost)
 	UnloggedRuns           = declare(Dispatch, Warning, "worker lists runs that the log does not hold", NameTerm, NameWorker, NameUnlogged)
 	WorkerOvercommitted    = declare(Dispatch, Warning, "worker is over its capacity", NameTerm, NameWorker, "capacity", "capacity_age", "reserved", NameCounted, NameBegan)
+	RateBeliefChanged      = declare(Dispatch, Rare, "belief about a rate changed", NameTerm, "subject", "slow", "rate", "uncertainty", "samples", "workers")
 	WorkerCrashed          = declare(Dispatch, Warning, "worker crashed", NameTerm, NameWorker, "running", NameWorked)
 	TasksSuspected         = declare(Dispatch, Warning, "tasks are suspected", NameTerm, NameSuspects)
 	ProbationPassed        = declare(Dispatch, Routine, "trials went well", NameTerm, NamePassedProbation)
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -239,6 +240,27 @@
 	return Field{zap.Float64("core_seconds", d.Round(time.Millisecond).Seconds())}
 }
 
+// Rates of workers.
+
+// RateSubject is whose rate the line is about: "worker ID", "zone NAME" or "label NAME".
+func RateSubject(name string) Field { return stringField("subject", name) }
+
+// Slow reports whether the subject deviates from the usual rate.
+func Slow(yes bool) Field { return Field{zap.Bool("slow", yes)} }
+
+// Rate is a rate relative to the usual one.
+func Rate(r float64) Field { return hundredthsField("rate", r) }
+
+// Uncertainty is the standard deviation of the logarithm of a rate.
+func Uncertainty(u float64) Field { return hundredthsField("uncertainty", u) }
+
+// Samples is the decayed number of runs that a rate is based on.
+func Samples(n float64) Field { return hundredthsField("samples", n) }
+
+func hundredthsField(name string, v float64) Field {
+	return Field{zap.Float64(name, math.Round(100*v)/100)}
+}
+
 // Other fields.
 
 // Method is the HTTP method of a caller's request.
--- a/schedule/rates.go
+++ b/schedule/rates.go
@@ -67,6 +67,10 @@
 	// shifts are the logarithms of the rates of the groups of workers with a common cause.
 	shifts    map[rateGroup]float64
 	groupedAt time.Time
+	// changes are those that RateChanges has not returned yet. told are the groups with a common
+	// cause according to the last changes.
+	changes []RateChange
+	told    map[rateGroup]bool
 	// nextDecay is the index of the next worker whose estimate decays.
 	nextDecay int
 }
@@ -84,6 +88,8 @@
 	mean, deviation, weight float64
 	// view is the rate as the scheduling decisions use it.
 	view WorkerRate
+	// toldDoubtful is what the last change told of the worker.
+	toldDoubtful bool
 }
 
 // liveProgress is the progress of a run over the intervals that give a rate.
@@ -117,7 +123,7 @@
 }
 
 func newRateTable() *rateTable {
-	return &rateTable{byWorker: map[string]*workerRate{}, byImage: map[string]*imageRate{}, shifts: map[rateGroup]float64{}}
+	return &rateTable{byWorker: map[string]*workerRate{}, byImage: map[string]*imageRate{}, shifts: map[rateGroup]float64{}, told: map[rateGroup]bool{}}
 }
 
 // entry returns the entry of an incarnation of a worker. What was known of an earlier incarnation
@@ -454,6 +460,7 @@
 	for _, e := range t.byWorker {
 		e.updateView(t)
 	}
+	t.recordChanges(zones, labels)
 }
 
 // decay lets the estimates of workers that get no tasks return to the usual rate, a few workers at
--- a/schedule/rates_test.go
+++ b/schedule/rates_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -160,6 +161,27 @@
 	return s
 }
 
+// Guards against changes of belief that flood the log, and against ones that are lost by the bound.
+func TestRateChangesAreBounded(t *testing.T) {
+	rates := newRateTable()
+	for i := range 3 * maxRateChanges {
+		w := &jobqueue.Worker{Spec: &apiv1.JobWorker{Id: fmt.Sprintf("w%02d", i)}}
+		rates.entry(w).view.Doubtful = true
+	}
+	p := &Planner{rates: rates}
+	for range 3 {
+		rates.recordChanges(nil, nil)
+		rates.recordChanges(nil, nil)
+		if got := len(p.RateChanges()); got != maxRateChanges {
+			t.Errorf("%d changes", got)
+		}
+	}
+	rates.recordChanges(nil, nil)
+	if got := p.RateChanges(); len(got) != 0 {
+		t.Errorf("changes told again: %v", got)
+	}
+}
+
 // Guards against runs at an ordered pace that count as slow.
 func TestRateTakesPaceIntoAccount(t *testing.T) {
 	for _, pace := range []uint32{40, 100} {
