--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -208,6 +208,7 @@
 		d.logJobsAtCrashLimit(l, jobs)
 		d.logCordons(l, jobs)
 		d.logHolds(l, jobs)
+		d.reportRates(l)
 		l.prune(jobs, now)
 		l.batchedLog.flushIfDue(l.term, now)
 	})
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -68,6 +68,8 @@
 	reportedSinceSave bool
 	// accountWaitsLoggedAt is the time of the last line about accounts that wait for their share.
 	accountWaitsLoggedAt time.Time
+	// stragglers are the planner's counts that the metrics include.
+	stragglers schedule.StragglerCounts
 }
 
 // ensureLeading makes this replica ready to lead if it was elected, and reports whether it leads.
@@ -123,7 +125,7 @@
 		return true
 	}
 	now := d.opts.Now()
-	planner := schedule.New()
+	planner := d.newPlanner()
 	d.opts.Replica.ReadState(func(m *state.Machine) { planner.RestoreLearned(m.CallerJobs().Learned(), now) })
 	d.leader = &leaderState{
 		term:               term,
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -48,6 +48,10 @@
 	longRunningOutage     *hdrmetric.Histogram
 	// accountsWaiting is the number of accounts whose tasks find no capacity while others use some.
 	accountsWaiting metrics.Gauge
+	// copiesStarted counts the copies of stragglers, copiesWon those that were the first run of
+	// their task to succeed and copiesWasted the others that ended. stragglersMoved counts the
+	// ordered moves.
+	copiesStarted, copiesWon, copiesWasted, stragglersMoved metrics.Counter
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -81,6 +85,10 @@
 		longRunningOutage:     hdrmetric.GetOrRegister("dispatch.long_running_outage_us", r),
 
 		accountsWaiting: metrics.GetOrRegisterGauge("dispatch.accounts_waiting", r),
+		copiesStarted:   metrics.GetOrRegisterCounter("dispatch.copies_started", r),
+		copiesWon:       metrics.GetOrRegisterCounter("dispatch.copies_won", r),
+		copiesWasted:    metrics.GetOrRegisterCounter("dispatch.copies_wasted", r),
+		stragglersMoved: metrics.GetOrRegisterCounter("dispatch.stragglers_moved", r),
 	}
 }
 
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -47,8 +47,11 @@
 	// Admission is how the leader decides on submitted jobs; empty means admission.Off. It needs
 	// control.Config.SubmitJob to call the dispatcher's SubmitJob.
 	Admission admission.Mode
-	Logger    *zap.Logger
-	Metrics   metrics.Registry
+	// WorkerRates is whether workers are rated by the progress of their runs, and stragglers on slow
+	// workers are moved or copied.
+	WorkerRates bool
+	Logger      *zap.Logger
+	Metrics     metrics.Registry
 	// Now returns the current time; the default is time.Now.
 	Now func() time.Time
 }
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -28,6 +28,9 @@
 	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS {
 		return d.readAccounts(), nil
 	}
+	if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS {
+		return d.readWorkers(), nil
+	}
 	resp := &apiv1.JobsReadResponse{}
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		if r.Kind == apiv1.JobsReadKind_JOBS_READ_KIND_ZONES {
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -275,6 +275,7 @@
 var onlyLeaderAnswers = map[apiv1.JobsReadKind]bool{
 	apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE: true, apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION: true,
 	apiv1.JobsReadKind_JOBS_READ_KIND_HOSTS: true, apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS: true,
+	apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS: true,
 }
 
 // Read reads state that is confirmed to be the newest. Errors: ErrUnconfirmed.
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -24,11 +24,18 @@
 func benchZone(number int) string { return fmt.Sprintf("zone-%02d", number) }
 
 // newBusyFleet returns a fleet with its usual work.
-func newBusyFleet(b *testing.B, workers int) *harness { return newBusyFleetOf(b, workers, 0) }
+func newBusyFleet(b *testing.B, workers int) *harness {
+	return newBusyFleetOf(b, workers, 0, Options{})
+}
+
+func newBusyFleetWith(b *testing.B, workers int, o Options) *harness {
+	return newBusyFleetOf(b, workers, 0, o)
+}
 
 // newBusyFleetOf returns a fleet with its usual work, of which a number of accounts have equal parts.
-func newBusyFleetOf(b *testing.B, workers, accounts int) *harness {
+func newBusyFleetOf(b *testing.B, workers, accounts int, o Options) *harness {
 	r := newHarnessFor(b)
+	r.planner = NewWithOptions(o)
 	if accounts > 0 {
 		number := 0
 		r.accountOf = func(string) string {
@@ -80,7 +87,7 @@
 	for _, accounts := range []int{1, 390} {
 		for _, waiting := range []int{0, 390} {
 			b.Run(fmt.Sprintf("accounts=%d/waiting=%d", accounts, waiting), func(b *testing.B) {
-				r := newBusyFleetOf(b, 3700, accounts)
+				r := newBusyFleetOf(b, 3700, accounts, Options{})
 				for i := range waiting {
 					r.submit("urgent", fmt.Sprintf("waiting%d", i), &apiv1.JobStep{Count: 6, CpuMilli: 15_000 + 1000*int64(i%13), MemoryMb: 100, EstimatedMs: 1000})
 				}
@@ -105,6 +112,34 @@
 	}
 }
 
+// BenchmarkPlanWithRates measures a round of the largest fleet without and with rates of its workers, one in
+// a hundred of which is slow. The search for common causes is part of it.
+func BenchmarkPlanWithRates(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		for _, rate := range []int{0, 1000} {
+			b.Run(fmt.Sprintf("rates=%v/starts=%d", on, rate), func(b *testing.B) {
+				r := newBusyFleetWith(b, 3700, Options{WorkerRates: on})
+				for report := range 4 {
+					for i, w := range r.machine.Workers() {
+						step := uint32(20)
+						if i%100 == 0 {
+							step = 2
+						}
+						for id, run := range w.Runs {
+							if run.Step.Backfill {
+								r.observe(id, step*uint32(report), run.Step.CpuMilli)
+							}
+						}
+						r.planner.Observe(w, r, r.now)
+					}
+					r.advance(paceInterval)
+				}
+				benchmarkRounds(b, r, rate)
+			})
+		}
+	}
+}
+
 // benchmarkRounds measures rounds of a fleet while jobs of 6 tasks arrive at a rate of starts a second. With
 // all zones cordoned nothing starts, so the jobs are cancelled.
 func benchmarkRounds(b *testing.B, r *harness, rate int) {
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -61,13 +61,16 @@
 	// ReasonTurn means that the worker is kept for a task of an account below its share, which does not
 	// fit there yet.
 	ReasonTurn
+	// ReasonDoubtful means that the runs of the worker make little progress, and that it has as
+	// many tasks as its rate permits or may not get the task at all.
+	ReasonDoubtful
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
 	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated", "unknown run",
-	"zone cordoned", "limit", "queue held", "kept for another account",
+	"zone cordoned", "limit", "queue held", "kept for another account", "slow worker",
 }
 
 // String returns the reason's name in logs.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -22,6 +22,9 @@
 	probations map[string]int
 	// usableByPool counts the usable workers of each pool. It is nil until first needed.
 	usableByPool map[string]int
+	// undoubtedByPool counts the usable workers of each pool that are not doubtful. It is nil until
+	// first needed.
+	undoubtedByPool map[string]int
 	// stopped are the runs that this round stops.
 	stopped  map[jobqueue.RunID]bool
 	decision Decision
@@ -105,6 +108,8 @@
 	position int
 	// ranked is the ranking of the workers while other accounts take their turns.
 	ranked *ranking
+	// ignoreDoubt is set if the tasks may start on doubtful workers without their limits.
+	ignoreDoubt bool
 }
 
 // startWaiting starts the waiting tasks on workers with free capacity: by priority, then in turns of the
@@ -408,6 +413,8 @@
 		return ReasonLabel
 	case s.keptForOther(c):
 		return ReasonTurn
+	case !r.doubtAllows(c, s):
+		return ReasonDoubtful
 	}
 	if reason := shortageReasons[s.available.ShortageFor(jobqueue.Reserved(spec))]; reason != ReasonNone {
 		return reason
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -110,11 +110,24 @@
 	turns map[turnKey]turnState
 	// rankBuffer is the memory of a ranking that is not in use.
 	rankBuffer []rankedSlot
+	// rates is nil unless workers are rated.
+	rates      *rateTable
+	stragglers *stragglers
 }
 
-// New returns a planner that has learned nothing yet.
-func New() *Planner {
-	return &Planner{
+// Options select what a planner does beyond the default.
+type Options struct {
+	// WorkerRates is whether workers are rated by the progress of their runs, and stragglers on slow
+	// workers are moved or copied.
+	WorkerRates bool
+}
+
+// New returns a planner with the default options that has learned nothing yet.
+func New() *Planner { return NewWithOptions(Options{}) }
+
+// NewWithOptions returns a planner that has learned nothing yet.
+func NewWithOptions(o Options) *Planner {
+	p := &Planner{
 		health: newHealthTable(), durations: newDurationTable(), interference: newInterference(),
 		approvals: newApprovals(), pacers: map[string]*pacer{},
 		waitingSince: map[jobqueue.StepID]time.Time{}, lowPaceSince: map[jobqueue.RunID]time.Time{},
@@ -122,13 +135,19 @@
 		unobservedSince: map[jobqueue.RunID]time.Time{},
 		workloads:       newWorkloads(), ledger: fairshare.New(),
 	}
+	if o.WorkerRates {
+		p.rates, p.stragglers = newRateTable(), newStragglers()
+	}
+	return p
 }
 
 // Plan decides at the steady time now. The wall time wallMs, in Unix milliseconds, determines which
 // occurrences are due.
 func (p *Planner) Plan(m *jobqueue.Machine, fleet Fleet, now time.Time, wallMs int64) Decision {
+	p.rates.findCommonCauses(m, now)
 	r := p.newRound(m, fleet, now, wallMs)
 	r.buildSlots()
+	p.rates.decay(r.slots, now)
 	r.endProbations()
 	r.stopStuck()
 	r.stopUnlisted()
@@ -136,6 +155,7 @@
 	r.startWaiting()
 	r.evacuate()
 	r.moveSlowedRuns()
+	r.handleStragglers()
 	r.setStartPaces()
 	return r.decision
 }
@@ -152,12 +172,15 @@
 // RecordRunEnd updates what the planner has learned of the worker and the image of an ended run.
 func (p *Planner) RecordRunEnd(e EndedRun) {
 	p.health.recordEnd(e)
-	p.durations.recordEnd(e)
+	p.durations.recordEnd(p.rates.normalized(e))
+	p.rates.recordEnd(e)
+	p.stragglers.recordEnd(e)
 }
 
 // EndedRun describes how a run ended.
 type EndedRun struct {
 	Worker string
+	Run    jobqueue.RunID
 	Kind   apiv1.RunEndKind
 	Step   *apiv1.JobStep
 	At     time.Time
--- a/schedule/score.go
+++ b/schedule/score.go
@@ -37,6 +37,9 @@
 func (r *round) score(c *candidate, s *slot) (float64, Reason) {
 	spec := c.step.Spec
 	score, reason := r.kindScore(c, s)
+	if s.rate != nil {
+		score += s.rate.score
+	}
 	if s.recentlyFailed {
 		score -= recentFailurePenalty
 	}
