--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -38,7 +38,7 @@
 	delays  map[laneKey]time.Duration
 	weights map[string]float64
 	version uint64
-	// done is the rate at which the fleet does work, usable the processors, in thousandths, that work on it
+	// done is the rate at which the fleet does work, usable the processors, in thousandths, that do work
 	// now or could, and arrived the rate of accepted work by priority. The rate that follows from usable is
 	// right as soon as a load or a fleet changes, while done lags behind by its window.
 	done rate
--- a/dispatch/submissions.go
+++ b/dispatch/submissions.go
@@ -163,7 +163,7 @@
 	if refusal == nil {
 		return propose(ctx)
 	}
-	// Another replica may lead by now, and hold the job.
+	// Another replica may have become the leader and hold the job.
 	leads, ok := s.opts.Replica.Leading()
 	err := s.barrier.wait(ctx)
 	after, still := s.opts.Replica.Leading()
--- a/jobclient/intake.go
+++ b/jobclient/intake.go
@@ -198,7 +198,7 @@
 	return &control.RefusedError{RetryAfter: after + rand.N(after), Cause: v.cause, Full: true}
 }
 
-// abandon removes a waiting submission, and returns false if it is to be sent by now.
+// abandon removes a waiting submission, and returns false if it is already being sent.
 func (i *intake) abandon(spec *apiv1.JobSpec, t *ticket) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
