--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,71 @@
+// Command standin starts a deployment of real processes on loopback addresses and plays the cases of the
+// review with it.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cairnlift/cairnlift/platform/platformtest"
+)
+
+// The exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+func main() {
+	if len(os.Args) == 3 && os.Args[1] == "worker" {
+		runWorker(os.Args[2])
+		return
+	}
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM FOLDER RECORD")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3], os.Args[4]))
+}
+
+// play plays a case and returns its exit code.
+func play(name, program, folder, recordPath string) int {
+	r, err := newRecord(recordPath)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	d, err := newDeployment(folder, program, 4, r)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer d.killAll()
+	trouble := os.Getenv("TROUBLE") != "0"
+	code := exitNotRun
+	switch name {
+	case "seeds":
+		code = playSeeds(d, trouble)
+	}
+	r.add("exit code %d", code)
+	return code
+}
+
+// runWorker runs the project's stand-in for a runner.
+func runWorker(text string) {
+	var s platformtest.WorkerSettings
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	if err := platformtest.RunWorker(ctx, s, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitBroken)
+	}
+}
