--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -95,3 +95,14 @@
 		return status == http.StatusOK
 	})
 }
+
+// versionIn returns the version of a configuration, 0 if it can't be read.
+func versionIn(text string) int {
+	var c struct {
+		Version int `json:"version"`
+	}
+	if json.Unmarshal([]byte(text), &c) != nil {
+		return 0
+	}
+	return c.Version
+}
