--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,8 +21,8 @@
 )
 
 func main() {
-	if len(os.Args) == 3 && os.Args[1] == "worker" {
-		runWorker(os.Args[2])
+	if len(os.Args) == 3 {
+		runWorker(os.Args[1], os.Args[2])
 		return
 	}
 	if len(os.Args) != 5 {
@@ -39,7 +39,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	d, err := newDeployment(folder, program, 4, r)
+	workers := 4
+	if name == "leaving" {
+		workers = leavingRunners
+	}
+	d, err := newDeployment(folder, program, workers, r)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -50,6 +54,8 @@
 	switch name {
 	case "seeds":
 		code = playSeeds(d, trouble)
+	case "leaving":
+		code = playLeaving(d, trouble)
 	case "replaced":
 		code = playReplaced(d, trouble)
 	}
@@ -57,13 +63,17 @@
 	return code
 }
 
-// runWorker runs the project's stand-in for a runner.
-func runWorker(text string) {
+// runWorker runs a stand-in for a runner: the project's own, or one that leaves starts without an answer.
+func runWorker(kind, text string) {
 	var s platformtest.WorkerSettings
 	if err := json.Unmarshal([]byte(text), &s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	if kind == "runner" {
+		fmt.Fprintln(os.Stderr, runRunner(s))
+		os.Exit(exitNotRun)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	if err := platformtest.RunWorker(ctx, s, os.Stdout); err != nil {
--- a/review/standin/replaced.go
+++ b/review/standin/replaced.go
@@ -28,7 +28,7 @@
 		d.record.add("not started: %v", err)
 		return exitNotRun
 	}
-	workers, err := d.startWorkers()
+	workers, err := d.startWorkers("worker")
 	defer func() {
 		for _, w := range workers {
 			w.kill()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -13,11 +13,12 @@
 	"github.com/cairnlift/cairnlift/platform/platformtest"
 )
 
-// startWorkers starts the project's stand-in for a runner on each side machine.
-func (d *deployment) startWorkers() ([]*process, error) {
+// startWorkers starts a stand-in for a runner on each side machine: the project's own ("worker"), or one that
+// leaves starts without an answer ("runner").
+func (d *deployment) startWorkers(kind string) ([]*process, error) {
 	var workers []*process
 	for i, m := range d.sides() {
-		w := d.newWorker(m, i+1)
+		w := d.newWorker(kind, m, i+1)
 		if err := w.start(); err != nil {
 			return workers, err
 		}
@@ -26,17 +27,20 @@
 	return workers, nil
 }
 
-func (d *deployment) newWorker(m *machine, number int) *process {
+// newWorker returns a stand-in for a runner. Each of its lives has a new id.
+func (d *deployment) newWorker(kind string, m *machine, number int) *process {
+	lives := 0
 	return &process{name: "worker-" + m.name, folder: d.folder, command: func() *exec.Cmd {
+		lives++
 		text, err := json.Marshal(platformtest.WorkerSettings{
-			ID: fmt.Sprintf("i-%d", number), Address: address(m.ip, workerPort), Registry: address(m.ip, controlPort),
+			ID: fmt.Sprintf("i-%d-%d", number, lives), Address: address(m.ip, workerPort), Registry: address(m.ip, controlPort),
 			Pool: service, Zone: m.zone, Labels: []string{"a", fmt.Sprintf("r-%d", number)},
 			CPUMilli: 32000, MemoryMB: 125000, HeartbeatMs: 1100, ClockStartMs: int64(1000 * number),
 		})
 		if err != nil {
 			panic(err) // settings have only numbers and strings
 		}
-		return exec.Command(os.Args[0], "worker", string(text))
+		return exec.Command(os.Args[0], kind, string(text))
 	}}
 }
 
