--- a/review/standin/replaced.go
+++ b/review/standin/replaced.go
@@ -11,13 +11,15 @@
 const (
 	catchUpTime = 4 * time.Second
 	gracePeriod = 6 * time.Second
-	// lossDelay is the time from the SIGTERM of the machine that is removed to the loss of another one's disk.
-	lossDelay = time.Second
+	// betweenStops is the time from the SIGTERM of one machine that is removed to that of the next.
+	betweenStops = 8 * time.Second
+	// lossDelay is the time from the last of them to the loss of another machine's disk.
+	lossDelay = 10 * time.Second
 )
 
-// playReplaced plays the case of a machine of the core that is replaced as planned: the new one has started more
-// than the catch-up time before, the old one is stopped, and one further machine of the core loses its disk right
-// after a configuration was acknowledged.
+// playReplaced plays the case of two machines of the core that are replaced as planned: the new ones have started more
+// than the catch-up time before, the old ones are stopped one after the other, and later one further machine of the
+// core loses its disk right after a configuration was acknowledged.
 func playReplaced(d *deployment, trouble bool) int {
 	c := &caller{record: d.record}
 	var ips []string
@@ -48,31 +50,31 @@
 	if 4*before < sent {
 		return exitNotRun
 	}
-	old, other := d.fronts()[1], d.fronts()[2]
+	old, other := d.fronts()[:2], d.fronts()[2]
 	if trouble {
-		successor := &machine{name: "frontend-depot-hall-3", ip: d.ip(21), zone: old.zone, front: true, disk: true}
-		d.add(successor)
+		for i, m := range old {
+			successor := &machine{name: m.name + "-new", ip: d.ip(21 + i), zone: m.zone, front: true, disk: true}
+			d.add(successor)
+			d.record.add("%s is started, with an empty disk; it is to replace %s", successor.name, m.name)
+		}
 		if err := d.startAll(); err != nil {
 			return exitNotRun
 		}
-		d.record.add("%s is started, with an empty disk; it is to replace %s", successor.name, old.name)
-		time.Sleep(catchUpTime + 2*time.Second)
-		d.record.add("%s gets SIGTERM and leaves", old.name)
-		began := time.Now()
-		for _, p := range old.roles {
-			p.signal(syscall.SIGTERM)
+		time.Sleep(catchUpTime + 4*time.Second)
+		for _, m := range old {
+			d.stop(m)
+			time.Sleep(betweenStops - gracePeriod)
 		}
-		d.remove(old)
 		ips = nil
 		for _, m := range d.fronts() {
 			ips = append(ips, m.ip)
 		}
-		time.Sleep(lossDelay - 100*time.Millisecond)
+		time.Sleep(lossDelay - betweenStops)
 		if !c.put(ips, configuration(2), 3*time.Second) {
 			d.record.add("the second configuration was not acknowledged")
 			return exitNotRun
 		}
-		d.record.add("%s loses its disk, %.1f s after the SIGTERM", other.name, time.Since(began).Seconds())
+		d.record.add("%s loses its disk", other.name)
 		for _, p := range other.roles {
 			p.signal(syscall.SIGKILL)
 		}
@@ -83,11 +85,6 @@
 			return exitNotRun
 		}
 		time.Sleep(downTime)
-		for _, p := range old.roles {
-			waitFor(time.Until(began.Add(gracePeriod)), func() bool { return !p.running() })
-			p.kill()
-		}
-		d.record.add("%s has ended", old.name)
 		if err := d.startAll(); err != nil {
 			return exitNotRun
 		}
@@ -126,6 +123,22 @@
 	return exitHeld
 }
 
+// stop stops a machine that leaves for good, with SIGTERM and, after the grace period, SIGKILL.
+func (d *deployment) stop(gone *machine) {
+	d.record.add("%s gets SIGTERM and leaves", gone.name)
+	end := time.Now().Add(gracePeriod)
+	for _, p := range gone.roles {
+		p.signal(syscall.SIGTERM)
+	}
+	for _, p := range gone.roles {
+		waitFor(time.Until(end), func() bool { return !p.running() })
+		p.kill()
+	}
+	d.record.add("%s has ended", gone.name)
+	time.Sleep(time.Until(end))
+	d.remove(gone)
+}
+
 // remove removes a machine for good.
 func (d *deployment) remove(gone *machine) {
 	var left []*machine
