agent/runs: a start without an answer is not repeated on a draining worker

Cause: prepareStart gave a start back on a draining worker only if no earlier call may have reached the worker, and repeated it otherwise for as long as the worker stayed.

Evidence: the run begins with the ninth call, which is answered at that moment, so neither a new order nor a late call started it.

Fix: the start is refused like one in a cordoned zone. refuseRun stops the run first if a start may still arrive, which bars it, and keeps a run that the worker lists.

Before, all three cases of TestUnansweredStartIsNotRepeatedOnDrainingWorker fail: "1 starts were sent to the draining worker".

--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -206,6 +206,44 @@
 	})
 }
 
+// Guards against a task that begins on a worker long after its agent has acknowledged that the worker
+// drains, and is lost with the worker: a start gets no answer, and the agent repeats it while the worker
+// drains. The run must be given back to the leader, after a stop that bars the unanswered start.
+func TestUnansweredStartIsNotRepeatedOnDrainingWorker(t *testing.T) {
+	for name, unanswered := range map[string]func(w *countingWorker){
+		"start was not carried out":       func(w *countingWorker) { w.lostCall.Store("start") },
+		"start arrives after the drain":   func(w *countingWorker) { w.nextDelay.Store(&delayedCall{"start", 3 * time.Second}) },
+		"start arrives before the answer": func(w *countingWorker) { w.nextDelay.Store(&delayedCall{"start", 300 * time.Millisecond}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: idleOrders()}
+			withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+				time.Sleep(previousCallsExpired)
+				unanswered(w)
+				l.update(func() { l.orders = startOrders(2, 1) })
+				for w.startCalls.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				draining := workerSpec("w1")
+				draining.Draining = true
+				announce(t, d, runs.Announcement{Worker: draining, Sequence: 2})
+				sent := w.startCalls.Load()
+				w.lostCall.Store("")
+				time.Sleep(5 * time.Second)
+				if n := w.startCalls.Load(); n > sent {
+					t.Errorf("%d starts were sent to the draining worker", n-sent)
+				}
+				if running := w.Running(); len(running) > 0 && name != "start arrives before the answer" {
+					t.Errorf("%v began on the draining worker", running)
+				}
+				if len(w.Running()) == 0 && len(l.refusals()) == 0 {
+					t.Error("the run was not given back")
+				}
+			})
+		})
+	}
+}
+
 // Guards against a worker's lease that is renewed only together with the leader's: all work on
 // the worker ends in a partition between agent and leader of nine seconds, which is shorter than
 // the leader's lease.
--- a/agent/runs/starts.go
+++ b/agent/runs/starts.go
@@ -93,7 +93,7 @@
 		return startCall{}, false, true
 	case s.cordonMayBeUnknown(s.d.opts.Now()):
 		return startCall{}, false, false
-	case s.announced.Worker.Draining && !o.maybeSent:
+	case s.announced.Worker.Draining:
 		s.refuseRun(id, o, "worker drains")
 		return startCall{}, false, true
 	case !complete:
