quorum/node: a replica that stops in order gives up its vote

Cause: a stopping voter hands over the leadership, never the vote. Without a spare its vote counts until the host has been silent for a minute, so with five voters and two that left, one lost disk leaves two.

Evidence: the leader's state line has voters 5, heard 3 until the loss, and afterwards "The group has no leader." of both successors names three of five voters, so the hosts know each other and lack a majority.

Fix: a replica that stops asks the leader to take its vote and runs until that is committed, for a second at most. The leader gives the vote to a ready spare, or removes the voter if three are left and all of them are current. Such a removal costs nothing: 2k voters bear as many losses as 2k + 1 of which one is down. A replica that starts without a leader asks to join after two election timeouts, so that one that was only restarted votes again within the time that the platform allows.

--- a/jobclient/directory.go
+++ b/jobclient/directory.go
@@ -50,6 +50,11 @@
 	return &apiv1.JoinResponse{NotLeader: true, Message: noReplica}, nil
 }
 
+// Leave implements apiv1.Quorum.
+func (d Directory) Leave(context.Context, *apiv1.LeaveRequest) (*apiv1.LeaveResponse, error) {
+	return &apiv1.LeaveResponse{NotLeader: true}, nil
+}
+
 // Deliver implements apiv1.Quorum.
 func (d Directory) Deliver(context.Context, *apiv1.DeliverRequest) (*apiv1.DeliverResponse, error) {
 	return nil, twirp.NewError(twirp.Unimplemented, noReplica)
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -127,6 +127,7 @@
 // Lines of the replicated log's replica.
 var (
 	LeadershipChanged        = declare(Quorum, Rare, "Leadership changed.", "leading", NameTerm)
+	LeaveUnanswered          = declare(Quorum, Rare, "Request to give up the vote is not answered.", "address", "error")
 	MembershipChanging       = declare(Quorum, Rare, "Membership changes.", "change")
 	MembershipChangeDeferred = declare(Quorum, Debug, "Membership change has to wait.", "change", "error")
 	DiskSlow                 = declare(Quorum, Warning, "Disk is slow, leadership goes to a faster one.", "id")
--- a/quorum/node/join.go
+++ b/quorum/node/join.go
@@ -8,6 +8,10 @@
 	"github.com/cairnlift/cairnlift/logging/event"
 )
 
+// rejoinElectionTimeouts is the number of election timeouts after its start from which a replica without
+// a leader may have been removed. A group that restarts as a whole elects a leader in less.
+const rejoinElectionTimeouts = 2
+
 // discoverGroup queries the control hosts that this process knows from another source. It is
 // needed when no configured peer holds a replica any more.
 func (n *Node) discoverGroup() (formStep, *apiv1.Membership) {
@@ -53,13 +57,14 @@
 	n.rejoinLoop()
 }
 
-// rejoinLoop requests to join again whenever no leader has been known for ReplaceAfter. A voter
-// that was unresponsive for a while may have been replaced, and then no other replica sends
-// messages to it. Its log and vote are intact, so it rejoins under its own id, as a spare. A
-// request while it is still a member changes nothing.
+// rejoinLoop requests to join again whenever no leader has been known for ReplaceAfter, for the first
+// time after rejoinElectionTimeouts. A voter that was unresponsive for a while may have been replaced,
+// and one that stopped has given up its vote, and then no other replica sends messages to it. Its log
+// is intact, so it rejoins under its own id, as a spare. A request while it is still a member changes
+// nothing.
 func (n *Node) rejoinLoop() {
 	self := &apiv1.Replica{Id: n.id(), Name: n.opts.Name, Address: n.opts.Address, Learner: true, Spare: true}
-	leaderless := time.Duration(0)
+	leaderless, patience := time.Duration(0), rejoinElectionTimeouts*n.opts.electionTimeout()
 	for n.ctx.Err() == nil {
 		n.sleep(n.opts.electionTimeout())
 		leaderless += n.opts.electionTimeout()
@@ -67,7 +72,8 @@
 			leaderless = 0
 			n.clearLeaderless()
 		}
-		if leaderless >= n.opts.ReplaceAfter {
+		if leaderless >= patience {
+			patience = n.opts.ReplaceAfter
 			if !n.requestJoin(self) {
 				n.logLeaderless()
 			}
--- a/quorum/node/loop.go
+++ b/quorum/node/loop.go
@@ -75,6 +75,7 @@
 
 func (n *Node) tick() {
 	n.raft.Tick()
+	n.leavers.elapse(1)
 	n.ticksSinceReconcile++
 	if n.ticksSinceReconcile >= reconcileTicks {
 		n.ticksSinceReconcile = 0
--- a/quorum/node/membership.go
+++ b/quorum/node/membership.go
@@ -88,7 +88,7 @@
 	}
 	next, reason := n.withOwnAddress(s)
 	if next == nil {
-		next, reason = nextMembership(s, n.opts.membershipPolicy())
+		next, reason = nextMembership(s, n.membershipPolicy())
 	}
 	if next == nil {
 		return
@@ -132,7 +132,7 @@
 //     would become four, which tolerate one.
 func nextMembership(s quorum.Status, p membershipPolicy) (next *apiv1.Membership, reason string) {
 	for _, choose := range []func(quorum.Status, membershipPolicy) (*apiv1.Membership, string){
-		removePredecessor, finishReplacement, promoteLearner, assignSuccessor, resizeGroup,
+		removePredecessor, finishReplacement, promoteLearner, assignSuccessor, releaseLeaving, resizeGroup,
 	} {
 		if next, reason = choose(s, p); next != nil {
 			return next, reason
@@ -179,7 +179,7 @@
 		if !r.Learner && predecessor != nil && predecessor.Id != s.ID {
 			return withRemoved(s.Membership, predecessor.Id), "remove " + predecessor.Name + ", replaced by " + r.Name
 		}
-		if predecessor == nil || predecessor.Id == s.ID || isResponsive(s, predecessor.Id, p.replaceTicks) {
+		if predecessor == nil || predecessor.Id == s.ID || isResponsive(s, predecessor.Id, p.replaceTicks) && p.leaving[predecessor.Id] == 0 {
 			unmarked := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: r.Learner, Spare: r.Learner}
 			return withReplaced(s.Membership, unmarked), r.Name + " no longer replaces a voter"
 		}
@@ -205,32 +205,41 @@
 	return nil, ""
 }
 
-// assignSuccessor assigns a spare with the whole log as the successor of an unresponsive voter,
-// unless a running successor is assigned already.
+// assignSuccessor assigns a spare with the whole log as the successor of a voter that is unresponsive
+// or stops, unless a running successor is assigned already.
 func assignSuccessor(s quorum.Status, p membershipPolicy) (next *apiv1.Membership, reason string) {
-	replaced := unresponsiveVoter(s, p.replaceTicks)
-	if replaced == nil {
+	replaced, r := voterToReplace(s, p), readySuccessor(s, p)
+	if replaced == nil || r == nil {
 		return nil, ""
 	}
+	successor := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: true, Replaces: replaced.Id}
+	return withReplaced(s.Membership, successor), r.Name + " takes the place of " + replaced.Name
+}
+
+// readySuccessor returns a spare that runs and has the whole log, nil if there is none.
+func readySuccessor(s quorum.Status, p membershipPolicy) *apiv1.Replica {
 	for _, r := range s.Membership.GetReplicas() {
-		if !r.Learner || !r.Spare || !caughtUp(s, r.Id) || !isResponsive(s, r.Id, p.replaceTicks) {
-			continue
+		if r.Learner && r.Spare && caughtUp(s, r.Id) && isResponsive(s, r.Id, p.replaceTicks) && p.leaving[r.Id] == 0 {
+			return r
 		}
-		successor := &apiv1.Replica{Id: r.Id, Name: r.Name, Address: r.Address, Learner: true, Replaces: replaced.Id}
-		return withReplaced(s.Membership, successor), r.Name + " takes the place of " + replaced.Name
 	}
-	return nil, ""
+	return nil
 }
 
-// unresponsiveVoter returns a voter from which no message arrived for replaceTicks, nil if there
-// is none.
-func unresponsiveVoter(s quorum.Status, replaceTicks int) *apiv1.Replica {
+// voterToReplace returns a voter from which no message arrived for replaceTicks, or else one that stops
+// and has no successor; nil if there is none.
+func voterToReplace(s quorum.Status, p membershipPolicy) *apiv1.Replica {
+	var leaving *apiv1.Replica
 	for _, r := range s.Membership.GetReplicas() {
-		if !r.Learner && r.Id != s.ID && s.TicksSinceContact[r.Id] >= replaceTicks {
+		switch {
+		case r.Learner || r.Id == s.ID:
+		case s.TicksSinceContact[r.Id] >= p.replaceTicks:
 			return r
+		case p.leaving[r.Id] > 0 && successorOf(s, r.Id) == nil:
+			leaving = r
 		}
 	}
-	return nil
+	return leaving
 }
 
 // caughtUp reports whether one message can carry all entries that a replica lacks.
--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -76,6 +76,7 @@
 	reads               readQueue
 	leadership          Leadership
 	ticksSinceReconcile int
+	leavers             leavers
 
 	// Owned by the goroutine that forms or joins the group.
 	loggedAnswers joinAnswers
@@ -117,6 +118,7 @@
 		done:          make(chan struct{}),
 		failed:        make(chan error, 1),
 		loggedAnswers: joinAnswers{},
+		leavers:       newLeavers(),
 
 		withoutReplica: map[string]bool{},
 	}
@@ -259,13 +261,15 @@
 // stoppedError returns the error that every call on a stopped replica returns.
 func (n *Node) stoppedError() error { return &StoppedError{Cause: n.err} }
 
-// Stop transfers leadership, then syncs and closes the log. If ctx ends first, it stops without
-// the transfer. It may be called repeatedly.
+// Stop transfers leadership, has the leader take this replica's vote if the group is better off
+// without it, then syncs and closes the log. If ctx ends first, it stops without these. It may be called
+// repeatedly.
 func (n *Node) Stop(ctx context.Context) error {
 	n.shuttingDown.Store(true)
 	if err := n.TransferLeadership(ctx); err != nil && ctx.Err() != nil {
 		event.LeaderReplicaStopping.Write(n.logger, event.Err(err))
 	}
+	n.leave(ctx)
 	n.stopOnce.Do(func() { close(n.stop) })
 	n.cancel()
 	<-n.done
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -24,14 +24,16 @@
 const (
 	cell   = "test"
 	folder = "/data"
-	// tick results in an election timeout of 100 to 200 ms.
-	tick                   = 10 * time.Millisecond
+	// Tick results in an election timeout of 100 to 200 ms.
+	Tick                   = 10 * time.Millisecond
 	segmentBytes           = 4096
 	defaultSnapshotEntries = 40
 	defaultMaxVoters       = 5
 	// Wait polls every pollInterval, and fails the test after maxPolls polls.
 	pollInterval = time.Millisecond
 	maxPolls     = 60_000
+	// stopTimeout is the time for a stop in order, as many ticks as on the users' platform.
+	stopTimeout = ReplaceAfter
 )
 
 // ReplaceAfter is the time from a voter's last message until a spare takes its place: five
@@ -121,7 +123,7 @@
 		Cell: cell, Name: name, Address: g.AddressOf(name), Peers: peers,
 		Storage: log, StateMachine: m, Transport: &link{g: g, from: name},
 		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter, MaxVoters: g.MaxVoters, Metrics: registry, Discover: g.Discover,
-		Tick: tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
+		Tick: Tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
 	})
 	if err != nil {
 		return err
@@ -195,6 +197,18 @@
 	h.Disk.CutPower()
 }
 
+// Stop stops a host's replica in order, as a daemon does on SIGTERM.
+func (g *Group) Stop(name string) {
+	g.T.Helper()
+	n := g.Node(name)
+	if err := n.Stop(Within(stopTimeout)); err != nil {
+		g.T.Fatal(err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hosts[name].Node = nil
+}
+
 // ReplaceDisk restarts a host with an empty disk.
 func (g *Group) ReplaceDisk(name string) {
 	g.T.Helper()
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -120,6 +120,15 @@
 	return n.Service().Join(ctx, &apiv1.JoinRequest{Cell: cell, Replica: r})
 }
 
+// Leave implements node.Transport.
+func (l *link) Leave(ctx context.Context, address string, id uint64) (*apiv1.LeaveResponse, error) {
+	n, err := l.g.nodeAt(l.from, address)
+	if err != nil {
+		return nil, err
+	}
+	return n.Service().Leave(ctx, &apiv1.LeaveRequest{Cell: cell, ReplicaId: id})
+}
+
 // Close implements node.Transport.
 func (l *link) Close() {
 	close(l.closing)
--- a/quorum/node/options.go
+++ b/quorum/node/options.go
@@ -106,10 +106,13 @@
 }
 
 // membershipPolicy returns the policy for the leader's automatic membership changes.
-func (o *Options) membershipPolicy() membershipPolicy {
+func (n *Node) membershipPolicy() membershipPolicy {
+	o := &n.opts
+	departedTicks := int(departedAfter / o.Tick)
 	return membershipPolicy{
 		replaceTicks: int(o.ReplaceAfter / o.Tick), responsiveTicks: o.ElectionTicks,
-		departedTicks: int(departedAfter / o.Tick), maxVoters: o.MaxVoters,
+		departedTicks: departedTicks, maxVoters: o.MaxVoters, leaving: n.leavers.ticksLeft,
+		keepEvenSize: n.leavers.sinceLast >= 0 && n.leavers.sinceLast < departedTicks,
 	}
 }
 
--- a/quorum/node/service.go
+++ b/quorum/node/service.go
@@ -102,6 +102,13 @@
 	if status.Role != quorum.Leader {
 		return s.n.notLeaderResponse(), nil
 	}
+	err := s.n.callOnLoop(ctx, func() error {
+		s.n.leavers.returned(r.Replica.Id)
+		return nil
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
 	if member := findReplica(status.Membership, r.Replica.Id); member != nil {
 		return s.n.updateAddress(ctx, status.Membership, member, r.Replica.Address), nil
 	}
--- a/quorum/node/size.go
+++ b/quorum/node/size.go
@@ -30,6 +30,11 @@
 	// maxVoters is the number of voters that the group grows to; 0 keeps the number that the group
 	// was formed with.
 	maxVoters int
+	// leaving holds, by replica, the ticks for which it still counts as one that stops.
+	leaving map[uint64]int
+	// keepEvenSize prevents that an even number of voters is reduced while a host that stopped may be
+	// back soon: a group of four grows to five by one vote, one of three by two.
+	keepEvenSize bool
 }
 
 // departedAfter is the time from a host's last message until it no longer counts for the size of
@@ -103,7 +108,7 @@
 		return withRemoved(s.Membership, c.departedLearner.Id), "forget " + c.departedLearner.Name + ", which is gone"
 	case c.voters > target && target > 1 && c.departedVoter != nil:
 		return withRemoved(s.Membership, c.departedVoter.Id), "remove " + c.departedVoter.Name + ", which is gone"
-	case c.voters > target && target > 1 && c.allVotersCurrent:
+	case c.voters > target && target > 1 && c.allVotersCurrent && !p.keepEvenSize:
 		least := leastUpToDate(s)
 		return withRemoved(s.Membership, least.Id), "take the vote of " + least.Name
 	}
--- a/quorum/node/transport.go
+++ b/quorum/node/transport.go
@@ -30,6 +30,8 @@
 	// founder.
 	Identify(ctx context.Context, address string, founder uint64) (*apiv1.IdentifyResponse, error)
 	Join(ctx context.Context, address string, r *apiv1.Replica) (*apiv1.JoinResponse, error)
+	// Leave requests that the leader at an address take the vote of the replica with the given id.
+	Leave(ctx context.Context, address string, id uint64) (*apiv1.LeaveResponse, error)
 	Close()
 }
 
@@ -187,6 +189,11 @@
 	return t.clientFor(address).Join(ctx, &apiv1.JoinRequest{Cell: t.opts.Cell, Replica: r})
 }
 
+// Leave implements Transport.
+func (t *TwirpTransport) Leave(ctx context.Context, address string, id uint64) (*apiv1.LeaveResponse, error) {
+	return t.clientFor(address).Leave(ctx, &apiv1.LeaveRequest{Cell: t.opts.Cell, ReplicaId: id})
+}
+
 // Close implements Transport. It drops queued messages.
 func (t *TwirpTransport) Close() {
 	t.mu.Lock()
