--- a/jobclient/intake_test.go
+++ b/jobclient/intake_test.go
@@ -58,8 +58,12 @@
 				callers.Go(func() { submit(n, "steady") })
 			}
 			time.Sleep(time.Second / 6400)
-			if i.total > maxWaiting || i.accounts["flood"] != nil && i.accounts["flood"].Len() > maxWaitingPerAccount || len(i.inProgress) > maxSubmissions+maxWaiting {
-				t.Fatalf("%d wait, %d jobs in progress", i.total, len(i.inProgress))
+			i.mu.Lock()
+			total, jobs, flood := i.total, len(i.inProgress), i.accounts["flood"]
+			tooMany := total > maxWaiting || flood != nil && flood.Len() > maxWaitingPerAccount || jobs > maxSubmissions+maxWaiting
+			i.mu.Unlock()
+			if tooMany {
+				t.Fatalf("%d wait, %d jobs in progress", total, jobs)
 			}
 		}
 		callers.Wait()
