jobclient: the leader that a directory names is queried before the other hosts of its list

What callers would see: a process that finds the group only after several timeouts, because the list of a directory holds former members that don't answer.

Cause: the hosts of a directory's list were queried in order, each with its own timeout, and a directory did not say which of them leads.

Fix: a directory follows the leader and returns its address, which is followed like other hints.

Before, TestUnresponsiveHostsDoNotHideLeader fails with twenty such hosts: one refresh of 2 s does not find the group. After: it does.

--- a/jobclient/directory.go
+++ b/jobclient/directory.go
@@ -63,7 +63,7 @@
 // Members implements apiv1.Jobs.
 func (d Directory) Members(context.Context, *apiv1.JobsMembersRequest) (*apiv1.JobsMembersResponse, error) {
 	others := slices.DeleteFunc(d.client.Addresses(), func(a string) bool { return a == d.address })
-	return &apiv1.JobsMembersResponse{Addresses: others}, nil
+	return &apiv1.JobsMembersResponse{Addresses: others, LeaderAddress: d.client.forwarder.LeaderAddress()}, nil
 }
 
 // Announce implements apiv1.Jobs.
--- a/jobclient/directory_test.go
+++ b/jobclient/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -247,6 +248,30 @@
 	}
 }
 
+// TestUnresponsiveHostsDoNotHideLeader guards against a process that is kept from the group by a list of
+// hosts that don't answer, each of which takes a timeout. A directory, which has found the leader, lists
+// former members before it.
+func TestUnresponsiveHostsDoNotHideLeader(t *testing.T) {
+	leader := startMember(t)
+	directory, directoryClient := startDirectory(t, leader.address)
+	directoryClient.refresh(t.Context())
+	var former []string
+	// These ports sort before those that the system assigns, so the hosts are queried first.
+	for port := 10_000; port < 11_000 && len(former) < 20; port++ {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)) // connections are never answered
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		former = append(former, l.Addr().String())
+	}
+	directoryClient.addFromDirectory(directory.address, former)
+	c := New([]string{directory.address}, zap.NewNop())
+	if !c.refresh(t.Context()) {
+		t.Error("the group is not found by one refresh")
+	}
+}
+
 // TestAnnouncementLeadsToGroup guards against a directory that trusts whatever it is told. Wrong
 // announcements arrive beside a right one: they are refused, or cost some calls, and the host still finds
 // the group and has itself recorded.
--- a/jobclient/members.go
+++ b/jobclient/members.go
@@ -59,6 +59,7 @@
 	var member string
 	answers := map[string]string{}
 	c.forwarder.TryHosts(timeout, false, func(ctx context.Context, address string) (string, bool) {
+		hint := ""
 		resp, err := c.jobsClient(address).Members(ctx, &apiv1.JobsMembersRequest{Directory: c.directory})
 		switch {
 		case err != nil:
@@ -72,8 +73,10 @@
 		default:
 			answers[address] = fmt.Sprintf("it is not a member and names %d other hosts", len(resp.Addresses))
 			c.addFromDirectory(address, resp.Addresses)
+			// Some of the reported hosts may not answer, so the leader goes first.
+			hint = resp.LeaderAddress
 		}
-		return "", found != nil
+		return hint, found != nil
 	})
 	if found == nil {
 		c.restoreSeeds()
@@ -81,13 +84,21 @@
 		return false
 	}
 	c.notFoundLoggedAt = time.Time{}
-	if c.directory != "" && !found.DirectoryRecorded && time.Since(c.recordRefusedAt) >= recordRefusedInterval {
-		c.forwarder.SetLeader(cmp.Or(found.LeaderAddress, member))
-		c.recordDirectory(ctx)
+	if c.directory != "" {
+		c.continueAsDirectory(ctx, found, cmp.Or(found.LeaderAddress, member))
 	}
 	return true
 }
 
+// continueAsDirectory has a directory follow the leader, which then need not tell it where the group
+// is, and has it recorded if it is not.
+func (c *Client) continueAsDirectory(ctx context.Context, found *apiv1.JobsMembersResponse, leader string) {
+	c.forwarder.SetLeader(leader)
+	if !found.DirectoryRecorded && time.Since(c.recordRefusedAt) >= recordRefusedInterval {
+		c.recordDirectory(ctx)
+	}
+}
+
 // logNotFound logs which hosts a refresh asked for the members and what each of them answered.
 func (c *Client) logNotFound(answers map[string]string) {
 	if len(answers) == 0 || time.Since(c.notFoundLoggedAt) < notFoundLogInterval {
