--- a/quorum/node/leave.go
+++ b/quorum/node/leave.go
@@ -78,17 +78,7 @@
 				return
 			}
 		}
-		n.pause(ctx, n.opts.Tick)
-	}
-}
-
-// pause waits for d or until ctx ends.
-func (n *Node) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		n.sleep(n.opts.Tick)
 	}
 }
 
@@ -120,10 +110,7 @@
 func (n *Node) handleLeave(id uint64) bool {
 	s := n.raft.Status()
 	member := findReplica(s.Membership, id)
-	if member == nil || member.Learner {
-		return true
-	}
-	if !canRelease(s, member) {
+	if member == nil || member.Learner || !canRelease(s, member) {
 		return true
 	}
 	n.leavers.add(id, int(leavingFor/n.opts.Tick))
--- a/quorum/node/leave_test.go
+++ b/quorum/node/leave_test.go
@@ -84,6 +84,53 @@
 	}
 }
 
+// Guards against the loss of acknowledged commands, or a group that never commits again, when a host stops
+// in order beside another one that is killed or loses its disk, and all others may lose power meanwhile. A
+// stopped host counts as one of the two that may be lost at once until it has had its time to catch up.
+func TestStopsBesideLostDisks(t *testing.T) {
+	const rounds = 6
+	catchUp := platformTime(6 * time.Second)
+	for _, spares := range [][]string{{"d", "e"}, {"d", "e", "f"}} {
+		t.Run(fmt.Sprint(3+len(spares), " hosts"), func(t *testing.T) {
+			forSeeds(t, 20, threeHosts, func(g *nodetest.Group) {
+				random := rand.New(rand.NewPCG(g.Seed, 7))
+				foundersAndSpares(g, spares...)
+				all := slices.Concat(threeHosts, spares)
+				for round := range rounds {
+					g.Propose(fmt.Sprint(round))
+					random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+					stopped, killed := all[0], all[1]
+					if random.IntN(2) == 0 {
+						g.Stop(stopped)
+						g.Kill(killed)
+					} else {
+						g.Kill(killed)
+						g.Stop(stopped)
+					}
+					if random.IntN(2) == 0 {
+						g.Host(killed).Disk.Erase()
+					}
+					down := []string{stopped, killed}
+					if random.IntN(3) == 0 {
+						g.Kill()
+						down = all
+					} else {
+						time.Sleep(time.Duration(random.Int64N(int64(platformTime(4 * time.Second)))))
+					}
+					random.Shuffle(len(down), func(i, j int) { down[i], down[j] = down[j], down[i] })
+					g.MustStart(down...)
+					for _, name := range all {
+						for past := range round + 1 {
+							g.Wait(fmt.Sprint(past, " on ", name), func() bool { return g.HasCommand(name, fmt.Sprint(past)) })
+						}
+					}
+					time.Sleep(catchUp)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a group of three that gives up the vote of a host which restarts: the two others would be
 // all that is needed for a majority, as before, and the host would have to catch up before it votes again.
 func TestThreeVotersKeepTheirVotes(t *testing.T) {
