--- a/fakes/runchecker.go
+++ b/fakes/runchecker.go
@@ -210,6 +210,7 @@
 	}
 	rc.checkCrashes(id)
 	rc.checkCordon(w, id)
+	rc.checkDrain(w, id)
 	rc.checkStepOrder(spec, id)
 	rc.checkPlacement(spec, w, id)
 	if used := rc.reservedOn(w); !w.allows(used) {
@@ -230,6 +231,17 @@
 	}
 }
 
+// drainGrace is how long after the acknowledgement of a drain a call may still start a run.
+const drainGrace = 2 * time.Second
+
+// checkDrain checks that a call which arrives long after a drain starts nothing. The caller must hold the
+// worker's lock.
+func (rc *RunChecker) checkDrain(w *RunWorker, id jobqueue.RunID) {
+	if at := w.drainAcknowledgedAt; !at.IsZero() && w.calledAt.Sub(at) > drainGrace {
+		rc.addViolation("%v starts on %s, called %v after its agent acknowledged that it drains", id, w.Spec.Id, w.calledAt.Sub(at))
+	}
+}
+
 func (rc *RunChecker) checkStepOrder(spec *apiv1.JobSpec, id jobqueue.RunID) {
 	for _, before := range spec.Steps[id.Task.Step].After {
 		step := spec.Steps[before]
--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -107,6 +107,8 @@
 	previousCapacities []previousCapacity
 	// calledAt is when the call that is being executed arrived.
 	calledAt time.Time
+	// drainAcknowledgedAt is when the worker's present agent first acknowledged that the worker drains.
+	drainAcknowledgedAt time.Time
 	// expiredAt is when the lease last expired.
 	expiredAt time.Time
 	endSignal chan struct{}
@@ -162,6 +164,22 @@
 	w.draining = true
 }
 
+// DrainAcknowledged records that the worker's agent has just acknowledged that the worker drains.
+func (w *RunWorker) DrainAcknowledged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.drainAcknowledgedAt.IsZero() {
+		w.drainAcknowledgedAt = time.Now()
+	}
+}
+
+// AgentReplaced records that the worker has another agent, which has not heard that the worker drains.
+func (w *RunWorker) AgentReplaced() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drainAcknowledgedAt = time.Time{}
+}
+
 // Resize changes the processors and the memory of the running worker.
 func (w *RunWorker) Resize(cpuMilli, memoryMB int64) {
 	capacity := capacityOf(w.Description())
