--- a/quorum/node/leave.go
+++ b/quorum/node/leave.go
@@ -11,7 +11,7 @@
 	"github.com/cairnlift/cairnlift/quorum"
 )
 
-// This file takes the vote of a replica that stops in order. The replica may be stopped for good,
+// This file takes the vote of a replica that stops in order. The replica may be stopped permanently,
 // after another host was added in its place. Until a voter that left counts as departed, which takes
 // departedAfter, its vote would be needed for a majority, and the next lost disk could stop the group
 // although every disk but one is there.
--- a/quorum/node/leave_test.go
+++ b/quorum/node/leave_test.go
@@ -16,7 +16,7 @@
 	return d * nodetest.Tick / platformTick
 }
 
-// Guards against a group without a leader, for good, after hosts were replaced in order and one more lost
+// Guards against a group that never has a leader again after hosts were replaced in order and one more lost
 // its disk: the votes of the hosts that have left still count, so that the disks that are left are no
 // majority. The disk is lost at any time after the last old host has stopped.
 func TestDiskLossAfterPlannedReplacements(t *testing.T) {
