review: a removed route hides accepted jobs that run on

Case 4 shows that a job accepted under a route below another one's path prefix is answered 410 once its route is removed, and that a DELETE of such a job is answered 410 while its tasks go on to start. Without the other route the answers are 404.

--- /dev/null
+++ b/review/standin-2/errors.go
@@ -0,0 +1,8 @@
+package main
+
+import "errors"
+
+var (
+	errNotAccepted = errors.New("a job was not accepted")
+	errNotBegun    = errors.New("a job did not begin")
+)
