review: a new leader counts starts that never arrived as begun

Case 5 shows that the number of pending jobs is 0 while four jobs wait, after the leader was killed while a runner stalled: a new leader takes each ordered run as begun until the run's worker reports.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]caseFunc{
 	"removed-route": playRemovedRoute,
+	"pending":       playPending,
 }
 
 func main() {
