review: one foreign heartbeat takes a runner out of use for good

Case 4 shows that an agent which starts takes the heartbeat of another writer, with the runner's id and a service that is not there, for the runner's, and answers each one of the runner itself with 409 from then on. Where that happens to all agents an accepted job never begins.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -107,11 +107,11 @@
 			app: d.address(10+i, appPort), controlPlane: d.address(10+i, controlPort), labels: l, cpu: cpu, upkeeps: map[uint64]bool{},
 		}
 		d.machines = append(d.machines, m)
-		settings := d.settings(m.name, "agent", "side", 10+i, m.zone, "", m.app)
-		if err := d.launch(m.name+"/agent", "agent", settings, 9103); err != nil {
+		if err := m.nextRunner(); err != nil {
 			return err
 		}
-		if err := m.nextRunner(); err != nil {
+		settings := d.settings(m.name, "agent", "side", 10+i, m.zone, "", m.app)
+		if err := d.launch(m.name+"/agent", "agent", settings, 9103); err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -138,6 +138,9 @@
 		req.Header.Set("Content-Type", "application/json")
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
+			r.m.mu.Lock()
+			r.m.lastBeat = resp.StatusCode
+			r.m.mu.Unlock()
 		}
 		select {
 		case <-ctx.Done():
@@ -336,8 +339,10 @@
 	lives             int
 	runner            *runner
 	state             string
-	upkeeps           map[uint64]bool
-	token             uint64
+	// lastBeat is the status of the last answer to a heartbeat.
+	lastBeat int
+	upkeeps  map[uint64]bool
+	token    uint64
 }
 
 // stallAfter makes the machine's runner stall once it has told the end of a job's task.
@@ -358,12 +363,17 @@
 	return m.runner.hungUntil.Add(-m.runner.hangFor), !m.runner.hungUntil.IsZero()
 }
 
+// runnerID returns the id of a life of the machine's runner.
+func (m *machine) runnerID(life int) string {
+	return fmt.Sprintf("i-%s-%d", strings.ReplaceAll(m.ip, ".", ""), life)
+}
+
 // nextRunner starts the next life of the machine's runner.
 func (m *machine) nextRunner() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lives++
-	r, err := startRunner(m, fmt.Sprintf("i-%s-%d", strings.ReplaceAll(m.ip, ".", ""), m.lives))
+	r, err := startRunner(m, m.runnerID(m.lives))
 	if err != nil {
 		return err
 	}
