review: a foreign entry of a machine has its upkeep ordered over its tasks

Case 6 shows that an entry of another writer in the platform's list, behind the proper one of the same machine, makes the system order that machine's upkeep while eight tasks of a step that may miss one are at work there.

--- a/review/standin-2/cloud.go
+++ b/review/standin-2/cloud.go
@@ -20,6 +20,16 @@
 	mu sync.Mutex
 	// waves are the machines of each wave, as the operator sent it.
 	waves map[uint64][]string
+	// foreign are the entries of another writer in the list.
+	foreign []map[string]any
+}
+
+// addEntry adds an entry of another writer at the end of the list.
+func (c *cloud) addEntry(entry map[string]any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.foreign = append(c.foreign, entry)
+	c.d.rec.printf("platform: the list has another writer's entry, too: %v", entry)
 }
 
 func startCloud(d *deployment, address string) (*cloud, error) {
@@ -50,6 +60,9 @@
 		})
 		m.mu.Unlock()
 	}
+	c.mu.Lock()
+	machines = append(machines, c.foreign...)
+	c.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{"machines": machines, "next_page_token": ""})
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]caseFunc{
 	"removed-route": playRemovedRoute,
 	"pending":       playPending,
+	"foreign-entry": playForeignEntry,
 	"foreign-beat":  playForeignHeartbeat,
 }
 
