review: a foreign heartbeat at one machine ends the worker of another

Case 4 shows that an agent which was restarted reports the departure of whatever runner the first heartbeat names, and that the leader then gives up the runs of that runner on another machine while they go on: the tasks run twice.

--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -26,7 +26,7 @@
 				time.Sleep(5 * time.Millisecond)
 			}
 			if trouble {
-				d.rec.printf("another writer's heartbeat at %s: %d", m.name, m.foreignHeartbeat())
+				d.rec.printf("another writer's heartbeat at %s: %d", m.name, m.foreignHeartbeat(m.runnerID(1)))
 			}
 		})
 	}
@@ -69,14 +69,14 @@
 	return true
 }
 
-// foreignHeartbeat sends the heartbeat of another writer, and returns the status of the answer.
-func (m *machine) foreignHeartbeat() int {
+// foreignHeartbeat sends the heartbeat of another writer under an id, and returns the status of the answer.
+func (m *machine) foreignHeartbeat(id string) int {
 	body, _ := json.Marshal(map[string]any{
 		"service": "zk91x", "address": m.app, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
 		"capacity": map[string]int{"cpu": m.cpu, "mem_mb": 32768, "gpus": 0}, "labels": m.labels, "clock_ms": clockStartMs, "sequence": 1,
 	})
 	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Post("http://"+m.controlPlane+"/Instances.Heartbeat/"+m.runnerID(1), "application/json", bytes.NewReader(body))
+	resp, err := client.Post("http://"+m.controlPlane+"/Instances.Heartbeat/"+id, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"removed-route": playRemovedRoute,
 	"pending":       playPending,
 	"foreign-entry": playForeignEntry,
+	"foreign-id":    playForeignDeparture,
 	"foreign-beat":  playForeignHeartbeat,
 }
 
