--- a/review/standin-2/departure.go
+++ b/review/standin-2/departure.go
@@ -11,18 +11,18 @@
 // another writer's heartbeat arrives there, which bears the id of another machine's runner and names a
 // service that is not there. The tasks of that runner are watched.
 func playForeignDeparture(d *deployment, trouble bool) (broken bool, err error) {
-	if err := d.start(8000, []string{"a", "r1"}, []string{"a", "r1"}, []string{"a", "r2"}, []string{"a", "r2"}); err != nil {
+	if err := d.start(8000, siteLabels("a")...); err != nil {
 		return false, err
 	}
 	if err := d.operator(http.MethodPost, "/Config.Put", configuration(1, "/queue/")); err != nil {
 		return false, err
 	}
 	id := newJobID()
-	job := map[string]any{"spec": "work_ms=20000", "steps": []map[string]any{{"count": 8, "cpu": 1000, "mem_mb": 64, "estimated_ms": 20000}}}
+	job := map[string]any{"spec": "work_ms=20000", "steps": []map[string]any{{"count": 22, "cpu": 1000, "mem_mb": 64, "estimated_ms": 20000}}}
 	if a := d.client(0, http.MethodPost, "/queue/"+id, job); a.status != http.StatusOK {
 		return false, errNotAccepted
 	}
-	if !waitFor(10*time.Second, func() bool { return d.begun(id) == 8 }) {
+	if !waitFor(10*time.Second, func() bool { return d.begun(id) == 22 }) {
 		return false, errNotBegun
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -35,6 +35,8 @@
 	folder  string
 	subnet  string
 	cloud   *cloud
+	// agentDelay is how long after its runner the agent of a machine starts.
+	agentDelay time.Duration
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -110,6 +112,7 @@
 		if err := m.nextRunner(); err != nil {
 			return err
 		}
+		time.Sleep(d.agentDelay)
 		settings := d.settings(m.name, "agent", "side", 10+i, m.zone, "", m.app)
 		if err := d.launch(m.name+"/agent", "agent", settings, 9103); err != nil {
 			return err
@@ -299,3 +302,16 @@
 	defer d.mu.Unlock()
 	return d.processes[name].startedAt
 }
+
+// siteRunners is the number of runners of the site, three a rack.
+const siteRunners = 11
+
+// siteLabels returns the labels of the site's runners. The first one has a kind of its own if first is not "a".
+func siteLabels(first string) [][]string {
+	labels := [][]string{}
+	for i := range siteRunners {
+		labels = append(labels, []string{"a", fmt.Sprintf("r%d", 1+i/3)})
+	}
+	labels[0][0] = first
+	return labels
+}
--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -15,6 +15,7 @@
 // playForeignHeartbeat has another writer send one heartbeat to each agent as it starts, before the next one
 // of the runner: it bears the runner's id and names a service that is not there. Then a job is handed in.
 func playForeignHeartbeat(d *deployment, trouble bool) (broken bool, err error) {
+	d.agentDelay = 50 * time.Millisecond // the runner has sent its first heartbeat, to nobody
 	labels := [][]string{{"a", "r1"}, {"a", "r1"}, {"a", "r2"}, {"a", "r2"}}
 	if err := d.start(8000, labels...); err != nil {
 		return false, err
--- a/review/standin-2/pending.go
+++ b/review/standin-2/pending.go
@@ -14,7 +14,7 @@
 // playPending has a runner stall while starts are ordered there, kills the leader, and asks how many jobs
 // of the queue are pending.
 func playPending(d *deployment, trouble bool) (broken bool, err error) {
-	if err := d.start(8000, []string{"w", "r1"}, []string{"a", "r2"}, []string{"a", "r3"}); err != nil {
+	if err := d.start(8000, siteLabels("w")...); err != nil {
 		return false, err
 	}
 	if err := d.operator(http.MethodPost, "/Config.Put", configuration(1, "/first/", "/queue/")); err != nil {
