jobqueue: find a caller's job by the path that it was submitted to

Cause: Lookup took the queue that the path selects in the current configuration and called a job unknown if it had been accepted under another prefix. Read, cancel, submit and the leader's check for known jobs all depend on that. The route decides where a new job goes; an accepted one has its host, path and ID in its own record.

Hypotheses, and what told them apart: the state forgets the job with its route (no: its second step starts after the 410, and plans are checked against the state); a replica is behind (no: each read is confirmed by a barrier, and all three entries answer alike 4 s after the change); the job is looked up by the newest route (yes: the answer is 410 with a route of a shorter prefix and 404 without, and follows the configuration in a test of the state alone).

Lookup compares the host and path of the job's record first and asks the configuration only about jobs that are not known. Submissions and the leader's check go through Lookup. A new job under a removed route is refused with 404 as before, and so is the number of its pending jobs.

--- a/dispatch/submissions.go
+++ b/dispatch/submissions.go
@@ -119,8 +119,8 @@
 // held reports whether the log holds the job.
 func (s *submissions) held(spec *apiv1.JobSpec) (held bool) {
 	s.opts.Replica.ReadState(func(m *state.Machine) {
-		j := m.CallerJobs().Job(spec.Id)
-		held = j != nil && samePlace(j.Spec, spec) && m.CallerJobs().QueueFor(spec.Host, spec.Path) != nil
+		j, _ := m.CallerJobs().Lookup(spec.Host, spec.Path, spec.Id)
+		held = j != nil
 	})
 	return held
 }
--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -164,17 +164,22 @@
 	return nil
 }
 
-// Lookup returns a caller's job. The outcome is OK, NO_CONFIGURATION, NO_QUEUE or NO_JOB.
+// Lookup returns a caller's job. The outcome is OK, NO_CONFIGURATION, NO_QUEUE or NO_JOB. A job is found
+// by the host and path that it was submitted to, whatever queue a later configuration has there; only of a
+// job that is not known does the configuration decide what the caller is told.
 func (m *Machine) Lookup(host, path, id string) (*Job, apiv1.JobOutcome) {
-	q, outcome := m.queueAt(host, path)
-	if q == nil {
-		return nil, outcome
+	if j := m.Job(id); j != nil && j.submittedTo(host, path) {
+		return j, apiv1.JobOutcome_JOB_OUTCOME_OK
 	}
-	j := m.Job(id)
-	if j == nil || !strings.EqualFold(j.Queue.Host, q.Host) || j.Queue.PathPrefix != q.PathPrefix {
-		return nil, apiv1.JobOutcome_JOB_OUTCOME_NO_JOB
+	if q, outcome := m.queueAt(host, path); q == nil {
+		return nil, outcome
 	}
-	return j, apiv1.JobOutcome_JOB_OUTCOME_OK
+	return nil, apiv1.JobOutcome_JOB_OUTCOME_NO_JOB
+}
+
+// submittedTo reports whether the job was submitted to a host and path.
+func (j *Job) submittedTo(host, path string) bool {
+	return strings.EqualFold(j.Spec.Host, host) && j.Spec.Path == path
 }
 
 func (m *Machine) queueAt(host, path string) (*apiv1.JobQueue, apiv1.JobOutcome) {
--- /dev/null
+++ b/jobqueue/routes_test.go
@@ -0,0 +1,120 @@
+package jobqueue_test
+
+import (
+	"testing"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+const (
+	urgentPrefix = "/q/urgent/"
+	urgentJob    = "0123"
+	urgentPath   = urgentPrefix + urgentJob
+)
+
+func queueAt(prefix string) *apiv1.JobQueue {
+	return &apiv1.JobQueue{Name: "at " + prefix, Host: host, PathPrefix: prefix, Pool: pool, MaxAttempts: 2, TimeoutMs: 1000}
+}
+
+// routeChanges returns configurations that change which queue the path of a job below urgentPrefix selects.
+func routeChanges() map[string]*apiv1.QueueConfiguration {
+	changes := map[string]*apiv1.QueueConfiguration{
+		"a shorter prefix takes the path":   configuration(3),
+		"no prefix takes the path":          configuration(3, queueAt("/other/")),
+		"a longer prefix takes the path":    configuration(3, queueAt(urgentPrefix), queueAt(urgentPrefix+"01")),
+		"the queue has another name":        configuration(3, queueAt(urgentPrefix)),
+		"the host is spelled another way":   configuration(3, queueAt(urgentPrefix)),
+		"the host has no queue":             configuration(3),
+		"the queue is not changed":          configuration(3, queueAt(urgentPrefix)),
+		"the last queue of all was removed": {Version: 3, Pools: []*apiv1.WorkerPool{{Name: pool}}},
+	}
+	changes["no prefix takes the path"].Queues = changes["no prefix takes the path"].Queues[1:]
+	changes["the queue has another name"].Queues[1].Name = "renamed"
+	changes["the host is spelled another way"].Queues[1].Host = "QUEUES.example"
+	changes["the host has no queue"].Queues[0].Host = "other.example"
+	return changes
+}
+
+func (m *machine) submitAt(path, id string, steps ...*apiv1.JobStep) apiv1.JobOutcome {
+	return m.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{
+		Spec: &apiv1.JobSpec{Id: id, Host: host, Path: path, Steps: steps},
+	}}})
+}
+
+func (m *machine) cancelAt(path, id string) apiv1.JobOutcome {
+	return m.apply(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_Cancel{Cancel: &apiv1.CancelJob{Id: id, Host: host, Path: path}}})
+}
+
+// Guards against callers who lose an accepted job when a change of the configuration gives its path to
+// another queue or to none: they are told that the job does not exist, can't cancel it, or are refused when
+// they submit it again, and it runs on.
+func TestCallersKeepTheirJobsWhenRoutesChange(t *testing.T) {
+	for name, change := range routeChanges() {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			m.worker("w1", "h1", 1000)
+			m.put(configuration(2, queueAt(urgentPrefix)))
+			if outcome := m.submitAt(urgentPath, urgentJob, one(1), one(1, 0)); outcome != ok {
+				t.Fatal(outcome)
+			}
+			if outcome := m.put(change); outcome != ok {
+				t.Fatal(outcome)
+			}
+			m.restore(t)
+			if j, outcome := m.Lookup(host, urgentPath, urgentJob); j == nil || outcome != ok || !j.Open() {
+				t.Errorf("the job is %v, %v", j, outcome)
+			}
+			if outcome := m.submitAt(urgentPath, urgentJob, one(1), one(1, 0)); outcome != ok || len(m.Active()) != 1 {
+				t.Errorf("repeated submission: %v, %d jobs", outcome, len(m.Active()))
+			}
+			if !m.start(task(urgentJob, 0, 0), 1, "w1") {
+				t.Error("the job does not go on")
+			}
+			if outcome := m.cancelAt(urgentPath, urgentJob); outcome != ok {
+				t.Errorf("cancel: %v", outcome)
+			}
+			m.end("w1", task(urgentJob, 0, 0), 1, done)
+			if m.start(task(urgentJob, 1, 0), 1, "w1") {
+				t.Error("the second step starts after the cancel")
+			}
+			m.restore(t)
+			if j, _ := m.Lookup(host, urgentPath, urgentJob); j == nil || j.State != apiv1.JobState_JOB_STATE_CANCELED {
+				t.Errorf("the job after its cancel is %v", j)
+			}
+			if outcome := m.cancelAt(urgentPath, urgentJob); outcome != ok {
+				t.Errorf("repeated cancel: %v", outcome)
+			}
+		})
+	}
+}
+
+// Guards against a job that is found where nobody submitted it, or a new one accepted by a route that was
+// removed.
+func TestJobsAreFoundAtTheirOwnPathOnly(t *testing.T) {
+	m := newMachine()
+	m.put(configuration(2, queueAt(urgentPrefix)))
+	m.submitAt(urgentPath, urgentJob, one(1))
+	for name, q := range map[string]struct{ host, path, id string }{
+		"shorter prefix": {host, "/q/" + urgentJob, urgentJob},
+		"other host":     {"other.example", urgentPath, urgentJob},
+		"other case":     {host, "/Q/urgent/" + urgentJob, urgentJob},
+		"other job":      {host, urgentPrefix + "4567", "4567"},
+	} {
+		j, outcome := m.Lookup(q.host, q.path, q.id)
+		if none := outcome == apiv1.JobOutcome_JOB_OUTCOME_NO_JOB || outcome == apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE; j != nil || !none {
+			t.Errorf("%s: %v, %v", name, j, outcome)
+		}
+	}
+	m.put(&apiv1.QueueConfiguration{Version: 3, Pools: []*apiv1.WorkerPool{{Name: pool}}})
+	noQueue := apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE
+	if outcome := m.submitAt(urgentPrefix+"4567", "4567", one(1)); outcome != noQueue {
+		t.Errorf("new job of the removed route: %v", outcome)
+	}
+	if _, outcome := m.Lookup(host, urgentPrefix+"4567", "4567"); outcome != noQueue {
+		t.Errorf("unknown job of the removed route: %v", outcome)
+	}
+	if _, outcome := m.Pending(host, urgentPrefix, func(*jobqueue.Run) bool { return false }); outcome != noQueue {
+		t.Errorf("pending jobs of the removed route: %v", outcome)
+	}
+}
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -52,12 +52,16 @@
 }
 
 // submit accepts a job. Submissions are idempotent by ID, because callers retry when a response is
-// lost.
+// lost; an accepted job stays accepted when its queue is removed.
 func (m *Machine) submit(spec *apiv1.JobSpec) apiv1.JobOutcome {
-	q, outcome := m.queueAt(spec.GetHost(), spec.GetPath())
-	if q == nil {
+	j, outcome := m.Lookup(spec.GetHost(), spec.GetPath(), spec.GetId())
+	if j != nil {
+		return apiv1.JobOutcome_JOB_OUTCOME_OK
+	}
+	if outcome != apiv1.JobOutcome_JOB_OUTCOME_NO_JOB {
 		return outcome
 	}
+	q := m.QueueFor(spec.Host, spec.Path)
 	if m.Job(spec.GetId()) != nil {
 		return apiv1.JobOutcome_JOB_OUTCOME_OK
 	}
@@ -73,7 +77,7 @@
 	if outcome := m.admit(spec, q); outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
 		return outcome
 	}
-	j := newJob(spec, q, m.nowMs)
+	j = newJob(spec, q, m.nowMs)
 	m.jobs[spec.Id] = j
 	m.countPending(j, 1)
 	m.active.put(spec.Id, j)
--- a/jobqueue/unsubmitted.go
+++ b/jobqueue/unsubmitted.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
@@ -35,7 +34,7 @@
 		return false
 	}
 	m.unsubmitted--
-	if j.Spec.Path != spec.Path || !strings.EqualFold(j.Spec.Host, spec.Host) {
+	if !j.submittedTo(spec.Host, spec.Path) {
 		delete(m.jobs, spec.Id)
 		m.finished = slices.DeleteFunc(m.finished, func(id string) bool { return id == spec.Id })
 		return false
