jobqueue: refuse a submission whose ID belongs to a job at another path

A submission was acknowledged if its ID was known, whatever path the job with that ID was submitted to. Nothing was stored at the path of the new one, so its caller was told 200 and then, by GET, 410.

Cause: submissions recognized a job by its ID, reads and cancels by its queue. Since runs are named by the ID, two jobs can't share one: the second submission is refused as invalid (400) and never runs. A repeated submission at the job's own path is acknowledged as before.

TestSubmissionWithTheIDOfAnotherJobIsRefused failed before (JOB_OUTCOME_OK).

--- a/jobapi/outcomes.go
+++ b/jobapi/outcomes.go
@@ -75,6 +75,7 @@
 
 // outcomeMessages explains the outcomes whose names are not self-explanatory.
 var outcomeMessages = map[apiv1.JobOutcome]string{
+	apiv1.JobOutcome_JOB_OUTCOME_INVALID:    "the request is not valid: its content, its path, or an ID that belongs to a job at another path",
 	apiv1.JobOutcome_JOB_OUTCOME_NO_POOL:    "the configuration in effect has no such pool",
 	apiv1.JobOutcome_JOB_OUTCOME_CONFLICT:   "the host is in a maintenance wave or another move, or was moved recently",
 	apiv1.JobOutcome_JOB_OUTCOME_NO_ZONE:    "there is no such availability zone",
@@ -91,12 +92,16 @@
 		writeJSON(w, status, struct{}{})
 		return
 	}
-	message, known := outcomeMessages[o]
-	if !known {
-		message = o.String()
-	}
+	writeError(w, status, Explanation(o, err))
+}
+
+// Explanation returns the text of a response with an outcome other than OK or with an error.
+func Explanation(o apiv1.JobOutcome, err error) string {
 	if err != nil {
-		message = err.Error()
+		return err.Error()
+	}
+	if message, known := outcomeMessages[o]; known {
+		return o.String() + ": " + message
 	}
-	writeError(w, status, message)
+	return o.String()
 }
--- a/jobqueue/routes_test.go
+++ b/jobqueue/routes_test.go
@@ -118,3 +118,25 @@
 		t.Errorf("pending jobs of the removed route: %v", outcome)
 	}
 }
+
+// Guards against an acknowledgement of a job that is not stored: its ID belongs to a job at another path, and
+// the caller is told afterwards that there is no such job.
+func TestSubmissionWithTheIDOfAnotherJobIsRefused(t *testing.T) {
+	m := newMachine()
+	m.put(configuration(2, queueAt(urgentPrefix)))
+	if outcome := m.submitAt(urgentPath, urgentJob, one(1)); outcome != ok {
+		t.Fatal(outcome)
+	}
+	for range 2 {
+		if outcome := m.submitAt("/q/"+urgentJob, urgentJob, one(1)); outcome != apiv1.JobOutcome_JOB_OUTCOME_INVALID {
+			t.Errorf("submission at another path: %v", outcome)
+		}
+		if outcome := m.cancelAt("/q/"+urgentJob, urgentJob); outcome != apiv1.JobOutcome_JOB_OUTCOME_NO_JOB {
+			t.Errorf("cancel at another path: %v", outcome)
+		}
+		if j, outcome := m.Lookup(host, urgentPath, urgentJob); j == nil || !j.Open() {
+			t.Errorf("the job is %v, %v", j, outcome)
+		}
+		m.restore(t)
+	}
+}
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -62,10 +62,8 @@
 		return outcome
 	}
 	q := m.QueueFor(spec.Host, spec.Path)
-	if m.Job(spec.GetId()) != nil {
-		return apiv1.JobOutcome_JOB_OUTCOME_OK
-	}
-	if ValidateJob(spec) != nil || q.PathPrefix+spec.Id != spec.Path {
+	idTaken := m.Job(spec.Id) != nil // by a job at another path; runs are named by the ID alone
+	if idTaken || ValidateJob(spec) != nil || q.PathPrefix+spec.Id != spec.Path {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 	}
 	if m.submitCanceled(spec, q) {
