jobqueue: a cancel before its submission holds whatever queue takes the path

The cancel of a job that is not known is recorded, so that a submission still in the network does not start the job. It was recorded only if the path was that of a job of the queue that takes it now. While the queue was removed, the caller was told 410 (a shorter prefix took the path) or 404, and the submission that arrived after the queue was back ran.

Cause: as for accepted jobs, the route of the moment decided what a request is about. The record now needs the host, the path and the ID only. A cancel without any configuration is answered as not executed and is not recorded.

TestSubmissionAfterCancelWithoutItsRouteDoesNotRun failed before for five of its eight kinds of change.

--- a/jobqueue/routes_test.go
+++ b/jobqueue/routes_test.go
@@ -140,3 +140,30 @@
 		m.restore(t)
 	}
 }
+
+// Guards against a job that runs after its caller was told that there is nothing to cancel: the cancel arrives
+// before the submission and while another queue, or none, takes the path of the job.
+func TestSubmissionAfterCancelWithoutItsRouteDoesNotRun(t *testing.T) {
+	for name, change := range routeChanges() {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			m.worker("w1", "h1", 1000)
+			m.put(change)
+			if outcome := m.cancelAt(urgentPath, urgentJob); outcome == ok {
+				t.Fatal("a job that nobody submitted is cancelled")
+			}
+			m.restore(t)
+			m.put(configuration(4, queueAt(urgentPrefix)))
+			if outcome := m.submitAt(urgentPath, urgentJob, one(1)); outcome != ok {
+				t.Errorf("the submission after the cancel: %v", outcome)
+			}
+			if m.start(task(urgentJob, 0, 0), 1, "w1") {
+				t.Error("the job starts")
+			}
+		})
+	}
+	m := &machine{Machine: jobqueue.New(), now: 1000, ends: map[string]uint64{}}
+	if outcome := m.cancelAt(urgentPath, urgentJob); outcome != apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION || len(m.Snapshot().Jobs) > 0 {
+		t.Errorf("a cancel that is answered as not executed: %v, %d records", outcome, len(m.Snapshot().Jobs))
+	}
+}
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -108,7 +108,7 @@
 func (m *Machine) cancel(c *apiv1.CancelJob) apiv1.JobOutcome {
 	j, outcome := m.Lookup(c.GetHost(), c.GetPath(), c.GetId())
 	if j == nil {
-		if outcome == apiv1.JobOutcome_JOB_OUTCOME_NO_JOB {
+		if outcome != apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION {
 			m.cancelUnsubmitted(c)
 		}
 		return outcome
--- a/jobqueue/unsubmitted.go
+++ b/jobqueue/unsubmitted.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
@@ -14,13 +15,14 @@
 func (j *Job) unsubmitted() bool { return len(j.Spec.Steps) == 0 }
 
 // cancelUnsubmitted records the cancel of a job that is not known, so that a submission that is still in
-// the network does not start the job: its caller was told that there is none.
+// the network does not start the job: its caller was told that there is none. The queue of the path does not
+// matter, because a later configuration may accept the submission.
 func (m *Machine) cancelUnsubmitted(c *apiv1.CancelJob) {
-	q := m.QueueFor(c.Host, c.Path)
-	if m.jobs[c.Id] != nil || c.Id == "" || q.PathPrefix+c.Id != c.Path || m.unsubmitted >= maxUnsubmitted || len(m.jobs) >= MaxJobs {
+	isJobPath := c.Id != "" && strings.HasSuffix(c.Path, c.Id)
+	if m.jobs[c.Id] != nil || !isJobPath || m.unsubmitted >= maxUnsubmitted || len(m.jobs) >= MaxJobs {
 		return
 	}
-	j := &Job{Spec: &apiv1.JobSpec{Id: c.Id, Host: c.Host, Path: c.Path}, Queue: q}
+	j := &Job{Spec: &apiv1.JobSpec{Id: c.Id, Host: c.Host, Path: c.Path}}
 	m.jobs[c.Id] = j
 	m.unsubmitted++
 	m.finish(j, apiv1.JobState_JOB_STATE_CANCELED)
