jobqueue: jobs of a removed queue keep its last configuration

Jobs of a queue that was removed fell back to the configuration of their queue at the time they were accepted. A job whose limit of attempts had been raised since and that had used up the former limit was failed by the removal; its tasks started in the pool that the queue had before, with its former priority.

Cause: a job kept the queue of its acceptance, and QueueOf took the newest one from the configuration only while the queue was in it. Each change of the configuration now gives the open jobs the new configuration of their queues, so the field holds the last one when the queue goes. QueueOf is gone, as are the renames of the records of jobs: both are this update.

TestJobsOfARemovedQueueKeepItsLastConfiguration failed before in its four kinds: the job was failed, with one attempt in place of three.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -185,7 +185,7 @@
 	b.durations = l.planner.Durations()
 	b.waiting = admission.Waiting{}
 	for _, j := range m.Active() {
-		if q := m.QueueOf(j); j.Open() && !m.QueueHeld(q.Name) {
+		if q := j.Queue; j.Open() && !m.QueueHeld(q.Name) {
 			b.addJob(j, q.Priority, now)
 		}
 	}
@@ -245,7 +245,7 @@
 		if spec := j.Spec.Steps[w.Step.Step]; spec.LongRunning {
 			continue
 		}
-		key := laneKey{m.QueueOf(j).Priority, j.Account()}
+		key := laneKey{j.Queue.Priority, j.Account()}
 		b.delays[key] = max(b.delays[key], now.Sub(wait.since))
 	}
 }
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -33,7 +33,7 @@
 		if run == nil || run.Step.TailObjectiveMs == 0 || o.Figure <= run.Step.TailObjectiveMs {
 			continue
 		}
-		d.countByKind("dispatch.objective_misses", m.QueueOf(run.Job()).GetName())
+		d.countByKind("dispatch.objective_misses", run.Job().Queue.GetName())
 	}
 }
 
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		last := len(j.Occurrences) - 1
-		open[j.ID()] = openJob{j.DueMs(last), l.planner.AllowedTime(m.QueueOf(j), j.Occurrences[last])}
+		open[j.ID()] = openJob{j.DueMs(last), l.planner.AllowedTime(j.Queue, j.Occurrences[last])}
 	}
 	return open
 }
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -83,7 +83,6 @@
 		if j := m.CallerJobs().Job(id); j != nil {
 			resp.Outcome = apiv1.JobOutcome_JOB_OUTCOME_OK
 			resp.Explanation = &apiv1.JobExplanation{Job: j.Record()}
-			resp.Explanation.Job.Queue = m.CallerJobs().QueueOf(j)
 		}
 	})
 	if resp.Explanation == nil {
--- a/jobqueue/configuration.go
+++ b/jobqueue/configuration.go
@@ -94,7 +94,7 @@
 		}
 		m.setConfiguration(c)
 		m.carryHolds(renames)
-		m.renameQueuesOfJobs(renames)
+		m.updateQueuesOfJobs()
 		m.failJobsWithoutAttempts()
 	}
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
@@ -143,17 +143,6 @@
 	return best
 }
 
-// QueueOf returns the current configuration of a job's queue. If the queue was removed, it returns
-// the configuration at the time the job was accepted.
-func (m *Machine) QueueOf(j *Job) *apiv1.JobQueue {
-	for _, q := range m.configuration.Queues {
-		if q.PathPrefix == j.Queue.PathPrefix && strings.EqualFold(q.Host, j.Queue.Host) {
-			return q
-		}
-	}
-	return j.Queue
-}
-
 // Pool returns a pool of the configuration, or nil if there is none.
 func (m *Machine) Pool(name string) *apiv1.WorkerPool {
 	for _, p := range m.configuration.Pools {
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -100,7 +100,7 @@
 		return nil
 	}
 	j := m.jobs[id.Job]
-	if len(m.holds) > 0 && m.QueueHeld(m.QueueOf(j).GetName()) {
+	if len(m.holds) > 0 && m.QueueHeld(j.Queue.GetName()) {
 		return nil // the queue was held after the plan was made
 	}
 	// Limits of running work are the planner's only: a start beyond a limit that was lowered after the plan
@@ -156,7 +156,7 @@
 
 // AttemptsLeft reports whether a task may run again after its failures.
 func (m *Machine) AttemptsLeft(j *Job, s *apiv1.JobStep, t *Task) bool {
-	return s.LongRunning || t.Failures == 0 || t.Failures < m.maxAttempts(j)
+	return s.LongRunning || t.Failures == 0 || t.Failures < j.maxAttempts()
 }
 
 // MayRunOn validates a start against the state of the worker: its pool, label, spread and free
@@ -166,7 +166,7 @@
 	switch {
 	case w.Departed || w.Spec.Draining || m.leaving[w.Spec.Id] || m.Cordoned(w.Spec.AvailabilityZone):
 		return false
-	case w.Spec.Pool != m.QueueOf(j).Pool:
+	case w.Spec.Pool != j.Queue.Pool:
 		return false
 	case !w.HasLabel(s.RequiredLabel):
 		return false
--- a/jobqueue/rename.go
+++ b/jobqueue/rename.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 )
 
@@ -82,27 +80,21 @@
 	m.holds[name] = next
 }
 
-// renameQueuesOfJobs gives the queues that jobs refer to their new names. A job of a queue that is removed
-// later is held by the name in its own record.
-func (m *Machine) renameQueuesOfJobs(renames []queueRename) {
-	if len(renames) == 0 {
-		return
-	}
-	names := make(map[queueKey]string, len(renames))
-	for _, r := range renames {
-		names[r.at] = r.to
-	}
-	renamed := map[*apiv1.JobQueue]*apiv1.JobQueue{}
+// updateQueuesOfJobs gives the open jobs the new configuration of their queues. Jobs of a queue that is
+// removed keep its last one.
+func (m *Machine) updateQueuesOfJobs() {
+	queues := m.queuesByLocation()
 	for _, j := range m.active.values {
-		name, found := names[keyOf(j.Queue)]
-		if !found {
-			continue
+		if q := queues[keyOf(j.Queue)]; q != nil {
+			j.Queue = q
 		}
-		// The former record may be part of a configuration or of a response, so it is replaced.
-		if renamed[j.Queue] == nil {
-			renamed[j.Queue] = proto.CloneOf(j.Queue)
-			renamed[j.Queue].Name = name
-		}
-		j.Queue = renamed[j.Queue]
 	}
 }
+
+func (m *Machine) queuesByLocation() map[queueKey]*apiv1.JobQueue {
+	queues := make(map[queueKey]*apiv1.JobQueue, len(m.configuration.Queues))
+	for _, q := range m.configuration.Queues {
+		queues[keyOf(q)] = q
+	}
+	return queues
+}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -266,7 +266,7 @@
 		return
 	}
 	failures := m.countFailure(s, t, id.Number)
-	if failures >= m.maxAttempts(j) {
+	if failures >= j.maxAttempts() {
 		m.failJob(j, id.Task, apiv1.JobFailure_JOB_FAILURE_ATTEMPTS)
 	}
 }
@@ -286,7 +286,7 @@
 	return t.Failures
 }
 
-func (m *Machine) maxAttempts(j *Job) uint32 { return max(1, m.QueueOf(j).MaxAttempts) }
+func (j *Job) maxAttempts() uint32 { return max(1, j.Queue.MaxAttempts) }
 
 // stopGang stops the other members of a gang after the run of one member ended.
 func (m *Machine) stopGang(r *Run) {
--- a/jobqueue/routes_test.go
+++ b/jobqueue/routes_test.go
@@ -167,3 +167,45 @@
 		t.Errorf("a cancel that is answered as not executed: %v, %d records", outcome, len(m.Snapshot().Jobs))
 	}
 }
+
+// Guards against a removed queue whose jobs fall back to its configuration of when they were accepted: a job
+// fails by a limit that was raised since, or its tasks start in the former pool.
+func TestJobsOfARemovedQueueKeepItsLastConfiguration(t *testing.T) {
+	const newPool = "new pool"
+	for name, removed := range map[string]func(*machine){
+		"removed":                      func(m *machine) { m.put(configuration(4)) },
+		"removed, and restored before": func(m *machine) { m.restore(t); m.put(configuration(4)) },
+		"removed, and restored since":  func(m *machine) { m.put(configuration(4)); m.restore(t) },
+		"removed for two versions":     func(m *machine) { m.put(configuration(4)); m.put(configuration(5, queueAt("/other/"))) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			m.worker("w1", "h1", 1000)
+			moved := spec("w2", "h2", 1000)
+			moved.Pool = newPool
+			m.report(&apiv1.ReportWorker{Worker: moved})
+			first := queueAt(urgentPrefix)
+			first.MaxAttempts = 1
+			m.put(configuration(2, first))
+			m.submitAt(urgentPath, urgentJob, one(1))
+			changed := configuration(3, queueAt(urgentPrefix))
+			changed.Pools = append(changed.Pools, &apiv1.WorkerPool{Name: newPool})
+			changed.Queues[1].Pool, changed.Queues[1].MaxAttempts = newPool, 3
+			m.put(changed)
+			if !m.start(task(urgentJob, 0, 0), 1, "w2") {
+				t.Fatal("no start in the new pool")
+			}
+			m.end("w2", task(urgentJob, 0, 0), 1, failed)
+			removed(m)
+			if j := m.Job(urgentJob); !j.Open() || j.Queue.MaxAttempts != 3 {
+				t.Errorf("the job is %v, with %d attempts", j.State, j.Queue.MaxAttempts)
+			}
+			if m.start(task(urgentJob, 0, 0), 2, "w1") {
+				t.Error("the task starts in the former pool")
+			}
+			if !m.start(task(urgentJob, 0, 0), 2, "w2") {
+				t.Error("the task does not start in the last pool")
+			}
+		})
+	}
+}
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -99,6 +99,7 @@
 			return nil, err
 		}
 	}
+	m.updateQueuesOfJobs() // a snapshot of an earlier release has those of when the jobs were accepted
 	slices.SortFunc(m.finished, func(a, b string) int {
 		return compareFinished(m.jobs[a], m.jobs[b])
 	})
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -106,7 +106,8 @@
 // Job is a submitted job.
 type Job struct {
 	Spec *apiv1.JobSpec
-	// Queue is the queue's configuration at the time the job was accepted.
+	// Queue is the newest configuration of the job's queue: the one in effect, or the last one if the queue
+	// was removed. That of a finished job is not updated.
 	Queue *apiv1.JobQueue
 	State apiv1.JobState
 	// Started: a run of the job is known to have begun, because it ended or saved a checkpoint.
--- a/schedule/fleetproperty_test.go
+++ b/schedule/fleetproperty_test.go
@@ -154,7 +154,7 @@
 		for i, step := range j.Occurrences[0].Steps {
 			for k, task := range step.Tasks {
 				if j.Open() && step.Spec.LongRunning && len(task.Runs) == 0 {
-					found = append(found, &candidate{job: j, queue: m.QueueOf(j), stepIndex: i, step: step, tasks: []int{k}, neededSpeed: defaultMinSpeed})
+					found = append(found, &candidate{job: j, queue: j.Queue, stepIndex: i, step: step, tasks: []int{k}, neededSpeed: defaultMinSpeed})
 				}
 			}
 		}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -71,7 +71,7 @@
 	id := run.ID.Task
 	j := run.Job()
 	c := &candidate{
-		job: j, queue: r.machine.QueueOf(j), occurrence: int(id.Occurrence), stepIndex: int(id.Step),
+		job: j, queue: j.Queue, occurrence: int(id.Occurrence), stepIndex: int(id.Step),
 		step: j.Occurrences[id.Occurrence].Steps[id.Step], neededSpeed: defaultMinSpeed,
 	}
 	usable := current.usable
@@ -91,5 +91,5 @@
 // held reports whether the queue of a run is held. If such a run were stopped to move it, it would not
 // start again until the queue is released.
 func (r *round) held(run *jobqueue.Run) bool {
-	return r.machine.QueueHeld(r.machine.QueueOf(run.Job()).GetName())
+	return r.machine.QueueHeld(run.Job().Queue.GetName())
 }
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -89,7 +89,7 @@
 		if j == nil || !w.needsHosts() {
 			continue
 		}
-		pool := m.QueueOf(j).Pool
+		pool := j.Queue.Pool
 		if w.Tasks > needs[pool].tasks {
 			needs[pool] = poolNeed{step: j.Occurrences[w.Step.Occurrence].Steps[w.Step.Step].Spec, tasks: w.Tasks}
 		}
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -211,7 +211,7 @@
 }
 
 func (r *round) newCandidate(j *jobqueue.Job, occurrence, stepIndex int, s *jobqueue.Step, tasks []int) *candidate {
-	q := r.machine.QueueOf(j)
+	q := j.Queue
 	allowed := r.planner.AllowedTime(q, j.Occurrences[occurrence])
 	c := &candidate{
 		job: j, queue: q, occurrence: occurrence, stepIndex: stepIndex, step: s, tasks: tasks,
