jobqueue: a removed queue with open jobs can be held

An operator could not hold a queue that a configuration had removed: the order was answered 404, and the queue was not listed, while its jobs went on to start tasks. The configuration decided which queues exist, as it did for callers.

Queues that open jobs name are listed and take orders, as they already did for renames. TestRemovedQueueWithOpenJobsCanBeHeld failed before: the hold was answered NO_QUEUE and a task started.

--- a/jobqueue/holds.go
+++ b/jobqueue/holds.go
@@ -43,9 +43,19 @@
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
-// hasQueue reports whether the configuration has a queue of the given name.
-func (m *Machine) hasQueue(name string) bool {
-	return slices.ContainsFunc(m.configuration.Queues, func(q *apiv1.JobQueue) bool { return q.Name == name })
+// hasQueue reports whether the configuration has a queue of the given name, or an open job has one that was
+// removed.
+func (m *Machine) hasQueue(name string) bool { return m.queueNames()[name] }
+
+func (m *Machine) queueNames() map[string]bool {
+	names := map[string]bool{}
+	for _, q := range m.configuration.Queues {
+		names[q.Name] = true
+	}
+	for _, j := range m.active.values {
+		names[j.Queue.GetName()] = true
+	}
+	return names
 }
 
 // QueueHold returns the newest order about the hold of a queue, nil if there was none. The caller must
@@ -55,13 +65,13 @@
 // QueueHeld reports whether no task of a queue may start.
 func (m *Machine) QueueHeld(queue string) bool { return m.holds[queue].GetHeld() }
 
-// Holds returns the hold of each queue that the configuration names or about which there was an order,
-// ordered by name. The caller must not modify them.
+// Holds returns the hold of each queue that the configuration or an open job names or about which there was
+// an order, ordered by name. The caller must not modify them.
 func (m *Machine) Holds() []*apiv1.QueueHold {
 	byName := maps.Clone(m.holds)
-	for _, q := range m.configuration.Queues {
-		if q.Name != "" && byName[q.Name] == nil {
-			byName[q.Name] = &apiv1.QueueHold{Queue: q.Name}
+	for name := range m.queueNames() {
+		if name != "" && byName[name] == nil {
+			byName[name] = &apiv1.QueueHold{Queue: name}
 		}
 	}
 	return sortedHolds(byName)
--- a/jobqueue/routes_test.go
+++ b/jobqueue/routes_test.go
@@ -209,3 +209,28 @@
 		})
 	}
 }
+
+// Guards against jobs that no operator can hold: their queue was removed, and orders about it are refused.
+func TestRemovedQueueWithOpenJobsCanBeHeld(t *testing.T) {
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.put(configuration(2, queueAt(urgentPrefix)))
+	m.submitAt(urgentPath, urgentJob, one(1))
+	m.put(configuration(3))
+	m.restore(t)
+	name := queueAt(urgentPrefix).Name
+	if holds := m.Holds(); len(holds) != 2 || holds[0].Queue != name || holds[0].Held {
+		t.Errorf("listed: %v", holds)
+	}
+	expect(t, "hold", m.hold(name, true, 0), accepted)
+	if m.start(task(urgentJob, 0, 0), 1, "w1") {
+		t.Error("a task of the held queue starts")
+	}
+	expect(t, "release", m.hold(name, false, 1), accepted)
+	if !m.start(task(urgentJob, 0, 0), 1, "w1") {
+		t.Error("no task starts after the release")
+	}
+	m.cancelAt(urgentPath, urgentJob)
+	m.end("w1", task(urgentJob, 0, 0), 1, apiv1.RunEndKind_RUN_END_KIND_STOPPED)
+	expect(t, "queue that is not known", m.hold("unknown", true, 0), apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE)
+}
