--- a/dispatch/submissions_test.go
+++ b/dispatch/submissions_test.go
@@ -271,6 +271,8 @@
 		return "", false
 	case resp.Outcome == apiv1.JobOutcome_JOB_OUTCOME_NO_JOB:
 		return "none", true
+	case resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK:
+		return resp.Outcome.String(), true
 	}
 	return map[apiv1.JobState]string{
 		apiv1.JobState_JOB_STATE_QUEUED: "open", apiv1.JobState_JOB_STATE_RUNNING: "open",
@@ -278,11 +280,10 @@
 	}[resp.State], true
 }
 
-// Guards against a refusal of a job that was accepted, as callers see it: they submit, cancel and read
-// jobs on a full fleet while the leader changes and proposals of deposed leaders are committed or lost.
-func TestRefusalsAreLinearizable(t *testing.T) {
+// jobHistoryModel is the model of the histories of jobs, each by itself.
+func jobHistoryModel(step func(state, input, output any) []any) porcupine.Model {
 	nondeterministic := porcupine.NondeterministicModel{
-		Init: func() []any { return []any{"absent"} }, Step: stepJob,
+		Init: func() []any { return []any{"absent"} }, Step: step,
 		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 			byJob := map[string][]porcupine.Operation{}
 			for _, op := range history {
@@ -295,7 +296,13 @@
 			return parts
 		},
 	}
-	model := nondeterministic.ToModel()
+	return nondeterministic.ToModel()
+}
+
+// Guards against a refusal of a job that was accepted, as callers see it: they submit, cancel and read
+// jobs on a full fleet while the leader changes and proposals of deposed leaders are committed or lost.
+func TestRefusalsAreLinearizable(t *testing.T) {
+	model := jobHistoryModel(stepJob)
 	results := map[string]int{}
 	for seed := range uint64(15) {
 		runSimWith(t, seed, 2, admission.Estimate, func(t *testing.T, s *sim) {
