soak: the queue of the batch jobs comes and goes with the configuration

Configurations now remove the queue of the batch jobs, with and without another one that takes their paths, and bring it back. The checks are unchanged: an accepted job is known at the end of the run, and a cancel that is answered ends its runs.

--- a/soak/configurations.go
+++ b/soak/configurations.go
@@ -117,8 +117,16 @@
 // firstVersion is the version of the initial configuration.
 const firstVersion uint64 = 1
 
+// configuration returns a version of the configuration. The queue of the batch jobs comes and goes with the
+// versions; in some of those without it, the queue of a shorter prefix takes the paths of its jobs.
 func configuration(version uint64) []byte {
-	return platformtest.Configuration(version, pool,
-		platformtest.Queue{Name: "serving", Host: queueHost, PathPrefix: servingPath, MaxAttempts: 2},
-		platformtest.Queue{Name: "batch", Host: queueHost, PathPrefix: batchPath, Priority: 1, MaxAttempts: batchAttempts})
+	queues := []platformtest.Queue{{Name: "serving", Host: queueHost, PathPrefix: servingPath, MaxAttempts: 2}}
+	switch version % 4 {
+	case 2:
+	case 3:
+		queues = append(queues, platformtest.Queue{Name: "rest", Host: queueHost, PathPrefix: "/", MaxAttempts: 1})
+	default:
+		queues = append(queues, platformtest.Queue{Name: "batch", Host: queueHost, PathPrefix: batchPath, Priority: 1, MaxAttempts: batchAttempts})
+	}
+	return platformtest.Configuration(version, pool, queues...)
 }
