dispatch, jobqueue: only the agent of a worker's host may end it

Cause: the end of a worker was believed whichever host's agent reported it. The answer of a host's own worker that it is another incarnation proves nothing of the worker of another host.

MayEnd decides it once, for departures and expired leases, in the leader before anything of the report counts and in the log when it is applied.

--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -48,6 +48,9 @@
 	if l == nil {
 		return 0, nil
 	}
+	if !d.mayEnd(l, r) {
+		return l.term, nil
+	}
 	id := r.Worker.GetId()
 	d.opts.Replica.ReadState(func(m *state.Machine) {
 		jobs := m.CallerJobs()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -87,6 +87,9 @@
 	if l == nil {
 		return appliedReport{}
 	}
+	if r.Departed && !d.mayEnd(l, r) {
+		return appliedReport{term: l.term, outdated: true}
+	}
 	if d.outdated(l, r) {
 		// All agents report to a new leader under numbers of the previous one at first.
 		if r.Departed || !l.reports.numberedByPreviousLeader(r) {
@@ -135,6 +138,17 @@
 	return applied
 }
 
+// mayEnd reports whether an agent may report the end of a worker, and logs the report otherwise. Nothing of
+// such a report is recorded: it would supersede the session of the worker's own agent.
+func (d *Dispatcher) mayEnd(l *leaderState, r *apiv1.JobsReportRequest) (may bool) {
+	d.opts.Replica.ReadState(func(m *state.Machine) { may = m.CallerJobs().MayEnd(r.Worker) })
+	if !may {
+		d.metrics.endsOfOtherHosts.Inc(1)
+		event.EndOfOtherHostIgnored.Write(d.logger, event.Term(l.term), event.Worker(r.Worker.GetId()), event.Host(r.Worker.GetHost()))
+	}
+	return may
+}
+
 // outdated reports whether a report is older than one that was already received. A departure counts
 // only for the runs that its session knew: a worker that was about to leave may run on, and the agent's
 // successor finds it and starts runs on it. The proved end of an incarnation counts whichever leader
--- /dev/null
+++ b/jobqueue/hostauthority_test.go
@@ -0,0 +1,62 @@
+package jobqueue_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
+)
+
+// Guards against a worker that is ended, or whose lease is, by the report of an agent on another host: its
+// tasks run on and start elsewhere as well.
+func TestAgentOfAnotherHostEndsNoWorker(t *testing.T) {
+	for name, r := range map[string]*apiv1.ReportWorker{
+		"departure": {Departed: true},
+		"crash":     {Departed: true, Crash: &apiv1.WorkerCrash{}},
+		"expiry":    {Lapsed: true},
+		"departure with ends": {Departed: true, Ends: []*apiv1.RunEnd{
+			{Sequence: 1, Task: task("a", 0, 0).Ref(), Run: 1, Kind: done},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			m.worker("w1", "h1", 1000)
+			m.worker("w2", "h2", 1000)
+			m.submit("a", one(1))
+			if !m.start(task("a", 0, 0), 1, "w1") {
+				t.Fatal("not started")
+			}
+			before := m.Snapshot()
+			for _, host := range []string{"h2", "h3"} {
+				r := proto.CloneOf(r)
+				r.Worker = spec("w1", host, 1000)
+				if outcome := m.report(r); outcome != apiv1.JobOutcome_JOB_OUTCOME_STALE {
+					t.Errorf("of %s: %v", host, outcome)
+				}
+			}
+			if after := m.Snapshot(); !proto.Equal(before, after) {
+				t.Errorf("the state changed:\n%v\n%v", before, after)
+			}
+			own := proto.CloneOf(r)
+			own.Worker = spec("w1", "h1", 1000)
+			if outcome := m.report(own); outcome != ok || m.Run(jobqueue.RunID{Task: task("a", 0, 0), Number: 1}) != nil {
+				t.Errorf("of its own host: %v", outcome)
+			}
+		})
+	}
+}
+
+// Guards against a worker that nobody may end any more since another host's agent took it over.
+func TestAgentThatTookAWorkerOverMayEndIt(t *testing.T) {
+	m := newMachine()
+	m.worker("w1", "h1", 1000)
+	m.worker("w1", "h2", 1000)
+	if outcome := m.report(&apiv1.ReportWorker{Worker: spec("w1", "h1", 1000), Departed: true}); outcome != apiv1.JobOutcome_JOB_OUTCOME_STALE || m.Worker("w1") == nil {
+		t.Errorf("the former host: %v", outcome)
+	}
+	if outcome := m.report(&apiv1.ReportWorker{Worker: spec("w1", "h2", 1000), Departed: true}); outcome != ok || m.Worker("w1") != nil {
+		t.Errorf("the new host: %v", outcome)
+	}
+}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -16,6 +16,8 @@
 	if known := m.workers.get(spec.Id); known != nil && known.Departed {
 		// This is a delayed message from a previous incarnation.
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
+	} else if (r.Departed || r.Lapsed) && !m.MayEnd(spec) {
+		return apiv1.JobOutcome_JOB_OUTCOME_STALE
 	} else if known == nil && r.Departed {
 		m.recordUnknownDeparture(spec)
 		return apiv1.JobOutcome_JOB_OUTCOME_OK
@@ -45,6 +47,14 @@
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
 }
 
+// MayEnd reports whether the agent that describes a worker may report that it, or its lease, has ended. A
+// worker that is known ends by the agent of its own host only: an agent elsewhere knows of it by a message
+// of another program, and that the worker of its host is another one proves nothing.
+func (m *Machine) MayEnd(reported *apiv1.JobWorker) bool {
+	w := m.Worker(reported.GetId())
+	return w == nil || w.Spec.Host == reported.GetHost()
+}
+
 // upsertWorker adds the worker of a report or updates its description. A new incarnation on a host ends
 // the previous one, because the two cannot be there together.
 func (m *Machine) upsertWorker(r *apiv1.ReportWorker) *Worker {
