agent/runs: one foreign message does not decide the pool of a worker

Cause: the first message of a session decided the pool, whatever the host's settings say, and the pool was never given up. The agent's log has "worker found", reports arrive, and "unusable entries dropped" has "belongs to pool"; so the session exists and has the wrong pool.

placementClaims decides it once: the pool of the settings counts at once, any other pool or zone once it has been announced for a second and nothing else between, and it then replaces what was believed.

--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -46,7 +47,10 @@
 	Worker Worker
 	Leader Leader
 	// Host is the name of this host as given in the worker's announcements.
-	Host    string
+	Host string
+	// Pool is the pool of the host's worker, empty if it is not known. An announcement of another pool
+	// is believed once it is repeated, because a worker may be moved.
+	Pool    string
 	Logger  *zap.Logger
 	Metrics metrics.Registry
 	// MaxLease is the longest time that the worker keeps running after a call that renews its
@@ -86,6 +90,7 @@
 
 	mu      sync.Mutex
 	session *session
+	claims  placementClaims
 	// servedIncarnations are the incarnations of previous and current sessions, newest last.
 	servedIncarnations []string
 	// departed contains incarnations that have ended, so that a late announcement does not start
@@ -112,7 +117,7 @@
 		opts: o, leaderAnswers: answers, logger: event.Runs.Named(o.Logger), metrics: newMetricSet(o.Metrics),
 		workerWatch:     dependency.New("worker", o.Logger, o.Now),
 		capacityWatch:   dependency.New("announcements of capacity", o.Logger, o.Now),
-		workerAnnounced: make(chan struct{}, 1), departed: map[string]bool{},
+		workerAnnounced: make(chan struct{}, 1), departed: map[string]bool{}, claims: placementClaims{expectedPool: o.Pool},
 	}
 	// A previous agent may have renewed the worker's lease until this moment.
 	previousLease := maxLeaseOnHostClock(o.MaxLease)
@@ -149,9 +154,11 @@
 	case d.departed[id]:
 		return true, nil
 	case s != nil && s.incarnation == id:
-		return true, s.updateAnnouncement(a)
+		return true, s.updateAnnouncement(a, d.claims.believed(a, s.placement(), d.opts.Now()))
 	case s != confirmedBeside:
 		return false, nil
+	case !d.claims.believed(a, nil, d.opts.Now()):
+		return true, errors.Newf("worker %.60q names pool %.40q, the host's settings %.40q; it is believed once it is repeated", id, a.Worker.Pool, d.opts.Pool)
 	default:
 		event.WorkerFound.Write(d.logger, event.Worker(id), event.PreviousWorker(incarnationOf(s)))
 		d.departures.forgetAcknowledged()
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -143,19 +143,33 @@
 	s.endAlive()
 }
 
-// updateAnnouncement records a further announcement of the incarnation. It refuses one that names
-// another pool or availability zone, because an incarnation stays in both: otherwise an announcement
-// forged by another program would take a healthy worker out of use, or its starts past a cordon.
-func (s *session) updateAnnouncement(a Announcement) error {
+// placement returns where the incarnation is believed to be.
+func (s *session) placement() *placement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if pool := s.announced.Worker.Pool; a.Worker.Pool != pool {
-		return errors.Newf("worker %.60q belongs to pool %.40q, not to %.40q", s.incarnation, pool, a.Worker.Pool)
-	}
-	if zone := s.announced.Worker.AvailabilityZone; a.Worker.AvailabilityZone != zone {
-		return errors.Newf("worker %.60q belongs to availability zone %.40q, not to %.40q", s.incarnation, zone, a.Worker.AvailabilityZone)
+	p := s.announced.placement()
+	return &p
+}
+
+// updateAnnouncement records a further announcement of the incarnation. It refuses one that names another pool
+// or availability zone and is not believed, because an incarnation stays in both: otherwise an announcement
+// forged by another program would take a healthy worker out of use, or its starts past a cordon. Another
+// placement that is believed replaces that of an earlier announcement, which then was not the worker's.
+func (s *session) updateAnnouncement(a Announcement, believed bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, after := s.announced.placement(), a.placement()
+	if !believed {
+		return errors.Newf("worker %.60q belongs to pool %.40q in availability zone %.40q, not to %.40q in %.40q",
+			s.incarnation, before.pool, before.zone, after.pool, after.zone)
 	}
 	departed := s.announced.Departed
+	if after != before {
+		event.WorkerPlacementCorrected.Write(s.d.logger, event.Worker(s.incarnation), event.FromPool(before.pool), event.Pool(after.pool), event.AvailabilityZone(after.zone))
+		s.announced, s.announcedAt = a, s.d.opts.Now()
+		s.announced.Departed = departed
+		return nil
+	}
 	draining := s.announced.Worker.Draining || a.Worker.Draining
 	if a.Sequence > s.announced.Sequence {
 		s.announcedAt = s.d.opts.Now()
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -430,10 +430,10 @@
 	return nil
 }
 
-// Pool is the pool to which a host moves.
+// Pool is the pool to which a host moves, or in which a worker is.
 func Pool(name string) Field { return stringField("pool", name) }
 
-// FromPool is the pool that a host leaves.
+// FromPool is the pool that a host leaves, or in which a worker was believed to be.
 func FromPool(name string) Field { return stringField("from", name) }
 
 // Order is the sequence number of an order about a host.
