schedule, dispatch: a foreign entry of a host does not have it ordered away

Beside the proper entry of a machine, the platform's list had another writer's, with a service that does not exist and an old id.

Cause: the last readable entry of a machine counted, so the wave looked at a worker that the log does not know. Ruled out: the budget of the step, which holds without the entry.

Decoding keeps all readable entries, and SettleEntries decides which holds for waves, moves and operators: pools of the configuration first, then workers that the log knows; a contradiction makes the host not usable and not gone.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -61,6 +62,8 @@
 	longRunningQuestions, otherQuestions chan pendingQuestion
 	advisorWatch                         *dependency.Watch
 	hostsWatch                           *dependency.Watch
+	// setAsideLoggedAt is when entries of hosts that were set aside were last logged, as Unix nanoseconds.
+	setAsideLoggedAt atomic.Int64
 	// submissions is nil unless the leader may refuse submitted jobs.
 	submissions *submissions
 
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -119,10 +119,33 @@
 	hosts, err := d.opts.Hosts.List(ctx)
 	d.hostsWatch.Record(err)
 	d.countCall("dispatch.host_lists", err)
-	d.opts.Replica.ReadState(func(m *state.Machine) { resolveIncarnations(hosts, m.CallerJobs()) })
+	var entries, conflicts int
+	d.opts.Replica.ReadState(func(m *state.Machine) {
+		resolveIncarnations(hosts, m.CallerJobs())
+		entries, conflicts = schedule.SettleEntries(m.CallerJobs(), hosts)
+	})
+	d.recordEntriesSetAside(entries, conflicts)
 	return hosts, err
 }
 
+// setAsideLogInterval is the least time between two lines about entries that were set aside: a list is read
+// every half second, and a foreign entry may stay in it.
+const setAsideLogInterval = 5 * time.Second
+
+// recordEntriesSetAside counts and logs the entries of hosts that are listed more than once.
+func (d *Dispatcher) recordEntriesSetAside(entries, conflicts int) {
+	if entries == 0 {
+		return
+	}
+	d.metrics.hostEntriesSetAside.Inc(int64(entries))
+	now := d.opts.Now().UnixNano()
+	last := d.setAsideLoggedAt.Load()
+	if now-last >= int64(setAsideLogInterval) && d.setAsideLoggedAt.CompareAndSwap(last, now) {
+		event.HostEntriesSetAside.Write(d.logger, event.EntryCount(entries), event.ConflictCount(conflicts),
+			event.TotalCount(d.metrics.hostEntriesSetAside.Count()))
+	}
+}
+
 // resolveIncarnations replaces the worker ids of a host list by the names of the workers' newest
 // incarnations in the log. Without it, a worker that has returned from its host's maintenance under
 // the same id would count as the previous incarnation, and the wave would never finish; and a
@@ -130,18 +153,25 @@
 func resolveIncarnations(hosts map[string]schedule.HostView, m *jobqueue.Machine) {
 	newest := m.NewestIncarnations()
 	for name, view := range hosts {
-		incarnation, known := newest[view.Worker]
-		if !known {
-			continue
-		}
-		if m.HasDeparted(incarnation) && m.Pool(view.Pool).GetStandby() {
-			incarnation = ""
+		resolveIncarnation(&view, newest, m)
+		for i := range view.Others {
+			resolveIncarnation(&view.Others[i], newest, m)
 		}
-		view.Worker = incarnation
 		hosts[name] = view
 	}
 }
 
+func resolveIncarnation(view *schedule.HostView, newest map[string]string, m *jobqueue.Machine) {
+	incarnation, known := newest[view.Worker]
+	if !known {
+		return
+	}
+	if m.HasDeparted(incarnation) && m.Pool(view.Pool).GetStandby() {
+		incarnation = ""
+	}
+	view.Worker = incarnation
+}
+
 func (d *Dispatcher) advanceWaves(ctx context.Context, term uint64, hosts map[string]schedule.HostView) {
 	var steps []*apiv1.MaintainHost
 	d.opts.Replica.ReadState(func(m *state.Machine) { steps = schedule.NextMaintenance(m.CallerJobs(), hosts) })
--- a/dispatch/metricset.go
+++ b/dispatch/metricset.go
@@ -36,6 +36,8 @@
 	queuesHeld metrics.Gauge
 	// reportsOutdated counts the reports that arrived after newer ones of the same worker.
 	reportsOutdated metrics.Counter
+	// hostEntriesSetAside counts the entries of hosts that are listed more than once and do not hold.
+	hostEntriesSetAside metrics.Counter
 	// endsOfOtherHosts counts the reports that a worker of another host has ended.
 	endsOfOtherHosts metrics.Counter
 	// unloggedRuns counts the runs that workers listed and the log did not contain.
@@ -75,8 +77,9 @@
 		workerCrashes:    metrics.GetOrRegisterCounter("dispatch.workers_crashed", r),
 		paceOrders:       metrics.GetOrRegisterCounter("dispatch.pace_orders", r),
 
-		endsOfOtherHosts: metrics.GetOrRegisterCounter("dispatch.ends_of_other_hosts", r),
-		reportsOutdated:  metrics.GetOrRegisterCounter("dispatch.reports_outdated", r),
+		hostEntriesSetAside: metrics.GetOrRegisterCounter("dispatch.host_entries_set_aside", r),
+		endsOfOtherHosts:    metrics.GetOrRegisterCounter("dispatch.ends_of_other_hosts", r),
+		reportsOutdated:     metrics.GetOrRegisterCounter("dispatch.reports_outdated", r),
 
 		unloggedRuns: metrics.GetOrRegisterCounter("dispatch.runs_unlogged", r),
 
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -78,6 +78,7 @@
 	SubmissionRefused      = declare(Dispatch, Warning, "submission refused", NameTerm, NameJob, NameAccount, "reason", "estimate", "estimate_error", NameAllowed, "ahead_core_ms", "queueing_delay", "retry_after")
 	SubmissionsRefused     = declare(Dispatch, Warning, "submissions refused", NameTerm, "reasons", "accounts", NameTook)
 	ReportOutdated         = declare(Dispatch, Warning, "report is outdated", NameTerm, NameWorker)
+	HostEntriesSetAside    = declare(Dispatch, Warning, "entries of hosts that are listed twice are set aside", "entries", "conflicts", "so_far")
 	EndOfOtherHostIgnored  = declare(Dispatch, Warning, "end of another host's worker is ignored", NameTerm, NameWorker, "host")
 	ReportUnconfirmed      = declare(Dispatch, Rare, "report is not confirmed", NameWorker, "error")
 )
--- a/logging/event/fields.go
+++ b/logging/event/fields.go
@@ -147,6 +147,9 @@
 // OrderCount is a number of ordered starts that are not confirmed.
 func OrderCount(n int) Field { return intField("orders", n) }
 
+// ConflictCount is the number of hosts whose entries contradict each other.
+func ConflictCount(n int) Field { return intField("conflicts", n) }
+
 // HostCount is a number of hosts.
 func HostCount(n int) Field { return intField("hosts", n) }
 
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -20,6 +20,8 @@
 	// Capacity and Labels are those of the host's worker, or of the worker that it would run.
 	Capacity jobqueue.Resources
 	Labels   []string
+	// Others are further entries of the host that differ. SettleEntries decides which one holds.
+	Others []HostView
 }
 
 // UnnamedHost is the key in a list for hosts whose names can't be read. While it is present, no
