dispatch: jobs that wait stay pending when the leader changes

Cause: the log tells that a start was ordered, not that it began, and a new leader took ordered runs of workers without a report as begun. GET of each job shows that the log has them; the number is right again after the report.

What is not known to have begun is pending.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -188,7 +188,7 @@
 	if l == nil {
 		return nil, nil
 	}
-	verdictsDue := false
+	verdictsDue, beginsDue := false, false
 	now := d.opts.Now()
 	started := time.Now()
 	l.attention.recordRound(now)
@@ -207,6 +207,9 @@
 			d.metrics.paceOrders.Inc(1)
 		}
 		plan.Learnt = l.learnedToSave(now)
+		var begun []*apiv1.RunCheckpoint
+		begun, beginsDue = l.begins.unsaved(jobs, now)
+		plan.Checkpoints = append(plan.Checkpoints, begun...)
 		d.checkLongRunning(l, jobs, decision, now)
 		d.checkStops(l, jobs, now)
 		d.logDecision(jobs, l, plan, now)
@@ -222,7 +225,7 @@
 		l.batchedLog.flushIfDue(l.term, now)
 	})
 	d.metrics.planning.ObserveSince(started)
-	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed)+len(plan.TrialsOver) == 0 && !verdictsDue && plan.Learnt == nil {
+	if len(plan.Starts)+len(plan.Stops)+len(plan.Lapsed)+len(plan.TrialsOver) == 0 && !verdictsDue && !beginsDue && plan.Learnt == nil {
 		return nil, nil
 	}
 	return plan, plan.Lapsed
--- a/dispatch/leadership.go
+++ b/dispatch/leadership.go
@@ -62,6 +62,7 @@
 	// awaitedBegins are the runs of long-running steps that this leader decided to start and that no
 	// worker has listed, with the times of the decisions.
 	awaitedBegins map[jobqueue.RunID]time.Time
+	begins        begins
 	// learnedSavedAt is when a plan last carried what the planner learned, and reportedSinceSave is
 	// set once a worker has reported after that.
 	learnedSavedAt    time.Time
@@ -156,6 +157,7 @@
 		attention:          newAttention(now),
 		stops:              newOpenStops(),
 		awaitedBegins:      map[jobqueue.RunID]time.Time{},
+		begins:             begins{},
 	}
 	if d.submissions != nil {
 		d.submissions.lead(term, now)
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -63,11 +63,12 @@
 	return resp
 }
 
-// hasBegun reports whether a run counts as begun. An ordered start of a worker that has not reported
-// to this leader yet is assumed to have succeeded.
+// hasBegun reports whether a run is known to have begun, beside what the log tells. An ordered start of a
+// worker that has not reported to this leader counts as not begun: a job that waits must not be missing, and
+// the log has the jobs that began more than a moment before the leader changed.
 func (l *leaderState) hasBegun(r *jobqueue.Run) bool {
 	_, observed := l.observed[r.ID]
-	return observed || !l.leases.get(r.Worker).reported
+	return observed
 }
 
 // explain returns a job with the reasons why its tasks wait, as the leader knows them.
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -110,7 +110,8 @@
 	// was removed. That of a finished job is not updated.
 	Queue *apiv1.JobQueue
 	State apiv1.JobState
-	// Started: a run of the job is known to have begun, because it ended or saved a checkpoint.
+	// Started: a run of the job is known to have begun, because it ended, saved a checkpoint or was listed by
+	// its worker.
 	Started bool
 	// Prioritized: an operator put the job before the others of its priority.
 	Prioritized bool
