--- a/internal/slopes/rows_more.go
+++ b/internal/slopes/rows_more.go
@@ -27,7 +27,7 @@
 	{name: "cellMemory", flow: "6. the same, memory of replicas with claims spread over the cells", formula: "gc*replicas/hosts*(" + stateHeap + " + claims*heapClaim + responses)", unit: memory, note: "on paper: a key's hash names its cell"},
 	{flow: "6. followers of a cell in one host's share, with grants of 4 tasks of a job in one and ends counted by job", formula: "replicas/hosts*starts/4*(grantEntry + endEntry + endEntry_0)", unit: bytesPerSecond,
 		note: "on paper; the log's bytes at the peak of starts hold the strict bound in no shape that we know"},
-	{flow: "7. a snapshot after 64 MiB of log as well", formula: "2*64*1048576", unit: memory, note: "on paper; the log since the snapshot before stays for followers that lag"},
+	{flow: "7. a snapshot after 16 MiB of log as well", formula: "2*16*1048576", unit: memory, note: "built; on the disk the segments since the snapshot before stay until the next one is written"},
 }
 
 var failureRows = []row{
--- a/quorum/node/loop.go
+++ b/quorum/node/loop.go
@@ -221,6 +221,7 @@
 		result = n.opts.StateMachine.Apply(e.Index, e.Data)
 	}
 	n.applied = e.Index
+	n.appliedBytes += uint64(len(e.Data))
 	n.metrics.applied.Inc(1)
 	if rd.Role == quorum.Leader && e.Term == rd.Term && !n.leadership.Leading {
 		n.setLeadership(Leadership{Term: rd.Term, Leading: true})
@@ -243,10 +244,17 @@
 	n.leadership = l
 }
 
-// snapshot compacts the log once SnapshotEntries entries were applied since the last snapshot.
-// Another goroutine writes the file, so that neither heartbeats nor commits wait for it.
+// snapshotDue reports whether enough entries were applied since the last snapshot, by their number or
+// by their size. A snapshot that is larger than SnapshotBytes is not written for fewer bytes of
+// entries than its own.
+func (n *Node) snapshotDue() bool {
+	return n.applied >= n.snapshotIndex+n.opts.SnapshotEntries || n.appliedBytes >= max(n.opts.SnapshotBytes, n.lastSnapshotBytes)
+}
+
+// snapshot compacts the log if a snapshot is due. Another goroutine writes the file, so that neither
+// heartbeats nor commits wait for it.
 func (n *Node) snapshot() error {
-	if n.snapshotInProgress || n.applied < n.snapshotIndex+n.opts.SnapshotEntries {
+	if n.snapshotInProgress || !n.snapshotDue() {
 		return nil
 	}
 	data, err := n.opts.StateMachine.Snapshot()
@@ -257,20 +265,25 @@
 		// A follower would reject the snapshot. Keep the log instead; it grows.
 		event.SnapshotTooLarge.Write(n.logger, event.Bytes(len(data)))
 		n.metrics.snapshotRefused.Inc(1)
-		n.snapshotIndex = n.applied
+		n.recordSnapshot(n.applied, len(data))
 		return nil
 	}
 	s, err := n.raft.Compact(n.applied, data)
 	if err != nil {
 		return errors.Wrap(err, "log can't be compacted")
 	}
-	n.snapshotIndex = n.applied
+	n.recordSnapshot(n.applied, len(data))
 	n.snapshotInProgress = true
 	n.metrics.snapshotBytes.Update(int64(len(data)))
 	n.staging.Go(func() { n.storeSnapshot(s) })
 	return nil
 }
 
+// recordSnapshot records the index and the size of the newest snapshot.
+func (n *Node) recordSnapshot(index uint64, size int) {
+	n.snapshotIndex, n.appliedBytes, n.lastSnapshotBytes = index, 0, uint64(size)
+}
+
 // storeSnapshot writes a snapshot's file and then records it on the event loop.
 func (n *Node) storeSnapshot(s *apiv1.QuorumSnapshot) {
 	err := n.storage.StageSnapshot(s)
--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -69,6 +69,9 @@
 	stored    quorum.StoredState
 	hardState *apiv1.HardState
 	applied   uint64
+	// appliedBytes is the size of the entries applied since the newest snapshot, and lastSnapshotBytes that
+	// of the snapshot.
+	appliedBytes, lastSnapshotBytes uint64
 	// snapshotIndex is the index of the newest snapshot, including one that is still being stored.
 	snapshotIndex       uint64
 	snapshotInProgress  bool
@@ -176,7 +179,7 @@
 		return errors.Wrapf(err, "snapshot at %d can't be restored", s.Meta.Index)
 	}
 	n.applied = s.Meta.Index
-	n.snapshotIndex = s.Meta.Index
+	n.recordSnapshot(s.Meta.Index, len(s.Data))
 	return nil
 }
 
--- a/quorum/node/nodetest/group.go
+++ b/quorum/node/nodetest/group.go
@@ -54,8 +54,8 @@
 type Group struct {
 	T    testing.TB
 	Seed uint64
-	// SnapshotEntries is passed to replicas that are started.
-	SnapshotEntries uint64
+	// SnapshotEntries and SnapshotBytes are passed to replicas that are started.
+	SnapshotEntries, SnapshotBytes uint64
 	// MaxVoters is passed to replicas that are started.
 	MaxVoters int
 	// Peers are the hosts that replicas started from now on are configured with, all hosts if nil.
@@ -123,7 +123,7 @@
 		Cell: cell, Name: name, Address: g.AddressOf(name), Peers: peers,
 		Storage: log, StateMachine: m, Transport: &link{g: g, from: name},
 		JoinOnly: g.spares[name], Spare: g.spares[name], ReplaceAfter: ReplaceAfter, MaxVoters: g.MaxVoters, Metrics: registry, Discover: g.Discover,
-		Tick: Tick, SnapshotEntries: g.SnapshotEntries, Seed: g.Seed*1000 + g.starts,
+		Tick: Tick, SnapshotEntries: g.SnapshotEntries, SnapshotBytes: g.SnapshotBytes, Seed: g.Seed*1000 + g.starts,
 	})
 	if err != nil {
 		return err
--- a/quorum/node/options.go
+++ b/quorum/node/options.go
@@ -50,6 +50,9 @@
 	HeartbeatTicks int
 	// SnapshotEntries is the number of applied entries between snapshots. The default is 10,000.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of the applied entries from which on a snapshot is made sooner, unless
+	// the last snapshot is larger: then its size is. The default is 16 MB.
+	SnapshotBytes uint64
 	// Seed randomizes election timeouts. A random seed is drawn if it is 0.
 	Seed uint64
 	// OnLeadership is called when this replica gains or loses leadership. It runs on the event
@@ -64,6 +67,7 @@
 	defaultElectionTicks   = 10
 	defaultHeartbeatTicks  = 1
 	defaultSnapshotEntries = 10000
+	defaultSnapshotBytes   = 16 << 20
 	defaultReplaceAfter    = 2500 * time.Millisecond
 	maxEntriesPerMessage   = 512
 	maxInflight            = 32
@@ -91,6 +95,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
 	if o.ReplaceAfter == 0 {
 		o.ReplaceAfter = defaultReplaceAfter
 	}
--- a/quorum/node/size_test.go
+++ b/quorum/node/size_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cairnlift/cairnlift/quorum/node/nodetest"
 )
 
@@ -272,3 +275,30 @@
 		}
 	})
 }
+
+// Guards against a log that fills the disk and the memory with few large entries, such as changes of a large
+// configuration: it was compacted by the number of its entries only.
+func TestLogOfLargeEntriesIsCompacted(t *testing.T) {
+	const commands, commandBytes = 64, 1024
+	forSeeds(t, 3, threeHosts, func(g *nodetest.Group) {
+		g.SnapshotEntries, g.SnapshotBytes = 1<<40, 4*commandBytes
+		g.MustStart()
+		last := ""
+		for i := range commands {
+			last = fmt.Sprint(i, strings.Repeat("x", commandBytes))
+			g.Propose(last)
+		}
+		for _, name := range threeHosts {
+			g.Wait("all commands on "+name, func() bool { return g.HasCommand(name, last) })
+		}
+		g.Kill()
+		g.MustStart()
+		for _, name := range threeHosts {
+			g.Wait("all commands on "+name, func() bool { return g.HasCommand(name, last) })
+			// The test's snapshots hold all commands, so that each is due at twice the size of the one before.
+			if n := metrics.GetOrRegisterCounter("quorum.entries_applied", g.Host(name).Metrics).Count(); n > commands*3/4 {
+				t.Errorf("%s applies %d entries from its log again", name, n)
+			}
+		}
+	})
+}
