--- a/dispatch/routes_test.go
+++ b/dispatch/routes_test.go
@@ -1,12 +1,12 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cairnlift/cairnlift/admission"
@@ -82,29 +82,8 @@
 			s.log.CommitsUnconfirmed = func() bool { return s.intN(2) == 0 }
 			s.sleep(untilTrusted)
 			stop := s.changeRoutes()
-			var mu sync.Mutex
-			var history []porcupine.Operation
-			var clients sync.WaitGroup
-			for client := range 8 {
-				clients.Go(func() {
-					for range 60 {
-						s.callJob(client, &mu, &history, results)
-						s.sleep(time.Duration(s.intN(60)) * time.Millisecond)
-					}
-				})
-			}
-			for range 3 {
-				s.sleep(time.Duration(100+s.intN(400)) * time.Millisecond)
-				s.log.LoseLeadership(time.Duration(s.intN(200)) * time.Millisecond)
-			}
-			clients.Wait()
+			s.checkJobHistory(fmt.Sprint("seed ", seed), model, 5, results)
 			stop()
-			if !porcupine.CheckOperations(model, history) {
-				t.Errorf("seed %d: the history is not linearizable", seed)
-				for _, op := range history {
-					t.Logf("%d..%d %v: %v", op.Call, op.Return, op.Input, op.Output)
-				}
-			}
 		})
 	}
 	t.Log(results)
--- a/dispatch/submissions_test.go
+++ b/dispatch/submissions_test.go
@@ -299,6 +299,34 @@
 	return nondeterministic.ToModel()
 }
 
+// checkJobHistory has eight callers submit, cancel and read jobs while the leader changes a number of times, and
+// checks what they were answered against a model.
+func (s *sim) checkJobHistory(name string, model porcupine.Model, leaderChanges int, results map[string]int) {
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var clients sync.WaitGroup
+	for client := range 8 {
+		clients.Go(func() {
+			for range 60 {
+				s.callJob(client, &mu, &history, results)
+				s.sleep(time.Duration(s.intN(60)) * time.Millisecond)
+			}
+		})
+	}
+	for range leaderChanges {
+		s.sleep(time.Duration(100+s.intN(400)) * time.Millisecond)
+		s.log.LoseLeadership(time.Duration(s.intN(200)) * time.Millisecond)
+	}
+	clients.Wait()
+	if porcupine.CheckOperations(model, history) {
+		return
+	}
+	s.t.Errorf("%s: the history is not linearizable", name)
+	for _, op := range history {
+		s.t.Logf("%d..%d %v: %v", op.Call, op.Return, op.Input, op.Output)
+	}
+}
+
 // Guards against a refusal of a job that was accepted, as callers see it: they submit, cancel and read
 // jobs on a full fleet while the leader changes and proposals of deposed leaders are committed or lost.
 func TestRefusalsAreLinearizable(t *testing.T) {
@@ -309,29 +337,7 @@
 			s.stopFaults()
 			s.log.CommitsUnconfirmed = func() bool { return s.intN(2) == 0 }
 			s.sleep(untilTrusted)
-			var mu sync.Mutex
-			var history []porcupine.Operation
-			var clients sync.WaitGroup
-			for client := range 8 {
-				clients.Go(func() {
-					for range 60 {
-						s.callJob(client, &mu, &history, results)
-						s.sleep(time.Duration(s.intN(60)) * time.Millisecond)
-					}
-				})
-			}
-			for range 5 {
-				s.sleep(time.Duration(100+s.intN(400)) * time.Millisecond)
-				s.log.LoseLeadership(time.Duration(s.intN(200)) * time.Millisecond)
-			}
-			clients.Wait()
-			if porcupine.CheckOperations(model, history) {
-				return
-			}
-			t.Errorf("seed %d: the history is not linearizable", seed)
-			for _, op := range history {
-				t.Logf("%d..%d %v: %v", op.Call, op.Return, op.Input, op.Output)
-			}
+			s.checkJobHistory(fmt.Sprint("seed ", seed), model, 5, results)
 		})
 	}
 	t.Log(results)
