jobqueue: the end of an unknown worker bars reports of its host only

A worker whose agent had not reported it yet got no work for ever: the agent of another host received another program's heartbeat with the new worker's id, found another worker at its host and reported the end of the named one. The log remembers the end of a worker that it does not know, so that a delayed report does not add it, and turned down all reports of the worker's own agent.

The end of a worker that was never known has no epoch, and gives way to the report of another host's agent that it works. Ends of workers that were known stand, as before, whichever host reports.

TestAgentOfAnotherHostBarsNoNewWorker failed before.

--- a/jobqueue/hostauthority_test.go
+++ b/jobqueue/hostauthority_test.go
@@ -60,3 +60,32 @@
 		t.Errorf("the new host: %v", outcome)
 	}
 }
+
+// Guards against a new worker that gets no work for ever: before its first report, the agent of another host
+// reported that it has ended, since it heard of it by another program's message.
+func TestAgentOfAnotherHostBarsNoNewWorker(t *testing.T) {
+	m := newMachine()
+	m.worker("w2", "h2", 1000)
+	if outcome := m.report(&apiv1.ReportWorker{Worker: spec("w1", "h2", 1000), Departed: true}); outcome != ok || m.WorkerOnHost("h2") == nil {
+		t.Fatalf("end of a worker that is not known: %v", outcome)
+	}
+	m.restore(t)
+	if outcome := m.worker("w1", "h2", 1000); outcome != apiv1.JobOutcome_JOB_OUTCOME_STALE {
+		t.Errorf("delayed report of the same host: %v", outcome)
+	}
+	if outcome := m.worker("w1", "h1", 1000); outcome != ok || m.WorkerOnHost("h1") == nil {
+		t.Errorf("first report of its own host: %v", outcome)
+	}
+	m.restore(t)
+	m.report(&apiv1.ReportWorker{Worker: spec("w1", "h1", 1000), Departed: true})
+	for _, host := range []string{"h1", "h3"} {
+		if outcome := m.worker("w1", host, 1000); outcome != apiv1.JobOutcome_JOB_OUTCOME_STALE {
+			t.Errorf("report of %s after its end: %v", host, outcome)
+		}
+	}
+	m.now += retentionMs
+	m.worker("w2", "h2", 1000)
+	if n := len(m.Snapshot().Workers); n != 1 {
+		t.Errorf("%d workers are remembered", n)
+	}
+}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -13,6 +13,7 @@
 	if spec.GetId() == "" || spec.GetHost() == "" {
 		return apiv1.JobOutcome_JOB_OUTCOME_INVALID
 	}
+	m.forgetUnknownDeparture(r)
 	if known := m.workers.get(spec.Id); known != nil && known.Departed {
 		// This is a delayed message from a previous incarnation.
 		return apiv1.JobOutcome_JOB_OUTCOME_STALE
@@ -91,17 +92,32 @@
 	return host
 }
 
-// recordUnknownDeparture records that an unknown worker has left, so that a delayed report does not
-// add it. The worker on its host is kept. Otherwise, if a newly started agent receives an
+// recordUnknownDeparture records that an unknown worker has left, so that a delayed report of the same host
+// does not add it. The worker on its host is kept. Otherwise, if a newly started agent receives an
 // incarnation that another program made up, finds that it does not exist and reports this, the
 // report would end the worker that does exist: its tasks would keep running and also start
 // elsewhere.
 func (m *Machine) recordUnknownDeparture(spec *apiv1.JobWorker) {
-	w := &Worker{Spec: spec, Epoch: firstEpoch, Runs: map[RunID]*Run{}}
+	w := &Worker{Spec: spec, Epoch: unknownEpoch, Runs: map[RunID]*Run{}}
 	m.workers.put(spec.Id, w)
 	m.endIncarnation(w, nil)
 }
 
+// forgetUnknownDeparture forgets that a worker which was not known has left, if the agent of another host
+// reports that it works: the agent that reported the departure knew the worker by a message of another program
+// only.
+func (m *Machine) forgetUnknownDeparture(r *apiv1.ReportWorker) {
+	w := m.workers.get(r.Worker.Id)
+	if w == nil || !w.Departed || w.Epoch != unknownEpoch || w.Spec.Host == r.Worker.Host || r.Departed || r.Lapsed {
+		return
+	}
+	m.workers.remove(w.Spec.Id)
+	m.departed = slices.DeleteFunc(m.departed, func(id string) bool { return id == w.Spec.Id })
+}
+
+// unknownEpoch is the epoch of a worker that left before it was known.
+const unknownEpoch = 0
+
 // firstEpoch is the epoch of a worker whose lease never expired; 0 means no epoch.
 const firstEpoch = 1
 
