jobqueue: a drain of another program's message ends when the pool is corrected

Where the settings do not name the pool of a worker, the first message of a session decides it until the worker's own announcements correct it. If that message was another program's and said that the worker drains, the worker got no work for ever: the log never revokes a drain within an incarnation.

A report that names another pool for the incarnation is taken whole: an incarnation stays in its pool, so the former description was not its own. TestDrainEndsWhereThePoolIsCorrected failed before.

--- a/jobqueue/hostauthority_test.go
+++ b/jobqueue/hostauthority_test.go
@@ -89,3 +89,23 @@
 		t.Errorf("%d workers are remembered", n)
 	}
 }
+
+// Guards against a worker that drains for ever, since the first message about it was another program's and the
+// worker's own announcements name another pool.
+func TestDrainEndsWhereThePoolIsCorrected(t *testing.T) {
+	m := newMachine()
+	m.submit("a", one(1))
+	foreign := spec("w1", "h1", 1000)
+	foreign.Pool, foreign.Draining = "zk91x", true
+	m.report(&apiv1.ReportWorker{Worker: foreign})
+	m.worker("w1", "h1", 1000)
+	if w := m.Worker("w1"); w.Spec.Draining || !m.start(task("a", 0, 0), 1, "w1") {
+		t.Errorf("the worker is %v", w.Spec)
+	}
+	draining := spec("w1", "h1", 1000)
+	draining.Draining = true
+	m.report(&apiv1.ReportWorker{Worker: draining})
+	if m.worker("w1", "h1", 1000); !m.Worker("w1").Spec.Draining {
+		t.Error("a drain is revoked")
+	}
+}
--- a/jobqueue/report.go
+++ b/jobqueue/report.go
@@ -61,8 +61,9 @@
 func (m *Machine) upsertWorker(r *apiv1.ReportWorker) *Worker {
 	spec := r.Worker
 	if w := m.workers.get(spec.Id); w != nil {
-		// A drain is never revoked within an incarnation.
-		draining := w.Spec.Draining || spec.Draining
+		// A drain is never revoked within an incarnation, which stays in its pool: where the report names
+		// another pool, the former description was another program's.
+		draining := spec.Draining || w.Spec.Draining && w.Spec.Pool == spec.Pool
 		spec.Host = m.setHost(w, spec.Host)
 		w.Spec = spec
 		w.Spec.Draining = draining
