--- a/schedule/hostentries.go
+++ b/schedule/hostentries.go
@@ -8,8 +8,8 @@
 
 // SettleEntries decides for each host that is listed more than once which of its entries holds, and returns how
 // many entries of how many hosts it set aside: another program may have written them. What runs on a host is
-// looked up by the worker that its entry names, so a foreign entry would have the host ordered away over the
-// tasks at work there.
+// looked up by the worker that its entry names, so by a foreign entry the host would be ordered away while tasks
+// run there.
 //
 // An entry of a pool of the configuration holds before one of an unknown pool, then one of a worker that the
 // log knows and that has not departed before others. Where that leaves several, the host counts as listed and
--- a/schedule/hostentries_test.go
+++ b/schedule/hostentries_test.go
@@ -8,8 +8,8 @@
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
-// Guards against a host that is ordered away over the tasks at work there, or an order that waits for ever,
-// since an entry of another program names another worker or pool for it.
+// Guards against a host that is ordered away while tasks run there, or an order that is never given, since an
+// entry of another program names another worker or pool for it.
 func TestForeignEntriesOfAHostAreSetAside(t *testing.T) {
 	r := newHarness(t)
 	r.addWorker("w1", 1000, 1000)
