quorum/node: a replica that failed is stopped without waiting for a leader

What callers saw: after the disk of a control host had been full, its control process took the whole processor, wrote no line, and answered nothing. Without charged processor time that lasted until the process was killed; when another voter lost its disk meanwhile, the group had no leader and nothing was served.

Cause: Stop asks the leader to take the replica's vote (leave). The loop ended by the caller's context, and waited by the replica's own one. The latter has ended when the replica has failed, and a failed replica knows no leader, so each wait returned at once: a busy loop until the timeout of a second, on the one core of the machine.

Change: leave ends with the replica, and sleep takes the context that the loop around it tests, so that the two can't differ.

Evidence: TestFailedReplicaStopsWithoutWaiting did not end before (20 s, its goroutine in leave), for a refused write and for a failed sync; it passes in 0.1 s now. Tests of failing disks ended replicas by Kill, whose context has ended already, or never stopped them.

--- a/quorum/node/form.go
+++ b/quorum/node/form.go
@@ -107,7 +107,7 @@
 			n.setGroupMembership(membership)
 			return true, nil
 		}
-		n.sleep(n.opts.electionTimeout() / formRoundsPerElectionTimeout)
+		sleep(n.ctx, n.opts.electionTimeout()/formRoundsPerElectionTimeout)
 	}
 	return false, nil
 }
@@ -137,13 +137,13 @@
 	return n.view.promisedFounder
 }
 
-// sleep waits for d or until the replica is stopped.
-func (n *Node) sleep(d time.Duration) {
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-n.ctx.Done():
+	case <-ctx.Done():
 	}
 }
 
--- a/quorum/node/join.go
+++ b/quorum/node/join.go
@@ -52,7 +52,7 @@
 		if !n.requestJoin(self) {
 			n.logLeaderless()
 		}
-		n.sleep(n.opts.electionTimeout())
+		sleep(n.ctx, n.opts.electionTimeout())
 	}
 	n.rejoinLoop()
 }
@@ -66,7 +66,7 @@
 	self := &apiv1.Replica{Id: n.id(), Name: n.opts.Name, Address: n.opts.Address, Learner: true, Spare: true}
 	leaderless, patience := time.Duration(0), rejoinElectionTimeouts*n.opts.electionTimeout()
 	for n.ctx.Err() == nil {
-		n.sleep(n.opts.electionTimeout())
+		sleep(n.ctx, n.opts.electionTimeout())
 		leaderless += n.opts.electionTimeout()
 		if n.Status().Leader != 0 {
 			leaderless = 0
--- a/quorum/node/leave.go
+++ b/quorum/node/leave.go
@@ -55,14 +55,15 @@
 	}
 }
 
-// leave asks the leader to take this replica's vote, until that is done, nothing can be done or ctx
-// ends.
+// leave asks the leader to take this replica's vote, until that is done, nothing can be done, or ctx or
+// the replica ends.
 func (n *Node) leave(ctx context.Context) {
 	if n.opts.MaxVoters == 0 {
 		return // operators set the group's size
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
+	defer context.AfterFunc(n.ctx, cancel)() // a replica that failed hears no leader any more
 	for ctx.Err() == nil {
 		s := n.Status()
 		if self := findReplica(s.Membership, s.ID); self == nil || self.Learner || s.Role == quorum.Leader {
@@ -78,7 +79,7 @@
 				return
 			}
 		}
-		n.sleep(n.opts.Tick)
+		sleep(ctx, n.opts.Tick)
 	}
 }
 
--- a/quorum/node/node_test.go
+++ b/quorum/node/node_test.go
@@ -120,6 +120,34 @@
 	})
 }
 
+// Guards against a replica that takes the whole processor after its disk refused a write: it is stopped, and
+// waits for a leader that it can no longer hear.
+func TestFailedReplicaStopsWithoutWaiting(t *testing.T) {
+	for step, fault := range []waltest.Fault{waltest.NoSpace, waltest.SyncFailure} {
+		forSeeds(t, 6, threeHosts, func(g *nodetest.Group) {
+			g.MustStart()
+			g.Propose("1")
+			failing := g.Followers()[g.Seed%2]
+			n := g.Node(failing)
+			g.Host(failing).Disk.FailAt(1+step, fault)
+			g.Propose("2", failing)
+			<-n.Failed()
+			began := time.Now()
+			var refused *wal.WriteError
+			if err := n.Stop(nodetest.Within(time.Minute)); !errors.As(err, &refused) {
+				g.T.Fatalf("the failed replica stopped with %v", err)
+			}
+			if waited := time.Since(began); waited > 0 {
+				g.T.Fatalf("the failed replica waited for %v", waited)
+			}
+			g.Kill(failing)
+			g.MustStart(failing)
+			g.Wait("2 on the restarted replica", func() bool { return g.HasCommand(failing, "2") })
+			g.Propose("3", g.Followers()...)
+		})
+	}
+}
+
 // Guards against an acknowledged command that is on one disk only. One of three replicas is
 // partitioned, and the disk of another one fails while it stores a command of the leader. The
 // follower must not respond before the entry is synced.
