dispatch: legal jobs no longer exhaust the memory of the control hosts

Cause: a job is bounded by 20,000 tasks and its body by the bytes on the wire, but neither bounds what it takes in each replica, and only 200,000 bounds the number of jobs. {"steps":[{"count":20000}]} is accepted in one small request and takes 2.1 MB of every control host, 20,000 steps in 240 KB take 7.6 MB, 20,000 occurrences 4.2 MB; 100 of them are more than the 284 MB of the smallest machine.

Change: the state machine keeps an estimate of the memory of its jobs, which is no part of the replicated state, so that replicas of two releases do not diverge. Jobs in the log, jobs that are being submitted and jobs whose submission had an unknown outcome count. That of a task includes a run.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -66,6 +66,7 @@
 	setAsideLoggedAt atomic.Int64
 	// submissions is nil unless the leader may refuse submitted jobs.
 	submissions *submissions
+	memory      *memoryGuard
 
 	// mu guards the leader's state outside the replicated log. It is acquired before the replica's
 	// own lock.
@@ -86,6 +87,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	o.JobMemoryLimit = cmp.Or(o.JobMemoryLimit, defaultJobMemoryLimit)
 	if o.Members == nil {
 		o.Members = func() []string { return nil }
 	}
@@ -107,8 +109,10 @@
 		advisorWatch:         dependency.New("advisor", o.Logger, o.Now),
 		hostsWatch:           dependency.New("list of hosts", o.Logger, o.Now),
 	}
+	refuser := newRefuser(o.Replica)
+	d.memory = newMemoryGuard(&d.opts, refuser, d.logger)
 	if o.Admission != "" && o.Admission != admission.Off {
-		d.submissions = newSubmissions(&d.opts, newRefusalLog(d.logger))
+		d.submissions = newSubmissions(&d.opts, refuser, newRefusalLog(d.logger))
 	}
 	return d
 }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -51,6 +51,9 @@
 	// Admission is how the leader decides on submitted jobs; empty means admission.Off. It needs
 	// control.Config.SubmitJob to call the dispatcher's SubmitJob.
 	Admission admission.Mode
+	// JobMemoryLimit bounds the estimated memory of the stored jobs in bytes; the leader refuses further ones.
+	// 0 means 1 GiB. It needs control.Config.SubmitJob, too.
+	JobMemoryLimit int64
 	// WorkerRates is whether workers are rated by the progress of their runs, and stragglers on slow
 	// workers are moved or copied.
 	WorkerRates bool
--- a/dispatch/submissions.go
+++ b/dispatch/submissions.go
@@ -32,7 +32,7 @@
 type submissions struct {
 	opts    *Options
 	metrics admissionMetrics
-	barrier *sharedBarrier
+	refuser *refuser
 
 	mu sync.Mutex
 	// term is the term in which this replica is ready to lead; 0 if it is not.
@@ -57,10 +57,9 @@
 	request *admission.Request
 }
 
-func newSubmissions(o *Options, log refusalLog) *submissions {
+func newSubmissions(o *Options, r *refuser, log refusalLog) *submissions {
 	return &submissions{
-		opts: o, metrics: newAdmissionMetrics(o.Metrics), log: log,
-		barrier:  newSharedBarrier(func(ctx context.Context) error { return o.Replica.Barrier(ctx) }),
+		opts: o, metrics: newAdmissionMetrics(o.Metrics), log: log, refuser: r,
 		inFlight: map[string]*submission{}, doubtful: map[string]time.Time{},
 	}
 }
@@ -85,15 +84,17 @@
 // SubmitJob decides on a submitted job on the leader; see control.Config.SubmitJob. A refusal means
 // that the job is not in the log and that no proposal of this leader may still add it.
 func (d *Dispatcher) SubmitJob(ctx context.Context, spec *apiv1.JobSpec, propose control.ProposeFunc) (*apiv1.Result, error) {
-	if d.submissions == nil {
-		return propose(ctx)
-	}
-	return d.submissions.submit(ctx, spec, propose)
+	return d.memory.submit(ctx, spec, func(ctx context.Context) (*apiv1.Result, error) {
+		if d.submissions == nil {
+			return propose(ctx)
+		}
+		return d.submissions.submit(ctx, spec, propose)
+	})
 }
 
 func (s *submissions) submit(ctx context.Context, spec *apiv1.JobSpec, propose control.ProposeFunc) (*apiv1.Result, error) {
 	for {
-		if s.held(spec) {
+		if holds(s.opts.Replica, spec) {
 			return &apiv1.Result{Verdict: apiv1.Verdict_VERDICT_ACCEPTED, Job: apiv1.JobOutcome_JOB_OUTCOME_OK}, nil
 		}
 		own, other := s.begin(spec)
@@ -116,15 +117,6 @@
 
 func samePlace(a, b *apiv1.JobSpec) bool { return a.Host == b.Host && a.Path == b.Path }
 
-// held reports whether the log holds the job.
-func (s *submissions) held(spec *apiv1.JobSpec) (held bool) {
-	s.opts.Replica.ReadState(func(m *state.Machine) {
-		j, _ := m.CallerJobs().Lookup(spec.Host, spec.Path, spec.Id)
-		held = j != nil
-	})
-	return held
-}
-
 // begin returns the new submission, or the one of the same job that is in progress.
 func (s *submissions) begin(spec *apiv1.JobSpec) (own, other *submission) {
 	s.mu.Lock()
@@ -163,17 +155,7 @@
 	if refusal == nil {
 		return propose(ctx)
 	}
-	// Another replica may have become the leader and hold the job.
-	leads, ok := s.opts.Replica.Leading()
-	err := s.barrier.wait(ctx)
-	after, still := s.opts.Replica.Leading()
-	if err != nil || !ok || !still || leads != term || after != term {
-		return nil, &control.NotLeaderError{LeaderAddress: s.opts.Replica.LeaderAddress()}
-	}
-	if s.held(own.spec) {
-		return &apiv1.Result{Verdict: apiv1.Verdict_VERDICT_ACCEPTED, Job: apiv1.JobOutcome_JOB_OUTCOME_OK}, nil
-	}
-	return refusal, nil
+	return s.refuser.confirm(ctx, own.spec, term, refusal)
 }
 
 // decide returns the result that refuses a submission, and the term of the decision; nil if it is to
@@ -223,16 +205,6 @@
 	return q
 }
 
-func refusalResult(reason string, retryAfter time.Duration, full bool) *apiv1.Result {
-	if full {
-		reason = control.FullMessage + reason
-	}
-	return &apiv1.Result{
-		Verdict: apiv1.Verdict_VERDICT_REFUSED, Job: apiv1.JobOutcome_JOB_OUTCOME_REFUSED, Message: reason,
-		RetryAfterMs: max(1, retryAfter.Milliseconds()),
-	}
-}
-
 // refresh computes the backlog anew if that is due. It is called in each round with the starts that the
 // round has decided on.
 func (s *submissions) refresh(l *leaderState, m *jobqueue.Machine, starts []*apiv1.StartRun, now time.Time) {
@@ -304,55 +276,3 @@
 	}
 	return s.controller.Account(account, s.opts.Now())
 }
-
-// sharedBarrier confirms the leadership for many callers at a time: each waits for a confirmation
-// that began after its call, and at most one is in progress.
-type sharedBarrier struct {
-	confirm func(context.Context) error
-	running chan struct{}
-
-	mu   sync.Mutex
-	next *barrierCall
-}
-
-type barrierCall struct {
-	done chan struct{}
-	err  error
-}
-
-func newSharedBarrier(confirm func(context.Context) error) *sharedBarrier {
-	return &sharedBarrier{confirm: confirm, running: make(chan struct{}, 1)}
-}
-
-func (b *sharedBarrier) wait(ctx context.Context) error {
-	b.mu.Lock()
-	call := b.next
-	first := call == nil
-	if first {
-		call = &barrierCall{done: make(chan struct{})}
-		b.next = call
-	}
-	b.mu.Unlock()
-	if first {
-		b.run(ctx, call)
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-call.done:
-		return call.err
-	}
-}
-
-// run waits for the confirmation in progress and then makes the one of a call.
-func (b *sharedBarrier) run(ctx context.Context, call *barrierCall) {
-	b.running <- struct{}{}
-	b.mu.Lock()
-	b.next = nil
-	b.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
-	defer cancel()
-	call.err = b.confirm(ctx)
-	<-b.running
-	close(call.done)
-}
--- a/entry/group.go
+++ b/entry/group.go
@@ -37,6 +37,7 @@
 		Planner:           place.New(place.Config{}),
 		Forwarder:         forwarder,
 		OnApplied:         e.notifyDispatcher,
+		SubmitJob:         e.submitJob,
 		Logger:            o.Logger,
 		Metrics:           e.registry,
 	})
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -8,6 +8,7 @@
 
 	"github.com/cairnlift/cairnlift/account"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/control"
 	"github.com/cairnlift/cairnlift/cordon"
 	"github.com/cairnlift/cairnlift/dispatch"
 	"github.com/cairnlift/cairnlift/jobapi"
@@ -43,6 +44,14 @@
 	}
 }
 
+// submitJob decides on a submitted job if this host's replica leads.
+func (e *Entry) submitJob(ctx context.Context, spec *apiv1.JobSpec, propose control.ProposeFunc) (*apiv1.Result, error) {
+	if e.dispatcher == nil {
+		return propose(ctx)
+	}
+	return e.dispatcher.SubmitJob(ctx, spec, propose)
+}
+
 // controlAddresses returns the addresses of the control group's members.
 func (e *Entry) controlAddresses() []string {
 	var addresses []string
--- a/jobqueue/machine.go
+++ b/jobqueue/machine.go
@@ -62,7 +62,9 @@
 	lastCrashEvent uint64
 	// pendingVerdicts are the tasks at their crash limit whose jobs fail at the given time of the log.
 	pendingVerdicts map[TaskID]int64
-	nowMs           int64
+	// estimatedBytes is the estimated memory of the jobs.
+	estimatedBytes int64
+	nowMs          int64
 }
 
 // New returns an empty machine.
@@ -135,6 +137,7 @@
 		if j.unsubmitted() {
 			m.unsubmitted--
 		}
+		m.setEstimate(j, 0)
 		delete(m.jobs, j.ID())
 		m.finished = m.finished[1:]
 	}
--- a/jobqueue/replicas_test.go
+++ b/jobqueue/replicas_test.go
@@ -36,6 +36,9 @@
 			if other := second.Apply(c, nowMs, 1); other != outcome {
 				t.Fatalf("seed %d, command %d: %v and %v for %v", seed, i, outcome, other, c)
 			}
+			if a, b := first.EstimatedBytes(), second.EstimatedBytes(); a != b {
+				t.Fatalf("seed %d: the replicas estimate %d and %d bytes after command %d, %v", seed, a, b, i, c)
+			}
 			if a, b := first.Snapshot(), second.Snapshot(); !proto.Equal(a, b) {
 				t.Fatalf("seed %d: the replicas differ after command %d, %v:\n%v\n%v", seed, i, c, a, b)
 			}
--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -155,6 +155,9 @@
 	}
 	if j.Open() || j.liveRuns > 0 {
 		m.active.put(j.ID(), j)
+		m.setEstimate(j, EstimateBytes(j.Spec))
+	} else {
+		m.setEstimate(j, specBytes(j.Spec))
 	}
 	return nil
 }
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -77,6 +77,7 @@
 	}
 	j = newJob(spec, q, m.nowMs)
 	m.jobs[spec.Id] = j
+	m.setEstimate(j, EstimateBytes(spec))
 	m.countPending(j, 1)
 	m.active.put(spec.Id, j)
 	return apiv1.JobOutcome_JOB_OUTCOME_OK
@@ -154,6 +155,7 @@
 	}
 	m.active.remove(j.ID())
 	j.Occurrences = nil
+	m.setEstimate(j, specBytes(j.Spec))
 }
 
 func stopRuns(t *Task) {
--- a/jobqueue/types.go
+++ b/jobqueue/types.go
@@ -127,6 +127,8 @@
 	// resources on a worker.
 	openSteps int
 	liveRuns  int
+	// estimatedBytes is the job's part of Machine.EstimatedBytes.
+	estimatedBytes int64
 }
 
 // ID returns the job's ID, which the caller chose.
--- a/jobqueue/unsubmitted.go
+++ b/jobqueue/unsubmitted.go
@@ -37,10 +37,12 @@
 	}
 	m.unsubmitted--
 	if !j.submittedTo(spec.Host, spec.Path) {
+		m.setEstimate(j, 0)
 		delete(m.jobs, spec.Id)
 		m.finished = slices.DeleteFunc(m.finished, func(id string) bool { return id == spec.Id })
 		return false
 	}
 	j.Spec, j.Queue, j.AcceptedMs = spec, q, m.nowMs
+	m.setEstimate(j, specBytes(spec))
 	return true
 }
