--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 
@@ -13,10 +14,28 @@
 
 // Snapshot returns the whole state as a message.
 func (m *Machine) Snapshot() *apiv1.JobsSnapshot {
-	out := &apiv1.JobsSnapshot{Configuration: m.configuration, Learnt: m.learned}
-	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
-		out.Jobs = append(out.Jobs, m.jobs[id].Record())
+	out := m.SnapshotWithoutJobs()
+	for r := range m.JobRecords() {
+		out.Jobs = append(out.Jobs, r)
+	}
+	return out
+}
+
+// JobRecords returns the records of all jobs, ordered by ID. Each is built when it is asked for, because the
+// records of all jobs together take more memory than the jobs.
+func (m *Machine) JobRecords() iter.Seq[*apiv1.SubmittedJobRecord] {
+	return func(yield func(*apiv1.SubmittedJobRecord) bool) {
+		for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+			if !yield(m.jobs[id].Record()) {
+				return
+			}
+		}
 	}
+}
+
+// SnapshotWithoutJobs returns the rest of the state.
+func (m *Machine) SnapshotWithoutJobs() *apiv1.JobsSnapshot {
+	out := &apiv1.JobsSnapshot{Configuration: m.configuration, Learnt: m.learned}
 	for _, w := range m.workers.values {
 		out.Workers = append(out.Workers, &apiv1.JobWorkerRecord{
 			Worker: w.Spec, Acknowledged: w.Acknowledged, Departed: w.Departed, DepartedMs: w.DepartedMs,
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -23,19 +23,39 @@
 // Snapshot encodes the whole state. Replicas that run the same build encode equal states
 // as equal bytes.
 func (m *Machine) Snapshot() ([]byte, error) {
-	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.message())
+	options := proto.MarshalOptions{Deterministic: true}
+	body, err := options.Marshal(m.messageWithoutSubmittedJobs())
+	parts := [][]byte{body}
+	// Decoding merges the messages of single jobs into one.
+	for r := range m.callerJobs.JobRecords() {
+		if err != nil {
+			break
+		}
+		body, err = options.Marshal(&apiv1.StateSnapshot{SubmittedJobs: &apiv1.JobsSnapshot{Jobs: []*apiv1.SubmittedJobRecord{r}}})
+		parts = append(parts, body)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "state snapshot can't be encoded")
 	}
-	return addSnapshotHeader(body), nil
+	return addSnapshotHeader(parts...), nil
 }
 
-// addSnapshotHeader prepends the magic and the checksum to an encoded message.
-func addSnapshotHeader(body []byte) []byte {
-	buf := make([]byte, 0, len(snapshotMagic)+checksumBytes+len(body))
-	buf = append(buf, snapshotMagic...)
-	buf = binary.BigEndian.AppendUint64(buf, xxhash.Sum64(body))
-	return append(buf, body...)
+// addSnapshotHeader joins the parts of an encoded message and prepends the magic and the checksum.
+func addSnapshotHeader(parts ...[]byte) []byte {
+	size := len(snapshotMagic) + checksumBytes
+	for _, p := range parts {
+		size += len(p)
+	}
+	buf := append(make([]byte, 0, size), snapshotMagic...)
+	sum := xxhash.New()
+	for _, p := range parts {
+		_, _ = sum.Write(p)
+	}
+	buf = binary.BigEndian.AppendUint64(buf, sum.Sum64())
+	for _, p := range parts {
+		buf = append(buf, p...)
+	}
+	return buf
 }
 
 // Restore replaces the state with that of a snapshot. On an error the machine is
@@ -72,14 +92,14 @@
 	return s, nil
 }
 
-func (m *Machine) message() *apiv1.StateSnapshot {
+func (m *Machine) messageWithoutSubmittedJobs() *apiv1.StateSnapshot {
 	s := &apiv1.StateSnapshot{
 		Index:         m.index,
 		TimeMs:        m.timeMs,
 		LeaderTerm:    m.leaderTerm,
 		Configuration: m.configuration,
 		Submissions:   m.submissions.order,
-		SubmittedJobs: m.callerJobs.Snapshot(),
+		SubmittedJobs: m.callerJobs.SnapshotWithoutJobs(),
 		Directories:   m.directories,
 	}
 	s.Tasks = make([]*apiv1.TaskRecord, 0, len(m.tasks))
