dispatch: a plan holds no more starts than one command may

Cause: all starts of a round are one command, and a command of more than 4 MB is refused. 200,000 ready tasks that fit on the workers make a larger plan. The leader then decided on the same plan in each round, it was refused each time without a line in the log, and no task of any job started any more. Ten jobs {"steps":[{"count":20000}]}, which reserve nothing, are enough.

Change: a plan takes the starts at the head of the list, up to 1 MB; the next round decides on the others. A gang is not divided: the largest takes less than a command.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -205,7 +205,7 @@
 			plan.Checkpoints = append(plan.Checkpoints, l.checkpoints(jobs.Worker(id))...)
 		}
 		decision := l.planner.Plan(jobs, l.fleet(jobs, now), now, now.UnixMilli())
-		plan.Starts, plan.Stops, plan.TrialsOver = decision.Starts, decision.Stops, decision.EndedProbations
+		plan.Starts, plan.Stops, plan.TrialsOver = firstStarts(jobs, decision.Starts), decision.Stops, decision.EndedProbations
 		for _, w := range decision.RepacedWorkers {
 			l.orderRevisions[w]++
 			d.metrics.paceOrders.Inc(1)
--- a/jobqueue/plan.go
+++ b/jobqueue/plan.go
@@ -29,7 +29,7 @@
 		m.endProbation(RunID{TaskIDOf(ref.Task), ref.Run}, milliseconds(ref.WorkedMs))
 	}
 	for i := 0; i < len(p.Starts); {
-		n := m.groupLength(p.Starts[i:])
+		n := m.GroupLength(p.Starts[i:])
 		m.startGroup(p.Starts[i : i+n])
 		i += n
 	}
@@ -49,9 +49,9 @@
 	}
 }
 
-// groupLength returns the number of starts at the head of the list that must succeed together: one,
+// GroupLength returns the number of starts at the head of the list that must succeed together: one,
 // or a whole gang.
-func (m *Machine) groupLength(starts []*apiv1.StartRun) int {
+func (m *Machine) GroupLength(starts []*apiv1.StartRun) int {
 	first := TaskIDOf(starts[0].Task)
 	_, s := m.task(first)
 	if s == nil || !s.Spec.Gang {
