control: a replica that its disk refuses is restarted after a pause

What callers see: a control process takes the whole processor and answers little, for as long as its disk accepts the check and refuses what the replica writes at its start, as with a file that can't be removed or a bad block in the last segment.

Cause: the check that brings the replica back ran before its first wait. Each start failed at once, and the next followed without a pause. Class: a loop whose wait can be passed over, as in Node.Stop.

Change: the first check waits for the interval, too.

--- a/control/host.go
+++ b/control/host.go
@@ -64,14 +64,19 @@
 	return err
 }
 
+// awaitWritable returns once a check has succeeded, or when ctx ends. The first check waits, too: a disk may
+// accept checks and refuse what the replica writes.
 func (h Host) awaitWritable(ctx context.Context) {
 	ticker := time.NewTicker(diskCheckInterval)
 	defer ticker.Stop()
-	for h.CheckWritable() != nil {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if h.CheckWritable() == nil {
+			return
+		}
 	}
 }
--- a/control/host_test.go
+++ b/control/host_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -85,3 +86,33 @@
 		}
 	})
 }
+
+// Guards against a host that takes the whole processor: its disk accepts checks and refuses what the replica
+// writes at its start.
+func TestReplicaIsNotRestartedWithoutAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const runTime, maxStarts = 10 * time.Second, 11
+		ctx, cancel := context.WithTimeout(t.Context(), runTime)
+		defer cancel()
+		starts := 0
+		h := control.Host{
+			Logger: zap.NewNop(),
+			Replica: func(context.Context) error {
+				if starts++; starts > maxStarts {
+					cancel()
+				}
+				return &wal.WriteError{Op: "sync", Cause: syscall.EIO}
+			},
+			Directory: func(ctx context.Context) error {
+				<-ctx.Done()
+				return nil
+			},
+			CheckWritable: func() error { return nil },
+		}
+		began := time.Now()
+		_ = h.Run(ctx) // ends with the test's time
+		if starts > maxStarts {
+			t.Errorf("%d starts in %v", starts, time.Since(began))
+		}
+	})
+}
