--- a/quorum/wal/snapshot.go
+++ b/quorum/wal/snapshot.go
@@ -50,6 +50,7 @@
 func (l *Log) writeBlob(name string, payload []byte) error {
 	temporary := l.path(name + temporarySuffix)
 	if err := l.writeFile(temporary, encodeBlob(payload)); err != nil {
+		_ = l.fs.Remove(temporary) // The next load removes it otherwise, if the disk has space for that.
 		return err
 	}
 	if err := l.fs.Rename(temporary, l.path(name)); err != nil {
--- a/quorum/wal/wal_test.go
+++ b/quorum/wal/wal_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"path"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -383,3 +384,28 @@
 		}
 	})
 }
+
+// Guards against a host that stays without its replica: the disk is full of a snapshot that did not fit, which
+// only the start of the replica would remove.
+func TestRefusedSnapshotLeavesNoFile(t *testing.T) {
+	for step, fault := range map[int]waltest.Fault{2: waltest.NoSpace, 3: waltest.SyncFailure} {
+		disk := waltest.NewDisk(1)
+		l, err := wal.Open(wal.Options{Folder: folder, FS: disk})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := l.Load(); err != nil {
+			t.Fatal(err)
+		}
+		before, _ := disk.List(folder) // fails for a missing folder only
+		disk.FailAt(step, fault)
+		err = l.StageSnapshot(&apiv1.QuorumSnapshot{Meta: &apiv1.SnapshotMeta{Index: 1, Term: 1}, Data: make([]byte, 1<<20)})
+		var refused *wal.WriteError
+		if !errors.As(err, &refused) {
+			t.Fatalf("step %d: %v", step, err)
+		}
+		if after, _ := disk.List(folder); !slices.Equal(before, after) {
+			t.Errorf("step %d: files %v, %v before", step, after, before)
+		}
+	}
+}
