quorum/wal: a disk that refuses the lock file refuses writes

What callers see: the control process of a host whose disk accepts nothing ends at each start, once a second, and its host forwards no request.

Cause: Open returned the error of the lock file as it was, and the host keeps a process running without its replica for a *WriteError only. The errors before and after that step were *WriteErrors already.

TestRefusedLockIsAWriteError got syscall.Errno before. A *LockedError stays what it was; errors of reads still end the process.

--- a/quorum/wal/wal.go
+++ b/quorum/wal/wal.go
@@ -68,7 +68,7 @@
 var _ quorum.Storage = (*Log)(nil)
 
 // Open locks the folder for this process and creates it if it is missing. It returns a
-// *LockedError if another process has locked it.
+// *LockedError if another process has locked it, and a *WriteError if the disk refuses that.
 func Open(o Options) (*Log, error) {
 	l := &Log{fs: o.FS, folder: o.Folder, logger: o.Logger, segmentBytes: o.SegmentBytes}
 	if l.fs == nil {
@@ -85,12 +85,21 @@
 	}
 	lock, err := l.fs.Lock(l.path(lockFile))
 	if err != nil {
-		return nil, err
+		return nil, lockError(l.path(lockFile), err)
 	}
 	l.lock = lock
 	return l, nil
 }
 
+// lockError returns a *LockedError as it is, and any other error as a refusal by the disk.
+func lockError(file string, err error) error {
+	var locked *LockedError
+	if errors.As(err, &locked) {
+		return err
+	}
+	return &WriteError{Op: "lock", File: file, Cause: err}
+}
+
 func (l *Log) path(name string) string { return filepath.Join(l.folder, name) }
 
 // fail records the first write error.
--- a/quorum/wal/wal_test.go
+++ b/quorum/wal/wal_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"path"
 	"slices"
 	"strings"
@@ -350,6 +351,21 @@
 	l.Close()
 }
 
+// readOnlyLock is a disk on which the lock file can't be created.
+type readOnlyLock struct{ wal.FS }
+
+func (readOnlyLock) Lock(string) (io.Closer, error) { return nil, syscall.EROFS }
+
+// Guards against a process that ends at each start, instead of serving without its replica, because its disk
+// refuses writes from the first one on.
+func TestRefusedLockIsAWriteError(t *testing.T) {
+	_, err := wal.Open(wal.Options{Folder: t.TempDir(), FS: readOnlyLock{wal.OS{}}})
+	var refused *wal.WriteError
+	if !errors.As(err, &refused) || !errors.Is(err, syscall.EROFS) {
+		t.Errorf("%T: %v", err, err)
+	}
+}
+
 // FuzzLoad loads valid frames with arbitrary payloads, followed by torn or unrelated data.
 // Load must never panic. A log that it accepts must accept further writes, and return them
 // when it is loaded again.
