quorum/node: a failure is reported before the files are closed

The gauge of the role stayed at leader for good.

Change: the role, its gauge and the error are published first; calls end and the folder is unlocked after the write, as before.

Open: Stop itself still waits for a stalled disk without a bound, so that a process is ended by force then.

--- a/quorum/node/node.go
+++ b/quorum/node/node.go
@@ -239,21 +239,27 @@
 	}
 }
 
-// finish ends the replica. err is nil for a planned stop.
+// finish ends the replica. err is nil for a planned stop. A failure is reported before the files are closed,
+// because a stalled disk may hold that up for any time.
 func (n *Node) finish(err error) {
 	n.err = err
 	n.setLeadership(Leadership{Term: n.leadership.Term})
 	n.failPendingProposals("the replica stopped")
 	n.cancel()
+	n.publishStopped()
+	n.reportFailure(err)
 	n.staging.Wait()
 	if closeErr := n.storage.Close(); err == nil && closeErr != nil {
 		n.err = closeErr
+		n.reportFailure(closeErr)
 	}
-	n.publishStopped()
 	close(n.done)
-	if n.err != nil {
-		event.ReplicaStopped.Write(n.logger, event.Err(n.err))
-		n.failed <- n.err
+}
+
+func (n *Node) reportFailure(err error) {
+	if err != nil {
+		event.ReplicaStopped.Write(n.logger, event.Err(err))
+		n.failed <- err
 	}
 }
 
--- a/quorum/node/view.go
+++ b/quorum/node/view.go
@@ -44,6 +44,7 @@
 // publishStopped clears the role and the leader, since a stopped replica neither leads nor knows
 // the leader.
 func (n *Node) publishStopped() {
+	n.metrics.role.Update(int64(quorum.Follower))
 	v := &n.view
 	v.mu.Lock()
 	defer v.mu.Unlock()
