--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -26,6 +26,8 @@
 	Request                = declare(Frontend, Routine, "request", requestFields...)
 	RequestFailed          = declare(Frontend, Warning, "request failed", requestFields...)
 	EntriesDropped         = declare(Platform, Warning, "unusable entries dropped", "kind", "entries", "so_far", "error")
+	RequestsRefused        = declare(Platform, Warning, "requests refused by a limit", "so_far", "error")
+	ConnectionsClosed      = declare(Platform, Warning, "connections closed to make room", "so_far")
 	ConfigurationRefused   = declare(Operator, Warning, "configuration refused", NameVersion, "error")
 	ConfigurationSubmitted = declare(Operator, Rare, "configuration submitted", NameVersion, "status", "error")
 	CordonRefused          = declare(Operator, Warning, "order about an availability zone is not accepted", NameZone, "cordoned", "operator", "outcome", "error")
