--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -1,11 +1,9 @@
 package httplimit
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"os"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -30,7 +28,6 @@
 	read        int64
 	ended       bool
 	conn        *trackedConn
-	controller  *http.ResponseController
 	reservation reservation
 }
 
@@ -50,15 +47,11 @@
 	return n, err
 }
 
-// end clears the deadline for the body. Otherwise it would cancel the request's context later.
+// end records the end of the body. The server has cleared its deadline.
 func (b *body) end() {
-	if b.ended {
-		return
-	}
-	b.ended = true
-	b.conn.bodyEnded()
-	if b.controller != nil {
-		_ = b.controller.SetReadDeadline(time.Time{}) // the connection is closed if this fails
+	if !b.ended {
+		b.ended = true
+		b.conn.bodyEnded()
 	}
 }
 
@@ -141,8 +134,6 @@
 		return http.StatusRequestTimeout
 	case errors.Is(err, errNoLength):
 		return http.StatusLengthRequired
-	case errors.Is(err, context.Canceled):
-		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
 }
--- a/httplimit/connections.go
+++ b/httplimit/connections.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
@@ -15,29 +16,34 @@
 // longest, or else the one whose body has not gone on for longest. If there is none, the new
 // connection is closed.
 type Connections struct {
-	limit    int
-	onClosed func()
-	open     metrics.Gauge
-
-	mu    sync.Mutex
-	conns map[net.Conn]*trackedConn
+	limit int
+	// protected is how many connections of an IP address are not closed for those of addresses that
+	// have more. The first ones of an address replace even connections that are in use.
+	protected int
+	onClosed  func()
+	open      metrics.Gauge
+
+	mu        sync.Mutex
+	conns     map[net.Conn]*trackedConn
+	addresses map[netip.Addr]int
 	// waiting and reading hold connections in the order of their last progress.
 	waiting, reading *list.List
 }
 
 // NewConnections returns a bound that reports the number of open connections as a metric. onClosed is
 // called for each connection that is closed to make room.
-func NewConnections(limit int, open metrics.Gauge, onClosed func()) *Connections {
+func NewConnections(limit, protected int, open metrics.Gauge, onClosed func()) *Connections {
 	return &Connections{
-		limit: limit, onClosed: onClosed, open: open,
+		limit: limit, protected: protected, onClosed: onClosed, open: open, addresses: map[netip.Addr]int{},
 		conns: map[net.Conn]*trackedConn{}, waiting: list.New(), reading: list.New(),
 	}
 }
 
 // trackedConn is an open connection. Its methods do nothing on nil, or after its removal.
 type trackedConn struct {
-	owner *Connections
-	conn  net.Conn
+	owner   *Connections
+	conn    net.Conn
+	address netip.Addr
 	// in is the list that holds the connection at position, nil while it is in use.
 	in       *list.List
 	position *list.Element
@@ -60,17 +66,18 @@
 
 func (c *Connections) add(conn net.Conn) *trackedConn {
 	t := &trackedConn{owner: c, conn: conn}
+	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		t.address = a.AddrPort().Addr()
+	}
 	c.mu.Lock()
 	var victim *trackedConn
 	if len(c.conns) >= c.limit {
-		victim = c.victim()
-		if victim == nil {
-			victim = t
-		}
+		victim = c.victim(t)
 		victim.remove()
 	}
 	if victim != t {
 		c.conns[conn] = t
+		c.addresses[t.address]++
 		t.moveTo(c.waiting)
 	}
 	c.open.Update(int64(len(c.conns)))
@@ -82,13 +89,24 @@
 	return t
 }
 
-func (c *Connections) victim() *trackedConn {
+// victim returns the connection that is closed for a new one, which may be the new one itself.
+func (c *Connections) victim(added *trackedConn) *trackedConn {
 	for _, l := range []*list.List{c.waiting, c.reading} {
-		if e := l.Front(); e != nil {
-			return e.Value.(*trackedConn)
+		for e := l.Front(); e != nil; e = e.Next() {
+			if t := e.Value.(*trackedConn); c.addresses[t.address] > c.protected {
+				return t
+			}
+		}
+	}
+	victim := added
+	if most := c.addresses[added.address]; most < c.protected {
+		for _, t := range c.conns {
+			if n := c.addresses[t.address]; n > max(most, c.protected) {
+				victim, most = t, n
+			}
 		}
 	}
-	return nil
+	return victim
 }
 
 // setState implements http.Server.ConnState.
@@ -163,5 +181,11 @@
 // remove ends the tracking of the connection. The owner is locked.
 func (t *trackedConn) remove() {
 	t.moveTo(nil)
+	if t.owner.conns[t.conn] != t {
+		return
+	}
 	delete(t.owner.conns, t.conn)
+	if t.owner.addresses[t.address]--; t.owner.addresses[t.address] == 0 {
+		delete(t.owner.addresses, t.address)
+	}
 }
--- a/httplimit/limits.go
+++ b/httplimit/limits.go
@@ -90,9 +90,8 @@
 		return ErrBusy
 	}
 	b.conn.bodyBegan()
-	b.controller = http.NewResponseController(w)
 	// Without a deadline, as in tests of handlers, the body takes as long as its source.
-	_ = b.controller.SetReadDeadline(time.Now().Add(b.limits.BodyTimeout(r)))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(b.limits.BodyTimeout(r)))
 	return nil
 }
 
