schedule: a worker gets at most 2,048 runs of tiny tasks

Cause: the number of runs on a worker is bounded by its capacity only, and a task may reserve nothing. One legal job of 20,000 such tasks with a payload of 4,000 bytes starts as a whole on one worker. The leader then encodes, and the worker's agent decodes, 80 MB of orders in one message, more than half of the 152 MB of a side machine, again with each change.

Change: the planner places no task on a worker with 2,048 runs if its capacity would hold as many of that task. A task that reserves more is bounded by the capacity as before, so tiny ones take no place of others. The limit is the planner's only; the log accepts any plan as before. The reason "too many runs" is no sign that processors are missing: it neither moves hosts nor counts as a queueing delay.

--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -117,7 +117,7 @@
 	}
 	temporary := count(ReasonUnreachable, ReasonDraining, ReasonMaintenance, ReasonAvoided, ReasonCordoned)
 	full := count(ReasonProcessors, ReasonMemory, ReasonAccelerators, ReasonSpread, ReasonLabel, ReasonTurn)
-	others := count(ReasonRefused, ReasonSlow, ReasonInterference)
+	others := count(ReasonRefused, ReasonSlow, ReasonInterference, ReasonRuns)
 	if count(ReasonNone, ReasonNotAdvised, ReasonLimit, ReasonHeld) > 0 || temporary > full+others {
 		return false
 	}
--- a/schedule/reason.go
+++ b/schedule/reason.go
@@ -64,6 +64,8 @@
 	// ReasonDoubtful means that the runs of the worker make little progress, and that it has as
 	// many tasks as its rate permits or may not get the task at all.
 	ReasonDoubtful
+	// ReasonRuns means that the worker has as many runs as it may have, and that the task is tiny.
+	ReasonRuns
 	reasonCount
 )
 
@@ -71,6 +73,7 @@
 	"none", "unreachable", "draining", "maintenance", "avoided", "other pool", "label", "processors", "memory",
 	"accelerators", "spread", "not advised", "refused by the advisor", "too slow", "disturbs", "trial", "capacity outdated", "unknown run",
 	"zone cordoned", "limit", "queue held", "kept for another account", "slow worker",
+	"too many runs",
 }
 
 // String returns the reason's name in logs.
--- a/schedule/round.go
+++ b/schedule/round.go
@@ -396,6 +396,8 @@
 		return ReasonTurn
 	case !r.doubtAllows(c, s):
 		return ReasonDoubtful
+	case s.hasMaxRuns() && s.isTiny(spec):
+		return ReasonRuns
 	}
 	if reason := shortageReasons[s.available.ShortageFor(jobqueue.Reserved(spec))]; reason != ReasonNone {
 		return reason
--- a/schedule/slot.go
+++ b/schedule/slot.go
@@ -36,6 +36,8 @@
 	probationStep jobqueue.StepID
 	// startsByStep counts this round's starts by step of an occurrence, nil before the first start.
 	startsByStep map[jobqueue.StepID]int
+	// starts is the number of this round's starts.
+	starts int
 	// rate is the observed rate of the worker, nil if it is not rated.
 	rate *WorkerRate
 	// backfillStarts are this round's starts of backfill tasks.
@@ -161,6 +163,18 @@
 	}
 }
 
+// maxRunsPerWorker bounds the runs of tiny tasks on one worker: the leader and the worker's agent hold all of
+// them, and each message with its orders or runs contains them.
+const maxRunsPerWorker = 2048
+
+func (s *slot) hasMaxRuns() bool { return len(s.worker.Runs)+s.starts >= maxRunsPerWorker }
+
+// isTiny reports whether the capacity of the worker does not bound the number of the step's tasks there to
+// maxRunsPerWorker.
+func (s *slot) isTiny(spec *apiv1.JobStep) bool {
+	return jobqueue.Reserved(spec).Times(maxRunsPerWorker).Fits(s.worker.Capacity())
+}
+
 // acceptsStarts reports whether the worker is usable and its availability zone is not cordoned.
 func (s *slot) acceptsStarts() bool { return s.usable && !s.cordoned }
 
@@ -185,6 +199,7 @@
 		}
 	}
 	s.addUse(c.step.Spec, n)
+	s.starts += n
 	if s.startsByStep == nil {
 		s.startsByStep = map[jobqueue.StepID]int{}
 	}
