jobqueue: finished jobs keep no payload

Cause: a job is kept for ten minutes after its end, so that its state can be read and a late repeat finds it.

Change: it is dropped with the tasks.

--- a/jobqueue/snapshot.go
+++ b/jobqueue/snapshot.go
@@ -176,7 +176,7 @@
 		m.active.put(j.ID(), j)
 		m.setEstimate(j, EstimateBytes(j.Spec))
 	} else {
-		m.setEstimate(j, specBytes(j.Spec))
+		m.setFinishedSpec(j, j.Spec)
 	}
 	return nil
 }
--- a/jobqueue/submit.go
+++ b/jobqueue/submit.go
@@ -148,14 +148,27 @@
 	m.finish(j, apiv1.JobState_JOB_STATE_FAILED)
 }
 
-// discardTasksIfFinished discards the tasks of a job that is finished and has no runs.
+// discardTasksIfFinished discards the tasks and the payload of a job that is finished and has no runs.
 func (m *Machine) discardTasksIfFinished(j *Job) {
 	if j.Open() || j.liveRuns > 0 {
 		return
 	}
 	m.active.remove(j.ID())
 	j.Occurrences = nil
-	m.setEstimate(j, specBytes(j.Spec))
+	m.setFinishedSpec(j, j.Spec)
+}
+
+// setFinishedSpec sets the specification of a job without tasks. Its payload is not passed to any run.
+func (m *Machine) setFinishedSpec(j *Job, spec *apiv1.JobSpec) {
+	if spec.Payload != "" {
+		// The specification may be in use by readers of the state.
+		spec = &apiv1.JobSpec{
+			Id: spec.Id, Host: spec.Host, Path: spec.Path, Steps: spec.Steps, Occurrences: spec.Occurrences,
+			StartAtMs: spec.StartAtMs, IntervalMs: spec.IntervalMs, Account: spec.Account,
+		}
+	}
+	j.Spec = spec
+	m.setEstimate(j, specBytes(spec))
 }
 
 func stopRuns(t *Task) {
--- a/jobqueue/unsubmitted.go
+++ b/jobqueue/unsubmitted.go
@@ -42,7 +42,7 @@
 		m.finished = slices.DeleteFunc(m.finished, func(id string) bool { return id == spec.Id })
 		return false
 	}
-	j.Spec, j.Queue, j.AcceptedMs = spec, q, m.nowMs
-	m.setEstimate(j, specBytes(spec))
+	j.Queue, j.AcceptedMs = q, m.nowMs
+	m.setFinishedSpec(j, spec)
 	return true
 }
