schedule: a round's time and memory grow linearly with the steps of a job

Cause: for each step that waits, the planner computed what its occurrence is allowed, the longest remaining chain and, if late, the work of the whole occurrence, each of which takes a look at all steps and the first two allocate a slice of that length. One legal job of 20,000 steps, 240 KB, took a round of 10 s, in which the leader answers nothing, and gigabytes.

Change: they are computed once for an occurrence and round, the work when the first of its candidates is late. Decisions stay the same.

--- a/schedule/round.go
+++ b/schedule/round.go
@@ -93,6 +93,7 @@
 	stepIndex  int
 	step       *jobqueue.Step
 	tasks      []int
+	facts      *occurrenceFacts
 	// objectiveMs is the wall time in milliseconds by which the job should end.
 	objectiveMs int64
 	// urgency and endByMs are the place of the job among those of its priority. endByMs is the objective,
@@ -162,16 +163,20 @@
 			if !j.Due(k, r.wallMs) {
 				continue
 			}
+			var facts *occurrenceFacts
 			for i, s := range o.Steps {
 				if s.FullyScheduled() && !s.Spec.AllowDuplicates || s.Succeeded() || !o.StepReady(i) {
 					continue
 				}
 				tasks, suspects := splitSuspects(s, r.waitingTasks(j, k, i))
+				if facts == nil && len(tasks)+len(suspects) > 0 {
+					facts = r.newFacts(j, o)
+				}
 				if len(tasks) > 0 {
-					found = append(found, r.newCandidate(j, k, i, s, tasks))
+					found = append(found, r.newCandidate(j, k, i, s, tasks, facts))
 				}
 				if len(suspects) > 0 {
-					c := r.newCandidate(j, k, i, s, suspects)
+					c := r.newCandidate(j, k, i, s, suspects, facts)
 					c.probation = true
 					found = append(found, c)
 				}
@@ -210,16 +215,33 @@
 	return !t.Runs[0].Stopping && !r.fleet.Reachable(t.Runs[0].Worker)
 }
 
-func (r *round) newCandidate(j *jobqueue.Job, occurrence, stepIndex int, s *jobqueue.Step, tasks []int) *candidate {
-	q := j.Queue
-	allowed := r.planner.AllowedTime(q, j.Occurrences[occurrence])
+// occurrenceFacts are what the candidates of an occurrence have in common. Each takes a look at all steps, so
+// that they are computed once.
+type occurrenceFacts struct {
+	allowed, remaining time.Duration
+	// poolTime and begun are set once late is, for an occurrence that may be late.
+	late     bool
+	poolTime time.Duration
+	begun    bool
+}
+
+func (r *round) newFacts(j *jobqueue.Job, o *jobqueue.Occurrence) *occurrenceFacts {
+	return &occurrenceFacts{allowed: r.planner.AllowedTime(j.Queue, o), remaining: r.planner.criticalPath(o, true)}
+}
+
+func (f *occurrenceFacts) setLate(r *round, pool string, o *jobqueue.Occurrence) {
+	if !f.late {
+		f.late, f.poolTime, f.begun = true, r.poolTime(pool, o), begun(o)
+	}
+}
+
+func (r *round) newCandidate(j *jobqueue.Job, occurrence, stepIndex int, s *jobqueue.Step, tasks []int, facts *occurrenceFacts) *candidate {
 	c := &candidate{
-		job: j, queue: q, occurrence: occurrence, stepIndex: stepIndex, step: s, tasks: tasks,
-		objectiveMs: j.DueMs(occurrence) + allowed.Milliseconds(),
+		job: j, queue: j.Queue, occurrence: occurrence, stepIndex: stepIndex, step: s, tasks: tasks,
+		objectiveMs: j.DueMs(occurrence) + facts.allowed.Milliseconds(), facts: facts,
+		allowed: facts.allowed, remainingMs: facts.remaining.Milliseconds(),
 	}
-	remainingMs := r.planner.criticalPath(j.Occurrences[occurrence], true).Milliseconds()
-	c.allowed, c.remainingMs = allowed, remainingMs
-	c.neededSpeed = neededSpeed(remainingMs, c.objectiveMs-r.wallMs)
+	c.neededSpeed = neededSpeed(c.remainingMs, c.objectiveMs-r.wallMs)
 	return c
 }
 
--- a/schedule/urgency.go
+++ b/schedule/urgency.go
@@ -74,14 +74,14 @@
 	if c.step.Spec.LongRunning || r.wallMs+c.remainingMs <= c.objectiveMs {
 		return
 	}
-	o := c.job.Occurrences[c.occurrence]
-	work := r.poolTime(c.queue.Pool, o)
+	c.facts.setLate(r, c.queue.Pool, c.job.Occurrences[c.occurrence])
+	work := c.facts.poolTime
 	c.endByMs += work.Milliseconds()
 	longest := max(maxLateWait, lateWaitFactor*c.allowed, lateWaitFactor*backlog) + work
 	switch {
 	case r.wallMs-c.job.DueMs(c.occurrence) >= longest.Milliseconds():
 		c.urgency = waitedTooLong
-	case !begun(o):
+	case !c.facts.begun:
 		c.urgency = tooLate
 	}
 }
