jobqueue: the estimate of a job counts what the leader notes of its steps

Cause: a step that waits has a place in the leader's planning round, in its list of waits and in its log batch, about 2 KB with the garbage of a round. The estimate counted the step in the state only: 4 jobs of 20,000 steps, 58 MB by the estimate, took 216 MB of the control process, and smaller jobs of the same shape could have filled the limit further.

Change: 512 bytes in place of 112 for a step of an occurrence.

--- a/jobqueue/memory.go
+++ b/jobqueue/memory.go
@@ -4,9 +4,10 @@
 
 // Estimated sizes of the parts of a job on a control host, in bytes.
 const (
-	jobSize            = 512
-	stepSpecSize       = 208
-	occurrenceStepSize = 112
+	jobSize      = 512
+	stepSpecSize = 208
+	// occurrenceStepSize includes what the leader notes about a step that waits.
+	occurrenceStepSize = 512
 	// taskSize includes a run and what the leader observes of it.
 	taskSize = 400
 	// dataCopies is the number of copies of strings and lists: besides the one in the state, those in the
