--- a/quorum/node/addresses.go
+++ b/quorum/node/addresses.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
@@ -32,7 +33,9 @@
 }
 
 // SetMembers records a membership. A member that is new or has moved is reached at its address in
-// the membership until a message reports another one.
+// the membership until a message reports another one. One that the membership no longer lists counts as a
+// sender: a replica that installs a snapshot goes back to an older membership, which may lack the leader that
+// awaits the answer.
 func (b *AddressBook) SetMembers(m *apiv1.Membership) {
 	members := map[uint64]string{}
 	for _, r := range m.GetReplicas() {
@@ -41,6 +44,11 @@
 			b.removeSender(r.Id)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(b.members)) {
+		if _, listed := members[id]; !listed {
+			b.addSender(id, b.Address(id))
+		}
+	}
 	b.members = members
 }
 
@@ -53,6 +61,11 @@
 	if b.members[id] == address {
 		return
 	}
+	b.addSender(id, address)
+}
+
+func (b *AddressBook) addSender(id uint64, address string) {
+	b.removeSender(id)
 	b.senders = append(b.senders, sender{id: id, address: address})
 	if len(b.senders) > maxSenders {
 		b.senders = b.senders[1:]
--- a/quorum/node/senders_test.go
+++ b/quorum/node/senders_test.go
@@ -102,3 +102,18 @@
 	transport.Send([]*apiv1.QuorumMessage{{From: 100, To: 1}})
 	awaitMessage(t, taking, registry, 1)
 }
+
+// Guards against a joining replica that gets its vote seconds later: the leader isn't in the membership of the
+// snapshot that it sends, and the answer to it is dropped with the leader's address.
+func TestAnswerSurvivesOlderMembership(t *testing.T) {
+	const leader, founder = 7, 8
+	taking, address := startMessageServer(t)
+	transport, registry := startTransport(t)
+	transport.SetMembers(&apiv1.Membership{Replicas: []*apiv1.Replica{{Id: leader, Name: "l", Address: address}}})
+	transport.RecordSender(leader, address)
+	transport.Send([]*apiv1.QuorumMessage{{To: leader}})
+	transport.SetMembers(&apiv1.Membership{Replicas: []*apiv1.Replica{{Id: founder, Name: "f", Address: unreachableAddress}}})
+	awaitMessage(t, taking, registry, leader)
+	transport.Send([]*apiv1.QuorumMessage{{To: leader}})
+	awaitMessage(t, taking, registry, leader)
+}
