agent/runs: the end of an incarnation that never answered settles no other departure

The tasks of a worker that leaves in order wait for its lease.

A late announcement of a previous incarnation is the first that the new agent hears, and begins the session. The worker answers as another incarnation, and the session reports the end of the previous one. That report acknowledged all departures that waited, among them the one by the id alone of the worker that runs. It ends, and its agent never had a session with it.

A session whose incarnation the worker has never confirmed settles its own departure only. Others of the same worker wait for the session of the incarnation that is announced next, or for the bound on acknowledgements.

--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -128,7 +128,8 @@
 // once.
 //
 // A departure that does not name the incarnation of the session may be a late one of a previous
-// incarnation. It ends nothing by itself; see session.leftAsAnnounced.
+// incarnation. It ends nothing by itself; see session.leftAsAnnounced. It may also be that of an incarnation
+// whose announcement is still to come; see session.confirmed.
 func (d *Driver) Depart(incarnation string) (acknowledge <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -141,10 +142,10 @@
 		s.recordDeparture()
 	case s == nil && d.departed[incarnation]:
 		atOnce = true // Its end has been reported.
-	case s == nil || s.matchesWithoutStartTime(incarnation):
+	case s == nil || s.matchesWithoutStartTime(incarnation) || !d.departed[incarnation] && s.ofSameWorker(incarnation) && !s.confirmed():
 		event.DepartureUnnamed.Write(d.logger, event.Worker(incarnation), event.PreviousWorker(incarnationOf(s)))
 		d.departures.recordHint(incarnation, now)
-		atOnce = atOnce || s == nil && d.anyDepartedOf(incarnation)
+		atOnce = atOnce || s == nil && !d.successorExpected && d.anyDepartedOf(incarnation)
 	default:
 		d.recordDeparted(incarnation)
 		atOnce = atOnce || !s.hasPendingEnd(incarnation)
@@ -171,6 +172,28 @@
 	return false
 }
 
+// confirmed reports whether the worker has answered this agent as the session's incarnation. If not, the
+// session may have begun with a late announcement, and a departure may be that of a later incarnation that
+// an agent before this one has served.
+func (s *session) confirmed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.clock.received.IsZero()
+}
+
+func (s *session) ofSameWorker(incarnation string) bool {
+	return jobqueue.ParseIncarnation(incarnation).WorkerID == jobqueue.ParseIncarnation(s.incarnation).WorkerID
+}
+
+// settledDepartures returns the departures that are not acknowledged and may be once a leader has
+// acknowledged the end of the session's incarnation.
+func (s *session) settledDepartures() []*pendingDeparture {
+	confirmed := s.confirmed()
+	return slices.DeleteFunc(s.d.departures.list(), func(p *pendingDeparture) bool {
+		return !confirmed && p.name != s.incarnation && s.ofSameWorker(p.name)
+	})
+}
+
 // hasPendingEnd reports whether the end of a previous incarnation is still to be reported.
 func (s *session) hasPendingEnd(incarnation string) bool {
 	return slices.ContainsFunc(s.pendingEnds(), func(e *endReport) bool { return e.request.Worker.Id == incarnation })
@@ -196,7 +219,7 @@
 // called while nothing is reported.
 func (s *session) acknowledgeOnAnswer(ctx context.Context) {
 	for ctx.Err() == nil {
-		if list := s.d.departures.list(); len(list) > 0 {
+		if list := s.settledDepartures(); len(list) > 0 {
 			call, cancel := context.WithTimeout(ctx, reportTimeout)
 			_, err := s.d.opts.Leader.HostLease(call, s.d.opts.Host)
 			cancel()
--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -96,6 +96,9 @@
 	// departed contains incarnations that have ended, so that a late announcement does not start
 	// a session with one of them.
 	departed map[string]bool
+	// successorExpected: the last session ended although the worker never answered as its incarnation, so
+	// that another one may run which is not announced yet.
+	successorExpected bool
 }
 
 // New returns a driver. Run starts it.
@@ -289,9 +292,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.session == s {
-		d.session = nil
+		d.session, d.successorExpected = nil, !s.confirmed()
 		if s.endReported {
-			d.departures.acknowledge(d.departures.list(), d.opts.Now())
+			d.departures.acknowledge(s.settledDepartures(), d.opts.Now())
 		}
 	}
 }
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -33,7 +33,7 @@
 		cancel()
 		if err == nil {
 			s.endReported = true
-			s.d.departures.acknowledge(s.d.departures.list(), s.d.opts.Now())
+			s.d.departures.acknowledge(s.settledDepartures(), s.d.opts.Now())
 			return
 		}
 		s.sleep(retryInterval)
