quorum/node: a host that answers without a replica has not lost its disk

Operators of a group without a leader saw "The group lost the disks of a majority", with hosts whose disk was only full, and quorum.voters_lost counted them. The line asks the operator to give up what only those disks held.

Cause: a voter that answers under another replica ID counts as one that lost its disk.

Such voters are listed as without_replica, counted by quorum.voters_without_replica, and are among those that can return. The other callers of Identify compare with the ID that they look for or skip 0 already.

--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -160,4 +160,4 @@
 	GroupHasLeaderAgain      = declare(Quorum, Rare, "The group has a leader again.", "leader")
 )
 
-var leaderlessFields = []string{"voters", "silent_voters", "disk_lost", "id"}
+var leaderlessFields = []string{"voters", "silent_voters", "disk_lost", "without_replica", "id"}
--- a/logging/event/groupfields.go
+++ b/logging/event/groupfields.go
@@ -39,6 +39,9 @@
 // DiskLost are the hosts of voters whose disk is lost.
 func DiskLost(hosts []string) Field { return Field{zap.Strings("disk_lost", hosts)} }
 
+// WithoutReplica are the hosts of voters that respond and have no replica for now.
+func WithoutReplica(hosts []string) Field { return Field{zap.Strings("without_replica", hosts)} }
+
 // WorkerCount is a number of workers.
 func WorkerCount(n int) Field { return intField("workers", n) }
 
--- a/quorum/node/leaderless.go
+++ b/quorum/node/leaderless.go
@@ -24,6 +24,9 @@
 	unresponsive []string
 	// diskLost voters answer under another id: the disk that held the vote is lost.
 	diskLost []string
+	// withoutReplica voters answer and have no replica for now, such as while their disk refuses writes. The
+	// disk may hold the vote and every entry.
+	withoutReplica []string
 }
 
 // majorityLost reports whether the voters that can still return are no majority.
@@ -59,14 +62,16 @@
 	switch {
 	case err != nil:
 		w.unresponsive = append(w.unresponsive, r.Name)
+	case answer.ReplicaId == 0:
+		w.withoutReplica = append(w.withoutReplica, r.Name)
 	case answer.ReplicaId != r.Id:
 		w.diskLost = append(w.diskLost, r.Name)
 	}
 }
 
 // logLeaderless logs which voters are missing in a group without a leader, at most once in
-// logRepeatInterval. What to do depends on whether they are unresponsive or lost their disks:
-// unresponsive voters return, or can be brought back, with every acknowledged entry, whereas an
+// logRepeatInterval. What to do depends on whether they are unresponsive, run without a replica or lost
+// their disks: the first two return, or can be brought back, with every acknowledged entry, whereas an
 // operator has to decide about a majority of lost disks.
 func (n *Node) logLeaderless() {
 	if time.Since(n.leaderlessLoggedAt) < logRepeatInterval {
@@ -76,8 +81,10 @@
 	n.leaderlessLoggedAt = time.Now()
 	n.metrics.votersLost.Update(int64(len(w.diskLost)))
 	n.metrics.votersUnresponsive.Update(int64(len(w.unresponsive)))
+	n.metrics.votersWithoutReplica.Update(int64(len(w.withoutReplica)))
 	fields := []event.Field{
-		event.Voters(w.voters), event.UnresponsiveVoters(w.unresponsive), event.DiskLost(w.diskLost), event.ReplicaID(n.id()),
+		event.Voters(w.voters), event.UnresponsiveVoters(w.unresponsive), event.DiskLost(w.diskLost),
+		event.WithoutReplica(w.withoutReplica), event.ReplicaID(n.id()),
 	}
 	if w.majorityLost() {
 		event.MajorityDisksLost.Write(n.logger, fields...)
@@ -94,6 +101,7 @@
 	n.leaderlessLoggedAt = time.Time{}
 	n.metrics.votersLost.Update(0)
 	n.metrics.votersUnresponsive.Update(0)
+	n.metrics.votersWithoutReplica.Update(0)
 	event.GroupHasLeaderAgain.Write(n.logger, event.LeaderID(n.Status().Leader))
 }
 
--- a/quorum/node/leaderless_test.go
+++ b/quorum/node/leaderless_test.go
@@ -37,6 +37,24 @@
 	})
 }
 
+// Guards against an operator who gives up a majority whose disks hold everything: two of three hosts answer
+// without a replica, because their disks refuse writes, and count as lost disks.
+func TestHostsWithoutReplicaHaveNotLostTheirDisks(t *testing.T) {
+	forSeeds(t, 3, threeHosts, func(g *nodetest.Group) {
+		g.MustStart()
+		g.Propose("1")
+		g.Kill("a", "c")
+		g.WithoutReplica = []string{"a", "c"}
+		g.Wait("a group without a leader", func() bool { return gaugeValue(g, "b", "quorum.voters_without_replica") == 2 })
+		if lost := gaugeValue(g, "b", "quorum.voters_lost"); lost != 0 {
+			g.T.Errorf("seed %d: %d disks are reported as lost", g.Seed, lost)
+		}
+		g.WithoutReplica = nil
+		g.MustStart("a", "c")
+		g.Wait("a leader again", func() bool { return gaugeValue(g, "b", "quorum.voters_without_replica") == 0 })
+	})
+}
+
 // Guards against metrics that report unresponsive voters after a partition has ended. A follower
 // is partitioned from the others and reconnected. The gauges of a group without a leader must be
 // reset.
--- a/quorum/node/metrics.go
+++ b/quorum/node/metrics.go
@@ -23,13 +23,14 @@
 	commit          metrics.Gauge
 	appliedIndex    metrics.Gauge
 	role            metrics.Gauge
-	// voters, learners and votersResponsive are reported by a leader. votersLost and
-	// votersUnresponsive are reported by a replica that knows no leader.
-	voters             metrics.Gauge
-	learners           metrics.Gauge
-	votersResponsive   metrics.Gauge
-	votersLost         metrics.Gauge
-	votersUnresponsive metrics.Gauge
+	// voters, learners and votersResponsive are reported by a leader. votersLost, votersUnresponsive and
+	// votersWithoutReplica are reported by a replica that knows no leader.
+	voters               metrics.Gauge
+	learners             metrics.Gauge
+	votersResponsive     metrics.Gauge
+	votersLost           metrics.Gauge
+	votersUnresponsive   metrics.Gauge
+	votersWithoutReplica metrics.Gauge
 	// elections counts the elections that this replica won. lagEntries is the number of entries by
 	// which the slowest voter lags behind a leader.
 	elections  metrics.Counter
@@ -51,31 +52,32 @@
 
 func newMetricSet(r metrics.Registry) metricSet {
 	return metricSet{
-		proposals:          metrics.GetOrRegisterCounter("quorum.proposals", r),
-		overloaded:         metrics.GetOrRegisterCounter("quorum.proposals_overloaded", r),
-		unknown:            metrics.GetOrRegisterCounter("quorum.proposals_unknown", r),
-		applied:            metrics.GetOrRegisterCounter("quorum.entries_applied", r),
-		sent:               metrics.GetOrRegisterCounter("quorum.messages_sent", r),
-		received:           metrics.GetOrRegisterCounter("quorum.messages_received", r),
-		misaddressed:       metrics.GetOrRegisterCounter("quorum.messages_foreign", r),
-		inboxDropped:       metrics.GetOrRegisterCounter("quorum.messages_inbox_dropped", r),
-		refused:            metrics.GetOrRegisterCounter("quorum.messages_refused", r),
-		snapshotRefused:    metrics.GetOrRegisterCounter("quorum.snapshots_too_large", r),
-		snapshotBytes:      metrics.GetOrRegisterGauge("quorum.snapshot_bytes", r),
-		term:               metrics.GetOrRegisterGauge("quorum.term", r),
-		commit:             metrics.GetOrRegisterGauge("quorum.commit", r),
-		appliedIndex:       metrics.GetOrRegisterGauge("quorum.applied", r),
-		role:               metrics.GetOrRegisterGauge("quorum.role", r),
-		voters:             metrics.GetOrRegisterGauge("quorum.voters", r),
-		learners:           metrics.GetOrRegisterGauge("quorum.learners", r),
-		votersResponsive:   metrics.GetOrRegisterGauge("quorum.voters_heard", r),
-		votersLost:         metrics.GetOrRegisterGauge("quorum.voters_lost", r),
-		votersUnresponsive: metrics.GetOrRegisterGauge("quorum.voters_silent", r),
-		slowDiskHandovers:  metrics.GetOrRegisterCounter("quorum.slow_disk_handovers", r),
-		elections:          metrics.GetOrRegisterCounter("quorum.elections", r),
-		lagEntries:         metrics.GetOrRegisterGauge("quorum.lag_entries", r),
-		saveDuration:       histogram("quorum.save_microseconds", r),
-		saveEntries:        histogram("quorum.save_entries", r),
+		proposals:            metrics.GetOrRegisterCounter("quorum.proposals", r),
+		overloaded:           metrics.GetOrRegisterCounter("quorum.proposals_overloaded", r),
+		unknown:              metrics.GetOrRegisterCounter("quorum.proposals_unknown", r),
+		applied:              metrics.GetOrRegisterCounter("quorum.entries_applied", r),
+		sent:                 metrics.GetOrRegisterCounter("quorum.messages_sent", r),
+		received:             metrics.GetOrRegisterCounter("quorum.messages_received", r),
+		misaddressed:         metrics.GetOrRegisterCounter("quorum.messages_foreign", r),
+		inboxDropped:         metrics.GetOrRegisterCounter("quorum.messages_inbox_dropped", r),
+		refused:              metrics.GetOrRegisterCounter("quorum.messages_refused", r),
+		snapshotRefused:      metrics.GetOrRegisterCounter("quorum.snapshots_too_large", r),
+		snapshotBytes:        metrics.GetOrRegisterGauge("quorum.snapshot_bytes", r),
+		term:                 metrics.GetOrRegisterGauge("quorum.term", r),
+		commit:               metrics.GetOrRegisterGauge("quorum.commit", r),
+		appliedIndex:         metrics.GetOrRegisterGauge("quorum.applied", r),
+		role:                 metrics.GetOrRegisterGauge("quorum.role", r),
+		voters:               metrics.GetOrRegisterGauge("quorum.voters", r),
+		learners:             metrics.GetOrRegisterGauge("quorum.learners", r),
+		votersResponsive:     metrics.GetOrRegisterGauge("quorum.voters_heard", r),
+		votersLost:           metrics.GetOrRegisterGauge("quorum.voters_lost", r),
+		votersUnresponsive:   metrics.GetOrRegisterGauge("quorum.voters_silent", r),
+		votersWithoutReplica: metrics.GetOrRegisterGauge("quorum.voters_without_replica", r),
+		slowDiskHandovers:    metrics.GetOrRegisterCounter("quorum.slow_disk_handovers", r),
+		elections:            metrics.GetOrRegisterCounter("quorum.elections", r),
+		lagEntries:           metrics.GetOrRegisterGauge("quorum.lag_entries", r),
+		saveDuration:         histogram("quorum.save_microseconds", r),
+		saveEntries:          histogram("quorum.save_entries", r),
 	}
 }
 
