quorum/node: a host that joins asks all known hosts at once

Cause: join requests, and the search for the group among discovered hosts, went to one host after the other, a second for each that does not answer.

Both ask all hosts at once, and end with the first answer that settles them. An address that an answer names is asked while others are still silent.

TestHostAsksAgainAfterAllWereSilent guards the new loop: with calls that are not counted once they time out, it hangs.

--- a/quorum/node/join.go
+++ b/quorum/node/join.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/logging/event"
 )
@@ -15,22 +19,73 @@
 // discoverGroup queries the control hosts that this process knows from another source. It is
 // needed when no configured peer holds a replica any more.
 func (n *Node) discoverGroup() (formStep, *apiv1.Membership) {
-	for _, address := range n.opts.Discover() {
-		if m := n.membershipAt(address); m != nil {
-			return stepJoin, m
+	var group *apiv1.Membership
+	ask(n.ctx, n.opts.Discover(), n.membershipAt, func(_ string, m *apiv1.Membership) (more []string, done bool) {
+		group = m
+		return nil, m != nil
+	})
+	if group == nil {
+		return stepWait, nil
+	}
+	return stepJoin, group
+}
+
+// ask calls all addresses at once, each within requestTimeout, and passes each answer to handle, which may
+// name more addresses. It returns once handle is done or no address is left; calls in progress are canceled.
+func ask[A any](ctx context.Context, addresses []string, call func(ctx context.Context, address string) A,
+	handle func(address string, answer A) (more []string, done bool),
+) {
+	type answerOf struct {
+		address string
+		answer  A
+	}
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answerOf)
+	asked, pending := map[string]bool{}, 0
+	for {
+		for _, address := range addresses {
+			if asked[address] {
+				continue
+			}
+			asked[address] = true
+			pending++
+			calls.Go(func() {
+				callCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+				defer cancel()
+				answer := answerOf{address, call(callCtx, address)}
+				select {
+				case answers <- answer:
+				case <-ctx.Done():
+				}
+			})
+		}
+		if pending == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-answers:
+			pending--
+			more, done := handle(a.address, a.answer)
+			if done {
+				return
+			}
+			addresses = more
 		}
 	}
-	return stepWait, nil
 }
 
 // membershipAt returns the membership of the group that one host belongs to, nil if there is none.
-// Each request has its own timeout, so that an unresponsive host does not use up the time of the
-// next one.
-func (n *Node) membershipAt(address string) *apiv1.Membership {
-	ctx, cancel := context.WithTimeout(n.ctx, requestTimeout)
-	defer cancel()
+func (n *Node) membershipAt(ctx context.Context, address string) *apiv1.Membership {
 	response, err := n.transport.Identify(ctx, address, 0)
-	if err != nil {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil // Another host has answered.
+	case err != nil:
 		event.DiscoveredUnidentified.Write(n.logger, event.Address(address), event.Err(err))
 		return nil
 	}
@@ -82,10 +137,15 @@
 	}
 }
 
+// joinReply is the reply to a join request.
+type joinReply struct {
+	response *apiv1.JoinResponse
+	err      error
+}
+
 // requestJoin sends a join request to each known host once; a member that isn't the leader returns
 // the leader's address. It reports whether a leader accepted the request.
-func (n *Node) requestJoin(self *apiv1.Replica) bool {
-	tried := map[string]bool{n.opts.Address: true}
+func (n *Node) requestJoin(self *apiv1.Replica) (accepted bool) {
 	var addresses []string
 	for _, r := range n.groupMembership().GetReplicas() {
 		addresses = append(addresses, r.Address)
@@ -94,30 +154,29 @@
 		addresses = append(addresses, p.Address)
 	}
 	addresses = append(addresses, n.opts.Discover()...)
-	for i := 0; i < len(addresses) && n.ctx.Err() == nil; i++ {
-		address := addresses[i]
-		if tried[address] {
-			continue
-		}
-		tried[address] = true
-		ctx, cancel := context.WithTimeout(n.ctx, requestTimeout)
+	isSelf := func(address string) bool { return address == n.opts.Address }
+	ask(n.ctx, slices.DeleteFunc(addresses, isSelf), func(ctx context.Context, address string) joinReply {
 		response, err := n.transport.Join(ctx, address, self)
-		cancel()
+		return joinReply{response, err}
+	}, func(address string, r joinReply) (more []string, done bool) {
 		switch {
-		case err != nil:
+		case r.err != nil:
 			if n.loggedAnswers.shouldLog(address, "unanswered") {
-				event.JoinUnanswered.Write(n.logger, event.Address(address), event.Err(err))
+				event.JoinUnanswered.Write(n.logger, event.Address(address), event.Err(r.err))
 			}
-		case response.Accepted:
+		case r.response.Accepted:
 			if n.loggedAnswers.shouldLog(address, "accepted") {
 				event.JoinAccepted.Write(n.logger, event.LeaderAddress(address))
 			}
-			return true
-		case response.NotLeader && response.LeaderAddress != "":
-			addresses = append(addresses, response.LeaderAddress)
-		case n.loggedAnswers.shouldLog(address, response.Message):
-			event.JoinRefused.Write(n.logger, event.Address(address), event.Reason(response.Message))
+			accepted = true
+		case r.response.NotLeader && r.response.LeaderAddress != "":
+			if leader := r.response.LeaderAddress; !isSelf(leader) {
+				more = append(more, leader)
+			}
+		case n.loggedAnswers.shouldLog(address, r.response.Message):
+			event.JoinRefused.Write(n.logger, event.Address(address), event.Reason(r.response.Message))
 		}
-	}
-	return false
+		return more, accepted
+	})
+	return accepted
 }
--- a/quorum/node/leaderless_test.go
+++ b/quorum/node/leaderless_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -96,6 +97,48 @@
 	})
 }
 
+// Guards against a host with an empty disk that gets no vote before the next loss is allowed, because it asks
+// hosts that are down one after the other.
+func TestUnresponsiveHostsDoNotDelayJoining(t *testing.T) {
+	const nextLossAllowed = 4 * time.Second
+	silent := []string{"silent1", "silent2", "silent3", "silent4"}
+	for name, configure := range map[string]func(*nodetest.Group){
+		"named by the settings": func(g *nodetest.Group) { g.Peers = slices.Concat(silent, []string{"b"}) },
+		"discovered": func(g *nodetest.Group) {
+			g.Peers = silent[:1]
+			g.Discover = func() []string { return slices.Concat(silent, []string{"b"}) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forSeeds(t, 3, threeHosts, func(g *nodetest.Group) {
+				foundersAndSpares(g, "d")
+				g.Unresponsive = silent
+				configure(g)
+				began := time.Now()
+				g.AddSpare("late")
+				g.Wait("the log on the late host", func() bool { return g.HasCommand("late", "first") })
+				if waited := time.Since(began); waited > nextLossAllowed {
+					g.T.Errorf("seed %d: the host joined after %v", g.Seed, waited)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a host that stops asking for its group after a time in which none answered.
+func TestHostAsksAgainAfterAllWereSilent(t *testing.T) {
+	forSeeds(t, 3, threeHosts, func(g *nodetest.Group) {
+		foundersAndSpares(g, "d")
+		g.Unresponsive = []string{"a", "b", "c", "d", "silent"}
+		g.Peers = []string{"b", "silent"}
+		g.Discover = func() []string { return []string{"c", "silent"} }
+		g.AddSpare("late")
+		time.Sleep(5 * time.Second)
+		g.Unresponsive = []string{"silent"}
+		g.Wait("the log on the late host", func() bool { return g.HasCommand("late", "first") })
+	})
+}
+
 // Guards against metrics that don't show that one more loss stops the group. One follower of three
 // is down. The leader must report from how many voters it gets messages.
 func TestLeaderExportsGroupGauges(t *testing.T) {
--- a/quorum/node/nodetest/link.go
+++ b/quorum/node/nodetest/link.go
@@ -113,6 +113,10 @@
 
 // Join implements node.Transport.
 func (l *link) Join(ctx context.Context, address string, r *apiv1.Replica) (*apiv1.JoinResponse, error) {
+	if slices.Contains(l.g.Unresponsive, address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	n, err := l.g.nodeAt(l.from, address)
 	if err != nil {
 		return nil, err
