agent/runs: a late announcement of a former id settles no departure either

The end of a session that the worker has never confirmed acknowledged the departures of workers with other ids, and one that arrived during the session was acknowledged at once, its incarnation closed to later announcements. The tasks of that worker wait for its lease.

On platforms that report no start times ids are not reused, so a late announcement names another id than the worker that runs; so may an announcement of another program.

Change: an unconfirmed session settles its own departure only, whatever the id. A departure of an unrelated worker waits beside such a session too, for the next session or for the bound on acknowledgements.

--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -142,7 +142,7 @@
 		s.recordDeparture()
 	case s == nil && d.departed[incarnation]:
 		atOnce = true // Its end has been reported.
-	case s == nil || s.matchesWithoutStartTime(incarnation) || !d.departed[incarnation] && s.ofSameWorker(incarnation) && !s.confirmed():
+	case s == nil || s.matchesWithoutStartTime(incarnation) || !d.departed[incarnation] && !s.confirmed():
 		event.DepartureUnnamed.Write(d.logger, event.Worker(incarnation), event.PreviousWorker(incarnationOf(s)))
 		d.departures.recordHint(incarnation, now)
 		atOnce = atOnce || s == nil && !d.successorExpected && d.anyDepartedOf(incarnation)
@@ -174,23 +174,19 @@
 
 // confirmed reports whether the worker has answered this agent as the session's incarnation. If not, the
 // session may have begun with a late announcement, and a departure may be that of a later incarnation that
-// an agent before this one has served.
+// an agent before this one has served. The later one may have another id: on some platforms ids are not reused.
 func (s *session) confirmed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.clock.received.IsZero()
 }
 
-func (s *session) ofSameWorker(incarnation string) bool {
-	return jobqueue.ParseIncarnation(incarnation).WorkerID == jobqueue.ParseIncarnation(s.incarnation).WorkerID
-}
-
 // settledDepartures returns the departures that are not acknowledged and may be once a leader has
 // acknowledged the end of the session's incarnation.
 func (s *session) settledDepartures() []*pendingDeparture {
 	confirmed := s.confirmed()
 	return slices.DeleteFunc(s.d.departures.list(), func(p *pendingDeparture) bool {
-		return !confirmed && p.name != s.incarnation && s.ofSameWorker(p.name)
+		return !confirmed && p.name != s.incarnation
 	})
 }
 
