agent/runs: a later departure does not replace the one that waits for an announcement

A worker departs before its agent, which has just started, hears its next announcement. Another departure arrives after it: a late one of a previous incarnation, or one that names another worker. The worker's departure is acknowledged after the report, but its end is not recognized once its port is closed, and its tasks wait for the lease.

Cause: departures that do not name the incarnation of the session were kept as one name and time, which the last one replaced.

Change: they are kept by name, until they neither count nor wait for their acknowledgement.

--- a/agent/runs/departures.go
+++ b/agent/runs/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,10 +40,9 @@
 // departures are the announcements of departures that this agent received.
 type departures struct {
 	mu sync.Mutex
-	// hintName is the name in the last departure that does not name the incarnation of the session, and
-	// hintedAt is when it was acknowledged, or when it arrived until then.
-	hintName string
-	hintedAt time.Time
+	// hintedAt contains, by the name in it, when a departure that does not name the incarnation of the session
+	// was acknowledged, or when it arrived until then.
+	hintedAt map[string]time.Time
 	// pending are the departures that are not acknowledged.
 	pending []*pendingDeparture
 	// acknowledgedName is the name in the last departure that was acknowledged, at acknowledgedAt.
@@ -62,14 +62,26 @@
 func (d *departures) recordHint(name string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hintName, d.hintedAt = name, now
+	maps.DeleteFunc(d.hintedAt, func(name string, at time.Time) bool {
+		return now.Sub(at) > departureHintRetention && !d.isPending(name)
+	})
+	if d.hintedAt == nil {
+		d.hintedAt = map[string]time.Time{}
+	}
+	d.hintedAt[name] = now
+}
+
+// isPending reports whether a departure under a name is not acknowledged. The caller must hold d.mu.
+func (d *departures) isPending(name string) bool {
+	return slices.ContainsFunc(d.pending, func(p *pendingDeparture) bool { return p.name == name })
 }
 
 // hints reports whether a departure under a name counted at a given time.
 func (d *departures) hints(name string, at time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return name != "" && d.hintName == name && at.Sub(d.hintedAt) <= departureHintRetention
+	hintedAt, hinted := d.hintedAt[name]
+	return hinted && at.Sub(hintedAt) <= departureHintRetention
 }
 
 // list returns the departures that are not acknowledged.
@@ -94,8 +106,8 @@
 		d.pending = slices.Delete(d.pending, i, i+1)
 		p.timeout.Stop()
 		close(p.acknowledged)
-		if p.name == d.hintName {
-			d.hintedAt = now
+		if _, hinted := d.hintedAt[p.name]; hinted {
+			d.hintedAt[p.name] = now
 		}
 		d.acknowledgedName, d.acknowledgedAt = p.name, now
 		acknowledged++
