agent/runs: the end of an incarnation does not drop the reports of previous ends

A worker crashes while no leader answers, and its next incarnation ends before there is one: it is replaced, or departs. Once a leader answers, the agent reports the end of the later incarnation only. That one is not in the log, which keeps the earlier one and its runs, and the account of the crash is lost.

Cause: the reports of previous ends belong to the session, and the session ends once its own end is reported. They were passed on only to a session that began before that.

Change: a session reports the previous ends before its own, and ends after both.

TestEndOfNextIncarnationKeepsThatOfPreviousOne failed in 4 of 4 cases before, in none after.

--- a/agent/runs/previousends_test.go
+++ b/agent/runs/previousends_test.go
@@ -1,6 +1,7 @@
 package runs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +110,33 @@
 	}
 	return nil, false
 }
+
+// Guards against the end of a crashed incarnation that no leader learns, because the next one ends too while
+// there is no leader to report to.
+func TestEndOfNextIncarnationKeepsThatOfPreviousOne(t *testing.T) {
+	for name, end := range map[string]func(*leaving){
+		"replaced":           func(h *leaving) { h.w.SetIncarnation("w1@7") },
+		"departs":            func(h *leaving) { h.d.Depart("w1@6"); h.fail(errNoListener) },
+		"departs by its id":  func(h *leaving) { h.drain(); h.d.Depart("w1"); h.fail(errNoListener) },
+		"replaced, unserved": func(h *leaving) { h.fail(errBroken); h.w.SetIncarnation("w1@7"); h.w.renewError.Store(nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &leader{epoch: 1, orders: startOrders(1, 1)}
+			withLeavingWorker(t, l, func(h *leaving) {
+				h.announce()
+				time.Sleep(2 * time.Second)
+				l.update(func() { l.unavailable = true })
+				h.w.SetIncarnation("w1@6")
+				h.announce()
+				time.Sleep(time.Second)
+				end(h)
+				time.Sleep(time.Second)
+				l.update(func() { l.unavailable = false })
+				time.Sleep(time.Second)
+				if ended, _ := l.provedEnds(); !slices.Equal(ended, []string{"w1@5", "w1@6"}) {
+					t.Errorf("reported the ends of %v", ended)
+				}
+			})
+		})
+	}
+}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -15,7 +15,8 @@
 	"github.com/cairnlift/cairnlift/logging/event"
 )
 
-// reportDeparture reports to the leader that the incarnation has ended, once it has.
+// reportDeparture reports to the leader that the incarnation has ended, once it has, and before that the
+// ends of previous ones: there may be no later session that reports these.
 func (s *session) reportDeparture(proof endProof) {
 	s.d.mu.Lock()
 	s.d.recordDeparted(s.incarnation)
@@ -28,9 +29,10 @@
 	s.endCalls()
 	end := s.departureReport(proof)
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-		err := s.sendEnd(ctx, end)
-		cancel()
+		err := s.reportPreviousEnds()
+		if err == nil {
+			err = s.reportEnd(end)
+		}
 		if err == nil {
 			s.endReported = true
 			s.d.departures.acknowledge(s.settledDepartures(), s.d.opts.Now())
@@ -74,15 +76,22 @@
 
 // reportPreviousEnds reports to the leader that previous incarnations have ended. The first report of this
 // incarnation would imply that too, but the incarnation may end before it.
-func (s *session) reportPreviousEnds() {
+func (s *session) reportPreviousEnds() error {
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
 	for _, end := range s.pendingEnds() {
 		if err := s.sendEnd(ctx, end); err != nil {
-			return
+			return err
 		}
 		s.dropEnds([]*endReport{end})
 	}
+	return nil
+}
+
+func (s *session) reportEnd(end *endReport) error {
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	return s.sendEnd(ctx, end)
 }
 
 // pendingEnds returns the reports of the ends of previous incarnations that no leader has acknowledged.
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -212,7 +212,7 @@
 	defer s.cancel()
 	wait := time.Duration(0)
 	for s.ctx.Err() == nil {
-		s.reportPreviousEnds()
+		_ = s.reportPreviousEnds() // The report below carries those that are left.
 		if s.d.departures.anyPending() {
 			wait = 0
 		}
