admission: a caller that found no place among the returns keeps its time

A caller that is refused while the times to return have come to their bound of 20 s is told a time in the second half of that bound, and was forgotten. If it returned at once, it counted as a new caller and took the place of others that keep to the times that they were told.

Cause: only callers with a place of their own were kept.

All are kept now, in the order of their times, up to the same number for each account. TestEarlyReturnBeyondTheBoundKeepsItsTime failed before.

--- a/admission/returns.go
+++ b/admission/returns.go
@@ -91,12 +91,27 @@
 		at = next
 	}
 	a.lastReturn = at
-	if a.returns.Len() < maxReturns {
-		a.byJob[r.Job] = a.returns.PushBack(&callerReturn{job: r.Job, at: at, work: r.Work})
-	}
+	a.keep(r, at)
 	return at
 }
 
+// keep adds a caller to those that are to return, in the order of their times.
+func (a *account) keep(r Request, at time.Time) {
+	if a.returns.Len() >= maxReturns {
+		return
+	}
+	entry := &callerReturn{job: r.Job, at: at, work: r.Work}
+	before := a.returns.Back()
+	for before != nil && before.Value.(*callerReturn).at.After(at) {
+		before = before.Prev()
+	}
+	if before == nil {
+		a.byJob[r.Job] = a.returns.PushFront(entry)
+		return
+	}
+	a.byJob[r.Job] = a.returns.InsertAfter(entry, before)
+}
+
 // accountTable holds the accounts, the least recently used one first.
 type accountTable struct {
 	byName map[string]*list.Element
@@ -150,7 +165,9 @@
 	earliest := now.Add(max(minRetryAfter, lack))
 	if latest := now.Add(maxRetryAfter); earliest.After(latest) || a.lastReturn.Add(interval).After(latest) {
 		// There is no place within the bound. The times are spread over its second half.
-		return maxRetryAfter/2 + time.Duration(random.Int64N(int64(maxRetryAfter/2)))
+		after := maxRetryAfter/2 + time.Duration(random.Int64N(int64(maxRetryAfter/2)))
+		a.keep(r, now.Add(after))
+		return after
 	}
 	return a.assign(r, earliest, interval).Sub(now)
 }
--- a/admission/returns_test.go
+++ b/admission/returns_test.go
@@ -150,3 +150,23 @@
 		c.Decide(r, backlog, now.Add(time.Duration(i)*time.Millisecond))
 	}
 }
+
+// Guards against a caller that returns early and takes the place of others, because the times that callers are
+// told have come to their bound when it is refused.
+func TestEarlyReturnBeyondTheBoundKeepsItsTime(t *testing.T) {
+	c, now := New(Estimate, 1), time.UnixMilli(0)
+	slow := full
+	slow.Drain.CoreMs = 5000
+	var told time.Duration
+	for i := range 60 { // one a second: the first 20 have a place
+		told = c.Decide(request("a", fmt.Sprint(i)), slow, now).RetryAfter
+	}
+	some := full
+	some.Ahead.CoreMs = 50_000
+	if d := c.Decide(request("a", "59"), some, now); d.Reason != EarlyReturn || d.RetryAfter != told {
+		t.Errorf("an early return: %v, after %v, told %v", d.Reason, d.RetryAfter, told)
+	}
+	if d := c.Decide(request("a", "59"), some, now.Add(told)); d.Reason != Accepted {
+		t.Errorf("at its time: %v", d.Reason)
+	}
+}
