agent/runs: another incarnation that answers a stop proves the end

Cause, from the log: the agent waits for the end of the worker while a stop is repeated. The next incarnation answers the stop first, "other incarnation", which ends the context of the calls to the worker. The wait goes on by renewals in that context, which all fail from then on, until the lease has ended.

The wait ends when that context has ended: another incarnation answers. The other loops that call the worker in it look at it already (lease, starts, stops, paces, starts in flight, the watch during a report).

TestNextIncarnationThatAnswersAStopProvesTheEnd failed before. The harness's worker fails calls whose context has ended, as a real one's client does.

--- a/agent/runs/departures_test.go
+++ b/agent/runs/departures_test.go
@@ -490,3 +490,26 @@
 		}
 	}
 }
+
+// Guards against the end of a worker that is reported a lease late, because a stop was answered by its next
+// incarnation while the agent waited for the end.
+func TestNextIncarnationThatAnswersAStopProvesTheEnd(t *testing.T) {
+	l := &leader{epoch: 1, orders: startOrders(1, 1)}
+	withLeavingWorker(t, l, func(h *leaving) {
+		h.announce()
+		time.Sleep(2 * time.Second)
+		h.w.lostCall.Store("stop")
+		l.update(func() { l.orders = stopOrders(2, 1) })
+		h.drain()
+		<-h.d.Depart("w1@5")
+		time.Sleep(time.Second)
+		h.w.lostCall.Store("renew")
+		h.w.SetIncarnation("w1@6")
+		time.Sleep(time.Second)
+		h.w.lostCall.Store("")
+		time.Sleep(time.Second)
+		if ended, proved := l.provedEnds(); !slices.Equal(ended, []string{"w1@5"}) || !proved {
+			t.Errorf("reported the ends of %v, proved: %v", ended, proved)
+		}
+	})
+}
--- a/agent/runs/harness_test.go
+++ b/agent/runs/harness_test.go
@@ -227,6 +227,9 @@
 
 func (w *countingWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
 	w.renewals.Add(1)
+	if err := ctx.Err(); err != nil {
+		return runs.Status{}, 0, err
+	}
 	if err := w.renewError.Load(); err != nil {
 		return runs.Status{}, 0, *err
 	}
--- a/agent/runs/report.go
+++ b/agent/runs/report.go
@@ -59,6 +59,8 @@
 		requested := s.d.opts.Now()
 		status, answer, err := s.renew(s.alive, 0)
 		switch {
+		case s.alive.Err() != nil && s.ctx.Err() == nil:
+			return endReplaced // A stop may have been answered by another incarnation.
 		case errors.Is(err, ErrNotListening) && s.stoppedListening():
 			return endNotListening
 		case err == nil && answer == AnswerOtherIncarnation:
