jobclient: an entry refuses a job only if the leader does not know it

Where jobs may be refused (--admission), a repeat of a job that was accepted through another entry was answered 429: that it was not accepted and never runs.

Cause: an entry refused by the leader's last verdict, or since too many submissions waited there, by what it knew itself. It knows of the submissions that it sent, and callers repeat at any entry.

An entry that would refuse a job asks the leader now. The leader answers in a term that a majority has confirmed: the job is in the log, may still be committed by a submission that it handles or whose outcome is unknown, or neither. A known job is answered as accepted, one in doubt with an unknown outcome, and so is any while no leader responds.

Without the leader's check for jobs in doubt, for the log, or for its majority, a test in dispatch fails each time.

The tests of intake pass a leader that knows no job; they check the same.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 	// submissions is nil unless the leader may refuse submitted jobs.
 	submissions *submissions
 	memory      *memoryGuard
+	refuser     *refuser
 
 	// mu guards the leader's state outside the replicated log. It is acquired before the replica's
 	// own lock.
@@ -109,10 +110,10 @@
 		advisorWatch:         dependency.New("advisor", o.Logger, o.Now),
 		hostsWatch:           dependency.New("list of hosts", o.Logger, o.Now),
 	}
-	refuser := newRefuser(o.Replica)
-	d.memory = newMemoryGuard(&d.opts, refuser, d.logger)
+	d.refuser = newRefuser(o.Replica)
+	d.memory = newMemoryGuard(&d.opts, d.refuser, d.logger)
 	if o.Admission != "" && o.Admission != admission.Off {
-		d.submissions = newSubmissions(&d.opts, refuser, newRefusalLog(d.logger))
+		d.submissions = newSubmissions(&d.opts, d.refuser, newRefusalLog(d.logger))
 	}
 	return d
 }
--- a/dispatch/refuser.go
+++ b/dispatch/refuser.go
@@ -23,11 +23,8 @@
 // confirm returns the refusal of a job, decided on in a term, once a majority has confirmed that this replica
 // leads in it. Another replica may have become the leader and hold the job.
 func (r *refuser) confirm(ctx context.Context, spec *apiv1.JobSpec, term uint64, refusal *apiv1.Result) (*apiv1.Result, error) {
-	leads, ok := r.replica.Leading()
-	err := r.barrier.wait(ctx)
-	after, still := r.replica.Leading()
-	if err != nil || !ok || !still || leads != term || after != term {
-		return nil, &control.NotLeaderError{LeaderAddress: r.replica.LeaderAddress()}
+	if err := r.confirmLeadership(ctx, term); err != nil {
+		return nil, err
 	}
 	if holds(r.replica, spec) {
 		return &apiv1.Result{Verdict: apiv1.Verdict_VERDICT_ACCEPTED, Job: apiv1.JobOutcome_JOB_OUTCOME_OK}, nil
@@ -35,11 +32,22 @@
 	return refusal, nil
 }
 
+// confirmLeadership returns once a majority has confirmed that this replica leads in a term, and everything that
+// was committed before is applied here. Errors: *control.NotLeaderError.
+func (r *refuser) confirmLeadership(ctx context.Context, term uint64) error {
+	before, ok := r.replica.Leading()
+	err := r.barrier.wait(ctx)
+	after, still := r.replica.Leading()
+	if err != nil || !ok || !still || before != term || after != term {
+		return &control.NotLeaderError{LeaderAddress: r.replica.LeaderAddress()}
+	}
+	return nil
+}
+
 // holds reports whether the log holds the job.
 func holds(r Replica, spec *apiv1.JobSpec) (held bool) {
 	r.ReadState(func(m *state.Machine) {
-		j, _ := m.CallerJobs().Lookup(spec.Host, spec.Path, spec.Id)
-		held = j != nil
+		held = m.CallerJobs().JobAt(spec.Host, spec.Path, spec.Id) != nil
 	})
 	return held
 }
--- a/dispatch/submissions_test.go
+++ b/dispatch/submissions_test.go
@@ -145,6 +145,9 @@
 		if o := outcomeOf(s.trySubmit(refused)); o != "not run" {
 			t.Errorf("answered %q", o)
 		}
+		if s.lookup(refused.Id) != control.SubmissionInDoubt {
+			t.Error("an entry may refuse a job by the word of a leader without a quorum")
+		}
 		s.connected.cutOff.Store(false)
 		if o := outcomeOf(s.trySubmit(refused)); o != "JOB_OUTCOME_REFUSED" {
 			t.Errorf("with a quorum: %q", o)
@@ -193,6 +196,9 @@
 			propose := func(context.Context) (*apiv1.Result, error) {
 				proposals++
 				s.sleep(time.Second)
+				if s.lookup(spec.Id) != control.SubmissionInDoubt {
+					t.Error("a job that is being proposed is not in doubt")
+				}
 				return &apiv1.Result{Job: apiv1.JobOutcome_JOB_OUTCOME_OK}, err
 			}
 			var callers sync.WaitGroup
@@ -208,7 +214,10 @@
 				t.Errorf("%d proposals", proposals)
 			}
 		}
-		s.fill("a", "")
+		_, refused := s.fill("a", "")
+		if s.lookup("job unknown") != control.SubmissionInDoubt || s.lookup(refused.Id) != control.SubmissionAbsent {
+			t.Error("a job in doubt may be refused, or a refused one may not")
+		}
 		proposed := false
 		res, err := s.dispatcher.SubmitJob(s.ctx, heavy("job unknown", ""), func(context.Context) (*apiv1.Result, error) {
 			proposed = true
@@ -225,6 +234,7 @@
 	jobOpSubmit = "submit"
 	jobOpCancel = "cancel"
 	jobOpState  = "state"
+	jobOpLookup = "lookup"
 )
 
 type jobOp struct{ kind, job string }
@@ -258,12 +268,23 @@
 		return []any{"canceled"}
 	case kind == jobOpCancel && result == "JOB_OUTCOME_NO_JOB" && (s == "absent" || s == "tombstone" || s == "done"):
 		return []any{after[kind][s]}
+	case kind == jobOpLookup && (result == "none") == (s == "absent" || s == "tombstone"):
+		return []any{s}
 	case kind == jobOpState && (result == "none" && (s == "absent" || s == "tombstone") || result == s):
 		return []any{s}
 	}
 	return nil
 }
 
+// lookup returns what the leader tells an entry that would refuse a job.
+func (s *sim) lookup(id string) control.SubmissionState {
+	states, err := s.dispatcher.LookupSubmissions(s.ctx, []control.SubmissionKey{{Host: simHost, Path: "/q/" + id, ID: id}})
+	if err != nil {
+		return control.SubmissionInDoubt
+	}
+	return states[0]
+}
+
 // jobState reads the state of a job in the words of the model; false if no leader confirmed it.
 func (s *sim) jobState(id string) (string, bool) {
 	resp, err := s.dispatcher.Read(s.ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_JOB, Host: simHost, Path: "/q/" + id, Id: id})
@@ -300,8 +321,8 @@
 	return nondeterministic.ToModel()
 }
 
-// checkJobHistory has eight callers submit, cancel and read jobs while the leader changes a number of times, and
-// checks what they were answered against a model.
+// checkJobHistory has eight callers submit, cancel, look up and read jobs while the leader changes a number of
+// times, and checks what they were answered against a model.
 func (s *sim) checkJobHistory(name string, model porcupine.Model, leaderChanges int, results map[string]int) {
 	var mu sync.Mutex
 	var history []porcupine.Operation
@@ -333,7 +354,7 @@
 func TestRefusalsAreLinearizable(t *testing.T) {
 	model := jobHistoryModel(stepJob)
 	results := map[string]int{}
-	wanted := []string{"submit JOB_OUTCOME_OK", "submit JOB_OUTCOME_REFUSED", "submit unknown", "cancel JOB_OUTCOME_OK"}
+	wanted := []string{"submit JOB_OUTCOME_OK", "submit JOB_OUTCOME_REFUSED", "submit unknown", "cancel JOB_OUTCOME_OK", "lookup none", "lookup known"}
 	for seed := uint64(0); playsOn(seed, results, wanted); seed++ {
 		runSimWith(t, seed, 2, admission.Estimate, func(t *testing.T, s *sim) {
 			s.stopFaults()
@@ -360,7 +381,8 @@
 }
 
 func (s *sim) callJob(client int, mu *sync.Mutex, history *[]porcupine.Operation, results map[string]int) {
-	op := jobOp{[]string{jobOpSubmit, jobOpSubmit, jobOpSubmit, jobOpCancel, jobOpState}[s.intN(5)], fmt.Sprint("job", s.intN(30))}
+	kinds := []string{jobOpSubmit, jobOpSubmit, jobOpSubmit, jobOpCancel, jobOpState, jobOpLookup}
+	op := jobOp{kinds[s.intN(len(kinds))], fmt.Sprint("job", s.intN(30))}
 	called := time.Now().UnixNano()
 	var result string
 	switch op.kind {
@@ -370,6 +392,12 @@
 		result = outcomeOf(s.replica.ProposeLocal(s.ctx, &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: &apiv1.JobsCommand{
 			Body: &apiv1.JobsCommand_Cancel{Cancel: &apiv1.CancelJob{Id: op.job, Host: simHost, Path: "/q/" + op.job}},
 		}}}))
+	case jobOpLookup:
+		state := s.lookup(op.job)
+		if state == control.SubmissionInDoubt {
+			return
+		}
+		result = map[control.SubmissionState]string{control.SubmissionAbsent: "none", control.SubmissionAccepted: "known"}[state]
 	default:
 		read, ok := s.jobState(op.job)
 		if !ok {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// mountJobs registers the service by which entries and agents query this host's replica about
+// mountJobs registers the services by which entries and agents query this host's replica about
 // jobs.
 func (e *Entry) mountJobs(mux *http.ServeMux) {
 	if e.dispatcher == nil {
@@ -78,6 +78,7 @@
 	}
 	server := apiv1.NewJobsServer(e.dispatcher)
 	mux.Handle(server.PathPrefix(), server)
+	mux.Handle(control.LookupPath, control.LookupHandler(e.dispatcher.LookupSubmissions))
 }
 
 // jobBackend implements jobapi.Backend.
--- a/jobclient/client.go
+++ b/jobclient/client.go
@@ -46,7 +46,8 @@
 	logger    *zap.Logger
 	leader    *dependency.Watch
 	// intake is nil unless submissions are bounded.
-	intake *intake
+	intake  *intake
+	lookups *lookups
 	// directory is the internal address of this process if it serves a Directory; otherwise empty.
 	directory string
 	// announced has a value if an announcement arrived after the last refresh began.
@@ -76,6 +77,7 @@
 	f.TryTimeout = attemptTimeout
 	return &Client{
 		seeds: slices.Clone(seeds), http: hc, forwarder: f, logger: event.JobClient.Named(logger),
+		lookups:     newLookups(f.LookupSubmissions),
 		leader:      dependency.New("leader", logger, nil),
 		announced:   make(chan struct{}, 1),
 		jobsClients: map[string]apiv1.Jobs{}, peers: slices.Clone(seeds), directories: map[string]bool{},
@@ -148,6 +150,12 @@
 	return c.intake.submit(ctx, spec, send)
 }
 
+// LookupSubmission returns what the leader knows about the submissions of a job, which is in doubt if no leader
+// responds in time. The questions of many callers are sent together.
+func (c *Client) LookupSubmission(ctx context.Context, host, path, id string) control.SubmissionState {
+	return c.lookups.state(ctx, control.SubmissionKey{Host: host, Path: path, ID: id})
+}
+
 // Cancel cancels a job; see propose for errors.
 func (c *Client) Cancel(ctx context.Context, host, path, id string) (apiv1.JobOutcome, error) {
 	return c.propose(ctx, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Cancel{
--- a/jobclient/intake.go
+++ b/jobclient/intake.go
@@ -38,9 +38,12 @@
 )
 
 // intake bounds the submissions in progress, fairly between accounts, and refuses jobs while the
-// leader's last word is that the queue is full for all jobs like them.
+// leader's last word is that the queue is full for all jobs like them. It refuses a job only if the leader
+// does not know it: another entry may have submitted it before.
 type intake struct {
-	now     func() time.Time
+	now func() time.Time
+	// lookup asks the leader for the state of a job.
+	lookup  func(context.Context, *apiv1.JobSpec) control.SubmissionState
 	refused metrics.Counter
 	waiting metrics.Gauge
 
@@ -81,12 +84,14 @@
 // BoundSubmissions bounds the submissions in progress and refuses jobs by the leader's last verdict. It
 // must be called before the first use. Without it, all submissions are sent at once.
 func (c *Client) BoundSubmissions(registry metrics.Registry) {
-	c.intake = newIntake(registry, time.Now)
+	c.intake = newIntake(registry, time.Now, func(ctx context.Context, spec *apiv1.JobSpec) control.SubmissionState {
+		return c.LookupSubmission(ctx, spec.Host, spec.Path, spec.Id)
+	})
 }
 
-func newIntake(registry metrics.Registry, now func() time.Time) *intake {
+func newIntake(registry metrics.Registry, now func() time.Time, lookup func(context.Context, *apiv1.JobSpec) control.SubmissionState) *intake {
 	return &intake{
-		now: now, accounts: map[string]*list.List{}, order: list.New(), verdicts: map[verdictKey]verdict{},
+		now: now, lookup: lookup, accounts: map[string]*list.List{}, order: list.New(), verdicts: map[verdictKey]verdict{},
 		inProgress: map[string]int{}, doubtful: map[string]time.Time{},
 		refused: metrics.GetOrRegisterCounter("admission.refused_here", registry),
 		waiting: metrics.GetOrRegisterGauge("admission.waiting_here", registry),
@@ -109,13 +114,13 @@
 func (i *intake) submit(ctx context.Context, spec *apiv1.JobSpec, send func() (apiv1.JobOutcome, error)) (apiv1.JobOutcome, error) {
 	t, err := i.enter(spec)
 	if err != nil {
-		return outcomeOf(err), err
+		return i.confirm(ctx, spec, err)
 	}
 	select {
 	case <-t.ready:
 	case <-ctx.Done():
 		if i.abandon(spec, t) {
-			return outcomeOf(nil), &control.UnavailableError{RetryAfter: minRetryAfter, Cause: "the submission waited here and was not sent"}
+			return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, &control.UnavailableError{RetryAfter: minRetryAfter, Cause: "the submission waited here and was not sent"}
 		}
 	}
 	outcome, err := send()
@@ -123,12 +128,20 @@
 	return outcome, err
 }
 
-func outcomeOf(err error) apiv1.JobOutcome {
+// confirm returns the outcome of a submission that was not let in with an error.
+func (i *intake) confirm(ctx context.Context, spec *apiv1.JobSpec, err error) (apiv1.JobOutcome, error) {
 	var refused *control.RefusedError
-	if errors.As(err, &refused) {
-		return apiv1.JobOutcome_JOB_OUTCOME_REFUSED
+	if !errors.As(err, &refused) {
+		return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, err
 	}
-	return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED
+	switch i.lookup(ctx, spec) {
+	case control.SubmissionAccepted:
+		return apiv1.JobOutcome_JOB_OUTCOME_OK, nil
+	case control.SubmissionAbsent:
+		i.refused.Inc(1)
+		return apiv1.JobOutcome_JOB_OUTCOME_REFUSED, err
+	}
+	return apiv1.JobOutcome_JOB_OUTCOME_UNSPECIFIED, &control.UnknownError{Cause: refused.Cause + ", and an earlier submission may have been accepted"}
 }
 
 // enter lets a submission wait to be sent, or refuses it.
@@ -137,7 +150,6 @@
 	defer i.mu.Unlock()
 	now := i.now()
 	if err := i.refuseByVerdict(spec, now); err != nil {
-		i.refused.Inc(1)
 		return nil, err
 	}
 	t := &ticket{ready: make(chan struct{})}
@@ -150,7 +162,6 @@
 	}
 	queue := i.accounts[spec.Account]
 	if i.total >= maxWaiting || queue != nil && queue.Len() >= maxWaitingPerAccount {
-		i.refused.Inc(1)
 		return nil, i.refusal(spec, now, verdict{at: now, cause: "too many submissions wait here"})
 	}
 	if queue == nil {
--- a/jobclient/intake_test.go
+++ b/jobclient/intake_test.go
@@ -22,6 +22,9 @@
 
 var errFull = &control.RefusedError{RetryAfter: 4 * time.Second, Cause: "too late", Full: true}
 
+// absent is the state of a job that the leader does not know.
+func absent(context.Context, *apiv1.JobSpec) control.SubmissionState { return control.SubmissionAbsent }
+
 func job(id, account string) *apiv1.JobSpec {
 	return &apiv1.JobSpec{Id: id, Host: "h", Path: "/q/" + id, Account: account, Steps: []*apiv1.JobStep{{Count: 10, CpuMilli: 1000, EstimatedMs: 500}}}
 }
@@ -31,7 +34,7 @@
 func TestFloodOfOneAccountIsBounded(t *testing.T) {
 	metrics.NewMeter().Stop()
 	synctest.Test(t, func(t *testing.T) {
-		i := newIntake(metrics.NewRegistry(), time.Now)
+		i := newIntake(metrics.NewRegistry(), time.Now, absent)
 		var mu sync.Mutex
 		sending, most, answers := 0, 0, map[string]int{}
 		var callers sync.WaitGroup
@@ -81,7 +84,7 @@
 // another account or has other steps; and against one that decides on repeats and first tries differently.
 func TestVerdictIsUsedForShortTimeAndLikeJobsOnly(t *testing.T) {
 	now := time.UnixMilli(0)
-	i := newIntake(metrics.NewRegistry(), func() time.Time { return now })
+	i := newIntake(metrics.NewRegistry(), func() time.Time { return now }, absent)
 	try := func(spec *apiv1.JobSpec, outcome apiv1.JobOutcome, err error) (sent bool, got error) {
 		_, got = i.submit(t.Context(), spec, func() (apiv1.JobOutcome, error) {
 			sent = true
@@ -124,7 +127,7 @@
 func TestAnswersWithoutRoom(t *testing.T) {
 	metrics.NewMeter().Stop()
 	synctest.Test(t, func(t *testing.T) {
-		i := newIntake(metrics.NewRegistry(), time.Now)
+		i := newIntake(metrics.NewRegistry(), time.Now, absent)
 		block := make(chan struct{})
 		var callers sync.WaitGroup
 		for n := range maxSubmissions + maxWaitingPerAccount {
--- a/jobqueue/lookup.go
+++ b/jobqueue/lookup.go
@@ -26,7 +26,7 @@
 // by the host and path that it was submitted to, whatever queue a later configuration has there; only of a
 // job that is not known does the configuration decide what the caller is told.
 func (m *Machine) Lookup(host, path, id string) (*Job, apiv1.JobOutcome) {
-	if j := m.Job(id); j != nil && j.submittedTo(host, path) {
+	if j := m.JobAt(host, path, id); j != nil {
 		return j, apiv1.JobOutcome_JOB_OUTCOME_OK
 	}
 	if q, outcome := m.queueAt(host, path); q == nil {
@@ -35,6 +35,14 @@
 	return nil, apiv1.JobOutcome_JOB_OUTCOME_NO_JOB
 }
 
+// JobAt returns the job that was submitted to a host and path, or nil if it is not known.
+func (m *Machine) JobAt(host, path, id string) *Job {
+	if j := m.Job(id); j != nil && j.submittedTo(host, path) {
+		return j
+	}
+	return nil
+}
+
 // submittedTo reports whether the job was submitted to a host and path.
 func (j *Job) submittedTo(host, path string) bool {
 	return strings.EqualFold(j.Spec.Host, host) && j.Spec.Path == path
