--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -116,6 +116,13 @@
 	return nil
 }
 
+// Release returns what a request holds to the budget. Its body must not be used afterwards.
+func Release(r *http.Request) {
+	if b, ok := r.Body.(*body); ok {
+		b.reservation.shrink(b.reservation.held)
+	}
+}
+
 // Refuse prepares the response to a request whose body can't be read, or that has no memory: the
 // connection is closed after it. It returns the status, which the caller writes.
 func Refuse(w http.ResponseWriter, r *http.Request, err error) int {
