jobapi: the time for a request includes the time for its body

A submission whose body took 2 s was answered 503 after 6 s, that nothing was done and never will be, while it was on its way to the leader.

Cause: the 5 s of a request began after its body was read. The TimeoutHandler around all handlers answers 503 after 6 s from the head, whatever was sent.

The 5 s begin with the head now, for all requests. One whose body takes longer is not sent, and any other has its answer before the TimeoutHandler gives its own.

TestSlowBodyLeavesTimeForTheAnswer: 503 before, 504 after.

--- a/jobapi/jobapi.go
+++ b/jobapi/jobapi.go
@@ -20,9 +20,10 @@
 //	POST   /v1/zones/ZONE/cordon   cordons an availability zone; ?operator= names the sender
 //	POST   /v1/zones/ZONE/uncordon withdraws that
 //
-// Status 503, with Retry-After, means that the request was not executed and never will be. Status 429
-// means the same of a job whose client account or queue is at a limit, or that was not accepted under
-// the load; in the second case the caller may return after Retry-After.
+// Status 503, with Retry-After, means that the request was not executed and never will be; it says nothing
+// about an earlier request for the same job. Status 429 means the same of a job whose client account or
+// queue is at a limit, or that was not accepted under the load; in the second case the caller may return
+// after Retry-After.
 // Status 504 means that its outcome is unknown; the request may be sent again.
 package jobapi
 
@@ -123,7 +124,17 @@
 	r.GET(workersPath, h.getWorkers)
 	r.POST(zonesPath+"/:zone"+cordonPath, h.orderZone(true))
 	r.POST(zonesPath+"/:zone"+uncordonPath, h.orderZone(false))
-	return http.TimeoutHandler(http.MaxBytesHandler(r, maxBody), requestTimeout+time.Second, "timeout")
+	return http.TimeoutHandler(withDeadline(http.MaxBytesHandler(r, maxBody)), requestTimeout+time.Second, "timeout")
+}
+
+// withDeadline bounds the context of a request from its head on. When the TimeoutHandler answers 503, a request
+// whose body was slow must not have been sent.
+func withDeadline(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		h.ServeHTTP(w, r.WithContext(ctx))
+	})
 }
 
 type handler struct {
@@ -166,16 +177,12 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	outcome, err := h.PutQueues(ctx, c)
+	outcome, err := h.PutQueues(r.Context(), c)
 	writeOutcome(w, outcome, err)
 }
 
 func (h handler) getQueues(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_CONFIGURATION})
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_CONFIGURATION})
 	if err != nil || resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
 		writeError(w, http.StatusServiceUnavailable, "the configuration in effect is unknown")
 		return
@@ -189,9 +196,7 @@
 	if !decodeValid(w, r, spec, func() error { return h.accounts.checkJob(r, spec) }) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	outcome, err := h.Submit(ctx, spec)
+	outcome, err := h.Submit(r.Context(), spec)
 	h.accounts.Count(spec.Account, outcome, err)
 	writeOutcome(w, outcome, err)
 }
@@ -204,14 +209,12 @@
 }
 
 func (h handler) read(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
 	host, path, id := requestedJob(r)
 	q := &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_JOB, Host: host, Path: path, Id: id}
 	if id == "" {
 		q.Kind = apiv1.JobsReadKind_JOBS_READ_KIND_QUEUE
 	}
-	resp, err := h.Read(ctx, q)
+	resp, err := h.Read(r.Context(), q)
 	switch {
 	case err != nil:
 		writeError(w, http.StatusServiceUnavailable, err.Error())
@@ -229,17 +232,13 @@
 }
 
 func (h handler) cancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
 	host, path, id := requestedJob(r)
-	outcome, err := h.Cancel(ctx, host, path, id)
+	outcome, err := h.Cancel(r.Context(), host, path, id)
 	writeOutcome(w, outcome, err)
 }
 
 func (h handler) explain(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{
 		Kind: apiv1.JobsReadKind_JOBS_READ_KIND_EXPLANATION, Id: p.ByName("id"),
 	})
 	if readSucceeded(w, resp, err) {
--- a/jobapi/jobapi_test.go
+++ b/jobapi/jobapi_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/control"
@@ -127,6 +130,31 @@
 	}
 }
 
+// unresponsiveBackend does not know what became of a submission until its caller gives up.
+type unresponsiveBackend struct{ fakeBackend }
+
+func (*unresponsiveBackend) Submit(ctx context.Context, _ *apiv1.JobSpec) (apiv1.JobOutcome, error) {
+	<-ctx.Done()
+	return 0, &control.UnknownError{}
+}
+
+// Guards against 503, which says that nothing was done, for a submission that was sent late since its body was slow.
+func TestSlowBodyLeavesTimeForTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body, client := io.Pipe()
+		go func() {
+			time.Sleep(2 * time.Second)
+			_, _ = io.WriteString(client, goodJob) // the handler reads all of it
+			_ = client.Close()
+		}()
+		w := httptest.NewRecorder()
+		jobapi.Handler(&unresponsiveBackend{}).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/jobs", body))
+		if w.Code != http.StatusGatewayTimeout {
+			t.Errorf("answered %d", w.Code)
+		}
+	})
+}
+
 func TestInvalidRequestsAreNotForwarded(t *testing.T) {
 	g := &fakeBackend{outcome: apiv1.JobOutcome_JOB_OUTCOME_OK}
 	client := newTestClient(t, g)
--- a/jobapi/operators.go
+++ b/jobapi/operators.go
@@ -20,9 +20,7 @@
 	if !decodeValid(w, r, wave, func() error { return jobqueue.ValidateWave(wave) }) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	outcome, err := h.PutWave(ctx, wave)
+	outcome, err := h.PutWave(r.Context(), wave)
 	writeOutcome(w, outcome, err)
 }
 
@@ -32,18 +30,14 @@
 		writeError(w, http.StatusBadRequest, p.ByName("number")+" is not a wave number")
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_WAVE, Wave: number})
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_WAVE, Wave: number})
 	if readSucceeded(w, resp, err) {
 		writeMessage(w, resp.Wave)
 	}
 }
 
 func (h handler) getHosts(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	if resp, err := h.readHosts(ctx); readSucceeded(w, resp, err) {
+	if resp, err := h.readHosts(r.Context()); readSucceeded(w, resp, err) {
 		writeMessage(w, &apiv1.JobsReadResponse{Hosts: resp.Hosts})
 	}
 }
@@ -65,9 +59,7 @@
 	if !decodeValid(w, r, move, check) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.readHosts(ctx)
+	resp, err := h.readHosts(r.Context())
 	if !readSucceeded(w, resp, err) {
 		return
 	}
@@ -75,23 +67,19 @@
 		writeError(w, http.StatusNotFound, "there is no host "+strconv.Quote(move.Host))
 		return
 	}
-	outcome, err := h.RequestMove(ctx, move)
+	outcome, err := h.RequestMove(r.Context(), move)
 	writeOutcome(w, outcome, err)
 }
 
 func (h handler) getZones(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ZONES})
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ZONES})
 	if readSucceeded(w, resp, err) {
 		writeMessage(w, &apiv1.JobsReadResponse{Zones: resp.Zones})
 	}
 }
 
 func (h handler) getWorkers(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS})
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_WORKERS})
 	if readSucceeded(w, resp, err) {
 		writeMessage(w, &apiv1.JobsReadResponse{Workers: resp.Workers, WorkersRated: resp.WorkersRated})
 	}
@@ -100,27 +88,21 @@
 // orderZone returns the handler that cordons or uncordons an availability zone.
 func (h handler) orderZone(cordoned bool) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-		defer cancel()
 		order := cordon.Order{Zone: p.ByName("zone"), Cordoned: cordoned, Operator: r.URL.Query().Get("operator")}
-		outcome, err := h.OrderZone(ctx, order)
+		outcome, err := h.OrderZone(r.Context(), order)
 		writeOutcome(w, outcome, err)
 	}
 }
 
 func (h handler) getHolds(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_QUEUES})
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_QUEUES})
 	if readSucceeded(w, resp, err) {
 		writeMessage(w, &apiv1.JobsReadResponse{Queues: resp.Queues})
 	}
 }
 
 func (h handler) getAccounts(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	resp, err := h.Read(ctx, &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS})
+	resp, err := h.Read(r.Context(), &apiv1.JobsReadRequest{Kind: apiv1.JobsReadKind_JOBS_READ_KIND_ACCOUNTS})
 	if readSucceeded(w, resp, err) {
 		writeMessage(w, &apiv1.JobsReadResponse{Accounts: resp.Accounts})
 	}
@@ -137,16 +119,12 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
 	order := cordon.QueueOrder{Queue: name, Held: held, Operator: r.URL.Query().Get("operator")}
-	outcome, err := h.OrderQueue(ctx, order)
+	outcome, err := h.OrderQueue(r.Context(), order)
 	writeOutcome(w, outcome, err)
 }
 
 func (h handler) prioritize(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	outcome, err := h.PrioritizeJob(ctx, p.ByName("id"), r.URL.Query().Get("operator"))
+	outcome, err := h.PrioritizeJob(r.Context(), p.ByName("id"), r.URL.Query().Get("operator"))
 	writeOutcome(w, outcome, err)
 }
