control: an invalid path after a lost attempt leaves a job's outcome open

An entry whose first attempt got no response, and whose second one was refused as invalid, answered 400. A copy of the first attempt that arrives after the next configuration may be accepted.

Cause: "invalid" was taken for a property of the job. It is also the outcome for a path that a queue with a longer prefix takes, or an ID that a job at another path has, and both change.

Such an outcome is unknown if an earlier attempt of the call may be committed and the job itself is valid. A job whose content is invalid is refused as before.

TestForwarderResendsOnlySafeCommands, "path invalid, answer lost before": decided before, unknown after.

--- a/control/forwarder.go
+++ b/control/forwarder.go
@@ -101,7 +101,7 @@
 		return "", !repeatable
 	})
 	switch {
-	case result != nil && maybeSent && decidedAnew(result):
+	case result != nil && maybeSent && decidedAnew(cmd, result):
 		return nil, &UnknownError{Cause: "an earlier attempt without a response may still be committed: " + result.GetJob().String() + " " + result.GetMessage()}
 	case result != nil:
 		return result, nil
--- a/control/forwarder_test.go
+++ b/control/forwarder_test.go
@@ -58,6 +58,9 @@
 	unknown := &apiv1.ProposeResponse{Unknown: true}
 	notLeader := &apiv1.ProposeResponse{NotLeader: true}
 	job := &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{}}}}}
+	validJob := &apiv1.Command{Body: &apiv1.Command_Jobs{Jobs: &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{
+		Spec: &apiv1.JobSpec{Id: "j", Steps: []*apiv1.JobStep{{Count: 1}}},
+	}}}}}
 	refusedAs := func(o apiv1.JobOutcome) *apiv1.ProposeResponse {
 		return &apiv1.ProposeResponse{Result: &apiv1.Result{Job: o}}
 	}
@@ -85,6 +88,8 @@
 		"no queue, answer lost before":       {job, []*apiv1.ProposeResponse{nil, noQueue}, 2, new(*UnknownError)},
 		"no configuration, answer lost":      {job, []*apiv1.ProposeResponse{nil, noConfiguration}, 2, new(*UnknownError)},
 		"job invalid, answer lost before":    {job, []*apiv1.ProposeResponse{nil, invalid}, 2, nil},
+		"path invalid, answer lost before":   {validJob, []*apiv1.ProposeResponse{nil, invalid}, 2, new(*UnknownError)},
+		"path invalid at once":               {validJob, []*apiv1.ProposeResponse{invalid}, 1, nil},
 		"log full at once":                   {job, []*apiv1.ProposeResponse{full}, 1, nil},
 		"job refused at once":                {job, []*apiv1.ProposeResponse{refused}, 1, nil},
 		"job refused, leader comes later":    {job, []*apiv1.ProposeResponse{notLeader, refused}, 2, nil},
--- a/control/wire.go
+++ b/control/wire.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // ServePropose implements the Control service's Propose for other hosts; failures are reported in
@@ -109,8 +110,12 @@
 // decidedAnew reports whether a result refuses a command for a reason that may not hold for a copy that is
 // applied later: a hold, a limit, the load or the configuration in effect. Such a copy may be on its way after
 // an attempt without a response.
-func decidedAnew(r *apiv1.Result) bool {
+func decidedAnew(cmd *apiv1.Command, r *apiv1.Result) bool {
 	switch r.GetJob() {
+	case apiv1.JobOutcome_JOB_OUTCOME_INVALID:
+		// The configuration decides whether the path of a job is valid.
+		spec := cmd.GetJobs().GetSubmit().GetSpec()
+		return spec != nil && jobqueue.ValidateJob(spec) == nil
 	case apiv1.JobOutcome_JOB_OUTCOME_HELD, apiv1.JobOutcome_JOB_OUTCOME_OVER_LIMIT, apiv1.JobOutcome_JOB_OUTCOME_REFUSED,
 		apiv1.JobOutcome_JOB_OUTCOME_FULL, apiv1.JobOutcome_JOB_OUTCOME_NO_QUEUE, apiv1.JobOutcome_JOB_OUTCOME_NO_CONFIGURATION:
 		return true
