control: no last try that leaves a certain outcome open

jobclient.TestDirectoryOutcomeIsCertain failed beside load: a submission that no replica could have got was answered "unknown", which keeps its caller from submitting the job elsewhere.

Cause: proposals are tried until the deadline. A try that began shortly before it was cut off by it, and an unanswered try leaves the outcome open.

--- a/control/forwarder.go
+++ b/control/forwarder.go
@@ -80,7 +80,12 @@
 	repeatable := safeToResend(cmd)
 	cause := "no control host is known"
 	var result *apiv1.Result
+	tries := 0
 	f.tryControl(ctx, hint, repeatable, func(ctx context.Context, c apiv1.Control) (string, bool) {
+		if deadline, _ := ctx.Deadline(); tries > 0 && !maybeSent && time.Until(deadline) < minTryTimeout {
+			return "", false // A try without an answer would leave the outcome open, which is certain so far.
+		}
+		tries++
 		resp, err := c.Propose(ctx, &apiv1.ProposeRequest{Command: cmd})
 		if err != nil {
 			cause = err.Error()
