--- a/agent/runs/driver.go
+++ b/agent/runs/driver.go
@@ -135,8 +135,8 @@
 func (d *Driver) Announce(a Announcement) error {
 	for {
 		s := d.current()
-		if !d.confirm(s, a.Worker.Id) {
-			event.AnnouncementUnconfirmed.Write(d.logger, event.Worker(a.Worker.Id))
+		if answer, err := d.confirm(s, a.Worker.Id); err != nil || answer != AnswerDone {
+			event.AnnouncementUnconfirmed.Write(d.logger, event.Worker(a.Worker.Id), event.Answer(answer), event.Err(err))
 			return nil
 		}
 		if recorded, err := d.recordAnnouncement(a, s); recorded {
@@ -179,14 +179,17 @@
 	return true, nil
 }
 
-// confirm reports whether an announcement is credible. An announcement of a previous incarnation
+// confirm returns AnswerDone if an announcement is credible. An announcement of a previous incarnation
 // may arrive late, after its successor is known, and another program may send a forged one.
 // Unless the announcement is of the session's incarnation, confirm therefore queries the worker for
 // its incarnation. Without this check, such an announcement would end the session with the
 // running worker, whose incarnation would never be accepted again. The caller must not hold d.mu,
 // since the call blocks.
-func (d *Driver) confirm(s *session, incarnation string) bool {
-	return s == nil || s.incarnation == incarnation || d.workerConfirms(incarnation)
+func (d *Driver) confirm(s *session, incarnation string) (Answer, error) {
+	if s == nil || s.incarnation == incarnation {
+		return AnswerDone, nil
+	}
+	return d.askWorker(incarnation)
 }
 
 // maxServedIncarnations bounds the length of servedIncarnations, and the reports of their ends.
@@ -213,13 +216,13 @@
 	d.departed[incarnation] = true
 }
 
-// workerConfirms reports whether the worker confirms that it is the named incarnation. A refusal
+// askWorker returns AnswerDone if the worker confirms that it is the named incarnation. A refusal
 // because of an old term does not confirm it: a worker may check the term before the incarnation.
-func (d *Driver) workerConfirms(incarnation string) bool {
+func (d *Driver) askWorker(incarnation string) (Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	_, answer, err := d.opts.Worker.Renew(ctx, Order{Incarnation: incarnation, Term: d.term.Load()}, Renewal{})
-	return err == nil && answer == AnswerDone
+	return answer, err
 }
 
 func (d *Driver) signalAnnounced() {
--- a/logging/event/events.go
+++ b/logging/event/events.go
@@ -95,7 +95,7 @@
 	DepartureUnconfirmed     = declare(Runs, Warning, "departure is acknowledged without a leader", NameWorker)
 	UnknownRunsStopped       = declare(Runs, Warning, "runs that the leader does not know are stopped", NameWorker, "running")
 	WorkerClockWentBack      = declare(Runs, Warning, "worker's clock went back", NameWorker, "clock_ms", "clock_before_ms", "acknowledged")
-	AnnouncementUnconfirmed  = declare(Runs, Rare, "announcement of an incarnation that does not answer", NameWorker)
+	AnnouncementUnconfirmed  = declare(Runs, Rare, "announcement of an incarnation that does not answer", NameWorker, NameAnswer, "error")
 	SessionSuperseded        = declare(Runs, Warning, "leader knows a newer session with the worker", NameWorker)
 	WorkerMisidentified      = declare(Runs, Warning, "leader takes the worker for one that left", NameWorker)
 	WorkerLeaseExpired       = declare(Runs, Warning, "worker's lease ran out", NameWorker, "silent", "orders", "error")
