dispatch, agent/runs: the evidence of an end tells the log which jobs have begun

A job that had begun counted as pending again, for as long as it took until another run of it began, when the leader was lost within half a second of the first report of the run and the worker crashed.

Cause: the leader took only runs that a worker lists, ends and checkpoints for evidence of a begin. Reports of the end of a worker carry what the agent knows of its runs, for the crash limit only, and those of the end of a lease or of an announced departure did not carry it.

The agent names the runs known to have begun in each report of an end, and the leader has the log told of their jobs as of listed ones: for the worker's own report, for those that the next incarnation's first report carries, and for that of a lease. The log takes checkpoints of a task's last run only, so that run is named where another start has followed.

TestJobOfARunThatBeganBeforeItsWorkerEndedIsNotPending and TestReportOfTheEndNamesTheRunsThatBegan failed before in each case in which a run had begun.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -173,6 +173,11 @@
 	return list
 }
 
+// begunAtEnd lists the runs that are known to have begun on a worker that has ended or has no lease any more.
+func (c *callHistory) begunAtEnd(now time.Time) []*apiv1.RunWork {
+	return slices.DeleteFunc(c.workAtCrash(now), func(w *apiv1.RunWork) bool { return !w.Began })
+}
+
 // recordCall counts a call of the worker and records its result.
 func (s *session) recordCall(name string, answer Answer, err error) {
 	s.d.countCall(name, answer, err)
@@ -248,6 +253,7 @@
 	}}
 	s.end = r
 	if s.announced.Departed || s.announced.Worker.Draining {
+		r.request.Worked = s.callHistory.begunAtEnd(s.d.opts.Now())
 		return r
 	}
 	r.request.Crashed, r.request.Worked = true, s.callHistory.workAtCrash(s.d.opts.Now())
--- a/agent/runs/expiry.go
+++ b/agent/runs/expiry.go
@@ -111,7 +111,7 @@
 		Worker: &apiv1.JobWorker{Id: counted.LeaseWorker, Host: d.opts.Host}, Lapsed: true,
 		LeaseTerm: counted.Term, LeaseNumber: counted.LeaseNumber,
 	}
-	d.addStartsNotBegun(report)
+	d.addRuns(report)
 	resp, err := d.opts.Leader.Report(ctx, report)
 	if err == nil && resp.Outcome != apiv1.JobOutcome_JOB_OUTCOME_OK {
 		err = errLeaseRenewed
@@ -122,9 +122,9 @@
 	return err
 }
 
-// addStartsNotBegun adds the starts that never began to the report that a worker's lease has expired.
-// Without a lease no start is sent, and under a later one these orders are void.
-func (d *Driver) addStartsNotBegun(report *apiv1.JobsReportRequest) {
+// addRuns adds the starts that never began, and the runs that did, to the report that a worker's lease has
+// expired. Without a lease no start is sent, and under a later one these orders are void.
+func (d *Driver) addRuns(report *apiv1.JobsReportRequest) {
 	s := d.current()
 	if s == nil || s.incarnation != report.Worker.Id {
 		return
@@ -132,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	report.Refusals, report.NoRunBegan = s.startsNotBegun(), s.noRunBegan()
+	report.Worked = s.callHistory.begunAtEnd(d.opts.Now())
 }
 
 // unconfirmedStarts returns how long ago a worker last answered, and how many ordered starts are
--- a/agent/runs/expiry_test.go
+++ b/agent/runs/expiry_test.go
@@ -1,6 +1,7 @@
 package runs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -123,3 +124,40 @@
 		}
 	})
 }
+
+// Guards against a job that counts as waiting although a run of it has begun: the worker's lease expires, or the
+// worker leaves, before a leader has heard of the run. A start without an answer shows nothing.
+func TestReportOfTheEndNamesTheRunsThatBegan(t *testing.T) {
+	for name, test := range map[string]struct {
+		end      func(*runs.Driver, *countingWorker)
+		isReport func(*apiv1.JobsReportRequest) bool
+	}{
+		"lease": {func(_ *runs.Driver, w *countingWorker) { w.lostCall.Store(allCalls) }, func(r *apiv1.JobsReportRequest) bool { return r.Lapsed }},
+		"departure": {func(d *runs.Driver, w *countingWorker) {
+			w.renewError.Store(&errNoListener)
+			d.Depart("w1")
+		}, func(r *apiv1.JobsReportRequest) bool { return r.Departed && !r.Crashed }},
+	} {
+		for answer, answered := range map[string]bool{"answered": true, "no answer": false} {
+			t.Run(name+", "+answer, func(t *testing.T) {
+				l := &leader{epoch: 1, orders: idleOrders()}
+				withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+					time.Sleep(2 * time.Second)
+					if !answered {
+						w.lostCall.Store("start")
+					}
+					l.update(func() { l.orders = startOrders(2, 1) })
+					time.Sleep(2 * time.Second)
+					test.end(d, w)
+					time.Sleep(10 * time.Second)
+					l.mu.Lock()
+					defer l.mu.Unlock()
+					i := slices.IndexFunc(l.reports, test.isReport)
+					if i < 0 || (len(l.reports[i].Worked) == 1) != answered {
+						t.Errorf("of the reports %v, number %d is about the end", l.reports, i)
+					}
+				})
+			})
+		}
+	}
+}
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -61,6 +61,7 @@
 		if r.LeaseTerm != 0 {
 			l.reports.endSession(id)
 		}
+		l.begins.recordEnds(jobs, r, d.opts.Now())
 		plan = &apiv1.PlanRuns{Term: l.term, Lapsed: []string{id}, Checkpoints: l.checkpoints(w), NeverSent: neverSent(w, r)}
 		d.recordLostRuns(l, w, lostWorkerUnresponsive, nil, d.opts.Now())
 	})
--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,3 +100,46 @@
 		s.sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a job that counts as pending although its worker's end, or that of its lease, was reported with
+// evidence that a run had begun: a run that no leader has seen listed, on a worker that crashes. A run that is not
+// known to have begun leaves its job pending.
+func TestJobOfARunThatBeganBeforeItsWorkerEndedIsNotPending(t *testing.T) {
+	type report = apiv1.JobsReportRequest
+	ends := map[string]func(r *crashLimitHarness, work *apiv1.RunWork){
+		"worker's end": func(r *crashLimitHarness, work *apiv1.RunWork) { r.crash(work) },
+		"report of the next incarnation": func(r *crashLimitHarness, work *apiv1.RunWork) {
+			end := &report{Worker: r.worker(), Departed: true, Crashed: true, Worked: []*apiv1.RunWork{work}}
+			r.incarnation++
+			r.report(&report{Worker: r.worker(), Follows: []string{end.Worker.Id}, PreviousEnds: []*report{end}})
+		},
+		"end of the lease": func(r *crashLimitHarness, work *apiv1.RunWork) {
+			r.expireLease(&report{Worked: []*apiv1.RunWork{work}})
+		},
+		"worker's end after that of the lease and the next start": func(r *crashLimitHarness, work *apiv1.RunWork) {
+			end := &report{Worker: r.worker(), Departed: true, Crashed: true, Worked: []*apiv1.RunWork{work}}
+			r.expireLease(&report{})
+			other := &report{Worker: &apiv1.JobWorker{Id: "other", Host: "h2", Pool: simPool, CpuMilli: 4000, MemoryMb: 8000}}
+			r.report(other)
+			r.s.waitForRun(crashedJobID, 2)
+			r.report(end)
+		},
+	}
+	for name, end := range ends {
+		for _, began := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, begun %v", name, began), func(t *testing.T) {
+				runCrashLimitSim(t, func(r *crashLimitHarness) {
+					work, want := r.awaitRun(), uint32(1)
+					if began {
+						work, want = worked(work), 0
+					}
+					end(r, work)
+					r.s.sleep(maxPendingAge)
+					if pending := r.s.pending(); pending != want {
+						t.Errorf("%d jobs are pending, want %d", pending, want)
+					}
+				})
+			})
+		}
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -124,6 +124,7 @@
 		l.lostStarts.record(jobs.Worker(r.Worker.GetId()), now)
 		d.recordUnlogged(l, jobs, r, now)
 		l.begins.record(jobs, r.Running, now)
+		l.begins.recordEnds(jobs, r, now)
 		d.logOvercommitted(l, jobs, r, now)
 		d.countObjectiveMisses(jobs, r.Running)
 		l.logObjectiveMisses(jobs.Worker(r.Worker.GetId()), r.Running, now)
