agent/runs: runs on a worker that is down stay in the evidence of its crash

Cause: a start is remembered for 10 s, because a run that has worked for longer does not count as the cause. The time was taken from the start to the next start call, also while no call was answered, not to the last answer.

TestRunsAreRememberedWhileTheWorkerIsDown failed before.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -47,7 +47,8 @@
 // recordStartRequest records that a start is about to be sent to the worker.
 func (c *callHistory) recordStartRequest(id jobqueue.RunID, now time.Time) {
 	for old, s := range c.starts {
-		if old != id && now.Sub(s.requestedAt) > startRetention && now.Sub(s.confirmedAt) > startRetention {
+		// While the worker gives no answer it may have crashed, so that its runs work no longer.
+		if old != id && c.lastAnsweredAt.Sub(s.requestedAt) > startRetention && c.lastAnsweredAt.Sub(s.confirmedAt) > startRetention {
 			delete(c.starts, old)
 		}
 	}
--- a/agent/runs/callhistory_internal_test.go
+++ b/agent/runs/callhistory_internal_test.go
@@ -37,3 +37,28 @@
 		})
 	}
 }
+
+// Guards against a crash that does not count against a run because the worker was down for long: starts that are
+// retried meanwhile drop the record of a run that had worked for less than what is remembered.
+func TestRunsAreRememberedWhileTheWorkerIsDown(t *testing.T) {
+	for name, test := range map[string]struct {
+		worked time.Duration
+		want   int
+	}{"worked shortly": {startRetention - time.Second, 2}, "worked long": {startRetention + time.Second, 1}} {
+		t.Run(name, func(t *testing.T) {
+			run := func(job string) jobqueue.RunID { return jobqueue.RunID{Task: jobqueue.TaskID{Job: job}, Number: 1} }
+			begin := time.UnixMilli(1_000_000)
+			h := newCallHistory()
+			h.recordStartRequest(run("first"), begin)
+			h.recordConfirmed(run("first"), begin)
+			h.recordResult(AnswerDone, nil, begin.Add(test.worked))
+			for down := time.Duration(0); down < 2*startRetention; down += time.Second {
+				h.recordStartRequest(run("retried"), begin.Add(test.worked+down))
+				h.recordResult(0, ErrNotListening, begin.Add(test.worked+down+time.Millisecond))
+			}
+			if work := h.workAtCrash(begin.Add(test.worked + 2*startRetention)); len(work) != test.want {
+				t.Errorf("%v, want %d runs", work, test.want)
+			}
+		})
+	}
+}
