agent/runs: a run that the worker lists has begun, whether or not its start was answered

Cause: the agent noted a begin by the answer to a start, or by the first list of a worker that a previous agent had served, not by later lists.

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// recordListed records that the worker lists runs whose starts are remembered. A run may have begun by a start
+// without an answer.
+func (c *callHistory) recordListed(running []*apiv1.RunObservation, now time.Time) {
+	for _, r := range running {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}
+		if s, known := c.starts[id]; known && s.confirmedAt.IsZero() {
+			s.confirmedAt, s.maybeSent, s.neverSent = now, true, false
+			c.starts[id] = s
+		}
+	}
+}
+
 // recordEnded records that the worker listed the end of a run.
 func (c *callHistory) recordEnded(id jobqueue.RunID) {
 	if s, known := c.starts[id]; known {
--- a/agent/runs/expiry_test.go
+++ b/agent/runs/expiry_test.go
@@ -126,7 +126,8 @@
 }
 
 // Guards against a job that counts as waiting although a run of it has begun: the worker's lease expires, or the
-// worker leaves, before a leader has heard of the run. A start without an answer shows nothing.
+// worker leaves, before a leader has heard of the run. A start without an answer shows
+// nothing, unless the worker lists the run.
 func TestReportOfTheEndNamesTheRunsThatBegan(t *testing.T) {
 	for name, test := range map[string]struct {
 		end      func(*runs.Driver, *countingWorker)
@@ -137,15 +138,19 @@
 			w.renewError.Store(&errNoListener)
 			d.Depart("w1")
 		}, func(r *apiv1.JobsReportRequest) bool { return r.Departed && !r.Crashed }},
+		"crash": {func(_ *runs.Driver, w *countingWorker) { w.Crash() }, func(r *apiv1.JobsReportRequest) bool { return r.Departed && r.Crashed }},
 	} {
-		for answer, answered := range map[string]bool{"answered": true, "no answer": false} {
+		for answer, began := range map[string]bool{"answered": true, "listed only": true, "no answer": false} {
 			t.Run(name+", "+answer, func(t *testing.T) {
 				l := &leader{epoch: 1, orders: idleOrders()}
 				withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
 					time.Sleep(2 * time.Second)
-					if !answered {
+					if answer != "answered" {
 						w.lostCall.Store("start")
 					}
+					if answer == "listed only" {
+						w.nextDelay.Store(&delayedCall{"start", 100 * time.Millisecond})
+					}
 					l.update(func() { l.orders = startOrders(2, 1) })
 					time.Sleep(2 * time.Second)
 					test.end(d, w)
@@ -153,7 +158,8 @@
 					l.mu.Lock()
 					defer l.mu.Unlock()
 					i := slices.IndexFunc(l.reports, test.isReport)
-					if i < 0 || (len(l.reports[i].Worked) == 1) != answered {
+					begun := func(w *apiv1.RunWork) bool { return w.Began }
+					if i < 0 || slices.ContainsFunc(l.reports[i].Worked, begun) != began {
 						t.Errorf("of the reports %v, number %d is about the end", l.reports, i)
 					}
 				})
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -34,6 +34,7 @@
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
 	s.recordRuns(status, requested)
+	s.callHistory.recordListed(status.Running, received)
 	s.pruneReservations()
 }
 
