agent/runs: ended runs, and those that a previous agent's start began, count as begun

A run that a previous agent's start began after the agent's first list was not named either, so that its crash was no evidence where the agent names others.

Runs that have worked for longer than starts are remembered do not count as new when a session gets another number.

TestRunsThatAreListedLaterAreRemembered and the case "ended" of TestReportOfTheEndNamesTheRunsThatBegan fail without the change (scratch copy).

--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -81,12 +81,13 @@
 	}
 }
 
-// recordListed records that the worker lists runs whose starts are remembered. A run may have begun by a start
-// without an answer.
-func (c *callHistory) recordListed(running []*apiv1.RunObservation, now time.Time) {
+// recordListed records that the worker lists runs, which may have begun by a start without an answer or by that of
+// a previous agent. listedBefore are the runs in the status before; of those, ones that are not remembered have
+// worked for long.
+func (c *callHistory) recordListed(running []*apiv1.RunObservation, listedBefore map[jobqueue.RunID]bool, now time.Time) {
 	for _, r := range running {
 		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}
-		if s, known := c.starts[id]; known && s.confirmedAt.IsZero() {
+		if s, known := c.starts[id]; s.confirmedAt.IsZero() && (known || !listedBefore[id]) {
 			s.confirmedAt, s.maybeSent, s.neverSent = now, true, false
 			c.starts[id] = s
 		}
@@ -101,16 +102,6 @@
 	}
 }
 
-// recordListedRuns records the runs in the first status of the worker, which a previous agent had
-// started.
-func (s *session) recordListedRuns(status Status, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range status.Running {
-		s.callHistory.recordConfirmed(jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}, now)
-	}
-}
-
 // isUnanswered reports whether a call got no answer until its deadline, so that it may have been lost.
 func isUnanswered(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
@@ -167,7 +158,7 @@
 	var list []*apiv1.RunWork
 	for id, s := range c.starts {
 		if s.neverSent || s.ended {
-			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: s.neverSent, Ended: s.ended})
+			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: s.neverSent, Began: s.ended, Ended: s.ended})
 			continue
 		}
 		began := !s.confirmedAt.IsZero()
--- a/agent/runs/callhistory_internal_test.go
+++ b/agent/runs/callhistory_internal_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	apiv1 "github.com/cairnlift/cairnlift/api/v1"
 	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
@@ -62,3 +63,22 @@
 		})
 	}
 }
+
+// Guards against a crash that does not count against a run that a previous agent's start began after the first status:
+// the list of the runs that crashed would leave it out. A run that is not remembered, since it has worked for long,
+// does not count as one that has just begun.
+func TestRunsThatAreListedLaterAreRemembered(t *testing.T) {
+	run := func(job string) *apiv1.RunObservation {
+		return &apiv1.RunObservation{Task: &apiv1.TaskRef{Job: job}, Run: 1}
+	}
+	present := func(job string) map[jobqueue.RunID]bool {
+		return map[jobqueue.RunID]bool{{Task: jobqueue.TaskID{Job: job}, Number: 1}: true}
+	}
+	h, begin := newCallHistory(), time.UnixMilli(1_000_000)
+	h.recordListed([]*apiv1.RunObservation{run("first")}, nil, begin)
+	h.recordListed([]*apiv1.RunObservation{run("first"), run("later")}, present("first"), begin.Add(time.Second))
+	h.recordListed([]*apiv1.RunObservation{run("forgotten")}, present("forgotten"), begin.Add(time.Second))
+	if work := h.workAtCrash(begin.Add(2 * time.Second)); len(work) != 2 || !work[0].Began || !work[1].Began {
+		t.Errorf("%v, want two runs that have begun", work)
+	}
+}
--- a/agent/runs/expiry_test.go
+++ b/agent/runs/expiry_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // expireWithPendingStart makes a worker unresponsive until the expiry of its lease is reported,
@@ -140,16 +141,19 @@
 		}, func(r *apiv1.JobsReportRequest) bool { return r.Departed && !r.Crashed }},
 		"crash": {func(_ *runs.Driver, w *countingWorker) { w.Crash() }, func(r *apiv1.JobsReportRequest) bool { return r.Departed && r.Crashed }},
 	} {
-		for answer, began := range map[string]bool{"answered": true, "listed only": true, "no answer": false} {
+		for answer, began := range map[string]bool{"answered": true, "listed only": true, "ended": true, "no answer": false} {
 			t.Run(name+", "+answer, func(t *testing.T) {
 				l := &leader{epoch: 1, orders: idleOrders()}
 				withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
 					time.Sleep(2 * time.Second)
-					if answer != "answered" {
-						w.lostCall.Store("start")
-					}
-					if answer == "listed only" {
+					switch answer {
+					case "ended":
+						w.Duration = func(jobqueue.TaskID) time.Duration { return 100 * time.Millisecond }
+					case "listed only":
 						w.nextDelay.Store(&delayedCall{"start", 100 * time.Millisecond})
+						fallthrough
+					case "no answer":
+						w.lostCall.Store("start")
 					}
 					l.update(func() { l.orders = startOrders(2, 1) })
 					time.Sleep(2 * time.Second)
--- a/agent/runs/lease.go
+++ b/agent/runs/lease.go
@@ -33,8 +33,8 @@
 	s.previousCallsSettled = s.previousCallsSettled || requested.After(s.d.previousCallsUntil)
 	s.clock = clockReading{status.ClockMs, received}
 	s.status = status
+	s.callHistory.recordListed(status.Running, s.runsPresent, received)
 	s.recordRuns(status, requested)
-	s.callHistory.recordListed(status.Running, received)
 	s.pruneReservations()
 }
 
--- a/agent/runs/session.go
+++ b/agent/runs/session.go
@@ -249,9 +249,6 @@
 			continue
 		}
 		s.recordStatus(status, r.requestedAt, r.receivedAt)
-		if s.startedMs == 0 {
-			s.recordListedRuns(status, r.receivedAt)
-		}
 		s.startedMs = cmp.Or(s.startedMs, status.ClockMs)
 		if !s.admit(status) {
 			wait = 0
