dispatch: the simulation of a lost leader has workers that crash around a start

The simulation plays real agents: the leader is lost when a start is ordered, sent, has arrived, begun or been reported, or up to 900 ms later, the worker crashes around that moment and is back under its id after milliseconds, seconds or 25 s, an agent restarts in two plays of three, and a quarter of the plays have a wave of maintenance beside a set with an availability budget.

The stand-in for a worker that has ended no longer answers calls in progress as another incarnation, which proved its end to the agent: their connections break.

--- a/dispatch/departures_test.go
+++ b/dispatch/departures_test.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	worker.Crash()
-	h.departed = true
+	h.departed, h.ended[worker] = true, true
 	return true
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -54,9 +54,11 @@
 	longRunningJob string
 	// requireTickets makes the workers refuse advised steps without a valid ticket.
 	requireTickets bool
-	hosts          []*simulatedHost
-	submitted      []*apiv1.JobSpec
-	faultFree      bool
+	// loss is the play that observes workers and reports, if there is one.
+	loss      atomic.Pointer[lossPlay]
+	hosts     []*simulatedHost
+	submitted []*apiv1.JobSpec
+	faultFree bool
 	// departsByID means that workers also leave, and announce that by their ids alone.
 	departsByID bool
 	mu          sync.Mutex
@@ -85,6 +87,8 @@
 	// number of further calls whose connections break.
 	departed    bool
 	brokenCalls int
+	// ended are the incarnations that have ended by themselves.
+	ended map[*fakes.RunWorker]bool
 	// agents counts the agents of the host.
 	agents int
 	// lastReport is the last report that was not an expiry report.
@@ -93,9 +97,9 @@
 
 // newSimulatedHost returns a host whose network delays some reports while it is partitioned.
 func newSimulatedHost(s *sim, name string) *simulatedHost {
-	h := &simulatedHost{s: s, name: name, pool: simPool}
+	h := &simulatedHost{s: s, name: name, pool: simPool, ended: map[*fakes.RunWorker]bool{}}
 	h.Link = &runstest.Link{
-		Leader:  func() runstest.Leader { return s.dispatcher },
+		Leader:  h.leader,
 		Context: func() context.Context { return s.ctx },
 		Go:      func(f func()) { s.loops.Go(f) }, Sleep: s.sleep, OrdersWait: 500 * time.Millisecond,
 		DelaysReport:  func(_ *apiv1.JobsReportRequest, cut bool) bool { return cut && s.intN(4) == 0 },
@@ -105,6 +109,13 @@
 	return h
 }
 
+func (h *simulatedHost) leader() runstest.Leader {
+	if p := h.s.loss.Load(); p != nil {
+		return lossLeader{p, h.s.dispatcher, h}
+	}
+	return h.s.dispatcher
+}
+
 func (h *simulatedHost) recordReport(r *apiv1.JobsReportRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -140,6 +151,9 @@
 		h.worker.Advisor = h.s.advisor
 	}
 	h.worker.Duration = h.s.runDuration
+	if p := h.s.loss.Load(); p != nil {
+		p.observeWorker(h, h.worker)
+	}
 	h.worker.Fails = func(id jobqueue.RunID) bool { return id.Number == 1 && id.Task.Index == 3 }
 }
 
@@ -174,36 +188,39 @@
 	return w.h.worker, nil
 }
 
-func (w currentWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
+// call calls the incarnation that is on the host. One that ends during the call does not answer it.
+func (w currentWorker) call(f func(*fakes.RunWorker) (runs.Answer, error)) (runs.Answer, error) {
 	worker, err := w.current()
 	if err != nil {
 		return 0, err
 	}
-	return worker.Start(ctx, o, s)
+	answer, err := f(worker)
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	if w.h.ended[worker] {
+		return 0, errBroken
+	}
+	return answer, err
+}
+
+func (w currentWorker) Start(ctx context.Context, o runs.Order, s runs.Start) (runs.Answer, error) {
+	return w.call(func(worker *fakes.RunWorker) (runs.Answer, error) { return worker.Start(ctx, o, s) })
 }
 
 func (w currentWorker) Stop(ctx context.Context, o runs.Order, id jobqueue.RunID) (runs.Answer, error) {
-	worker, err := w.current()
-	if err != nil {
-		return 0, err
-	}
-	return worker.Stop(ctx, o, id)
+	return w.call(func(worker *fakes.RunWorker) (runs.Answer, error) { return worker.Stop(ctx, o, id) })
 }
 
 func (w currentWorker) Pace(ctx context.Context, o runs.Order, id jobqueue.RunID, percent uint32) (runs.Answer, error) {
-	worker, err := w.current()
-	if err != nil {
-		return 0, err
-	}
-	return worker.Pace(ctx, o, id, percent)
+	return w.call(func(worker *fakes.RunWorker) (runs.Answer, error) { return worker.Pace(ctx, o, id, percent) })
 }
 
-func (w currentWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (runs.Status, runs.Answer, error) {
-	worker, err := w.current()
-	if err != nil {
-		return runs.Status{}, 0, err
-	}
-	return worker.Renew(ctx, o, r)
+func (w currentWorker) Renew(ctx context.Context, o runs.Order, r runs.Renewal) (status runs.Status, _ runs.Answer, _ error) {
+	answer, err := w.call(func(worker *fakes.RunWorker) (answer runs.Answer, err error) {
+		status, answer, err = worker.Renew(ctx, o, r)
+		return answer, err
+	})
+	return status, answer, err
 }
 
 // announce announces the worker to its agent.
