--- a/agent/runs/callhistory.go
+++ b/agent/runs/callhistory.go
@@ -47,7 +47,8 @@
 // recordStartRequest records that a start is about to be sent to the worker.
 func (c *callHistory) recordStartRequest(id jobqueue.RunID, now time.Time) {
 	for old, s := range c.starts {
-		if old != id && now.Sub(s.requestedAt) > startRetention && now.Sub(s.confirmedAt) > startRetention {
+		// While the worker gives no answer it may have crashed, so that its runs work no longer.
+		if old != id && c.lastAnsweredAt.Sub(s.requestedAt) > startRetention && c.lastAnsweredAt.Sub(s.confirmedAt) > startRetention {
 			delete(c.starts, old)
 		}
 	}
@@ -80,6 +81,19 @@
 	}
 }
 
+// recordListed records that the worker lists runs, which may have begun by a start without an answer or by that of
+// a previous agent. listedBefore are the runs in the status before; of those, ones that are not remembered have
+// worked for long.
+func (c *callHistory) recordListed(running []*apiv1.RunObservation, listedBefore map[jobqueue.RunID]bool, now time.Time) {
+	for _, r := range running {
+		id := jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}
+		if s, known := c.starts[id]; s.confirmedAt.IsZero() && (known || !listedBefore[id]) {
+			s.confirmedAt, s.maybeSent, s.neverSent = now, true, false
+			c.starts[id] = s
+		}
+	}
+}
+
 // recordEnded records that the worker listed the end of a run.
 func (c *callHistory) recordEnded(id jobqueue.RunID) {
 	if s, known := c.starts[id]; known {
@@ -88,16 +102,6 @@
 	}
 }
 
-// recordListedRuns records the runs in the first status of the worker, which a previous agent had
-// started.
-func (s *session) recordListedRuns(status Status, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range status.Running {
-		s.callHistory.recordConfirmed(jobqueue.RunID{Task: jobqueue.TaskIDOf(r.Task), Number: r.Run}, now)
-	}
-}
-
 // isUnanswered reports whether a call got no answer until its deadline, so that it may have been lost.
 func isUnanswered(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
@@ -154,7 +158,7 @@
 	var list []*apiv1.RunWork
 	for id, s := range c.starts {
 		if s.neverSent || s.ended {
-			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: s.neverSent, Ended: s.ended})
+			list = append(list, &apiv1.RunWork{Task: id.Task.Ref(), Run: id.Number, NeverSent: s.neverSent, Began: s.ended, Ended: s.ended})
 			continue
 		}
 		began := !s.confirmedAt.IsZero()
@@ -173,6 +177,11 @@
 	return list
 }
 
+// begunAtEnd lists the runs that are known to have begun on a worker that has ended or has no lease any more.
+func (c *callHistory) begunAtEnd(now time.Time) []*apiv1.RunWork {
+	return slices.DeleteFunc(c.workAtCrash(now), func(w *apiv1.RunWork) bool { return !w.Began })
+}
+
 // recordCall counts a call of the worker and records its result.
 func (s *session) recordCall(name string, answer Answer, err error) {
 	s.d.countCall(name, answer, err)
@@ -248,6 +257,7 @@
 	}}
 	s.end = r
 	if s.announced.Departed || s.announced.Worker.Draining {
+		r.request.Worked = s.callHistory.begunAtEnd(s.d.opts.Now())
 		return r
 	}
 	r.request.Crashed, r.request.Worked = true, s.callHistory.workAtCrash(s.d.opts.Now())
--- a/agent/runs/expiry_test.go
+++ b/agent/runs/expiry_test.go
@@ -1,11 +1,13 @@
 package runs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/cairnlift/cairnlift/agent/runs"
 	apiv1 "github.com/cairnlift/cairnlift/api/v1"
+	"github.com/cairnlift/cairnlift/jobqueue"
 )
 
 // expireWithPendingStart makes a worker unresponsive until the expiry of its lease is reported,
@@ -123,3 +125,49 @@
 		}
 	})
 }
+
+// Guards against a job that counts as waiting although a run of it has begun: the worker's lease expires, or the
+// worker leaves, before a leader has heard of the run. A start without an answer shows
+// nothing, unless the worker lists the run.
+func TestReportOfTheEndNamesTheRunsThatBegan(t *testing.T) {
+	for name, test := range map[string]struct {
+		end      func(*runs.Driver, *countingWorker)
+		isReport func(*apiv1.JobsReportRequest) bool
+	}{
+		"lease": {func(_ *runs.Driver, w *countingWorker) { w.lostCall.Store(allCalls) }, func(r *apiv1.JobsReportRequest) bool { return r.Lapsed }},
+		"departure": {func(d *runs.Driver, w *countingWorker) {
+			w.renewError.Store(&errNoListener)
+			d.Depart("w1")
+		}, func(r *apiv1.JobsReportRequest) bool { return r.Departed && !r.Crashed }},
+		"crash": {func(_ *runs.Driver, w *countingWorker) { w.Crash() }, func(r *apiv1.JobsReportRequest) bool { return r.Departed && r.Crashed }},
+	} {
+		for answer, began := range map[string]bool{"answered": true, "listed only": true, "ended": true, "no answer": false} {
+			t.Run(name+", "+answer, func(t *testing.T) {
+				l := &leader{epoch: 1, orders: idleOrders()}
+				withDriver(t, l, func(d *runs.Driver, w *countingWorker) {
+					time.Sleep(2 * time.Second)
+					switch answer {
+					case "ended":
+						w.Duration = func(jobqueue.TaskID) time.Duration { return 100 * time.Millisecond }
+					case "listed only":
+						w.nextDelay.Store(&delayedCall{"start", 100 * time.Millisecond})
+						fallthrough
+					case "no answer":
+						w.lostCall.Store("start")
+					}
+					l.update(func() { l.orders = startOrders(2, 1) })
+					time.Sleep(2 * time.Second)
+					test.end(d, w)
+					time.Sleep(10 * time.Second)
+					l.mu.Lock()
+					defer l.mu.Unlock()
+					i := slices.IndexFunc(l.reports, test.isReport)
+					begun := func(w *apiv1.RunWork) bool { return w.Began }
+					if i < 0 || slices.ContainsFunc(l.reports[i].Worked, begun) != began {
+						t.Errorf("of the reports %v, number %d is about the end", l.reports, i)
+					}
+				})
+			})
+		}
+	}
+}
