schedule: a worker is on one host of the platform's list

That worker gets no more work, and its tasks are moved away.

Cause: SettleEntries decided between the entries of one host. A foreign entry of another machine, in the wave and no longer in the list, names a worker that is at work elsewhere, and the log then drains that worker for it. Ruled out: that the entry of the worker's own machine was set aside; both held.

Change: where entries of several hosts name a worker, that of the configured pool holds; if there are several, none of these hosts is usable, as with contradictory entries of one host. Entries that were set aside between the entries of a host count here as well, since one of them may be the machine's own.

TestWorkerIsOnOneHost fails in all four cases before. The host "other" of TestForeignEntriesOfAHostAreSetAside had the same worker as the host that the test is about; it has one of its own now, and has to keep it as before.

--- a/schedule/hostentries.go
+++ b/schedule/hostentries.go
@@ -13,26 +13,56 @@
 //
 // An entry of a pool of the configuration holds before one of an unknown pool, then one of a worker that the
 // log knows and that has not departed before others. Where that leaves several, the host counts as listed and
-// not usable. Entries name workers as the log does.
+// not usable. So does a host whose entry names a worker that entries of other hosts name too, unless only its
+// own is of a pool of the configuration: an order about it would drain the worker of another host. Entries name
+// workers as the log does.
 func SettleEntries(m *jobqueue.Machine, hosts map[string]HostView) (entries, conflicts int) {
+	claims := workerClaims{}
 	for name, view := range hosts {
-		if len(view.Others) == 0 {
-			continue
+		for _, v := range view.entries() {
+			claims.add(v.Worker, name, m.Pool(v.Pool) != nil)
 		}
-		candidates := append(view.Others, view.withoutOthers())
-		entries += len(view.Others)
-		candidates = preferred(candidates, func(v HostView) bool { return m.Pool(v.Pool) != nil })
+	}
+	for name, view := range hosts {
+		setAside := len(view.Others)
+		candidates := preferred(view.entries(), func(v HostView) bool { return m.Pool(v.Pool) != nil })
 		candidates = preferred(candidates, func(v HostView) bool { return m.Worker(v.Worker) != nil })
 		settled := candidates[0]
-		if len(candidates) > 1 {
+		if len(candidates) > 1 || !claims.hold(settled.Worker, name) {
 			settled = HostView{}
+			setAside = max(setAside, 1)
 			conflicts++
 		}
+		entries += setAside
 		hosts[name] = settled
 	}
 	return entries, conflicts
 }
 
+// workerClaims holds, by worker, the hosts whose entries name it, and whether one of these is of a pool of the
+// configuration.
+type workerClaims map[string]map[string]bool
+
+func (c workerClaims) add(worker, host string, configured bool) {
+	if worker == "" {
+		return
+	}
+	if c[worker] == nil {
+		c[worker] = map[string]bool{}
+	}
+	c[worker][host] = c[worker][host] || configured
+}
+
+// hold reports whether no other host's entry that names a worker weighs as much as a host's own.
+func (c workerClaims) hold(worker, host string) bool {
+	for other, configured := range c[worker] {
+		if other != host && (configured || !c[worker][host]) {
+			return false
+		}
+	}
+	return true
+}
+
 // preferred returns the views that satisfy a condition, all of them if none does.
 func preferred(views []HostView, condition func(HostView) bool) []HostView {
 	satisfying := slices.DeleteFunc(slices.Clone(views), func(v HostView) bool { return !condition(v) })
@@ -60,9 +90,11 @@
 // isUnreadable reports whether a host is listed by entries that can't be read only.
 func (v HostView) isUnreadable() bool { return v.sameAs(HostView{}) }
 
-func (v HostView) withoutOthers() HostView {
+// entries returns all entries of a host.
+func (v HostView) entries() []HostView {
+	all := slices.Clone(v.Others)
 	v.Others = nil
-	return v
+	return append(all, v)
 }
 
 // sameAs reports whether two entries of a host have the same content.
