schedule: an entry of a known worker holds only in that worker's pool

Cause: the worker has crashed and come back under another id, and its agent has not reported it. The machine's own entry names an unknown worker then. A foreign entry names the former id, which the log still has, and the pool that the machine is to be moved to. Both pools are configured, so the entry of the known worker held. But the log has that worker in the former pool, and an incarnation stays in its pool.

Change: an entry holds for its worker only if the log has the worker in the entry's pool. Without that the two entries contradict each other, and nothing is done about the host until the agent reports.

The new case of TestForeignEntriesOfAHostAreSetAside fails in both orders before.

--- a/schedule/hostentries.go
+++ b/schedule/hostentries.go
@@ -12,7 +12,7 @@
 // run there.
 //
 // An entry of a pool of the configuration holds before one of an unknown pool, then one of a worker that the
-// log knows and that has not departed before others. Where that leaves several, the host counts as listed and
+// log has in the entry's pool and that has not departed before others. Where that leaves several, the host counts as listed and
 // not usable. So does a host whose entry names a worker that entries of other hosts name too, unless only its
 // own is of a pool of the configuration: an order about it would drain the worker of another host. Entries name
 // workers as the log does.
@@ -26,7 +26,10 @@
 	for name, view := range hosts {
 		setAside := len(view.Others)
 		candidates := preferred(view.entries(), func(v HostView) bool { return m.Pool(v.Pool) != nil })
-		candidates = preferred(candidates, func(v HostView) bool { return m.Worker(v.Worker) != nil })
+		candidates = preferred(candidates, func(v HostView) bool {
+			w := m.Worker(v.Worker)
+			return w != nil && w.Spec.Pool == v.Pool
+		})
 		settled := candidates[0]
 		if len(candidates) > 1 || !claims.hold(settled.Worker, name) {
 			settled = HostView{}
--- a/schedule/hostentries_test.go
+++ b/schedule/hostentries_test.go
@@ -11,7 +11,7 @@
 // Guards against a host that is ordered away while tasks run there, or an order that is never given, since an
 // entry of another program names another worker or pool for it.
 func TestForeignEntriesOfAHostAreSetAside(t *testing.T) {
-	r := newHarness(t)
+	r := newMoverHarness(t)
 	r.addWorker("w1", 1000, 1000)
 	r.addWorker("w2", 1000, 1000)
 	own := HostView{Worker: "w1", Pool: testPool, Up: true, Capacity: jobqueue.Resources{CPUMilli: 1000}}
@@ -39,6 +39,7 @@
 		"old id, down":                 {[]HostView{own, with(func(v *HostView) { v.Worker, v.Up, v.Down = "w0", false, true })}, own, 1, 0},
 		"unknown pool, worker unknown": {[]HostView{arrived, foreignPool}, arrived, 1, 0},
 		"worker of another host":       {[]HostView{own, with(func(v *HostView) { v.Worker = "w2" })}, HostView{}, 1, 1},
+		"known worker of another pool": {[]HostView{arrived, with(func(v *HostView) { v.Pool = batchPool })}, HostView{}, 1, 1},
 		"no worker is known":           {[]HostView{arrived, with(func(v *HostView) { v.Worker = "w0" })}, HostView{}, 1, 1},
 	} {
 		for _, backwards := range []bool{false, true} {
