jobqueue: a worker that comes back gets no work while an upkeep is ordered

Cause: what bars a worker from work is the name in the order. A move passes it on to the next worker of the host (updateMoveWorker), a wave did not. Ruled out: a start that was planned before the order. The check of what runs on the host asks for the named worker only as well, so an upkeep could be ordered after the next worker had got tasks.

Change: while an upkeep is ordered and not begun, the worker that counts on the host of the named one gets no work either; and it must have no runs when the order is recorded. The wave's record keeps the former name, by which the end of the upkeep is seen.

--- a/dispatch/waves_test.go
+++ b/dispatch/waves_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,3 +158,32 @@
 	s.replica.ReadState(func(m *state.Machine) { finished = m.CallerJobs().Wave(waveNumber).Finished() })
 	return finished
 }
+
+// Guards against serving tasks that end with a host's upkeep: the order is not carried out at first, and the
+// worker that was drained for it crashes and comes back.
+func TestWorkerThatReturnsBeforeUpkeepGetsNoWork(t *testing.T) {
+	runSeeds(t, 5, 4, func(t *testing.T, s *sim, seed uint64) {
+		s.stopFaults()
+		s.longRunningJob = "serving"
+		fleet := s.newFleet()
+		var ordered atomic.Bool
+		fleet.Fault = func(string) fakes.OrderFault { return fakes.OrderFault{Lost: !ordered.Swap(true)} }
+		s.hostFleet.Store(fleet)
+		s.sleep(3 * time.Second)
+		s.submitJob(servingJob())
+		s.sleep(3 * time.Second)
+		s.propose(&apiv1.JobsCommand{Body: &apiv1.JobsCommand_PutWave{PutWave: &apiv1.PutWave{Wave: &apiv1.MaintenanceWave{
+			Number: waveNumber, Hosts: []string{"host0"}, DurationMs: 60_000, Cap: 1,
+		}}}})
+		if !s.waitUntil(10*time.Second, ordered.Load) {
+			t.Fatal("the upkeep is not ordered")
+		}
+		s.crashAndRestart(fleet, "host0")
+		// The tasks of another worker look for a place as well.
+		s.hostNamed("host1").startWorker()
+		if !s.waitUntil(20*time.Second, s.waveFinished) {
+			t.Errorf("seed %d: the wave is not finished", seed)
+		}
+		s.stopFaultsAndCheck(seed)
+	})
+}
--- a/jobqueue/waves.go
+++ b/jobqueue/waves.go
@@ -169,8 +169,7 @@
 	case apiv1.MaintenanceState_MAINTENANCE_STATE_LEAVING:
 		return !h.Finished() && !h.Down()
 	case apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED:
-		worker := m.Worker(h.Worker)
-		return h.Leaving() && !h.Down() && w.FreeCapacity() > 0 && (worker == nil || len(worker.Runs) == 0)
+		return h.Leaving() && !h.Down() && w.FreeCapacity() > 0 && m.idle(h.Worker) && m.idle(m.successor(h.Worker))
 	case apiv1.MaintenanceState_MAINTENANCE_STATE_BEGUN:
 		return h.State == apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED
 	case apiv1.MaintenanceState_MAINTENANCE_STATE_DONE:
@@ -181,7 +180,17 @@
 	return false
 }
 
-// rebuildLeaving recomputes which workers must get no more work.
+// successor returns the name of the worker that counts on a worker's host instead of it, empty if there is none.
+func (m *Machine) successor(worker string) string {
+	before := m.workers.get(worker)
+	if before == nil || m.current[before.Spec.Host] == worker {
+		return ""
+	}
+	return m.current[before.Spec.Host]
+}
+
+// rebuildLeaving recomputes which workers must get no more work. As with a move, a worker that comes back while
+// an upkeep is ordered is one of them, since the order may not have been carried out yet.
 func (m *Machine) rebuildLeaving() {
 	m.leaving = map[string]bool{}
 	for _, w := range m.waves {
@@ -189,6 +198,9 @@
 			if h.Leaving() {
 				m.leaving[h.Worker] = true
 			}
+			if next := m.successor(h.Worker); next != "" && h.State == apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED {
+				m.leaving[next] = true
+			}
 		}
 	}
 	for _, v := range m.moves {
--- a/jobqueue/waves_test.go
+++ b/jobqueue/waves_test.go
@@ -79,3 +79,43 @@
 		t.Error("a restored snapshot differs")
 	}
 }
+
+// Guards against an upkeep that ends running tasks: it is ordered and not yet carried out, and its host's worker
+// crashes and comes back.
+func TestNextIncarnationGetsNoWorkWhileUpkeepIsOrdered(t *testing.T) {
+	step := func(s apiv1.MaintenanceState, worker string) *apiv1.JobsCommand {
+		c := maintainHost(waveTerm, "a", s)
+		c.GetMaintain().Worker = worker
+		return c
+	}
+	for name, ordered := range map[string]bool{"crash after the order": true, "crash before the order": false} {
+		m := poolsMachine(t)
+		mustApply(t, m, 1, wave(1, "a", "b"))
+		mustApply(t, m, 1, poolWorker("w1", "agent-a", "web"))
+		mustApply(t, m, 1, step(apiv1.MaintenanceState_MAINTENANCE_STATE_LEAVING, "w1"))
+		order := step(apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED, "w1")
+		if ordered {
+			mustApply(t, m, 1, order)
+		}
+		mustApply(t, m, 1, poolWorker("w2", "agent-a", "web"))
+		if !ordered {
+			mustApply(t, m, 1, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Submit{Submit: &apiv1.SubmitJob{Spec: &apiv1.JobSpec{
+				Id: "j", Host: "h", Path: "/q/j", Steps: []*apiv1.JobStep{{Count: 1, CpuMilli: 100, MemoryMb: 1}},
+			}}}})
+			mustApply(t, m, 1, &apiv1.JobsCommand{Body: &apiv1.JobsCommand_Plan{Plan: &apiv1.PlanRuns{Term: waveTerm, Starts: []*apiv1.StartRun{
+				{Task: &apiv1.TaskRef{Job: "j"}, Run: 1, Worker: "w2"},
+			}}}})
+			if got := m.Apply(order, 1, waveTerm); got != outcomeStale {
+				t.Errorf("%s: the order beside running tasks is %v", name, got)
+			}
+			continue
+		}
+		if !m.Leaving("w2") {
+			t.Errorf("%s: the next incarnation may get work", name)
+		}
+		mustApply(t, m, 1, step(apiv1.MaintenanceState_MAINTENANCE_STATE_BEGUN, "w1"))
+		if m.Leaving("w2") {
+			t.Errorf("%s: the incarnation after the upkeep gets no work", name)
+		}
+	}
+}
