schedule: a host is ordered away once its worker has been reported

The move was ordered by the id of a worker that the list names and that crashed before its agent reported it. The next worker of the host got work for 9 s, until the leader sent the order.

Cause: a worker that the log does not know counted as one without runs. The log bars the next worker on the host of the named one, and knows no host for it.

Change: of a configured pool, a host is ordered away, for an upkeep or a move, only once its worker has been reported. Before that it is drained as it was. Hosts of pools that are not configured and of standby pools are not concerned. A machine whose agent is gone for good before it ever reported the worker has no upkeep until an agent reports it.

TestHostIsOrderedAwayOnceItsWorkerIsKnown fails before.

--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -82,7 +82,7 @@
 			// The worker crashed and came back meanwhile.
 			return step(apiv1.MaintenanceState_MAINTENANCE_STATE_LEAVING, view.Worker)
 		}
-		if w := m.Worker(h.Worker); w == nil || len(w.Runs) == 0 {
+		if mayOrderAway(m, view) {
 			return step(apiv1.MaintenanceState_MAINTENANCE_STATE_ORDERED, h.Worker)
 		}
 	case apiv1.MaintenanceState_MAINTENANCE_STATE_BEGUN:
@@ -92,3 +92,14 @@
 	}
 	return nil
 }
+
+// mayOrderAway reports whether a host may be ordered away for its maintenance or move: nothing runs there. Of a
+// worker of a configured pool that no agent has reported yet, the log does not know the host. If it ended before
+// its first report, nothing would bar its successor from work, which the order would end.
+func mayOrderAway(m *jobqueue.Machine, view HostView) bool {
+	if w := m.Worker(view.Worker); w != nil {
+		return len(w.Runs) == 0
+	}
+	pool := m.Pool(view.Pool)
+	return view.Worker == "" || m.HasDeparted(view.Worker) || pool == nil || pool.Standby
+}
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -215,7 +215,7 @@
 		found.From = view.Pool
 		return found
 	}
-	if w := m.Worker(v.Worker); w == nil || len(w.Runs) == 0 {
+	if mayOrderAway(m, view) {
 		return step(apiv1.MoveState_MOVE_STATE_ORDERED, v.Worker)
 	}
 	return nil
