--- a/agent/runs/driver_test.go
+++ b/agent/runs/driver_test.go
@@ -224,6 +224,7 @@
 				for w.startCalls.Load() == 0 {
 					time.Sleep(time.Millisecond)
 				}
+				synctest.Wait() // The worker has received the call, and lost or delayed it.
 				draining := workerSpec("w1")
 				draining.Draining = true
 				announce(t, d, runs.Announcement{Worker: draining, Sequence: 2})
