--- a/discovery/announcer.go
+++ b/discovery/announcer.go
@@ -39,8 +39,10 @@
 	// Targets returns the internal addresses of the hosts that have to know the group. An announcer
 	// tells a target unless it has heard from it.
 	Targets func() []string
-	Logger  *zap.Logger
-	Metrics metrics.Registry
+	// Transport carries the announcements; nil means connections of the announcer's own.
+	Transport http.RoundTripper
+	Logger    *zap.Logger
+	Metrics   metrics.Registry
 }
 
 // Announcer tells control hosts, while this host leads, where the group is.
@@ -59,9 +61,12 @@
 
 // NewAnnouncer returns an announcer, which Run starts.
 func NewAnnouncer(o Options) *Announcer {
+	if o.Transport == nil {
+		o.Transport = redial.New(redial.Options{DialTimeout: dialTimeout, MaxIdlePerHost: 1, IdleTimeout: heardPeriod})
+	}
 	return &Announcer{
 		opts: o, logger: event.Group.Named(o.Logger), schedule: newSchedule(),
-		http:     &http.Client{Transport: redial.New(redial.Options{DialTimeout: dialTimeout, MaxIdlePerHost: 1, IdleTimeout: heardPeriod})},
+		http:     &http.Client{Transport: o.Transport},
 		answered: metrics.GetOrRegisterCounter("discovery.announced", o.Metrics),
 		failed:   metrics.GetOrRegisterCounter("discovery.unanswered", o.Metrics),
 		targets:  metrics.GetOrRegisterGauge("discovery.targets", o.Metrics),
