jobclient: the simulated hosts read their seeds under the lock

The race detector reports the change of the seeds that the play makes, beside an announcer that reads them. No check changes.

--- a/jobclient/directorysim_test.go
+++ b/jobclient/directorysim_test.go
@@ -29,10 +29,10 @@
 	g *nodetest.Group
 	// loops are the goroutines of all processes.
 	loops sync.WaitGroup
-	seeds []string
 
 	mu        sync.Mutex
 	rand      *rand.Rand
+	seeds     []string
 	processes map[string]*process
 	// unresponsive are addresses at which calls get no response.
 	unresponsive map[string]bool
@@ -179,7 +179,9 @@
 // targets are the hosts to tell, as platform.hostsToTell returns them.
 func (h *replicaHost) targets() []string {
 	silent, responsive := h.node.MembersByContact()
+	h.s.mu.Lock()
 	hosts := slices.Concat(h.machine.Commands(), h.s.seeds, silent)
+	h.s.mu.Unlock()
 	return slices.DeleteFunc(hosts, func(a string) bool { return slices.Contains(responsive, a) })
 }
 
--- a/jobclient/foreigndirectory_test.go
+++ b/jobclient/foreigndirectory_test.go
@@ -78,7 +78,9 @@
 	s.startEntry("entry", s.entry)
 	time.Sleep(3 * time.Second)
 	// The settings name directories only from now on, which know the group.
+	s.mu.Lock()
 	s.seeds = []string{s.directories["x"], s.directories["y"]}
+	s.mu.Unlock()
 	s.g.Peers = []string{"x", "y"}
 	s.g.WithoutReplica = s.g.Peers
 	for name, address := range s.directories {
