--- a/fakes/runworker.go
+++ b/fakes/runworker.go
@@ -248,6 +248,14 @@
 	return slices.Collect(maps.Keys(w.running))
 }
 
+// UnacknowledgedEnds returns how many ends were not acknowledged.
+func (w *RunWorker) UnacknowledgedEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return len(w.ended)
+}
+
 // PaceOf returns the share at which a task may work, in percent; 0 if it does not run.
 func (w *RunWorker) PaceOf(task jobqueue.TaskID) uint32 {
 	w.mu.Lock()
