control/controltest: proposals are settled by timers

Cause: since proposals may be given up by their callers, each had a goroutine that waits for its commit, and outlasts a test that ends meanwhile.

A timer settles a proposal, and another one if commits stall.

--- a/control/controltest/log.go
+++ b/control/controltest/log.go
@@ -131,11 +131,7 @@
 	p := &proposal{command: command, term: l.term, isolated: l.successor != nil, done: make(chan struct{})}
 	l.queue = append(l.queue, p)
 	l.mu.Unlock()
-	go func() {
-		time.Sleep(commitDelay)
-		l.awaitStall(context.Background())
-		l.commitUpTo(p)
-	}()
+	time.AfterFunc(commitDelay, func() { l.settle(p) })
 	select {
 	case <-p.done:
 	case <-ctx.Done():
@@ -150,6 +146,19 @@
 	return p.result, p.index, nil
 }
 
+// settle settles a proposal and those before it once commits go on. It runs in timers only: a goroutine that waits
+// must not outlast a test in virtual time.
+func (l *Log) settle(p *proposal) {
+	l.mu.Lock()
+	left := time.Until(l.stalledUntil)
+	l.mu.Unlock()
+	if left > 0 {
+		time.AfterFunc(left, func() { l.settle(p) })
+		return
+	}
+	l.commitUpTo(p)
+}
+
 // commitUpTo settles the proposals up to the given one, in order.
 func (l *Log) commitUpTo(last *proposal) {
 	l.mu.Lock()
