control: the last try is bounded by the caller's deadline

The change "no last try that leaves a certain outcome open" compared with the deadline of the try, a third of what is left and 100 ms at least: in the last 300 ms no proposal was tried again.

It compares with the deadline of the proposal.

--- a/control/forwarder.go
+++ b/control/forwarder.go
@@ -81,8 +81,9 @@
 	cause := "no control host is known"
 	var result *apiv1.Result
 	tries := 0
+	end, bounded := ctx.Deadline()
 	f.tryControl(ctx, hint, repeatable, func(ctx context.Context, c apiv1.Control) (string, bool) {
-		if deadline, _ := ctx.Deadline(); tries > 0 && !maybeSent && time.Until(deadline) < minTryTimeout {
+		if tries > 0 && !maybeSent && bounded && time.Until(end) < minTryTimeout {
 			return "", false // A try without an answer would leave the outcome open, which is certain so far.
 		}
 		tries++
