--- a/jobclient/foreigndirectory_test.go
+++ b/jobclient/foreigndirectory_test.go
@@ -147,7 +147,7 @@
 	start := func(name string) { s.g.MustStart(name) }
 	switch s.intN(7) {
 	case 0, 1:
-		// A member is gone for good, and a new one joins at another address.
+		// A member is removed, and a new one joins at another address.
 		s.g.Kill(name)
 		s.end(address)
 		delete(s.replicas, name)
