--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -49,6 +49,7 @@
 	controls, workers int
 	seeds             []string
 	procs             []*process
+	serversMu         sync.Mutex
 	servers           []*worker
 	rec               *record
 	closing           chan struct{}
@@ -373,3 +374,17 @@
 }
 
 const routeHost = "nony24.example"
+
+// replaced puts a worker in the place of one that has crashed.
+func (d *deployment) replaced(i int, w *worker) {
+	d.serversMu.Lock()
+	defer d.serversMu.Unlock()
+	d.servers[i] = w
+}
+
+// workersNow returns the present workers.
+func (d *deployment) workersNow() []*worker {
+	d.serversMu.Lock()
+	defer d.serversMu.Unlock()
+	return append([]*worker(nil), d.servers...)
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,7 +11,7 @@
 
 // cases are the cases by name. Each returns what was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken []string, err error){
-	"early":     early,
+	"crashes":   crashes,
 	"gang":      gang,
 	"images":    images,
 	"withdrawn": withdrawn,
--- a/review/standin-3/ordinary.go
+++ b/review/standin-3/ordinary.go
@@ -117,7 +117,7 @@
 
 // runs reports whether a worker runs a task of a job.
 func (d *deployment) runs(job string) bool {
-	for _, w := range d.servers {
+	for _, w := range d.workersNow() {
 		if w.runs(job) {
 			return true
 		}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -19,6 +19,8 @@
 	// TailMs is the tail latency that a task reports, CPU the processor time that it uses at full pace.
 	TailMs int64 `json:"tail_ms"`
 	CPU    int64 `json:"cpu"`
+	// Crashes makes the task crash its worker; see crasher.
+	Crashes bool `json:"crashes,omitempty"`
 }
 
 // worker is a runner as PROTOCOL.md describes it. It doesn't guard its capacity.
@@ -37,6 +39,8 @@
 	ended      [][]any
 	number     int64
 	lapsed     int
+	dead       bool
+	crasher    *crasher
 	endedAt    map[string]time.Time
 	firstBegan map[string]time.Time
 }
@@ -69,7 +73,7 @@
 
 func (w *worker) beat() {
 	client := &http.Client{Timeout: time.Second}
-	for n := 1; ; n++ {
+	for n := 1; !w.hasCrashed(); n++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
 			"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpus": 0}, "labels": []string{"a", "r1-1"},
@@ -118,6 +122,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.dead {
+		panic(http.ErrAbortHandler)
+	}
 	w.advance()
 	answer := map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli()}
 	if c.Fence < w.fence {
@@ -167,6 +174,9 @@
 		t.work = work{WorkMs: 100}
 	}
 	w.running[c.Task] = t
+	if t.work.Crashes && w.crasher != nil {
+		w.crasher.began(w, t)
+	}
 	if _, begun := w.firstBegan[c.Task]; !begun {
 		w.firstBegan[c.Task] = t.began
 	}
@@ -236,6 +246,12 @@
 	w.rec.add("%s ended %s run %d %s", w.id, t.task, t.number, how)
 }
 
+func (w *worker) hasCrashed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead
+}
+
 // lapses returns how many runs ended because their lease had expired.
 func (w *worker) lapses() int {
 	w.mu.Lock()
