--- a/review/standin-3/images.go
+++ b/review/standin-3/images.go
@@ -15,7 +15,7 @@
 	imagesPerJob    = 4
 	longImageBytes  = 50_000
 	shortImageBytes = 16
-	imagesRun       = 60 * time.Second
+	imagesRun       = 86 * time.Second
 )
 
 // images has one client submit 36 jobs inside the configured limits: two thirds have tasks that serve, the
