--- a/review/standin-3/withdrawn.go
+++ b/review/standin-3/withdrawn.go
@@ -15,6 +15,8 @@
 	manyCancels   = 10_200
 	fewCancels    = 100
 	withdrawnJobs = 10
+	// keptJobs are submitted beside them and not cancelled: a quarter of the client's jobs are withdrawn.
+	keptJobs = 30
 	// heldFor is how long the link holds the submissions of client B, and cancelAfter when it cancels them.
 	heldFor     = 7 * time.Second
 	cancelAfter = 2 * time.Second
@@ -41,6 +43,7 @@
 	acknowledged := map[string]time.Time{}
 	var mu sync.Mutex
 	var jobs sync.WaitGroup
+	go submitKept(d)
 	for range withdrawnJobs {
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		jobs.Add(1)
@@ -79,6 +82,19 @@
 	return broken, nil
 }
 
+// submitKept submits the jobs of client B that it does not cancel.
+func submitKept(d *deployment) {
+	answers := map[int]int{}
+	for range keptJobs {
+		spec, _ := json.Marshal(work{WorkMs: 500, CPU: 100})
+		status, _ := d.call(http.MethodPost, d.front(2)+":8161", routeHost, fmt.Sprintf("/small/%016x", rand.Uint64()), map[string]any{
+			"spec": string(spec), "steps": []map[string]any{{"count": 1, "cpu": 100, "mem_mb": 16, "estimated_ms": 500}},
+		}, 3*time.Second)
+		answers[status]++
+	}
+	d.rec.add("client B: %d jobs that it does not cancel, answers %v", keptJobs, answers)
+}
+
 // cancelUnknown cancels jobs that don't exist, and returns the number of answers by status.
 func cancelUnknown(d *deployment, calls int) map[int]int {
 	const callers = 8
